Routes: a table of hosts and prefixes, numbered changes, matching

Cause: operators of the users' platform replace routes as a whole, and resend or race under numbers of their own; the operators' table of weights has no such thing.

Change: crates/route holds the table, its check, the rule that only a higher number takes effect, longest-prefix matching, and an even deal by weight (within 3 of 100 in any run of 100, checked over random weights).

Ruled out: routes as rows of the operators' table. A row has a revision of its own and is edited alone; a change here is all or nothing.

--- /dev/null
+++ b/crates/route/tests/table.rs
@@ -0,0 +1,144 @@
+//! Tables, changes and matching.
+
+use std::time::Duration;
+
+use filberthead_route::{
+    CallerBounds, Change, Held, InvalidTable, Kind, Matcher, Offered, Route, Service, Table, Target,
+};
+
+fn target(service: &str, weight: u32) -> Target {
+    Target {
+        service: service.parse().expect("a valid name"),
+        weight,
+    }
+}
+
+fn route(host: &str, prefix: &str, targets: Vec<Target>) -> Route {
+    Route {
+        name: format!("{host}{prefix}"),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        kind: Kind::Safe,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(250),
+        priority: 1,
+        targets,
+        max_attempts: 2,
+        sticky: true,
+        regions: Vec::new(),
+    }
+}
+
+fn table(routes: Vec<Route>) -> Table {
+    let service = |name: &str| Service {
+        name: name.parse().expect("a valid name"),
+        health_path: "/healthz".to_owned(),
+        max_connections: 330,
+        cold_for: Duration::from_secs(3),
+        cold_per_s: 9.4,
+    };
+    Table {
+        routes,
+        services: vec![service("catalogue"), service("orders")],
+        bounds: CallerBounds::default(),
+    }
+}
+
+fn change(version: u64, routes: Vec<Route>) -> Change {
+    Change {
+        version,
+        table: table(routes),
+        text: String::new(),
+    }
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let routes = vec![
+        route("shop.example", "/a/", vec![target("catalogue", 1)]),
+        route("shop.example", "/a/b/", vec![target("orders", 1)]),
+        route("other.example", "/", vec![target("catalogue", 1)]),
+    ];
+    let matcher = Matcher::new(&table(routes));
+    let prefix = |host, path| {
+        let found = matcher.find(host, path);
+        found.map(|matched| matched.route.prefix.clone())
+    };
+    assert_eq!(prefix("shop.example", "/a/b/c").as_deref(), Some("/a/b/"));
+    assert_eq!(prefix("Shop.example:8080", "/a/x").as_deref(), Some("/a/"));
+    assert_eq!(prefix("shop.example", "/b/"), None);
+    assert_eq!(prefix("nowhere.example", "/a/"), None);
+}
+
+/// Two operators draw the same number, and an older change comes late: the table in force
+/// must stay what the first holder of the highest number made it.
+#[test]
+fn only_a_higher_number_takes_effect() {
+    let mut held = Held::default();
+    let first = change(7, vec![route("a", "/", vec![target("orders", 1)])]);
+    assert_eq!(held.offer(&first), Offered::Taken);
+    assert_eq!(held.offer(&change(7, Vec::new())), Offered::Overtaken);
+    assert_eq!(held.offer(&change(6, Vec::new())), Offered::Overtaken);
+    assert_eq!(held.newest().map(|c| c.table.routes.len()), Some(1));
+    assert_eq!(held.offer(&change(9, Vec::new())), Offered::Taken);
+    assert_eq!(held.newest().map(|c| c.version), Some(9));
+}
+
+#[test]
+fn each_fault_of_a_table_is_named() {
+    let good = route("a", "/x/", vec![target("orders", 1)]);
+    let check = |edit: fn(&mut Route)| {
+        let mut bad = good.clone();
+        edit(&mut bad);
+        table(vec![good.clone(), bad]).check()
+    };
+    assert_eq!(check(|_| {}), Ok(()));
+    assert!(matches!(
+        check(|r| r.host.clear()),
+        Err(InvalidTable::NoHost { .. })
+    ));
+    assert!(matches!(
+        check(|r| r.prefix = "x/".to_owned()),
+        Err(InvalidTable::BarePrefix { .. })
+    ));
+    assert!(matches!(
+        check(|r| r.timeout = Duration::ZERO),
+        Err(InvalidTable::NoTimeout { .. })
+    ));
+    assert!(matches!(
+        check(|r| r.targets[0].service = "nobody".parse().expect("a valid name")),
+        Err(InvalidTable::UnknownService { .. })
+    ));
+    assert!(matches!(
+        check(|r| r.targets[0].weight = 0),
+        Err(InvalidTable::NoTarget { .. })
+    ));
+    assert!(matches!(
+        check(|r| r.targets.clear()),
+        Err(InvalidTable::NoTarget { .. })
+    ));
+}
+
+/// Weights hold in each short stretch: of any 100 requests in a row, no target is more
+/// than 3 off its part.
+#[test]
+fn requests_are_dealt_by_weight_in_any_short_run() {
+    bolero::check!()
+        .with_type::<(u8, u8, u8)>()
+        .for_each(|(a, b, skip)| {
+            let (a, b) = (u32::from(*a) + 1, u32::from(*b));
+            let routes = vec![route(
+                "a",
+                "/",
+                vec![target("catalogue", a), target("orders", b)],
+            )];
+            let matcher = Matcher::new(&table(routes));
+            let matched = matcher.find("a", "/").expect("a route");
+            (0..*skip).for_each(|_| {
+                matched.split.deal();
+            });
+            let first = (0..100).filter(|_| matched.split.deal() == 0).count() as f64;
+            let part = 100.0 * f64::from(a) / f64::from(a + b);
+            assert!((first - part).abs() <= 3.0, "{first} of 100, not {part}");
+        });
+}
