What gateways and control tell each other, as step functions

Cause: a gateway is told three control VMs and nothing else, must learn routes, evacuations and endpoints from whoever has them, and must never go back within a life.

Change: crates/fleet. Every gateway reports to every replica twice a second; replicas answer with revisions; whoever sees a higher one asks. A deposed leader's list loses by its term. Tests: one report teaches a new gateway everything; an older list or older routes change nothing; the passing of cold time is no news.

Ruled out: reuse of crates/spread. Its relays make two hops of what has to be in force in seconds with most VMs lost, and its unit is the table.

--- /dev/null
+++ b/crates/fleet/src/api.rs
@@ -0,0 +1,210 @@
+//! Messages, and what they speak of.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use filberthead_route::{Change, Table};
+use filberthead_types::{FailureDomain, NodeName, Region, ServiceName};
+use serde::{Deserialize, Serialize};
+
+/// A message and where it goes.
+pub type Outbound = (SocketAddr, Message);
+
+/// Whether an endpoint is to stay.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum EndpointState {
+    /// It takes requests.
+    Ready,
+    /// It finishes what it has; it is to get nothing new.
+    Draining,
+}
+
+/// An endpoint as the platform lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Endpoint {
+    /// Identity of this start of the endpoint. One that restarts has another.
+    pub id: String,
+    /// Service that it runs.
+    pub service: ServiceName,
+    /// Where it listens. Another endpoint may have the address after it.
+    pub addr: SocketAddr,
+    /// Its failure domain.
+    pub domain: FailureDomain,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Whether it is to stay.
+    pub state: EndpointState,
+    /// How much longer it is cold, counted from when this was sent.
+    pub cold_left: Duration,
+}
+
+/// Number of a list of endpoints: of two, the one of the higher term is newer, and within
+/// a term the one with the higher number.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+pub struct Stamp {
+    /// Term of the leader that read the list.
+    pub term: u64,
+    /// Counts the lists of that leader that differ from the one before.
+    pub seq: u64,
+}
+
+/// Which revisions somebody holds. 0 means none.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Have {
+    /// Index in the replicated log of the change that is in force.
+    pub routes: u64,
+    /// Index in the replicated log of the newest evacuation or end of one.
+    pub evacuated: u64,
+    /// Newest list of endpoints.
+    pub endpoints: Stamp,
+}
+
+impl Have {
+    /// Whether anything in `other` is newer than here.
+    pub fn lacks(&self, other: &Self) -> bool {
+        other.routes > self.routes
+            || other.evacuated > self.evacuated
+            || other.endpoints > self.endpoints
+    }
+}
+
+/// A gateway as others need to know it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct GatewayInfo {
+    /// Its name.
+    pub name: NodeName,
+    /// Its region.
+    pub region: Region,
+    /// Its failure domain.
+    pub domain: FailureDomain,
+    /// Where it takes requests of callers.
+    pub caller_addr: SocketAddr,
+}
+
+/// What a gateway was asked to carry for a service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Demand {
+    /// The service.
+    pub service: ServiceName,
+    /// Thousandths of a slot that its requests kept busy, on average, since the report
+    /// before; refused requests count as if they had run.
+    pub busy_milli: u32,
+}
+
+/// What a gateway says about itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Report {
+    /// Who it is.
+    pub gateway: GatewayInfo,
+    /// Whether callers may be sent to it.
+    pub ready: bool,
+    /// What it holds.
+    pub have: Have,
+    /// What it was asked to carry.
+    pub demand: Vec<Demand>,
+}
+
+/// What an operator wants.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub enum Order {
+    /// Put routes in force.
+    Routes(Arc<Change>),
+    /// Send nothing more to the endpoints of a failure domain.
+    Evacuate(FailureDomain),
+    /// Take a failure domain back into service.
+    Return(FailureDomain),
+}
+
+/// Why an order has no outcome. None of these is a refusal: the operator sends the order
+/// again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub enum OrderError {
+    /// No leader is known here, or the group is still being put together.
+    NoLeader,
+    /// It may take effect yet.
+    OutcomeUnknown,
+    /// Too much waits already.
+    Busy,
+}
+
+/// Messages between gateways and control, and between control replicas.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub enum Message {
+    /// A gateway makes itself known; answered by a notice.
+    Report(Report),
+    /// What a replica holds, and who else there is.
+    Notice {
+        /// What it holds.
+        have: Have,
+        /// Where the control replicas are.
+        replicas: Vec<SocketAddr>,
+        /// How many gateways are live in each failure domain, as it knows.
+        gateways: Vec<(FailureDomain, u32)>,
+        /// Busy slots that all gateways of a region asked for, in thousandths.
+        demand: Vec<(Region, ServiceName, u32)>,
+    },
+    /// Asks for all that is newer than what the sender holds.
+    Ask(Have),
+    /// The routes in force.
+    Routes {
+        /// Their revision.
+        revision: u64,
+        /// The operator's number of the change, for logs.
+        version: u64,
+        /// The table.
+        table: Arc<Table>,
+    },
+    /// The evacuated failure domains.
+    Evacuated {
+        /// Revision of the set.
+        revision: u64,
+        /// The set.
+        domains: BTreeSet<FailureDomain>,
+    },
+    /// All endpoints.
+    Endpoints {
+        /// Number of the list.
+        stamp: Stamp,
+        /// The list.
+        list: Vec<Endpoint>,
+    },
+    /// A replica that doesn't lead passes an order on to the leader.
+    Order {
+        /// Comes back with the outcome.
+        token: u64,
+        /// The order.
+        order: Order,
+    },
+    /// What came of an order that was passed on.
+    OrderDone {
+        /// Token of the order.
+        token: u64,
+        /// Its outcome.
+        result: Result<(), OrderError>,
+    },
+    /// A replica that doesn't lead asks how far it must have applied the log to know
+    /// everything accepted by now.
+    Newest {
+        /// Comes back with the answer.
+        token: u64,
+    },
+    /// Answer to [`Message::Newest`], proved by the leader's lease.
+    NewestIs {
+        /// Token of the question.
+        token: u64,
+        /// Index in the log.
+        result: Result<u64, OrderError>,
+    },
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,28 @@
+//! What gateways and control tell each other, as step functions free of I/O.
+//!
+//! Every gateway reports to every control replica it knows ([`Member`]), and every
+//! replica answers with the revisions that it holds ([`Registry`]). Whoever sees a higher
+//! revision than its own asks for it. So a gateway that is cut off from the leader still
+//! gets a change from any replica that has it, and no replica has to know which of its
+//! messages arrived.
+//!
+//! Three things spread this way, each under a revision that only goes up:
+//!
+//! - the routes in force and the evacuated failure domains, under their index in the
+//!   replicated log, so that all replicas number them alike;
+//! - the list of endpoints, which one leader reads and stamps with its term, so that
+//!   whatever a deposed leader still sends loses.
+//!
+//! Invariant: a [`Member`] never goes back to a lower revision of anything. A process that
+//! starts anew begins with nothing and serves nothing until it has both routes and list.
+
+mod api;
+mod member;
+mod registry;
+
+pub use api::{
+    Demand, Endpoint, EndpointState, GatewayInfo, Have, Message, Order, OrderError, Outbound,
+    Report, Stamp,
+};
+pub use member::{Member, Update};
+pub use registry::Registry;
--- /dev/null
+++ b/crates/fleet/src/member.rs
@@ -0,0 +1,180 @@
+//! The gateway side: reports, and asks for what it lacks.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use filberthead_route::Table;
+use filberthead_types::{FailureDomain, Moment, Region, ServiceName};
+
+use crate::{Demand, Endpoint, GatewayInfo, Have, Message, Outbound, Report};
+
+/// Time between reports: three fit into the silence after which a gateway is taken for
+/// dead, and a notice that was lost is made up for within it.
+const REPORT_PERIOD: Duration = Duration::from_millis(500);
+/// An answer to a question takes two ways between regions; asked sooner again, each
+/// change would come twice.
+const ASK_AGAIN: Duration = Duration::from_millis(250);
+/// A replica that no notice has named for this long is no longer reported to.
+const CONTACT_FORGOTTEN: Duration = Duration::from_secs(30);
+
+/// What a gateway learns.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Update {
+    /// Routes to put in force.
+    Routes {
+        /// Their revision.
+        revision: u64,
+        /// The operator's number.
+        version: u64,
+        /// The table.
+        table: Arc<Table>,
+    },
+    /// The failure domains that are evacuated from now on.
+    Evacuated(BTreeSet<FailureDomain>),
+    /// The endpoints there are.
+    Endpoints(Vec<Endpoint>),
+    /// How many gateways there are in each failure domain.
+    Gateways(Vec<(FailureDomain, u32)>),
+    /// What all gateways of each region were asked to carry.
+    Demand(Vec<(Region, ServiceName, u32)>),
+}
+
+/// What a gateway knows of control.
+#[derive(Clone, Debug)]
+pub struct Member {
+    info: GatewayInfo,
+    ready: bool,
+    seeds: BTreeSet<SocketAddr>,
+    /// When each replica was last named or heard.
+    contacts: BTreeMap<SocketAddr, Moment>,
+    heard: Option<Moment>,
+    have: Have,
+    asked: Option<(Have, Moment)>,
+    next_report: Moment,
+}
+
+impl Member {
+    /// Starts with the replicas of the settings.
+    pub fn new(info: GatewayInfo, seeds: impl IntoIterator<Item = SocketAddr>) -> Self {
+        Self {
+            info,
+            ready: false,
+            seeds: seeds.into_iter().collect(),
+            contacts: BTreeMap::new(),
+            heard: None,
+            have: Have::default(),
+            asked: None,
+            next_report: Moment::ZERO,
+        }
+    }
+
+    /// What this gateway holds.
+    pub fn have(&self) -> Have {
+        self.have
+    }
+
+    /// Whether it knows routes and endpoints.
+    pub fn is_informed(&self) -> bool {
+        self.have.routes > 0 && self.have.endpoints.seq > 0
+    }
+
+    /// When a control replica was last heard.
+    pub fn heard(&self) -> Option<Moment> {
+        self.heard
+    }
+
+    /// Says whether callers may be sent here; a change is reported at the next tick.
+    pub fn set_ready(&mut self, ready: bool) {
+        if self.ready != ready {
+            self.ready = ready;
+            self.next_report = Moment::ZERO;
+        }
+    }
+
+    /// Replaces the replicas of the settings, when these have changed.
+    pub fn set_seeds(&mut self, seeds: impl IntoIterator<Item = SocketAddr>) {
+        self.seeds = seeds.into_iter().collect();
+    }
+
+    /// Reports if it is time. `demand` is asked only then.
+    pub fn tick(&mut self, now: Moment, demand: impl FnOnce() -> Vec<Demand>) -> Vec<Outbound> {
+        if now < self.next_report {
+            return Vec::new();
+        }
+        self.next_report = now + REPORT_PERIOD;
+        self.contacts
+            .retain(|_, named| now < *named + CONTACT_FORGOTTEN);
+        let report = Message::Report(Report {
+            gateway: self.info.clone(),
+            ready: self.ready,
+            have: self.have,
+            demand: demand(),
+        });
+        let known: BTreeSet<_> = self.contacts.keys().chain(&self.seeds).copied().collect();
+        known.into_iter().map(|to| (to, report.clone())).collect()
+    }
+
+    /// Takes in a message of a control replica.
+    pub fn receive(
+        &mut self,
+        now: Moment,
+        from: SocketAddr,
+        message: Message,
+    ) -> (Vec<Outbound>, Vec<Update>) {
+        self.heard = Some(now);
+        match message {
+            Message::Notice {
+                have,
+                replicas,
+                gateways,
+                demand,
+            } => {
+                for replica in replicas.into_iter().chain([from]) {
+                    self.contacts.insert(replica, now);
+                }
+                let updates = vec![Update::Gateways(gateways), Update::Demand(demand)];
+                (self.ask(now, from, have), updates)
+            }
+            Message::Routes {
+                revision,
+                version,
+                table,
+            } if revision > self.have.routes => {
+                self.have.routes = revision;
+                let update = Update::Routes {
+                    revision,
+                    version,
+                    table,
+                };
+                (Vec::new(), vec![update])
+            }
+            Message::Evacuated { revision, domains } if revision > self.have.evacuated => {
+                self.have.evacuated = revision;
+                (Vec::new(), vec![Update::Evacuated(domains)])
+            }
+            Message::Endpoints { stamp, list } if stamp > self.have.endpoints => {
+                self.have.endpoints = stamp;
+                (Vec::new(), vec![Update::Endpoints(list)])
+            }
+            _ => (Vec::new(), Vec::new()),
+        }
+    }
+
+    /// Asks for what a replica holds beyond this gateway, unless the same was asked of
+    /// somebody a moment ago.
+    fn ask(&mut self, now: Moment, from: SocketAddr, theirs: Have) -> Vec<Outbound> {
+        if !self.have.lacks(&theirs) {
+            return Vec::new();
+        }
+        let under_way = self
+            .asked
+            .is_some_and(|(asked, at)| now < at + ASK_AGAIN && !asked.lacks(&theirs));
+        if under_way {
+            return Vec::new();
+        }
+        self.asked = Some((theirs, now));
+        vec![(from, Message::Ask(self.have))]
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/registry.rs
@@ -0,0 +1,247 @@
+//! The control side: which gateways are live, and what they are to be told.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use filberthead_route::Table;
+use filberthead_types::{FailureDomain, Moment, NodeName, Region, ServiceName};
+
+use crate::{Demand, Endpoint, GatewayInfo, Have, Message, Outbound, Report, Stamp};
+
+/// Silence after which a gateway is no longer named to callers: three reports, so that
+/// one that is lost or late takes nobody out of service.
+const LIVE_FOR: Duration = Duration::from_millis(1600);
+/// Silence after which a gateway is forgotten. Its place in counts lasts this long, since
+/// one that is cut off from control may still be serving.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(30);
+/// A change of an endpoint's cold time by less than this is the passing of time seen
+/// through a clock of another machine, not news.
+const COLD_NOISE: Duration = Duration::from_millis(700);
+
+#[derive(Clone, Debug)]
+struct Seen {
+    info: GatewayInfo,
+    addr: SocketAddr,
+    ready: bool,
+    at: Moment,
+    demand: Vec<Demand>,
+}
+
+/// What a control replica knows of gateways, and holds for them.
+#[derive(Clone, Debug, Default)]
+pub struct Registry {
+    gateways: BTreeMap<NodeName, Seen>,
+    replicas: Vec<SocketAddr>,
+    have: Have,
+    version: u64,
+    table: Option<Arc<Table>>,
+    evacuated: BTreeSet<FailureDomain>,
+    endpoints: Vec<Endpoint>,
+    endpoints_at: Moment,
+}
+
+impl Registry {
+    /// What this replica holds.
+    pub fn have(&self) -> Have {
+        self.have
+    }
+
+    /// Tells where the control replicas are, this one included.
+    pub fn set_replicas(&mut self, replicas: Vec<SocketAddr>) {
+        self.replicas = replicas;
+    }
+
+    /// Takes in the routes in force, applied at `revision` of the log.
+    pub fn set_routes(
+        &mut self,
+        now: Moment,
+        revision: u64,
+        version: u64,
+        table: Arc<Table>,
+    ) -> Vec<Outbound> {
+        if revision <= self.have.routes {
+            return Vec::new();
+        }
+        self.have.routes = revision;
+        self.version = version;
+        self.table = Some(table);
+        self.notices(now)
+    }
+
+    /// Takes in the evacuated failure domains, as of `revision` of the log.
+    pub fn set_evacuated(
+        &mut self,
+        now: Moment,
+        revision: u64,
+        domains: &BTreeSet<FailureDomain>,
+    ) -> Vec<Outbound> {
+        if revision <= self.have.evacuated {
+            return Vec::new();
+        }
+        self.have.evacuated = revision;
+        self.evacuated.clone_from(domains);
+        self.notices(now)
+    }
+
+    /// Takes in a list of endpoints that this replica, the leader of `term`, has read
+    /// just now. A list that tells nothing new keeps its stamp.
+    pub fn listed(&mut self, now: Moment, term: u64, list: Vec<Endpoint>) -> Vec<Outbound> {
+        if self.have.endpoints.term == term && self.tells_nothing_new(now, &list) {
+            return Vec::new();
+        }
+        let seq = match self.have.endpoints {
+            Stamp { term: held, seq } if held == term => seq + 1,
+            _ => 1,
+        };
+        self.take_endpoints(now, Stamp { term, seq }, list)
+    }
+
+    fn take_endpoints(&mut self, now: Moment, stamp: Stamp, list: Vec<Endpoint>) -> Vec<Outbound> {
+        if stamp <= self.have.endpoints {
+            return Vec::new();
+        }
+        self.have.endpoints = stamp;
+        self.endpoints = list;
+        self.endpoints_at = now;
+        self.notices(now)
+    }
+
+    fn tells_nothing_new(&self, now: Moment, list: &[Endpoint]) -> bool {
+        let held = self.aged(now);
+        let same = |(a, b): (&Endpoint, &Endpoint)| {
+            let noise = a.cold_left.abs_diff(b.cold_left) < COLD_NOISE;
+            let plain = |e: &Endpoint| Endpoint {
+                cold_left: Duration::ZERO,
+                ..e.clone()
+            };
+            noise && plain(a) == plain(b)
+        };
+        held.len() == list.len() && held.iter().zip(list).all(same)
+    }
+
+    /// The list, with cold times as they are by now.
+    fn aged(&self, now: Moment) -> Vec<Endpoint> {
+        let age = now.saturating_sub(self.endpoints_at);
+        let older = |e: &Endpoint| Endpoint {
+            cold_left: e.cold_left.saturating_sub(age),
+            ..e.clone()
+        };
+        self.endpoints.iter().map(older).collect()
+    }
+
+    /// Takes in a message of a gateway or of another replica.
+    pub fn receive(&mut self, now: Moment, from: SocketAddr, message: Message) -> Vec<Outbound> {
+        match message {
+            Message::Report(report) => self.reported(now, from, report),
+            Message::Ask(have) => self.newer_than(now, &have, from),
+            Message::Endpoints { stamp, list } => self.take_endpoints(now, stamp, list),
+            _ => Vec::new(),
+        }
+    }
+
+    fn reported(&mut self, now: Moment, from: SocketAddr, report: Report) -> Vec<Outbound> {
+        let seen = Seen {
+            info: report.gateway,
+            addr: from,
+            ready: report.ready,
+            at: now,
+            demand: report.demand,
+        };
+        self.gateways.insert(seen.info.name.clone(), seen);
+        vec![(from, self.notice(now))]
+    }
+
+    fn newer_than(&self, now: Moment, have: &Have, to: SocketAddr) -> Vec<Outbound> {
+        let routes = self
+            .table
+            .as_ref()
+            .filter(|_| self.have.routes > have.routes);
+        let routes = routes.map(|table| Message::Routes {
+            revision: self.have.routes,
+            version: self.version,
+            table: Arc::clone(table),
+        });
+        let evacuated = (self.have.evacuated > have.evacuated).then(|| Message::Evacuated {
+            revision: self.have.evacuated,
+            domains: self.evacuated.clone(),
+        });
+        let endpoints = (self.have.endpoints > have.endpoints).then(|| Message::Endpoints {
+            stamp: self.have.endpoints,
+            list: self.aged(now),
+        });
+        let news = [routes, evacuated, endpoints];
+        news.into_iter().flatten().map(|news| (to, news)).collect()
+    }
+
+    /// The list for another replica that holds `have`, if it lacks it.
+    pub fn endpoints_for(&self, now: Moment, have: Stamp) -> Option<Message> {
+        (self.have.endpoints > have).then(|| Message::Endpoints {
+            stamp: self.have.endpoints,
+            list: self.aged(now),
+        })
+    }
+
+    fn notices(&mut self, now: Moment) -> Vec<Outbound> {
+        self.gateways
+            .retain(|_, seen| now < seen.at + FORGOTTEN_AFTER);
+        let notice = self.notice(now);
+        let live = self.gateways.values().filter(|seen| seen.is_live(now));
+        live.map(|seen| (seen.addr, notice.clone())).collect()
+    }
+
+    fn notice(&self, now: Moment) -> Message {
+        Message::Notice {
+            have: self.have,
+            replicas: self.replicas.clone(),
+            gateways: self.counts(),
+            demand: self.demand(now),
+        }
+    }
+
+    /// Gateways by failure domain. Those that fell silent lately count as well: they may
+    /// be cut off from here and go on sending to endpoints.
+    fn counts(&self) -> Vec<(FailureDomain, u32)> {
+        let mut counts = BTreeMap::new();
+        for seen in self.gateways.values() {
+            *counts.entry(seen.info.domain.clone()).or_insert(0) += 1;
+        }
+        counts.into_iter().collect()
+    }
+
+    fn demand(&self, now: Moment) -> Vec<(Region, ServiceName, u32)> {
+        let mut sums: BTreeMap<(Region, ServiceName), u32> = BTreeMap::new();
+        for seen in self.gateways.values().filter(|seen| seen.is_live(now)) {
+            for demand in &seen.demand {
+                let key = (seen.info.region.clone(), demand.service.clone());
+                *sums.entry(key).or_default() += demand.busy_milli;
+            }
+        }
+        let flat = |((region, service), sum)| (region, service, sum);
+        sums.into_iter().map(flat).collect()
+    }
+
+    /// The gateways that callers may be sent to.
+    pub fn ready(&self, now: Moment) -> Vec<GatewayInfo> {
+        let ready = |seen: &&Seen| seen.ready && seen.is_live(now);
+        let gateways = self.gateways.values().filter(ready);
+        gateways.map(|seen| seen.info.clone()).collect()
+    }
+
+    /// How many gateways are known, live or not.
+    pub fn len(&self) -> usize {
+        self.gateways.len()
+    }
+
+    /// Whether no gateway is known.
+    pub fn is_empty(&self) -> bool {
+        self.gateways.is_empty()
+    }
+}
+
+impl Seen {
+    fn is_live(&self, now: Moment) -> bool {
+        now < self.at + LIVE_FOR
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/spreading.rs
@@ -0,0 +1,175 @@
+//! Reports, notices and what spreads with them.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use filberthead_fleet::{
+    Endpoint, EndpointState, GatewayInfo, Member, Message, Registry, Stamp, Update,
+};
+use filberthead_route::Table;
+use filberthead_types::Moment;
+
+const CONTROL: u16 = 1;
+const GATEWAY: u16 = 2;
+
+fn addr(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn ms(ms: u64) -> Moment {
+    Duration::from_millis(ms)
+}
+
+fn gateway() -> Member {
+    let info = GatewayInfo {
+        name: "entry-1".parse().expect("a name"),
+        region: "split".parse().expect("a name"),
+        domain: "split-a".parse().expect("a name"),
+        caller_addr: addr(80),
+    };
+    Member::new(info, [addr(CONTROL)])
+}
+
+fn endpoint(id: &str, cold_ms: u64) -> Endpoint {
+    Endpoint {
+        id: id.to_owned(),
+        service: "orders".parse().expect("a name"),
+        addr: addr(8080),
+        domain: "split-a".parse().expect("a name"),
+        slots: 3,
+        state: EndpointState::Ready,
+        cold_left: ms(cold_ms),
+    }
+}
+
+/// Carries messages between one gateway and one replica until both are silent, and
+/// returns what the gateway learned.
+fn settle(now: Moment, member: &mut Member, registry: &mut Registry) -> Vec<Update> {
+    let mut to_control: Vec<Message> = member
+        .tick(now, Vec::new)
+        .into_iter()
+        .map(|(_, m)| m)
+        .collect();
+    let mut learned = Vec::new();
+    while let Some(message) = to_control.pop() {
+        for (_, answer) in registry.receive(now, addr(GATEWAY), message) {
+            let (out, updates) = member.receive(now, addr(CONTROL), answer);
+            to_control.extend(out.into_iter().map(|(_, m)| m));
+            learned.extend(updates);
+        }
+    }
+    learned
+}
+
+#[test]
+fn a_gateway_that_starts_learns_everything_within_one_report() {
+    let (mut member, mut registry) = (gateway(), Registry::default());
+    registry.set_routes(ms(0), 5, 7, Arc::new(Table::default()));
+    registry.set_evacuated(
+        ms(0),
+        6,
+        &BTreeSet::from(["split-a".parse().expect("a name")]),
+    );
+    registry.listed(ms(0), 1, vec![endpoint("a", 0)]);
+    let learned = settle(ms(10), &mut member, &mut registry);
+    assert!(member.is_informed());
+    assert!(
+        learned
+            .iter()
+            .any(|u| matches!(u, Update::Routes { version: 7, .. }))
+    );
+    assert!(learned.iter().any(|u| matches!(u, Update::Evacuated(_))));
+    assert!(learned.iter().any(|u| matches!(u, Update::Endpoints(_))));
+}
+
+/// A deposed leader that doesn't know it yet sends the list that it has read, in which an
+/// endpoint that has left meanwhile is still ready. The gateway must not go back to it.
+#[test]
+fn the_list_of_a_deposed_leader_loses() {
+    let mut member = gateway();
+    let newer = Message::Endpoints {
+        stamp: Stamp { term: 4, seq: 1 },
+        list: Vec::new(),
+    };
+    let older = Message::Endpoints {
+        stamp: Stamp { term: 3, seq: 900 },
+        list: vec![endpoint("left", 0)],
+    };
+    assert_eq!(member.receive(ms(1), addr(CONTROL), newer).1.len(), 1);
+    assert_eq!(member.receive(ms(2), addr(CONTROL), older).1, Vec::new());
+}
+
+/// Routes that were superseded come late from a replica that is behind. Within one life
+/// of the process they must never be in force again.
+#[test]
+fn routes_never_go_back() {
+    let mut member = gateway();
+    let routes = |revision, version| Message::Routes {
+        revision,
+        version,
+        table: Arc::new(Table::default()),
+    };
+    assert_eq!(
+        member.receive(ms(1), addr(CONTROL), routes(9, 3)).1.len(),
+        1
+    );
+    assert_eq!(
+        member.receive(ms(2), addr(CONTROL), routes(8, 2)).1,
+        Vec::new()
+    );
+    assert_eq!(member.have().routes, 9);
+}
+
+/// While an endpoint warms up, each reading of the list shows another rest of its cold
+/// time. That alone must not send the whole list to every gateway each time.
+#[test]
+fn the_passing_of_cold_time_is_no_news() {
+    let mut registry = Registry::default();
+    registry.listed(ms(0), 1, vec![endpoint("a", 3000)]);
+    let first = registry.have().endpoints;
+    registry.listed(ms(400), 1, vec![endpoint("a", 2650)]);
+    assert_eq!(registry.have().endpoints, first);
+    // It has become cold again.
+    registry.listed(ms(800), 1, vec![endpoint("a", 5000)]);
+    assert!(registry.have().endpoints > first);
+}
+
+#[test]
+fn a_gateway_that_falls_silent_or_stops_is_no_longer_named() {
+    let (mut member, mut registry) = (gateway(), Registry::default());
+    settle(ms(0), &mut member, &mut registry);
+    assert_eq!(registry.ready(ms(1)), Vec::new());
+    member.set_ready(true);
+    settle(ms(10), &mut member, &mut registry);
+    assert_eq!(registry.ready(ms(1000)).len(), 1);
+    assert_eq!(registry.ready(ms(2000)), Vec::new());
+    settle(ms(2100), &mut member, &mut registry);
+    assert_eq!(registry.ready(ms(2200)).len(), 1);
+    member.set_ready(false);
+    settle(ms(2210), &mut member, &mut registry);
+    assert_eq!(registry.ready(ms(2220)), Vec::new());
+}
+
+/// Notices of several replicas name the same change at the same moment. It must be asked
+/// of one of them, and of another one only if no answer comes.
+#[test]
+fn a_change_is_asked_once() {
+    let mut member = gateway();
+    let mut registry = Registry::default();
+    settle(ms(0), &mut member, &mut registry);
+    registry.listed(ms(1), 1, vec![endpoint("a", 0)]);
+    let notice = Message::Notice {
+        have: registry.have(),
+        replicas: Vec::new(),
+        gateways: Vec::new(),
+        demand: Vec::new(),
+    };
+    assert_eq!(
+        member.receive(ms(2), addr(CONTROL), notice.clone()).0.len(),
+        1
+    );
+    assert_eq!(member.receive(ms(3), addr(3), notice.clone()).0.len(), 0);
+    assert_eq!(member.receive(ms(400), addr(3), notice).0.len(), 1);
+}
