Settings of gateways, and of groups that keep themselves

Adds the role gateway and the sections group, orders, lookups, readiness, budgets, stop and failure_domain.

--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -48,6 +48,26 @@
     pub max_bytes: u64,
 }
 
+/// How a control replica finds its group and keeps its membership, from `[group]`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GroupSettings {
+    /// Peer addresses of some control VMs.
+    pub seeds: Vec<SocketAddr>,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
+    /// Replicas that may be lost at once.
+    pub tolerate: usize,
+}
+
+/// Where the platform's list of endpoints is read, from `[platform]`.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ListSettings {
+    /// Its address.
+    pub addr: SocketAddr,
+    /// Calls a second that it bears from all processes together.
+    pub rate: f64,
+}
+
 /// Whether the table may be changed without a colleague's review.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum ReviewPolicy {
@@ -85,6 +105,16 @@
     pub review: ReviewPolicy,
     /// The other replicas, from sections `[replica NAME]`.
     pub replicas: Vec<ReplicaSettings>,
+    /// How the replica finds its group by itself; none leaves membership to operators.
+    pub group: Option<GroupSettings>,
+    /// Where operators send routes and evacuations.
+    pub orders_listen: Option<SocketAddr>,
+    /// Where callers ask which gateways to use.
+    pub lookups_listen: Option<SocketAddr>,
+    /// How long callers may keep the answer to that.
+    pub lookups_ttl: Duration,
+    /// The platform's list of endpoints.
+    pub list: Option<ListSettings>,
     /// Time between a leader's heartbeats.
     pub heartbeat: Duration,
     /// Shortest silence of a leader before an election.
--- a/crates/settings/src/cross.rs
+++ b/crates/settings/src/cross.rs
@@ -23,6 +23,8 @@
     match role {
         Some(Role::Entry) => check_entry(document, problems),
         Some(Role::Control) => check_control(document, problems),
+        // Its keys stand alone.
+        Some(Role::Gateway) => {}
         None => return,
     }
     check_names(document, problems);
--- a/crates/settings/src/key.rs
+++ b/crates/settings/src/key.rs
@@ -7,7 +7,14 @@
 pub(crate) enum Roles {
     Entry,
     Control,
+    Gateway,
+    /// Entry and control.
     Both,
+    /// Entry and gateway: the programs that callers speak to.
+    Facing,
+    /// Control and gateway: the programs of a group that finds itself by seeds.
+    Seeded,
+    All,
 }
 
 impl Roles {
@@ -15,7 +22,11 @@
         match self {
             Self::Entry => role == Role::Entry,
             Self::Control => role == Role::Control,
-            Self::Both => true,
+            Self::Gateway => role == Role::Gateway,
+            Self::Both => role != Role::Gateway,
+            Self::Facing => role != Role::Control,
+            Self::Seeded => role != Role::Entry,
+            Self::All => true,
         }
     }
 
@@ -23,7 +34,11 @@
         match self {
             Self::Entry => "entry",
             Self::Control => "control",
+            Self::Gateway => "gateway",
             Self::Both => "entry and control",
+            Self::Facing => "entry and gateway",
+            Self::Seeded => "control and gateway",
+            Self::All => "entry, control and gateway",
         }
     }
 }
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -49,8 +49,8 @@
     };
 }
 
-const REQUIRED: Absent = Absent::Error(Roles::Both);
-const UNSET: Absent = Absent::Unset(Roles::Both);
+const REQUIRED: Absent = Absent::Error(Roles::All);
+const UNSET: Absent = Absent::Unset(Roles::All);
 
 const fn default(text: &'static str) -> Absent {
     Absent::Default(text)
@@ -58,7 +58,7 @@
 
 sections! {
     /// What the process is and where it runs.
-    ["node"] Both {
+    ["node"] All {
         /// The program that the file is for.
         ROLE: Role = "role", REQUIRED;
         /// Name of the cluster, the same in every file. Messages of a cluster of another
@@ -72,7 +72,7 @@
         FAILURE_DOMAIN: FailureDomain = "failure_domain", REQUIRED;
     }
     /// Where callers are served, and how.
-    ["callers"] Entry {
+    ["callers"] Facing {
         /// Address for look-ups and requests.
         CALLERS_LISTEN: ListenAddr = "listen", REQUIRED;
         /// Address that callers and other entries are told, if it differs from `listen`.
@@ -84,7 +84,7 @@
         REQUEST_TIMEOUT: Duration = "request_timeout", default("10s"), "100ms"..="1h";
     }
     /// Where the system's other processes are heard.
-    ["peers"] Both {
+    ["peers"] All {
         /// Address for messages of other processes.
         PEERS_LISTEN: ListenAddr = "listen", REQUIRED;
         /// Address that other processes are told, if it differs from `listen`.
@@ -93,8 +93,8 @@
         /// at start for the newest version of the table.
         SEEDS: TargetList = "seeds", Absent::Unset(Roles::Entry);
     }
-    /// Where an entry shows its state.
-    ["status"] Entry {
+    /// Where an entry or gateway shows its state.
+    ["status"] Facing {
         /// Address of `/metrics` and `/status`.
         STATUS_LISTEN: ListenAddr = "listen", REQUIRED;
     }
@@ -137,10 +137,69 @@
         ENDPOINT_CONNECTIONS: u32 = "connections", default("330"), "1"..="65535";
     }
     /// The platform that runs the VMs.
-    ["platform"] Entry {
+    ["platform"] Both {
         /// Where its list of live and leaving VMs is read. Without it the sections
         /// `[endpoint NAME]` are all that is known.
-        PLATFORM_URL: HttpUrl = "url", UNSET;
+        PLATFORM_URL: HttpUrl = "url", Absent::Unset(Roles::Entry);
+        /// Where its list of endpoints is read, by the leading control replica.
+        PLATFORM_LIST: TargetAddr = "list", Absent::Unset(Roles::Control);
+        /// Calls a second that the list bears from all processes together.
+        PLATFORM_RATE: f64 = "rate", default("10"), "0.1"..="10000";
+    }
+    /// How the processes of a group find each other without being told of all others.
+    ["group"] Seeded {
+        /// Addresses of some control VMs. A control replica with seeds also keeps the
+        /// group's membership by itself: it takes in replicas that make themselves known,
+        /// and lets those go that another one has replaced.
+        SEEDS_OF_GROUP: TargetList = "seeds", Absent::Error(Roles::Gateway);
+        /// Port on which those VMs take messages of other processes.
+        SEED_PORT: u32 = "port", Absent::Error(Roles::Gateway), "1"..="65535";
+        /// Whether the whole system starts for the first time. Then the first seed begins
+        /// the group; a replica that later finds its disk empty must never do so.
+        FIRST_START: bool = "first_start", default("false");
+        /// Replicas that may be lost at once. Orders are accepted only once the group has
+        /// so many voters that any of them may be lost.
+        TOLERATE: u32 = "tolerate", default("1"), "0"..="3";
+    }
+    /// Where operators send routes and evacuations.
+    ["orders"] Control {
+        /// Address of the interface.
+        ORDERS_LISTEN: ListenAddr = "listen", UNSET;
+    }
+    /// Where callers ask which gateways to use.
+    ["lookups"] Control {
+        /// Address of the interface.
+        LOOKUPS_LISTEN: ListenAddr = "listen", UNSET;
+        /// How long callers may keep an answer. Some keep it longer, so a gateway that
+        /// leaves goes on serving for a multiple of it.
+        LOOKUPS_TTL: Duration = "ttl", default("1s"), "100ms"..="1m";
+    }
+    /// Where the platform asks whether a gateway may be sent callers.
+    ["readiness"] Gateway {
+        /// Address of the interface.
+        READINESS_LISTEN: ListenAddr = "listen", REQUIRED;
+    }
+    /// Region of a failure domain.
+    ["failure_domain" "NAME"] Gateway {
+        /// The region.
+        DOMAIN_REGION: Region = "region", REQUIRED;
+    }
+    /// Bounds that all gateways keep together.
+    ["budgets"] Gateway {
+        /// Further attempts of requests, as a part of first ones.
+        RETRY_RATIO: f64 = "retry_ratio", default("0.2"), "0"..="1";
+        /// Further attempts that are allowed in each window besides, over all gateways.
+        RETRY_FLOOR: u32 = "retry_floor", default("10"), "0"..="100000";
+        /// The window.
+        RETRY_WINDOW: Duration = "retry_window", default("10s"), "1s"..="10m";
+        /// Part of a region's requests that may change the region where they run, from
+        /// one window of two seconds to the next.
+        MAX_SHIFT: f64 = "max_shift", default("0.15"), "0.01"..="1";
+    }
+    /// The planned stop of a gateway.
+    ["stop"] Gateway {
+        /// Time from the signal until the process must have ended.
+        STOP_GRACE: Duration = "grace", default("6s"), "1s"..="1h";
     }
     /// Bounds on what an entry takes on.
     ["limits"] Entry {
@@ -193,7 +252,7 @@
         SAMPLE_SIZE: ByteSize = "size", default("64MiB"), "64KiB"..="4GiB";
     }
     /// Log lines, on the standard error output.
-    ["log"] Both {
+    ["log"] All {
         /// Least severe level that is written.
         LOG_LEVEL: LevelFilter = "level", default("info");
         /// Text for people, or one JSON object a line.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -11,6 +11,7 @@
 mod cross;
 mod document;
 mod entry;
+mod gateway;
 mod key;
 mod keys;
 mod load;
@@ -21,9 +22,11 @@
 mod value;
 
 pub use control::{
-    ControlSettings, ObjectiveSettings, ReplicaSettings, ReviewPolicy, SampleSettings,
+    ControlSettings, GroupSettings, ListSettings, ObjectiveSettings, ReplicaSettings, ReviewPolicy,
+    SampleSettings,
 };
 pub use entry::{EndpointSettings, EntrySettings};
+pub use gateway::{BudgetSettings, GatewaySettings};
 pub use load::{check, check_text};
 pub use log::{LogFormat, LogSettings};
 pub use problem::{Problem, SettingsError};
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -1,16 +1,18 @@
 //! From a file to settings.
 
+use std::net::SocketAddr;
 use std::path::Path;
 
-use filberthead_types::{NodeName, ServiceName};
+use filberthead_types::{FailureDomain, NodeName, Region, ServiceName};
 use snafu::{OptionExt, ResultExt};
 
 use crate::document::{Document, Section};
 use crate::keys;
 use crate::problem::{InvalidSnafu, ReadSnafu};
 use crate::value::{Role, Value};
-use crate::{ControlSettings, EntrySettings, LogSettings, ObjectiveSettings};
+use crate::{BudgetSettings, ControlSettings, EntrySettings, GatewaySettings, GroupSettings};
 use crate::{EndpointSettings, Problem, ReplicaSettings, SampleSettings, SettingsError};
+use crate::{ListSettings, LogSettings, ObjectiveSettings};
 use crate::{cross, schema};
 
 /// Finds every problem of a file; none means that its program loads it.
@@ -54,6 +56,17 @@
     }
 }
 
+impl GatewaySettings {
+    /// Loads the settings of a gateway.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file can't be read, and lists all of its problems if it has any.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        load(path, Role::Gateway, gateway)
+    }
+}
+
 fn read(path: &Path) -> Result<String, SettingsError> {
     std::fs::read_to_string(path).context(ReadSnafu { path })
 }
@@ -148,6 +161,11 @@
         tokens: document.get(&keys::TOKENS),
         review: document.get(&keys::REVIEW)?,
         replicas: replicas(document)?,
+        group: group(document)?,
+        orders_listen: document.get(&keys::ORDERS_LISTEN).map(|addr| addr.0),
+        lookups_listen: document.get(&keys::LOOKUPS_LISTEN).map(|addr| addr.0),
+        lookups_ttl: document.get(&keys::LOOKUPS_TTL)?,
+        list: list(document)?,
         heartbeat: document.get(&keys::HEARTBEAT)?,
         election_timeout: document.get(&keys::ELECTION_TIMEOUT)?,
         lease: document.get(&keys::LEASE)?,
@@ -163,6 +181,71 @@
     })
 }
 
+fn gateway(document: &Document<'_>) -> Option<GatewaySettings> {
+    Some(GatewaySettings {
+        cluster: document.get(&keys::CLUSTER)?.0,
+        node: document.get(&keys::NAME)?,
+        region: document.get(&keys::REGION)?,
+        failure_domain: document.get(&keys::FAILURE_DOMAIN)?,
+        caller_listen: document.get(&keys::CALLERS_LISTEN)?.0,
+        caller_advertise: document.get(&keys::CALLERS_ADVERTISE).map(|addr| addr.0),
+        readiness_listen: document.get(&keys::READINESS_LISTEN)?.0,
+        status_listen: document.get(&keys::STATUS_LISTEN)?.0,
+        peer_listen: document.get(&keys::PEERS_LISTEN)?.0,
+        peer_advertise: document.get(&keys::PEERS_ADVERTISE).map(|addr| addr.0),
+        seeds: seeds(document)?,
+        regions: document
+            .labelled(keys::DOMAIN_REGION.section)
+            .map(domain)
+            .collect::<Option<_>>()?,
+        budgets: BudgetSettings {
+            retry_ratio: document.get(&keys::RETRY_RATIO)?,
+            retry_floor: document.get(&keys::RETRY_FLOOR)?,
+            retry_window: document.get(&keys::RETRY_WINDOW)?,
+            max_shift: document.get(&keys::MAX_SHIFT)?,
+        },
+        stop_grace: document.get(&keys::STOP_GRACE)?,
+        log: log(document)?,
+    })
+}
+
+fn domain(section: &Section<'_>) -> Option<(FailureDomain, Region)> {
+    let region = section.get(&keys::DOMAIN_REGION)?;
+    Some((FailureDomain::read(section.label?)?, region))
+}
+
+/// The outer option is `None` only where a declaration and this function disagree.
+fn group(document: &Document<'_>) -> Option<Option<GroupSettings>> {
+    if document.get(&keys::SEEDS_OF_GROUP).is_none() {
+        return Some(None);
+    }
+    Some(Some(GroupSettings {
+        seeds: seeds(document)?,
+        first_start: document.get(&keys::FIRST_START)?,
+        tolerate: usize::try_from(document.get(&keys::TOLERATE)?).ok()?,
+    }))
+}
+
+/// Peer addresses of the seeds: their IP numbers with the group's port, if one is set.
+fn seeds(document: &Document<'_>) -> Option<Vec<SocketAddr>> {
+    let mut seeds = document.get(&keys::SEEDS_OF_GROUP)?.0;
+    if let Some(port) = document.get(&keys::SEED_PORT) {
+        let port = u16::try_from(port).ok()?;
+        seeds.iter_mut().for_each(|addr| addr.set_port(port));
+    }
+    Some(seeds)
+}
+
+fn list(document: &Document<'_>) -> Option<Option<ListSettings>> {
+    let Some(addr) = document.get(&keys::PLATFORM_LIST) else {
+        return Some(None);
+    };
+    Some(Some(ListSettings {
+        addr: addr.0,
+        rate: document.get(&keys::PLATFORM_RATE)?,
+    }))
+}
+
 fn replicas(document: &Document<'_>) -> Option<Vec<ReplicaSettings>> {
     document
         .labelled(keys::REPLICA_PEER.section)
--- a/crates/settings/src/reference.rs
+++ b/crates/settings/src/reference.rs
@@ -61,9 +61,9 @@
 
 fn default(key: &dyn Declared) -> String {
     match key.absent() {
-        Absent::Error(Roles::Both) => "required".to_owned(),
+        Absent::Error(Roles::All) => "required".to_owned(),
         Absent::Error(roles) => format!("required for {}", roles.as_str()),
-        Absent::Unset(Roles::Both) => "none".to_owned(),
+        Absent::Unset(Roles::All) => "none".to_owned(),
         Absent::Unset(roles) => format!("none; {} only", roles.as_str()),
         Absent::Default(text) => format!("`{text}`"),
     }
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -26,6 +26,7 @@
 pub(crate) enum Role {
     Entry,
     Control,
+    Gateway,
 }
 
 impl Role {
@@ -33,18 +34,20 @@
         match self {
             Self::Entry => "entry",
             Self::Control => "control",
+            Self::Gateway => "gateway",
         }
     }
 }
 
 impl Value for Role {
-    const FORM: &'static str = "`entry` or `control`";
-    const CHOICES: &'static [&'static str] = &["entry", "control"];
+    const FORM: &'static str = "`entry`, `control` or `gateway`";
+    const CHOICES: &'static [&'static str] = &["entry", "control", "gateway"];
 
     fn read(text: &str) -> Option<Self> {
         match text {
             "entry" => Some(Self::Entry),
             "control" => Some(Self::Control),
+            "gateway" => Some(Self::Gateway),
             _ => None,
         }
     }
@@ -264,3 +267,20 @@
         number.is_finite().then_some(Self(number / 100.0))
     }
 }
+
+impl Value for f64 {
+    const FORM: &'static str = "a number, such as `0.2`";
+
+    fn read(text: &str) -> Option<Self> {
+        text.parse().ok().filter(|number: &Self| number.is_finite())
+    }
+}
+
+impl Value for bool {
+    const FORM: &'static str = "`true` or `false`";
+    const CHOICES: &'static [&'static str] = &["true", "false"];
+
+    fn read(text: &str) -> Option<Self> {
+        text.parse().ok()
+    }
+}
