Placement by object, expected time, region mix and shared budgets

Cause: an endpoint that has handled an object lately takes about a third of the time for it, and several gateways share each endpoint.

Change: crates/place decides without I/O: rendezvous order per region, expected time learned apart for known and new objects, others' requests from reported load, bounded change of the part that runs elsewhere, shared budgets for retries and cold endpoints that need no messages.

--- /dev/null
+++ b/crates/place/src/lib.rs
@@ -0,0 +1,32 @@
+//! Where a request runs: decisions of a gateway, free of I/O.
+//!
+//! A [`Placer`] is told which endpoints there are, what was sent to them and how it ended,
+//! and says where the next request goes. It reads no clock and opens no connection, so the
+//! same code runs in the gateway, under a paused clock and in the experiments.
+//!
+//! How it decides, and the load that each part answers:
+//!
+//! - *By object* ([`rank`]): an endpoint that has handled an object lately is several times
+//!   faster with it, so requests for one object go to the same endpoints, in an order that
+//!   every gateway computes alike without talking.
+//! - *By expected time* ([`cost`]): of the endpoints that may run a request the one goes
+//!   first that should answer soonest, counting what waits there, how far it is, whether it
+//!   knows the object, and how slow it has been.
+//! - *Across regions* ([`mix`]): the part of requests that run in another region changes
+//!   only slowly, so that no region is met by a step of load.
+//! - *Cold endpoints* ([`cold`]): each gets no more requests a second than it bears, from
+//!   all gateways together, without their talking.
+//! - *Retries* ([`budget`]): further attempts stay within a part of first ones, over all
+//!   gateways, without their talking.
+
+mod budget;
+mod cold;
+mod cost;
+mod endpoint;
+mod mix;
+mod placer;
+mod rank;
+
+pub use budget::{Budget, BudgetConfig};
+pub use endpoint::{EndpointId, Load, Outcome};
+pub use placer::{Config, Decision, Placer, Refusal, Request, Target};
--- /dev/null
+++ b/crates/place/src/rank.rs
@@ -0,0 +1,17 @@
+//! The order in which endpoints are preferred for an object.
+//!
+//! Rendezvous hashing: each pair of object and endpoint has a hash, and the endpoint with
+//! the highest one is first. Every gateway comes to the same order from the same list, and
+//! when an endpoint goes or comes only the objects that it was first for move.
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// The number that stands for an object's name.
+pub(crate) fn object(name: &[u8]) -> u64 {
+    xxh3_64(name)
+}
+
+/// How much an object prefers an endpoint.
+pub(crate) fn preference(object: u64, endpoint: &str) -> u64 {
+    xxh3_64_with_seed(endpoint.as_bytes(), object)
+}
