Trust an answer by its echoed id, reuse connections by age

A gateway passes a caller's own id on, takes answers that end with their connection, and may use a kept connection for a request that runs at most once only if it was used lately.

--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -2,10 +2,11 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use filberthead_types::{RequestId, header};
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use http::{Method, Request, Response, StatusCode};
+use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use log::debug;
 use tokio::time::{Instant, timeout_at};
@@ -27,6 +28,21 @@
     Late,
 }
 
+/// How an answer is known to be the one to its request.
+#[derive(Clone, Copy, Debug)]
+pub enum Trust<'a> {
+    /// If it carries an id, it is this one; and its end can be told from a cut.
+    Id(RequestId),
+    /// If it carries this header, it has this value. An answer without a length ends with
+    /// its connection, in order or else by an error.
+    Echo {
+        /// The header.
+        name: &'a HeaderName,
+        /// What the request carried in it.
+        value: &'a HeaderValue,
+    },
+}
+
 /// An answer and the connection that its body is still coming from.
 #[derive(Debug)]
 pub struct Answer {
@@ -43,6 +59,13 @@
 }
 
 impl Client {
+    /// A client that waits no longer than this for a connection.
+    pub fn with_connect_timeout(timeout: Duration) -> Self {
+        Self {
+            pool: Rc::new(Pool::new(timeout)),
+        }
+    }
+
     /// Sends a request and waits for the head of its answer until `deadline`.
     ///
     /// Dropping the returned future closes the connection, which is how a request is
@@ -50,7 +73,7 @@
     pub async fn send(
         &self,
         addr: SocketAddr,
-        id: RequestId,
+        trust: Trust<'_>,
         reuse: Reuse,
         deadline: Instant,
         req: Request<RequestBody>,
@@ -58,7 +81,7 @@
         let mut connection = match timeout_at(deadline, self.pool.connection(addr, reuse)).await {
             Ok(Ok(connection)) => connection,
             Ok(Err(e)) => {
-                debug!(addr:%, request:% = id, error:% = e; "not sent");
+                debug!(addr:%, request:? = trust, error:% = e; "not sent");
                 return Sent::NotSent(req);
             }
             Err(_) => return Sent::NotSent(req),
@@ -68,14 +91,14 @@
         let response = match timeout_at(deadline, sending).await {
             Ok(Ok(response)) => response,
             Ok(Err(mut e)) => {
-                debug!(addr:%, request:% = id, error:% = e.error(); "lost while sending");
+                debug!(addr:%, request:? = trust, error:% = e.error(); "lost while sending");
                 // hyper hands the request back only if it had not begun to write it.
                 return e.take_message().map_or(Sent::Lost, Sent::NotSent);
             }
             Err(_) => return Sent::Late,
         };
-        if let Some(reason) = distrust(&response, &method, id) {
-            debug!(addr:%, request:% = id, reason; "answer dropped with its connection");
+        if let Some(reason) = distrust(&response, &method, trust) {
+            debug!(addr:%, request:? = trust, reason; "answer dropped with its connection");
             return Sent::Lost;
         }
         Sent::Answer(Answer {
@@ -101,11 +124,19 @@
 }
 
 /// Why an answer must not be given to the caller.
-fn distrust(response: &Response<Incoming>, method: &Method, id: RequestId) -> Option<&'static str> {
-    if is_crossed(response, id) {
+fn distrust(
+    response: &Response<Incoming>,
+    method: &Method,
+    trust: Trust<'_>,
+) -> Option<&'static str> {
+    let crossed = match trust {
+        Trust::Id(id) => is_crossed(response, id),
+        Trust::Echo { name, value } => response.headers().get(name).is_some_and(|v| v != value),
+    };
+    if crossed {
         return Some("it carries the id of another request");
     }
-    if is_unframed(response, method) {
+    if matches!(trust, Trust::Id(_)) && is_unframed(response, method) {
         return Some("its end can't be told from a cut");
     }
     None
--- a/crates/endpoint/src/headers.rs
+++ b/crates/endpoint/src/headers.rs
@@ -115,7 +115,8 @@
     }
 }
 
-fn remove_hop_by_hop(headers: &mut HeaderMap) {
+/// Removes what holds for one connection only.
+pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
         .get_all(CONNECTION)
         .iter()
--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -16,8 +16,8 @@
 mod resume;
 
 pub use body::RequestBody;
-pub use client::{Answer, Client, Sent};
-pub use headers::{Hop, KeyHop, answer_headers, request_headers};
+pub use client::{Answer, Client, Sent, Trust};
+pub use headers::{Hop, KeyHop, answer_headers, remove_hop_by_hop, request_headers};
 pub use pool::{Connection, Reuse};
 pub use probe::{Health, ProbeError, probe};
 pub use resume::Resume;
--- a/crates/endpoint/src/pool.rs
+++ b/crates/endpoint/src/pool.rs
@@ -40,6 +40,19 @@
     /// A new one. The other side may close a kept connection at the moment it is used;
     /// a request that may run only once could then not be told from one that ran.
     Never,
+    /// A kept connection that was used this lately, or else a new one: the other side
+    /// closes those that lie idle for longer, and may do so while a request is on its way.
+    Within(Duration),
+}
+
+impl Reuse {
+    fn idle_limit(self) -> Duration {
+        match self {
+            Self::Allowed => IDLE_TIMEOUT,
+            Self::Never => Duration::ZERO,
+            Self::Within(limit) => limit.min(IDLE_TIMEOUT),
+        }
+    }
 }
 
 /// Why no connection can be had; nothing was sent.
@@ -80,16 +93,30 @@
     task: JoinHandle<()>,
     pool: Rc<Pool>,
     idle_since: Instant,
+    /// How long the other side said it keeps the connection without a request.
+    kept_for: Duration,
 }
 
 /// Connections that wait for the next request, by address.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Pool {
+    connect_timeout: Duration,
     idle: RefCell<HashMap<SocketAddr, Vec<Connection>>>,
     open: RefCell<HashMap<SocketAddr, u32>>,
 }
 
+impl Default for Pool {
+    fn default() -> Self {
+        Self::new(CONNECT_TIMEOUT)
+    }
+}
+
 impl Connection {
+    /// Notes how long the other side says that it keeps the connection without a request.
+    pub fn keep_for(&mut self, kept_for: Duration) {
+        self.kept_for = kept_for;
+    }
+
     /// Gives the connection back for the next request. Only for a connection whose
     /// last answer was read to its end.
     pub fn release(mut self) {
@@ -127,18 +154,26 @@
 }
 
 impl Pool {
+    pub(crate) fn new(connect_timeout: Duration) -> Self {
+        Self {
+            connect_timeout,
+            idle: RefCell::default(),
+            open: RefCell::default(),
+        }
+    }
+
     /// A kept connection if that will do and there is one, or else a new one.
     pub(crate) async fn connection(
         self: &Rc<Self>,
         addr: SocketAddr,
         reuse: Reuse,
     ) -> Result<Connection, ConnectError> {
-        if reuse == Reuse::Allowed
-            && let Some(kept) = self.kept(addr)
+        if reuse != Reuse::Never
+            && let Some(kept) = self.kept(addr, reuse.idle_limit())
         {
             return Ok(kept);
         }
-        timeout(CONNECT_TIMEOUT, self.connect(addr))
+        timeout(self.connect_timeout, self.connect(addr))
             .await
             .context(LateSnafu { addr })?
     }
@@ -146,13 +181,19 @@
     /// The connection that was used last: the longer one lies idle, the more likely it
     /// is closed on the other side. Those that lay idle for too long stand before it and
     /// go when they are met.
-    fn kept(&self, addr: SocketAddr) -> Option<Connection> {
+    fn kept(&self, addr: SocketAddr, idle_limit: Duration) -> Option<Connection> {
         let mut unready = Vec::new();
         let mut found = None;
         while let Some(conn) = self.pop(addr) {
-            if conn.sender.is_closed() || conn.idle_since.elapsed() >= IDLE_TIMEOUT {
+            let idle = conn.idle_since.elapsed();
+            if conn.sender.is_closed() || idle >= IDLE_TIMEOUT.min(conn.kept_for) {
                 continue;
             }
+            if idle >= idle_limit {
+                // Too old for this request, and so are all below it; it may do for others.
+                unready.push(conn);
+                break;
+            }
             if conn.sender.is_ready() {
                 found = Some(conn);
                 break;
@@ -193,6 +234,7 @@
             task,
             pool: Rc::clone(self),
             idle_since: Instant::now(),
+            kept_for: IDLE_TIMEOUT,
         })
     }
 
--- a/crates/endpoint/src/probe.rs
+++ b/crates/endpoint/src/probe.rs
@@ -11,7 +11,7 @@
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
 use tokio::time::Instant;
 
-use crate::{Answer, Client, RequestBody, Reuse, Sent};
+use crate::{Answer, Client, RequestBody, Reuse, Sent, Trust};
 
 const PATH: &str = "/health";
 /// An answer that takes longer tells less than none.
@@ -71,7 +71,9 @@
     let req = Request::get(PATH).body(RequestBody::Whole(Bytes::new()));
     let req = req.ok().context(UnreachableSnafu)?;
     let deadline = Instant::now() + TIMEOUT;
-    let sent = client.send(addr, id, Reuse::Allowed, deadline, req).await;
+    let sent = client
+        .send(addr, Trust::Id(id), Reuse::Allowed, deadline, req)
+        .await;
     let Sent::Answer(answer) = sent else {
         return UnreachableSnafu.fail();
     };
--- a/crates/filberthead/src/entry/carry/attempt.rs
+++ b/crates/filberthead/src/entry/carry/attempt.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use filberthead_caller::Refusal;
-use filberthead_endpoint::{Answer, Connection, RequestBody, Sent, answer_headers};
+use filberthead_endpoint::{Answer, Connection, RequestBody, Sent, Trust, answer_headers};
 use filberthead_ledger::quarantine::{Check, Fingerprint};
 use filberthead_steer::FinishKind;
 use filberthead_types::{Meaning, ResultCode, header};
@@ -163,9 +163,13 @@
 ) -> Attempt {
     let mut abandoned = std::pin::pin!(abandoned);
     let req = job.request(core, &target, body);
-    let sending = core
-        .client
-        .send(target.addr(), job.id, job.reuse(), job.deadline, req);
+    let sending = core.client.send(
+        target.addr(),
+        Trust::Id(job.id),
+        job.reuse(),
+        job.deadline,
+        req,
+    );
     let sent = tokio::select! {
         sent = sending => sent,
         // Dropping the exchange closes its connection, which tells the other side.
--- a/crates/filberthead/src/entry/carry/keyed.rs
+++ b/crates/filberthead/src/entry/carry/keyed.rs
@@ -12,7 +12,7 @@
 
 use bytes::{Bytes, BytesMut};
 use filberthead_caller::{Refusal, mark};
-use filberthead_endpoint::{RequestBody, Reuse, Sent};
+use filberthead_endpoint::{RequestBody, Reuse, Sent, Trust};
 use filberthead_ledger::Digest;
 use filberthead_types::{Meaning, NodeName, ResultCode, header};
 use http::response::Parts;
@@ -180,7 +180,7 @@
     let req = job.request(core, &target, body?);
     let sent = core
         .client
-        .send(addr, job.id, Reuse::Allowed, job.deadline, req)
+        .send(addr, Trust::Id(job.id), Reuse::Allowed, job.deadline, req)
         .await;
     let answer = match sent {
         Sent::Answer(answer) => answer,
--- a/crates/filberthead/src/entry/incoming.rs
+++ b/crates/filberthead/src/entry/incoming.rs
@@ -67,7 +67,7 @@
             Body::Steer(_) | Body::Quarantine(_) => &self.steering,
             Body::Ledger(_) => &self.ledger,
             Body::Samples(_) => &self.samples,
-            Body::Consensus(_) => return,
+            Body::Consensus(_) | Body::Fleet(_) => return,
         };
         // A message that finds its ring full is dropped; see `WAITING`.
         let _ = tx.push(Incoming { origin, body });
