Control keeps its own membership, takes orders for routes and evacuations

Cause: on the platform nobody tells replicas of each other, and orders come to any of them.

Change: replicas greet the seeds, the first seed founds a new system's group, a leader takes in whoever makes itself known and lets go whom another one stands in for; addresses are in the log. Orders go into the log from any replica; reads are proved by the lease or through the leader, else nobody answers. Orders wait until the group can lose what it is to tolerate.

--- a/crates/filberthead/src/control/book.rs
+++ b/crates/filberthead/src/control/book.rs
@@ -11,6 +11,8 @@
 use filberthead_peer::{HelloInfo, Origin};
 use filberthead_types::{Moment, ReplicaId};
 
+use super::roster::Seen;
+
 /// What is known of another replica.
 #[derive(Clone, Debug)]
 pub(crate) struct Known {
@@ -82,6 +84,23 @@
         });
     }
 
+    /// Takes in an address from the replicated log.
+    pub(crate) fn located(&mut self, id: ReplicaId, addr: SocketAddr) {
+        if self.own_addr == Some(addr) {
+            return;
+        }
+        self.known.entry(id).or_insert(Known {
+            addr,
+            operator_addr: None,
+            heard: None,
+        });
+    }
+
+    /// Every known replica, as the keeping of membership sees it.
+    pub(crate) fn seen(&self) -> impl Iterator<Item = (ReplicaId, Seen)> + '_ {
+        self.known.iter().map(|(id, known)| (*id, known.into()))
+    }
+
     /// What is known of a replica.
     pub(crate) fn get(&self, id: ReplicaId) -> Option<&Known> {
         self.known.get(&id)
--- a/crates/filberthead/src/control/core.rs
+++ b/crates/filberthead/src/control/core.rs
@@ -26,6 +26,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::book::Book;
+use super::fleet::{Asker, Fleet, Reader, order_error};
 use super::gauges::Gauges;
 use super::input::{AdminRequest, DiskJob, InitialiseError, Input, SubmitError};
 use super::machine::{self, Applied, Machine};
@@ -50,7 +51,16 @@
     Submit(oneshot::Sender<Result<Outcome, SubmitError>>),
     Read(oneshot::Sender<Result<Arc<Table>, SubmitError>>),
     Members(oneshot::Sender<Result<(), SubmitError>>),
-    Claim { to: SocketAddr, claim: Claim },
+    Claim {
+        to: SocketAddr,
+        claim: Claim,
+    },
+    /// An operator's order about routes or evacuations.
+    Order(Asker),
+    /// A proof that what is applied here is the newest.
+    Newest(Reader),
+    /// A change of the leader's own accord, made again until it is done.
+    Nobody,
 }
 
 /// What this replica says about itself to operators.
@@ -72,6 +82,7 @@
     pub(crate) out: Sender<Outgoing>,
     pub(crate) disk: Sender<DiskJob>,
     pub(crate) gauges: Gauges,
+    pub(crate) fleet: Fleet,
 }
 
 /// State of the duty.
@@ -95,6 +106,7 @@
     pub(super) out: Sender<Outgoing>,
     pub(super) disk: Sender<DiskJob>,
     pub(super) gauges: Gauges,
+    pub(super) fleet: Fleet,
 }
 
 impl Core {
@@ -125,14 +137,21 @@
             out: parts.out,
             disk: parts.disk,
             gauges: parts.gauges,
+            fleet: parts.fleet,
         };
         core.learn_addresses();
         core.spread_committed(now);
+        core.spread_orders(now);
         core
     }
 
     /// Runs until the process stops or nobody is left to feed the ring.
     pub(crate) async fn run(mut self, mut rx: Receiver<Input>, mut stop: Stop) {
+        if self.fleet.is_to_found() {
+            // A folder that holds a group already answers that it does.
+            let (reply, _) = oneshot::channel();
+            self.initialise(reply).await;
+        }
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -165,6 +184,7 @@
             self.greet(now);
         }
         self.keep_shares(now);
+        self.tick_fleet(now).await;
         let standing = self.standing(now);
         let out = self.spreading.tick(now, standing);
         self.spread(out);
@@ -208,6 +228,7 @@
             Input::Admin(req) => self.admin(req).await,
             Input::Persisted { seq } => self.step(Event::Persisted { seq }).await,
             Input::Initialised(durable) => self.initialised(durable),
+            Input::Desk(req) => self.take_desk(req).await,
         }
     }
 
@@ -229,6 +250,7 @@
                 let out = self.spreading.receive(now, &origin, message);
                 self.spread(out);
             }
+            Body::Fleet(message) => self.take_fleet(&origin, message).await,
             Body::Steer(Steer::Renew(renew)) => self.take_renewal(&origin, &renew),
             Body::Ledger(Message::Claim(claim)) => self.take_claim(&origin, claim).await,
             // Samples have a duty of their own.
@@ -343,7 +365,9 @@
     }
 
     fn apply_command(&mut self, index: u64, command: &machine::Entry) {
-        let Applied::Table(outcome) = self.machine.apply(command) else {
+        let applied = self.machine.apply(index, command);
+        self.spread_orders(self.clock.now());
+        let Applied::Table(outcome) = applied else {
             return;
         };
         // Only operators of this replica wait for outcomes.
@@ -359,7 +383,9 @@
         self.machine = decode_machine(snapshot);
         self.applied = snapshot.index;
         self.learn_addresses();
-        self.spread_committed(self.clock.now());
+        let now = self.clock.now();
+        self.spread_committed(now);
+        self.spread_orders(now);
     }
 
     async fn take_snapshot(&mut self) {
@@ -399,20 +425,28 @@
             Some(Pending::Claim { to, claim }) => {
                 self.tell_verdict(to, &claim);
             }
-            Some(Pending::Read(_)) | None => {}
+            Some(Pending::Order(asker)) => self.answer_order(asker, Ok(())),
+            Some(Pending::Read(_) | Pending::Newest(_) | Pending::Nobody) | None => {}
         }
     }
 
     fn read_ready(&mut self, token: Token) {
-        if let Some(Pending::Read(reply)) = self.pending.remove(&token) {
-            let _ = reply.send(Ok(Arc::clone(&self.machine.table)));
+        match self.pending.remove(&token) {
+            Some(Pending::Read(reply)) => {
+                let _ = reply.send(Ok(Arc::clone(&self.machine.table)));
+            }
+            Some(Pending::Newest(reader)) => self.answer_read(reader, Ok(())),
+            _ => {}
         }
     }
 
     fn fail(&mut self, token: Token, error: ProposeError) {
         let address = |id| self.book.get(id).and_then(|known| known.operator_addr);
+        let for_order = order_error(error);
         let error = SubmitError::from_propose(error, address);
         match self.pending.remove(&token) {
+            Some(Pending::Order(asker)) => self.answer_order(asker, Err(for_order)),
+            Some(Pending::Newest(reader)) => self.answer_read(reader, Err(for_order)),
             Some(Pending::Submit(reply)) => {
                 let _ = reply.send(Err(error));
             }
@@ -423,7 +457,7 @@
                 let _ = reply.send(Err(error));
             }
             // The entry repeats its claim, to the leader if it knows it by then.
-            Some(Pending::Claim { .. }) | None => {}
+            Some(Pending::Claim { .. } | Pending::Nobody) | None => {}
         }
     }
 
--- /dev/null
+++ b/crates/filberthead/src/control/desk.rs
@@ -0,0 +1,109 @@
+//! What an adapter to operators, callers and the platform may ask of a control replica.
+//!
+//! An adapter speaks somebody's protocol and decides nothing: it hands orders and lists
+//! in here and asks for what is in force. Its threads never touch the state of the
+//! consensus duty.
+
+use std::sync::Arc;
+
+use filberthead_fleet::{Endpoint, GatewayInfo, Order, OrderError};
+use filberthead_ring::Sender;
+use filberthead_route::Change;
+use tokio::sync::{oneshot, watch};
+
+use super::input::Input;
+use crate::stop::Stop;
+use crate::{Duty, DutyError};
+
+/// What a control replica shows to adapters at any moment, without being asked.
+#[derive(Clone, Debug, Default)]
+pub struct Shown {
+    /// The gateways that callers may be sent to.
+    pub gateways: Arc<[GatewayInfo]>,
+    /// Whether this replica leads, with a valid lease.
+    pub leads: bool,
+}
+
+/// Hands orders to a control replica and asks it.
+#[derive(Clone, Debug)]
+pub struct Desk {
+    tx: Sender<Input>,
+    shown: watch::Receiver<Shown>,
+}
+
+/// A request to the consensus duty, with the way back.
+#[derive(Debug)]
+pub(crate) enum DeskRequest {
+    /// Carry out an order.
+    Order {
+        order: Order,
+        reply: oneshot::Sender<Result<(), OrderError>>,
+    },
+    /// Tell the routes in force, proved newest.
+    Routes {
+        reply: oneshot::Sender<Result<Option<Arc<Change>>, OrderError>>,
+    },
+    /// Take in the platform's list, read while this replica led.
+    Listed(Vec<Endpoint>),
+}
+
+impl Desk {
+    pub(crate) fn new(tx: Sender<Input>, shown: watch::Receiver<Shown>) -> Self {
+        Self { tx, shown }
+    }
+
+    /// Carries out an order. `Ok` means that a majority has it on disk, for good.
+    ///
+    /// # Errors
+    ///
+    /// None of the errors is a refusal. The same order may be sent again, to any replica;
+    /// it takes effect at most once.
+    pub async fn order(&self, order: Order) -> Result<(), OrderError> {
+        let (reply, rx) = oneshot::channel();
+        self.push(DeskRequest::Order { order, reply })?;
+        rx.await.unwrap_or(Err(OrderError::OutcomeUnknown))
+    }
+
+    /// The routes in force, if there are any. They are the newest at some moment after
+    /// the call.
+    ///
+    /// # Errors
+    ///
+    /// Fails if that can't be proved, for want of a leader or of a way to it.
+    pub async fn routes(&self) -> Result<Option<Arc<Change>>, OrderError> {
+        let (reply, rx) = oneshot::channel();
+        self.push(DeskRequest::Routes { reply })?;
+        rx.await.unwrap_or(Err(OrderError::NoLeader))
+    }
+
+    /// Hands in the platform's list. It counts only while this replica leads; one that
+    /// finds no room is dropped, for the next one is read soon.
+    pub fn listed(&self, list: Vec<Endpoint>) {
+        if self.push(DeskRequest::Listed(list)).is_err() {
+            log::warn!("a list of endpoints is dropped, the consensus duty is behind");
+        }
+    }
+
+    /// What the replica shows at this moment.
+    pub fn shown(&self) -> Shown {
+        self.shown.borrow().clone()
+    }
+
+    fn push(&self, req: DeskRequest) -> Result<(), OrderError> {
+        self.tx.push(Input::Desk(req)).map_err(|_| OrderError::Busy)
+    }
+}
+
+/// Speaks somebody's protocol on a thread of its own.
+pub trait Adapter: Send {
+    /// Name of the adapter's thread.
+    fn name(&self) -> &str;
+
+    /// Runs until the process stops.
+    fn run(self: Box<Self>, desk: Desk, stop: Stop) -> crate::LocalFuture;
+}
+
+pub(super) fn spawn(adapter: Box<dyn Adapter>, desk: Desk, stop: Stop) -> Result<Duty, DutyError> {
+    let name = adapter.name().to_owned();
+    Duty::spawn(&name, move || adapter.run(desk, stop))
+}
--- a/crates/filberthead/src/control/input.rs
+++ b/crates/filberthead/src/control/input.rs
@@ -11,6 +11,7 @@
 use filberthead_types::ReplicaId;
 use tokio::sync::oneshot;
 
+use super::desk::DeskRequest;
 use super::samples::Reported;
 
 /// Inputs that wait for the consensus duty. When full, messages of peers are dropped,
@@ -35,6 +36,8 @@
     },
     /// An act of an operator.
     Admin(AdminRequest),
+    /// A request of an adapter.
+    Desk(DeskRequest),
     /// All batches up to this one are synced.
     Persisted {
         /// Its number.
--- a/crates/filberthead/src/control/mod.rs
+++ b/crates/filberthead/src/control/mod.rs
@@ -9,10 +9,13 @@
 mod book;
 mod claims;
 mod core;
+mod desk;
 mod disk;
+mod fleet;
 mod gauges;
 mod input;
 mod machine;
+mod roster;
 mod samples;
 mod shares;
 mod spreading;
@@ -30,9 +33,11 @@
 use filberthead_types::Incarnation;
 use log::info;
 use snafu::{ResultExt, Snafu};
+use tokio::sync::watch;
 
 use self::book::Book;
 use self::core::{About, Core, Parts};
+use self::fleet::{Fleet, SelfKeeping};
 use self::gauges::Gauges;
 use self::input::{Input, ToDuties};
 use crate::ready::announce;
@@ -40,6 +45,7 @@
 use crate::supervisor::supervise;
 use crate::{Clock, Duty, DutyError, SuperviseError, peers};
 
+pub use self::desk::{Adapter, Desk, Shown};
 pub use self::samples::burn_report;
 
 /// Why a control replica can't start, or ended other than by a planned stop.
@@ -98,15 +104,15 @@
     },
 }
 
-/// Runs a control replica until it is asked to end.
+/// Runs a control replica until it is asked to end. Each adapter gets a thread of its own.
 ///
 /// # Errors
 ///
 /// Fails if it can't start, or if one of its duties ends by itself, which a failed disk
 /// causes on purpose.
-pub fn run(cfg: &ControlSettings) -> Result<(), ControlError> {
+pub fn run(cfg: &ControlSettings, adapters: Vec<Box<dyn Adapter>>) -> Result<(), ControlError> {
     let (source, stop) = stop_pair();
-    let duties = start(cfg, &stop)?;
+    let duties = start(cfg, adapters, &stop)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -115,7 +121,11 @@
     runtime.block_on(ended).context(SuperviseSnafu)
 }
 
-fn start(cfg: &ControlSettings, stop: &Stop) -> Result<Vec<Duty>, ControlError> {
+fn start(
+    cfg: &ControlSettings,
+    adapters: Vec<Box<dyn Adapter>>,
+    stop: &Stop,
+) -> Result<Vec<Duty>, ControlError> {
     let clock = Clock::start();
     let disk = Disk::open(&cfg.data, &cfg.cluster).context(StorageSnafu)?;
     let durable = disk.load().context(StorageSnafu)?;
@@ -151,12 +161,13 @@
         peers: transport.counters(),
     };
     let metrics = Arc::clone(&gauges.metrics);
+    let (shown_tx, shown_rx) = watch::channel(Shown::default());
     let core = Core::new(Parts {
         id,
         clock,
         cfg: consensus_config(cfg),
         durable,
-        book: Book::new(peer_addr, cfg.replicas.iter().map(|r| r.peer_addr)),
+        book: Book::new(peer_addr, contacts(cfg)),
         hello: HelloInfo {
             leads: false,
             operator_addr,
@@ -169,8 +180,10 @@
         out: out_tx,
         disk: disk_tx,
         gauges,
+        fleet: Fleet::new(keeping(cfg, peer_addr), shown_tx),
     });
-    let duties = vec![
+    let desk = Desk::new(input_tx.clone(), shown_rx);
+    let mut duties = vec![
         peers::spawn(transport, outbox, out_rx, stop.clone()).context(StartSnafu)?,
         disk::spawn(
             disk,
@@ -184,10 +197,30 @@
         samples::spawn(cfg, samples_rx, stop.clone()).context(StartSnafu)?,
         admin::spawn(cfg, listener, input_tx, metrics, stop.clone())?,
     ];
+    for adapter in adapters {
+        let duty = desk::spawn(adapter, desk.clone(), stop.clone());
+        duties.push(duty.context(StartSnafu)?);
+    }
     announce(&[("peer", listens), ("operator", bound)]).context(ReadySnafu)?;
     Ok(duties)
 }
 
+/// Whom to greet at start.
+fn contacts(cfg: &ControlSettings) -> Vec<SocketAddr> {
+    let named = cfg.replicas.iter().map(|replica| replica.peer_addr);
+    let seeds = cfg.group.iter().flat_map(|group| group.seeds.clone());
+    named.chain(seeds).collect()
+}
+
+/// All replicas of a new system are given the same seeds, so just one of them finds itself
+/// first among them.
+fn keeping(cfg: &ControlSettings, own: SocketAddr) -> Option<SelfKeeping> {
+    cfg.group.as_ref().map(|group| SelfKeeping {
+        tolerate: group.tolerate,
+        founds: group.first_start && group.seeds.first() == Some(&own),
+    })
+}
+
 fn listen(addr: SocketAddr) -> Result<(TcpListener, SocketAddr), ControlError> {
     let listener = TcpListener::bind(addr).context(OperatorsSnafu { addr })?;
     listener
--- a/crates/filberthead/src/duty.rs
+++ b/crates/filberthead/src/duty.rs
@@ -7,6 +7,9 @@
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 
+/// Work that stays on the thread of its duty.
+pub type LocalFuture = std::pin::Pin<Box<dyn Future<Output = ()>>>;
+
 /// Why a duty can't start or ended badly.
 #[derive(Debug)]
 #[derive(Snafu)]
--- a/crates/filberthead/src/lib.rs
+++ b/crates/filberthead/src/lib.rs
@@ -8,11 +8,13 @@
 pub mod control;
 mod duty;
 pub mod entry;
+pub mod gateway;
 mod peers;
 mod ready;
 mod stop;
 mod supervisor;
 
 pub use clock::Clock;
-pub use duty::{Duty, DutyError};
+pub use duty::{Duty, DutyError, LocalFuture};
+pub use stop::Stop;
 pub use supervisor::SuperviseError;
--- a/crates/filberthead/src/stop.rs
+++ b/crates/filberthead/src/stop.rs
@@ -10,7 +10,7 @@
 
 /// What a duty waits on besides its work.
 #[derive(Clone, Debug)]
-pub(crate) struct Stop {
+pub struct Stop {
     rx: watch::Receiver<bool>,
 }
 
@@ -29,7 +29,7 @@
 
 impl Stop {
     /// Waits until the end is asked for, or until nobody is left to ask for it.
-    pub(crate) async fn wait(&mut self) {
+    pub async fn wait(&mut self) {
         // An error means that the supervisor is gone, which ends the duties as well.
         let _ = self.rx.wait_for(|stop| *stop).await;
     }
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -61,6 +61,8 @@
     Ledger(filberthead_ledger::Message),
     /// Shares and readings.
     Steer(filberthead_steer::Message),
+    /// Routes, evacuations and endpoints, between gateways and control.
+    Fleet(filberthead_fleet::Message),
     /// What an entry counted, for the burn report.
     Samples(filberthead_observe::samples::SampleReport),
 }
@@ -75,6 +77,7 @@
             Self::Quarantine(_) => "quarantine",
             Self::Ledger(_) => "ledger",
             Self::Steer(_) => "steer",
+            Self::Fleet(_) => "fleet",
             Self::Samples(_) => "samples",
         }
     }
--- a/src/bin/control.rs
+++ b/src/bin/control.rs
@@ -18,5 +18,5 @@
     // The guard writes out what is queued when it goes.
     let _log = filberthead_observe::init_logging(&cfg.log, cfg.node.as_str())
         .map_err(|e| Failure::Fault(e.into()))?;
-    control::run(&cfg).map_err(|e| Failure::Fault(e.into()))
+    control::run(&cfg, filberthead_adapter::adapters(&cfg)).map_err(|e| Failure::Fault(e.into()))
 }
