--- /dev/null
+++ b/crates/filberthead/src/gateway/attempt.rs
@@ -0,0 +1,239 @@
+//! One attempt of a request at one endpoint.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use filberthead_endpoint::{Answer, RequestBody, Reuse, Sent, Trust, remove_hop_by_hop};
+use filberthead_place::{Load, Outcome, Target};
+use filberthead_route::Kind;
+use filberthead_types::{Moment, ServiceName};
+use http::header::{CONTENT_LENGTH, EXPECT};
+use http::request::Parts;
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Version};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Body;
+use log::debug;
+use tokio::time::timeout_at;
+
+use super::answer::AnswerBody;
+use super::core::Core;
+use super::deadline::Deadline;
+
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+/// Answers up to this long are read whole before the caller gets a byte, so that one that
+/// breaks off can still be had elsewhere.
+const WHOLE: u64 = 1024 * 1024;
+/// A request that may run only once takes a kept connection only if it was used this
+/// lately: one that the endpoint closes at the same moment would leave in doubt whether
+/// it ran.
+const FRESH: Duration = Duration::from_secs(3);
+/// Part of the time for which an endpoint keeps idle connections that is made use of.
+const KEPT_PART: f64 = 0.7;
+
+/// How an attempt ended.
+pub(crate) enum Attempt {
+    /// An answer for the caller, whole or still coming.
+    Answered(Response<AnswerBody>),
+    /// The endpoint ran it and failed; this is its answer.
+    Failed(Response<AnswerBody>),
+    /// It was never sent; here is its body.
+    NotSent(RequestBody),
+    /// The endpoint says that it did not run.
+    NotRun,
+    /// It may have run.
+    Lost,
+    /// The time was up while it may have been running.
+    Late,
+}
+
+/// What is sent, whichever the endpoint.
+pub(crate) struct Job<'a> {
+    pub(crate) head: &'a Parts,
+    pub(crate) kind: Kind,
+    pub(crate) service: &'a ServiceName,
+    pub(crate) deadline: Deadline,
+}
+
+/// The place of a request at an endpoint; given back when dropped.
+struct Place<'a> {
+    core: &'a Core,
+    service: &'a ServiceName,
+    target: &'a Target,
+    begun: Moment,
+    outcome: Outcome,
+}
+
+impl Place<'_> {
+    fn served(&mut self) {
+        let took = self.core.now().saturating_sub(self.begun);
+        self.outcome = Outcome::Served(took);
+    }
+}
+
+impl Drop for Place<'_> {
+    fn drop(&mut self) {
+        let now = self.core.now();
+        let mut placer = self.core.placer.borrow_mut();
+        placer.ended(now, self.service, self.target, self.outcome);
+    }
+}
+
+/// Sends a request to the endpoint that it was placed at. Dropping the returned future
+/// closes the connection, which tells the endpoint to stop.
+pub(crate) async fn attempt(
+    core: &Rc<Core>,
+    job: &Job<'_>,
+    body: RequestBody,
+    target: &Target,
+) -> Attempt {
+    let mut place = Place {
+        core,
+        service: job.service,
+        target,
+        begun: core.now(),
+        outcome: Outcome::Abandoned,
+    };
+    let req = request(core, job, body, target);
+    let empty = HeaderValue::from_static("");
+    let name = &core.dialect.request_id;
+    let value = job.head.headers.get(name).unwrap_or(&empty);
+    let trust = Trust::Echo { name, value };
+    let reuse = match job.kind {
+        Kind::Unsafe => Reuse::Within(FRESH),
+        Kind::Safe | Kind::Download => Reuse::Allowed,
+    };
+    let deadline = job.deadline.answer;
+    match core
+        .client
+        .send(target.addr, trust, reuse, deadline, req)
+        .await
+    {
+        Sent::NotSent(req) => {
+            place.outcome = Outcome::Broken;
+            Attempt::NotSent(req.into_body())
+        }
+        Sent::Lost => {
+            place.outcome = Outcome::Broken;
+            Attempt::Lost
+        }
+        Sent::Late => Attempt::Late,
+        Sent::Answer(answer) => receive(core, job, answer, &mut place).await,
+    }
+}
+
+fn request(core: &Core, job: &Job<'_>, body: RequestBody, target: &Target) -> Request<RequestBody> {
+    let mut req = Request::new(body);
+    *req.method_mut() = job.head.method.clone();
+    *req.uri_mut() = job.head.uri.clone();
+    *req.version_mut() = Version::HTTP_11;
+    let mut headers = job.head.headers.clone();
+    remove_hop_by_hop(&mut headers);
+    // The body is here already, or is sent without waiting.
+    headers.remove(EXPECT);
+    let left = u64::try_from(job.deadline.left().as_millis()).unwrap_or(u64::MAX);
+    headers.insert(&core.dialect.deadline_ms, HeaderValue::from(left));
+    if let Ok(id) = HeaderValue::from_str(&target.id) {
+        headers.insert(&core.dialect.target, id);
+    }
+    *req.headers_mut() = headers;
+    req
+}
+
+async fn receive(core: &Core, job: &Job<'_>, answer: Answer, place: &mut Place<'_>) -> Attempt {
+    let (mut head, body) = answer.response.into_parts();
+    let mut connection = answer.connection;
+    note(core, &head.headers, place.target);
+    if let Some(kept) = kept_for(&head.headers) {
+        connection.keep_for(kept);
+    }
+    if let Some(outcome) = not_run(core, head.status, &head.headers) {
+        place.outcome = outcome;
+        debug!(endpoint:% = place.target.id, status:% = head.status; "not run there");
+        connection.release_after(body);
+        return Attempt::NotRun;
+    }
+    remove_hop_by_hop(&mut head.headers);
+    let known = body.size_hint().exact();
+    if known.is_none_or(|len| len <= WHOLE) {
+        let limited = Limited::new(body, WHOLE as usize).collect();
+        let bytes = match timeout_at(job.deadline.answer, limited).await {
+            Ok(Ok(body)) => body.to_bytes(),
+            Ok(Err(e)) => {
+                debug!(endpoint:% = place.target.id, error:% = e; "an answer broke off");
+                place.outcome = Outcome::Broken;
+                return Attempt::Lost;
+            }
+            Err(_) => return Attempt::Late,
+        };
+        connection.release();
+        place.served();
+        return finished(place, head, AnswerBody::Whole(bytes));
+    }
+    place.served();
+    let connection = Some(connection);
+    finished(place, head, AnswerBody::Passing { body, connection })
+}
+
+fn finished(place: &mut Place<'_>, mut head: http::response::Parts, body: AnswerBody) -> Attempt {
+    let status = head.status;
+    if let AnswerBody::Whole(bytes) = &body {
+        let bodyless = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+        head.headers.remove(CONTENT_LENGTH);
+        if !bodyless {
+            head.headers
+                .insert(CONTENT_LENGTH, HeaderValue::from(bytes.len()));
+        }
+    }
+    let answer = Response::from_parts(head, body);
+    if status.is_server_error() {
+        place.outcome = Outcome::Failed;
+        Attempt::Failed(answer)
+    } else {
+        Attempt::Answered(answer)
+    }
+}
+
+/// Whether the endpoint says that nothing ran, and what that tells about it.
+fn not_run(core: &Core, status: StatusCode, headers: &HeaderMap) -> Option<Outcome> {
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        return Some(Outcome::Gone);
+    }
+    headers
+        .contains_key(&core.dialect.not_run)
+        .then_some(Outcome::Full)
+}
+
+/// Takes in what the answer's headers tell about the endpoint.
+fn note(core: &Core, headers: &HeaderMap, target: &Target) {
+    let now = core.now();
+    let mut placer = core.placer.borrow_mut();
+    if let Some(load) = text(headers, &core.dialect.load).and_then(load) {
+        placer.reported(now, &target.id, load);
+    }
+    let cold = text(headers, &core.dialect.cold_ms).and_then(|ms| ms.parse::<u64>().ok());
+    if let Some(ms) = cold.filter(|ms| *ms > 0) {
+        placer.is_cold(now, &target.id, Duration::from_millis(ms));
+    }
+}
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok().map(str::trim)
+}
+
+/// Reads `running,waiting,slots`.
+fn load(text: &str) -> Option<Load> {
+    let mut numbers = text.split(',').map(|part| part.trim().parse().ok());
+    Some(Load {
+        running: numbers.next()??,
+        waiting: numbers.next()??,
+    })
+}
+
+/// For how long an idle connection may be used again, from `Keep-Alive: timeout=N`.
+fn kept_for(headers: &HeaderMap) -> Option<Duration> {
+    let text = text(headers, &KEEP_ALIVE)?;
+    let mut fields = text.split(',').map(str::trim);
+    let seconds = fields.find_map(|field| field.strip_prefix("timeout="))?;
+    let seconds: u32 = seconds.parse().ok()?;
+    Some(Duration::from_secs(seconds.into()).mul_f64(KEPT_PART))
+}
--- /dev/null
+++ b/crates/filberthead/src/gateway/carry.rs
@@ -0,0 +1,271 @@
+//! Carries one request from its route to its final answer.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use filberthead_endpoint::RequestBody;
+use filberthead_place::{Decision, EndpointId, Refusal, Request as Wanted};
+use filberthead_route::{Kind, Matched, Route};
+use filberthead_types::{ResultCode, ServiceName};
+use http::header::HOST;
+use http::request::Parts;
+use http::{Request, Response};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use log::{debug, info};
+use tokio::time::{Instant, timeout_at};
+
+use super::answer::{AnswerBody, own};
+use super::attempt::{Attempt, Job, attempt};
+use super::core::{Core, InForce};
+use super::deadline::Deadline;
+
+/// Bodies up to this long are read before the request is sent, so that it can be sent
+/// again. Longer ones go on as they come, once.
+const WHOLE_BODY: u64 = 256 * 1024;
+/// Endpoints that may turn out to be out of reach before the caller is told to come back.
+const MAX_UNREACHED: u32 = 3;
+/// Time below which no endpoint could answer any more.
+const TOO_LATE: Duration = Duration::from_millis(5);
+/// When a caller may come back to a gateway that doesn't know any routes yet.
+const STARTING: Duration = Duration::from_millis(300);
+
+/// What to do after an attempt.
+enum Next {
+    /// Give this to the caller.
+    Answer(Box<Response<AnswerBody>>),
+    /// Try another endpoint with this body.
+    Again(RequestBody),
+}
+
+impl Next {
+    fn end(answer: Response<AnswerBody>) -> Self {
+        Self::Answer(Box::new(answer))
+    }
+}
+
+/// A request on its way.
+struct Carried<'a> {
+    core: &'a Rc<Core>,
+    route: &'a Route,
+    service: &'a ServiceName,
+    head: &'a Parts,
+    deadline: Deadline,
+    returned: bool,
+    /// Endpoints that have had it, or were out of reach.
+    tried: Vec<EndpointId>,
+    /// Attempts that may have run.
+    ran: u32,
+    /// Endpoints that were out of reach.
+    unreached: u32,
+}
+
+/// Answers a request of a caller.
+pub(crate) async fn carry(
+    core: &Rc<Core>,
+    caller: SocketAddr,
+    req: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let begun = Instant::now();
+    let Some(in_force) = core.in_force() else {
+        return own(ResultCode::NotReady, Some(STARTING));
+    };
+    let (head, body) = req.into_parts();
+    let Some(matched) = find(&in_force, &head) else {
+        info!(caller:%, path = head.uri.path(), version = in_force.version; "no route");
+        return own(ResultCode::UnknownService, None);
+    };
+    let route = &matched.route;
+    let deadline = Deadline::new(begun, &head.headers, &core.dialect.deadline_ms, route);
+    let Some(target) = route.targets.get(matched.split.deal()) else {
+        return own(ResultCode::NoEndpoint, Some(STARTING));
+    };
+    if body.size_hint().lower() > in_force.bounds.body_bytes {
+        return own(ResultCode::BodyTooLarge, None);
+    }
+    let body = match take_body(body, &deadline).await {
+        Ok(body) => body,
+        Err(code) => return own(code, None),
+    };
+    core.placer
+        .borrow_mut()
+        .arrived(core.now(), &target.service);
+    let carried = Carried {
+        core,
+        route,
+        service: &target.service,
+        head: &head,
+        deadline,
+        returned: has_returned(core, &head, route),
+        tried: Vec::new(),
+        ran: 0,
+        unreached: 0,
+    };
+    carried.run(body).await
+}
+
+fn find(in_force: &InForce, head: &Parts) -> Option<Arc<Matched>> {
+    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| head.uri.host())?;
+    in_force.matcher.find(host, head.uri.path()).cloned()
+}
+
+/// Whether the caller has less time than callers of this route usually have, because an
+/// earlier attempt has used some of it.
+fn has_returned(core: &Core, head: &Parts, route: &Route) -> bool {
+    let told = head.headers.get(&core.dialect.deadline_ms);
+    let told = told.and_then(|value| value.to_str().ok()?.trim().parse::<u128>().ok());
+    told.is_some_and(|ms| ms < route.timeout.as_millis())
+}
+
+/// Reads a short body whole.
+async fn take_body(body: Incoming, deadline: &Deadline) -> Result<RequestBody, ResultCode> {
+    let hint = body.size_hint();
+    if hint.upper().is_none_or(|upper| upper > WHOLE_BODY) {
+        return Ok(RequestBody::Stream(body));
+    }
+    if hint.exact() == Some(0) {
+        return Ok(RequestBody::from(body));
+    }
+    match timeout_at(deadline.answer, body.collect()).await {
+        Ok(Ok(body)) => Ok(RequestBody::Whole(body.to_bytes())),
+        Ok(Err(_)) => Err(ResultCode::BadRequest),
+        Err(_) => Err(ResultCode::DeadlineBeforeRun),
+    }
+}
+
+impl Carried<'_> {
+    async fn run(mut self, body: RequestBody) -> Response<AnswerBody> {
+        let mut body = body;
+        loop {
+            match self.step(body).await {
+                Next::Answer(answer) => return *answer,
+                Next::Again(again) => body = again,
+            }
+        }
+    }
+
+    async fn step(&mut self, body: RequestBody) -> Next {
+        if self.deadline.left() < TOO_LATE {
+            return self.refused(ResultCode::DeadlineBeforeRun, Duration::ZERO);
+        }
+        let decision = self.place();
+        let target = match decision {
+            Decision::Send(target) => target,
+            Decision::Refuse { why, retry_after } => {
+                let code = match why {
+                    Refusal::NoEndpoint => ResultCode::NoEndpoint,
+                    Refusal::Overloaded => ResultCode::Overloaded,
+                };
+                return self.refused(code, retry_after);
+            }
+        };
+        self.tried.push(target.id.clone());
+        let again = body.again();
+        let job = Job {
+            head: self.head,
+            kind: self.route.kind,
+            service: self.service,
+            deadline: self.deadline,
+        };
+        match attempt(self.core, &job, body, &target).await {
+            Attempt::Answered(answer) => Next::end(answer),
+            Attempt::NotSent(body) => self.unreached(body),
+            Attempt::NotRun => self.not_run(again),
+            Attempt::Failed(answer) => self.failed(answer, again),
+            Attempt::Lost => self.lost(&target.id, again),
+            Attempt::Late => {
+                self.note("late", &target.id);
+                Next::end(own(ResultCode::DeadlineWhileRunning, None))
+            }
+        }
+    }
+
+    fn place(&self) -> Decision {
+        let object = self.head.headers.get(&self.core.dialect.object);
+        let object = object.map(|value| value.as_bytes());
+        let wanted = Wanted {
+            service: self.service,
+            object: object.filter(|_| self.route.sticky),
+            large: self.route.kind == Kind::Download,
+            objective: self.route.objective,
+            left: self.deadline.left(),
+            returned: self.returned,
+            regions: &self.route.regions,
+            tried: &self.tried,
+        };
+        let now = self.core.now();
+        self.core.placer.borrow_mut().place(now, wanted)
+    }
+
+    fn unreached(&mut self, body: RequestBody) -> Next {
+        self.unreached += 1;
+        if self.unreached >= MAX_UNREACHED {
+            return self.refused(ResultCode::NoEndpoint, STARTING);
+        }
+        Next::Again(body)
+    }
+
+    /// Sent back by an endpoint that has not run it.
+    fn not_run(&mut self, again: Option<RequestBody>) -> Next {
+        match again.filter(|_| self.may_repeat()) {
+            Some(body) => Next::Again(body),
+            None => self.refused(ResultCode::Overloaded, STARTING),
+        }
+    }
+
+    /// Run, with a bad end.
+    fn failed(&mut self, answer: Response<AnswerBody>, again: Option<RequestBody>) -> Next {
+        self.ran += 1;
+        let repeat = self.route.kind.is_idempotent();
+        match again.filter(|_| repeat && self.may_repeat()) {
+            Some(body) => Next::Again(body),
+            None => Next::end(answer),
+        }
+    }
+
+    fn lost(&mut self, endpoint: &EndpointId, again: Option<RequestBody>) -> Next {
+        self.ran += 1;
+        self.note("lost", endpoint);
+        let repeat = self.route.kind.is_idempotent();
+        match again.filter(|_| repeat && self.may_repeat()) {
+            Some(body) => Next::Again(body),
+            None => Next::end(own(ResultCode::EndpointLost, None)),
+        }
+    }
+
+    fn may_repeat(&self) -> bool {
+        let attempts = self.tried.len() as u32 - self.unreached;
+        let expected = self.route.objective / 4;
+        attempts < self.route.max_attempts
+            && self.deadline.left() > expected
+            && self
+                .core
+                .placer
+                .borrow_mut()
+                .may_repeat(self.core.now(), self.service)
+    }
+
+    /// The final answer where no further attempt is made: a promise that nothing ran only
+    /// if that is so.
+    fn refused(&self, code: ResultCode, retry_after: Duration) -> Next {
+        let left = self.deadline.left().as_millis();
+        info!(request:? = self.id(), route = self.route.name.as_str(), code:%, left,
+            tried = self.tried.len(), retry_after_ms = retry_after.as_millis(); "refused");
+        if self.ran > 0 {
+            return Next::end(own(ResultCode::EndpointLost, None));
+        }
+        Next::end(own(code, Some(retry_after)))
+    }
+
+    fn note(&self, what: &'static str, endpoint: &EndpointId) {
+        let left = self.deadline.left().as_millis();
+        debug!(request:? = self.id(), endpoint:%, left; "{what}");
+    }
+
+    fn id(&self) -> Option<&http::HeaderValue> {
+        self.head.headers.get(&self.core.dialect.request_id)
+    }
+}
--- /dev/null
+++ b/crates/filberthead/src/gateway/core.rs
@@ -0,0 +1,188 @@
+//! What the tasks of the requests duty share: routes, placement, and the tie to control.
+//!
+//! Everything here lives on one thread. A borrow is never held across an await.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use filberthead_endpoint::Client;
+use filberthead_fleet::{Member, Outbound, Update};
+use filberthead_peer::Body;
+use filberthead_place::Placer;
+use filberthead_ring::Sender;
+use filberthead_route::{CallerBounds, Matcher};
+use filberthead_types::Moment;
+use log::{info, warn};
+use tokio::sync::watch;
+
+use super::stop::Phase;
+use super::{Dialect, Heard};
+use crate::Clock;
+use crate::peers::Outgoing;
+
+/// Longest wait for a connection to an endpoint: twice the round trip between regions,
+/// with room for a slow accept. An endpoint without power doesn't answer at all.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Silence of all control replicas after which the log says so.
+const SILENT: Duration = Duration::from_secs(2);
+
+/// What the duty starts with.
+pub(crate) struct CoreParts {
+    pub(crate) clock: Clock,
+    pub(crate) dialect: Arc<Dialect>,
+    pub(crate) placer: Placer,
+    pub(crate) member: Member,
+    pub(crate) out: Sender<Outgoing>,
+    pub(crate) phase: watch::Sender<Phase>,
+    pub(crate) running: watch::Sender<usize>,
+}
+
+/// The routes in force.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct InForce {
+    pub(crate) version: u64,
+    pub(crate) matcher: Matcher,
+    pub(crate) bounds: CallerBounds,
+}
+
+/// State of the duty.
+pub(crate) struct Core {
+    pub(crate) clock: Clock,
+    pub(crate) dialect: Arc<Dialect>,
+    pub(crate) client: Client,
+    pub(crate) placer: RefCell<Placer>,
+    member: RefCell<Member>,
+    in_force: RefCell<Option<Rc<InForce>>>,
+    out: Sender<Outgoing>,
+    phase: watch::Sender<Phase>,
+    running: watch::Sender<usize>,
+    silent: Cell<bool>,
+}
+
+/// Counts a request as running until it is dropped.
+pub(crate) struct Running(Rc<Core>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.running.send_modify(|running| *running -= 1);
+    }
+}
+
+impl Core {
+    pub(crate) fn new(parts: CoreParts) -> Rc<Self> {
+        Rc::new(Self {
+            clock: parts.clock,
+            dialect: parts.dialect,
+            client: Client::with_connect_timeout(CONNECT_TIMEOUT),
+            placer: RefCell::new(parts.placer),
+            member: RefCell::new(parts.member),
+            in_force: RefCell::new(None),
+            out: parts.out,
+            phase: parts.phase,
+            running: parts.running,
+            silent: Cell::new(true),
+        })
+    }
+
+    pub(crate) fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
+    /// The routes in force, if any are known.
+    pub(crate) fn in_force(&self) -> Option<Rc<InForce>> {
+        self.in_force.borrow().clone()
+    }
+
+    pub(crate) fn phase(&self) -> watch::Receiver<Phase> {
+        self.phase.subscribe()
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        *self.phase.borrow() >= Phase::Leaving
+    }
+
+    pub(crate) fn begin(self: &Rc<Self>) -> Running {
+        self.running.send_modify(|running| *running += 1);
+        Running(Rc::clone(self))
+    }
+
+    /// Takes in a message of control.
+    pub(crate) fn heard(&self, heard: Heard) {
+        let now = self.now();
+        if self.silent.replace(false) {
+            info!(from:% = heard.from; "control is heard");
+        }
+        let mut member = self.member.borrow_mut();
+        let (out, updates) = member.receive(now, heard.from, heard.message);
+        self.send(out);
+        let informed = member.is_informed();
+        drop(member);
+        for update in updates {
+            self.update(now, update);
+        }
+        if informed {
+            self.phase.send_if_modified(|phase| {
+                let first = *phase == Phase::Starting;
+                if first {
+                    *phase = Phase::Serving;
+                    info!("routes and endpoints are known, callers may come");
+                }
+                first
+            });
+        }
+    }
+
+    fn update(&self, now: Moment, update: Update) {
+        let mut placer = self.placer.borrow_mut();
+        match update {
+            Update::Routes {
+                revision,
+                version,
+                table,
+            } => {
+                info!(version, revision, routes = table.routes.len(); "routes in force");
+                placer.set_services(&table.services);
+                let in_force = InForce {
+                    version,
+                    matcher: Matcher::new(&table),
+                    bounds: table.bounds,
+                };
+                self.in_force.replace(Some(Rc::new(in_force)));
+            }
+            Update::Evacuated(domains) => {
+                info!(domains:? = domains; "evacuated failure domains");
+                placer.set_evacuated(now, domains);
+            }
+            Update::Endpoints(list) => {
+                info!(endpoints = list.len(); "list of endpoints");
+                placer.set_endpoints(now, list);
+            }
+            Update::Gateways(counts) => placer.set_gateways(&counts),
+            Update::Demand(_) => {}
+        }
+    }
+
+    /// Reports to control if it is time.
+    pub(crate) fn tick(&self) {
+        let now = self.now();
+        let mut member = self.member.borrow_mut();
+        member.set_ready(*self.phase.borrow() == Phase::Serving);
+        let out = member.tick(now, Vec::new);
+        let lost = member.heard().is_some_and(|at| now >= at + SILENT);
+        if lost && !self.silent.replace(true) {
+            warn!("no control replica is heard");
+        }
+        drop(member);
+        self.send(out);
+    }
+
+    fn send(&self, out: Vec<Outbound>) {
+        for (to, message) in out {
+            let body = Body::Fleet(message);
+            // A full ring drops the message; reports and questions are repeated.
+            let _ = self.out.push(Outgoing { to, body });
+        }
+    }
+}
--- /dev/null
+++ b/crates/filberthead/src/gateway/mod.rs
@@ -0,0 +1,244 @@
+//! The gateway daemon: carries callers' requests along routes.
+//!
+//! Its duties, each a thread: `requests` takes requests, decides where they go, talks to
+//! endpoints and keeps in touch with control; `readiness` answers the platform's question
+//! and shows metrics; the transport's threads receive and send messages. Callers and
+//! endpoints share one thread on purpose: a request would otherwise cross threads twice,
+//! and on a fraction of a core each crossing costs a wake-up and gains nothing.
+
+mod answer;
+mod attempt;
+mod carry;
+mod core;
+mod deadline;
+mod dialect;
+mod readiness;
+mod serve;
+mod stop;
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+
+use filberthead_fleet::{GatewayInfo, Member, Message};
+use filberthead_peer::{Body, Deliver, Origin, Transport, TransportError, cluster_id};
+use filberthead_place::{BudgetConfig, Config, Placer};
+use filberthead_ring::{Receiver, Sender, ring};
+use filberthead_settings::GatewaySettings;
+use filberthead_types::Incarnation;
+use log::info;
+use snafu::{ResultExt, Snafu};
+use tokio::sync::watch;
+
+use self::core::{Core, CoreParts};
+pub use self::dialect::Dialect;
+use self::stop::{Phase, PlannedStop};
+use crate::ready::announce;
+use crate::stop::{Stop, stop_pair};
+use crate::supervisor::supervise;
+use crate::{Clock, Duty, DutyError, SuperviseError, peers};
+
+/// Messages of control that wait for the requests duty. When full, further ones are
+/// dropped; control repeats what it says.
+const MESSAGES: usize = 256;
+
+/// Why a gateway doesn't start or ends other than by a planned stop.
+#[derive(Debug)]
+#[derive(Snafu)]
+pub enum GatewayError {
+    /// An address can't be listened on.
+    #[snafu(display("can't listen on {addr}"))]
+    Listen {
+        /// The address.
+        addr: SocketAddr,
+        /// The system's word.
+        source: std::io::Error,
+    },
+    /// The transport between processes can't start.
+    #[snafu(display("can't start the transport between processes"))]
+    Peer {
+        /// Its word.
+        source: TransportError,
+    },
+    /// A thread can't be started.
+    #[snafu(display("can't start a duty"))]
+    Duty {
+        /// Which and why.
+        source: DutyError,
+    },
+    /// The line that says that the gateway serves can't be written.
+    #[snafu(display("can't write to standard output"))]
+    Ready {
+        /// The system's word.
+        source: std::io::Error,
+    },
+    /// The runtime of the supervisor can't be started.
+    #[snafu(display("can't start the supervisor's runtime"))]
+    Runtime {
+        /// The system's word.
+        source: std::io::Error,
+    },
+    /// A duty failed.
+    #[snafu(display("the gateway failed"))]
+    Supervise {
+        /// Which and how.
+        source: SuperviseError,
+    },
+}
+
+/// A message of a control replica, and where that takes answers.
+pub(crate) struct Heard {
+    pub(crate) from: SocketAddr,
+    pub(crate) message: Message,
+}
+
+/// Hands messages of control to the requests duty.
+struct ToRequests(Sender<Heard>);
+
+impl Deliver for ToRequests {
+    fn deliver(&mut self, origin: Origin, body: Body) {
+        if let Body::Fleet(message) = body {
+            let from = origin.addr;
+            // A full ring drops the message; control repeats it.
+            let _ = self.0.push(Heard { from, message });
+        }
+    }
+}
+
+/// Everything that is open before the first thread starts.
+struct Opened {
+    transport: Transport,
+    rx: Receiver<Heard>,
+    callers: TcpListener,
+    readiness: TcpListener,
+    status: TcpListener,
+}
+
+/// Runs a gateway until the end of its planned stop.
+///
+/// # Errors
+///
+/// Fails if it can't start, or if one of its duties ends by itself.
+pub fn run(cfg: &GatewaySettings, dialect: Dialect) -> Result<(), GatewayError> {
+    let opened = open(cfg)?;
+    let (source, stop) = stop_pair();
+    let phase = watch::Sender::new(Phase::Starting);
+    let running = watch::Sender::new(0);
+    let planned = PlannedStop {
+        grace: cfg.stop_grace,
+        phase: phase.clone(),
+        running: running.subscribe(),
+    };
+    let ready = [
+        ("caller", bound(&opened.callers)?),
+        ("peer", opened.transport.addr()),
+        ("readiness", bound(&opened.readiness)?),
+        ("status", bound(&opened.status)?),
+    ];
+    info!(domain:% = cfg.failure_domain, seeds:? = cfg.seeds, caller:% = ready[0].1;
+        "gateway starts");
+    let duties = start(cfg, dialect, opened, phase, running, &stop)?;
+    announce(&ready).context(ReadySnafu)?;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(RuntimeSnafu)?;
+    let supervised = supervise(duties, source, || planned.run());
+    runtime.block_on(supervised).context(SuperviseSnafu)
+}
+
+fn open(cfg: &GatewaySettings) -> Result<Opened, GatewayError> {
+    let (tx, rx) = ring(MESSAGES);
+    let cluster = cluster_id(&cfg.cluster);
+    let transport =
+        Transport::listen(cfg.peer_listen, cluster, ToRequests(tx)).context(PeerSnafu)?;
+    Ok(Opened {
+        transport,
+        rx,
+        callers: listen(cfg.caller_listen)?,
+        readiness: listen(cfg.readiness_listen)?,
+        status: listen(cfg.status_listen)?,
+    })
+}
+
+fn listen(addr: SocketAddr) -> Result<TcpListener, GatewayError> {
+    let listener = TcpListener::bind(addr).context(ListenSnafu { addr })?;
+    listener
+        .set_nonblocking(true)
+        .context(ListenSnafu { addr })?;
+    Ok(listener)
+}
+
+fn bound(listener: &TcpListener) -> Result<SocketAddr, GatewayError> {
+    let addr = SocketAddr::from(([0, 0, 0, 0], 0));
+    listener.local_addr().context(ListenSnafu { addr })
+}
+
+fn start(
+    cfg: &GatewaySettings,
+    dialect: Dialect,
+    opened: Opened,
+    phase: watch::Sender<Phase>,
+    running: watch::Sender<usize>,
+    stop: &Stop,
+) -> Result<Vec<Duty>, GatewayError> {
+    let caller_addr = match cfg.caller_advertise {
+        Some(addr) => addr,
+        None => bound(&opened.callers)?,
+    };
+    let peer_addr = cfg.peer_advertise.unwrap_or(opened.transport.addr());
+    let (out, out_rx) = peers::outgoing();
+    let origin = Origin {
+        name: cfg.node.clone(),
+        incarnation: Incarnation(rand::random()),
+        addr: peer_addr,
+        replica: None,
+    };
+    let outbox = opened.transport.outbox(cluster_id(&cfg.cluster), origin);
+    let info = GatewayInfo {
+        name: cfg.node.clone(),
+        region: cfg.region.clone(),
+        domain: cfg.failure_domain.clone(),
+        caller_addr,
+    };
+    let probes = readiness::Probes {
+        readiness: opened.readiness,
+        status: opened.status,
+        path: dialect.readiness_path,
+        phase: phase.subscribe(),
+    };
+    let parts = CoreParts {
+        clock: Clock::start(),
+        dialect: Arc::new(dialect),
+        placer: Placer::new(placing(cfg)),
+        member: Member::new(info, cfg.seeds.clone()),
+        out,
+        phase,
+        running,
+    };
+    let (callers, rx) = (opened.callers, opened.rx);
+    let stopping = stop.clone();
+    let requests = move || async move {
+        let core = Core::new(parts);
+        serve::run(core, callers, rx, stopping).await;
+    };
+    let duties = vec![
+        peers::spawn(opened.transport, outbox, out_rx, stop.clone()).context(DutySnafu)?,
+        Duty::spawn("requests", requests).context(DutySnafu)?,
+        readiness::spawn(probes, stop.clone()).context(DutySnafu)?,
+    ];
+    Ok(duties)
+}
+
+fn placing(cfg: &GatewaySettings) -> Config {
+    Config {
+        region: cfg.region.clone(),
+        domain: cfg.failure_domain.clone(),
+        regions: cfg.regions.clone(),
+        budget: BudgetConfig {
+            ratio: cfg.budgets.retry_ratio,
+            floor: cfg.budgets.retry_floor,
+            window: cfg.budgets.retry_window,
+        },
+        max_shift: cfg.budgets.max_shift,
+    }
+}
--- /dev/null
+++ b/crates/filberthead/src/gateway/readiness.rs
@@ -0,0 +1,81 @@
+//! The duty that answers the platform's question whether callers may be sent here, and
+//! shows the state of the process.
+
+use std::convert::Infallible;
+use std::net::TcpListener;
+
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use log::{debug, error};
+use tokio::sync::watch;
+
+use super::stop::Phase;
+use crate::stop::Stop;
+use crate::{Duty, DutyError};
+
+/// What the duty listens on and shows.
+pub(crate) struct Probes {
+    pub(crate) readiness: TcpListener,
+    pub(crate) status: TcpListener,
+    pub(crate) path: &'static str,
+    pub(crate) phase: watch::Receiver<Phase>,
+}
+
+/// Starts the duty.
+pub(crate) fn spawn(probes: Probes, stop: Stop) -> Result<Duty, DutyError> {
+    Duty::spawn("readiness", move || run(probes, stop))
+}
+
+async fn run(probes: Probes, mut stop: Stop) {
+    let listeners = (
+        tokio::net::TcpListener::from_std(probes.readiness),
+        tokio::net::TcpListener::from_std(probes.status),
+    );
+    let (readiness, status) = match listeners {
+        (Ok(readiness), Ok(status)) => (readiness, status),
+        (Err(e), _) | (_, Err(e)) => {
+            error!(error:% = e; "can't listen for the platform's question");
+            return;
+        }
+    };
+    loop {
+        let accepted = tokio::select! {
+            accepted = readiness.accept() => accepted,
+            accepted = status.accept() => accepted,
+            () = stop.wait() => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            continue;
+        };
+        let (path, phase) = (probes.path, probes.phase.clone());
+        tokio::task::spawn_local(async move {
+            let service = service_fn(move |req| {
+                let answer = answer(path, *phase.borrow(), &req);
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            if let Err(e) = serving.await {
+                debug!(error:% = e; "a connection of the platform ended");
+            }
+        });
+    }
+}
+
+fn answer(path: &str, phase: Phase, req: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let (status, text) = match (req.method(), req.uri().path()) {
+        (&Method::GET, asked) if asked == path => match phase {
+            Phase::Serving => (StatusCode::OK, "ready\n"),
+            Phase::Starting => (StatusCode::SERVICE_UNAVAILABLE, "starting\n"),
+            Phase::Leaving | Phase::Ending => (StatusCode::SERVICE_UNAVAILABLE, "leaving\n"),
+        },
+        _ => (StatusCode::NOT_FOUND, ""),
+    };
+    let mut answer = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    *answer.status_mut() = status;
+    answer
+}
--- /dev/null
+++ b/crates/filberthead/src/gateway/serve.rs
@@ -0,0 +1,129 @@
+//! Takes callers' connections, and drives the requests duty.
+
+use std::convert::Infallible;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::Duration;
+
+use filberthead_ring::Receiver;
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use log::{debug, warn};
+use tokio::net::TcpStream;
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+use super::Heard;
+use super::answer::AnswerBody;
+use super::carry::carry;
+use super::core::Core;
+use super::stop::Phase;
+use crate::stop::Stop;
+
+/// How often it is looked whether a report is due.
+const TICK: Duration = Duration::from_millis(100);
+/// Pause after a connection couldn't be accepted, for want of descriptors as a rule.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Smallest buffer that hyper works with.
+const MIN_BUF: usize = 8 * 1024;
+
+/// Runs until the process stops.
+pub(crate) async fn run(
+    core: Rc<Core>,
+    callers: TcpListener,
+    mut rx: Receiver<Heard>,
+    mut stop: Stop,
+) {
+    let accepting = match tokio::net::TcpListener::from_std(callers) {
+        Ok(listener) => tokio::task::spawn_local(accept(Rc::clone(&core), listener)),
+        Err(e) => {
+            log::error!(error:% = e; "can't listen for callers");
+            return;
+        }
+    };
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut phase = core.phase();
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => core.tick(),
+            heard = rx.recv() => match heard {
+                Some(heard) => core.heard(heard),
+                None => break,
+            },
+            // A change of phase is reported at once: callers are to be sent elsewhere.
+            _ = phase.changed() => {
+                if *phase.borrow_and_update() >= Phase::Ending {
+                    accepting.abort();
+                }
+                core.tick();
+            }
+            () = stop.wait() => break,
+        }
+    }
+    accepting.abort();
+}
+
+async fn accept(core: Rc<Core>, listener: tokio::net::TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, caller)) => {
+                tokio::task::spawn_local(connection(Rc::clone(&core), stream, caller));
+            }
+            Err(e) => {
+                warn!(error:% = e; "a connection can't be accepted");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection(core: Rc<Core>, stream: TcpStream, caller: SocketAddr) {
+    if let Err(e) = stream.set_nodelay(true) {
+        debug!(caller:%, error:% = e; "a connection broke at its start");
+        return;
+    }
+    let bounds = core.in_force().map(|in_force| in_force.bounds);
+    let bounds = bounds.unwrap_or_default();
+    let mut phase = core.phase();
+    let service = service_fn(move |req| {
+        let core = Rc::clone(&core);
+        async move { Ok::<_, Infallible>(answer(&core, caller, req).await) }
+    });
+    let serving = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // Counts from the end of the request before, so it bounds idle connections too.
+        .header_read_timeout(bounds.idle_timeout)
+        .max_buf_size(bounds.header_bytes.max(MIN_BUF))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut serving = std::pin::pin!(serving);
+    let result = tokio::select! {
+        result = serving.as_mut() => result,
+        _ = phase.wait_for(|phase| *phase >= Phase::Ending) => {
+            // Ends the connection after the request that it is answering.
+            serving.as_mut().graceful_shutdown();
+            serving.await
+        }
+    };
+    if let Err(e) = result {
+        debug!(caller:%, error:% = e; "a caller's connection ended");
+    }
+}
+
+async fn answer(
+    core: &Rc<Core>,
+    caller: SocketAddr,
+    req: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let running = core.begin();
+    let mut answer = carry(core, caller, req).await;
+    drop(running);
+    if core.is_leaving() {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(CONNECTION, close);
+    }
+    answer
+}
--- /dev/null
+++ b/src/bin/gateway.rs
@@ -0,0 +1,23 @@
+//! `filberthead-gateway FILE`: carries callers' requests along routes.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use filberthead::gateway;
+use filberthead_adapter::dialect::dialect;
+use filberthead_cli::daemon::{self, Failure};
+use filberthead_settings::GatewaySettings;
+
+const NAME: &str = "filberthead-gateway";
+
+fn main() -> ExitCode {
+    daemon::run(NAME, serve)
+}
+
+fn serve(path: &Path) -> Result<(), Failure> {
+    let cfg = GatewaySettings::load(path).map_err(|e| Failure::Usage(e.into()))?;
+    // The guard writes out what is queued when it goes.
+    let _log = filberthead_observe::init_logging(&cfg.log, cfg.node.as_str())
+        .map_err(|e| Failure::Fault(e.into()))?;
+    gateway::run(&cfg, dialect()).map_err(|e| Failure::Fault(e.into()))
+}
