Reload seeds at SIGHUP, and outlive a disk that is full

Besides, found by reading: a record that was written but not yet synced when its process was killed was read back at the next start and counted on without a sync, and a power loss then took it.

Change: SIGHUP reads the seeds again. A failed data folder takes only the replica out; it begins anew from the folder, written afresh, once that works. A log that is opened is synced before it counts.

--- a/crates/filberthead/src/control/book.rs
+++ b/crates/filberthead/src/control/book.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Adds addresses of changed settings.
+    pub(crate) fn configure(&mut self, addrs: impl IntoIterator<Item = SocketAddr>) {
+        self.configured.extend(addrs);
+    }
+
     /// Takes in that a replica was heard from.
     pub(crate) fn heard(&mut self, now: Moment, origin: &Origin) {
         let Some(id) = origin.replica else {
--- a/crates/filberthead/src/control/core.rs
+++ b/crates/filberthead/src/control/core.rs
@@ -107,6 +107,10 @@
     pub(super) disk: Sender<DiskJob>,
     pub(super) gauges: Gauges,
     pub(super) fleet: Fleet,
+    /// Counts how often the data folder has failed and come back.
+    disk_epoch: u64,
+    /// Whether the data folder can't be written; the replica takes no part until it can.
+    disk_failed: bool,
 }
 
 impl Core {
@@ -138,6 +142,8 @@
             disk: parts.disk,
             gauges: parts.gauges,
             fleet: parts.fleet,
+            disk_epoch: 0,
+            disk_failed: false,
         };
         core.learn_addresses();
         core.spread_committed(now);
@@ -227,7 +233,10 @@
             Input::Peer { origin, body } => self.receive(origin, body).await,
             Input::Admin(req) => self.admin(req).await,
             Input::Persisted { seq } => self.step(Event::Persisted { seq }).await,
+            Input::DiskFailed => self.disk_failed(),
+            Input::DiskBack { epoch, durable } => self.disk_back(epoch, durable),
             Input::Initialised(durable) => self.initialised(durable),
+            Input::Seeds(seeds) => self.book.configure(seeds),
             Input::Desk(req) => self.take_desk(req).await,
         }
     }
@@ -327,12 +336,44 @@
     }
 
     pub(super) async fn step(&mut self, event: Event) {
+        if self.disk_failed {
+            self.ignore(event);
+            return;
+        }
         let now = self.clock.now();
         for action in self.replica.step(now, event) {
             self.act(action).await;
         }
     }
 
+    /// Without a disk nothing may be promised, so the replica says nothing at all: the
+    /// others take it for one that is down.
+    fn ignore(&mut self, event: Event) {
+        if let Event::Propose { token, .. } | Event::Read { token } = event {
+            self.fail(token, ProposeError::NotLeader { leader: None });
+        }
+    }
+
+    fn disk_failed(&mut self) {
+        self.disk_failed = true;
+        let pending: Vec<_> = self.pending.keys().copied().collect();
+        for token in pending {
+            self.fail(token, ProposeError::OutcomeUnknown);
+        }
+        self.outcomes.clear();
+    }
+
+    /// Begins anew from the data folder, as a restarted process would. What was spread
+    /// before stays spread: it was committed.
+    fn disk_back(&mut self, epoch: u64, durable: Durable) {
+        let now = self.clock.now();
+        self.disk_failed = false;
+        self.disk_epoch = epoch;
+        self.applied = durable.snapshot.index;
+        self.machine = decode_machine(&durable.snapshot);
+        self.replica = Replica::new(self.id, self.cfg.clone(), durable, now);
+    }
+
     async fn act(&mut self, action: Action) {
         match action {
             Action::Send { to, message } => self.send_to_replica(to, Body::Consensus(message)),
@@ -497,7 +538,9 @@
     }
 
     async fn persist(&mut self, persist: Persist) {
-        self.queue_for_disk(DiskJob::Persist(persist)).await;
+        let epoch = self.disk_epoch;
+        self.queue_for_disk(DiskJob::Persist { epoch, persist })
+            .await;
     }
 
     async fn queue_for_disk(&mut self, job: DiskJob) {
--- a/crates/filberthead/src/control/disk.rs
+++ b/crates/filberthead/src/control/disk.rs
@@ -1,31 +1,58 @@
 //! The disk duty: the only one that waits for the disk.
+//!
+//! A disk that is full or failing takes the replica out, but not the process: the replica
+//! loses all that it believes, as in a restart, and begins anew from the folder once that
+//! can be written again. Ending the process instead would have it started over and over
+//! for as long as the disk is full.
 
+use std::path::PathBuf;
 use std::sync::Arc;
+use std::time::Duration;
 
+use filberthead_consensus::Members;
 use filberthead_observe::ControlMetrics;
 use filberthead_ring::{PushError, Receiver, Sender};
 use filberthead_storage::{Disk, StorageError};
-use log::error;
-use tokio::time::Instant;
+use log::{error, info};
+use tokio::time::{Instant, sleep};
 
 use super::input::{DiskJob, InitialiseError, Input};
 use crate::stop::Stop;
 use crate::{Duty, DutyError};
 
+/// How often a failed folder is tried again.
+const REOPEN_PERIOD: Duration = Duration::from_millis(300);
+
+/// Which folder it is.
+#[derive(Clone, Debug)]
+pub(crate) struct Place {
+    pub(crate) folder: PathBuf,
+    pub(crate) cluster: String,
+}
+
 /// Starts the duty.
 pub(crate) fn spawn(
-    disk: Disk,
+    (disk, place): (Disk, Place),
     rx: Receiver<DiskJob>,
     tx: Sender<Input>,
     metrics: Arc<ControlMetrics>,
     stop: Stop,
 ) -> Result<Duty, DutyError> {
-    let duty = DiskDuty { disk, tx, metrics };
+    let duty = DiskDuty {
+        disk: Some(disk),
+        place,
+        epoch: 0,
+        tx,
+        metrics,
+    };
     Duty::spawn("disk", move || duty.run(rx, stop))
 }
 
 struct DiskDuty {
-    disk: Disk,
+    /// `None` while the folder can't be written.
+    disk: Option<Disk>,
+    place: Place,
+    epoch: u64,
     tx: Sender<Input>,
     metrics: Arc<ControlMetrics>,
 }
@@ -33,48 +60,79 @@
 impl DiskDuty {
     async fn run(mut self, mut rx: Receiver<DiskJob>, mut stop: Stop) {
         loop {
-            let job = tokio::select! {
-                job = rx.recv() => job,
-                () = stop.wait() => None,
-            };
-            let Some(job) = job else {
-                return;
-            };
-            // After a failed sync nobody knows what the disk holds, and asking again may
-            // falsely succeed. The duty ends, and with it the process.
-            if let Err(e) = self.take(job).await {
-                error!(error:% = e; "the data folder failed");
-                return;
+            tokio::select! {
+                job = rx.recv() => match job {
+                    Some(job) => self.take(job).await,
+                    None => return,
+                },
+                () = sleep(REOPEN_PERIOD), if self.disk.is_none() => self.reopen().await,
+                () = stop.wait() => return,
             }
         }
     }
 
-    async fn take(&mut self, job: DiskJob) -> Result<(), StorageError> {
-        match job {
-            DiskJob::Persist(persist) => {
+    async fn take(&mut self, job: DiskJob) {
+        let Some(disk) = &mut self.disk else {
+            // What was promised on the strength of it never left the replica.
+            return;
+        };
+        let result = match job {
+            DiskJob::Persist { epoch, .. } if epoch != self.epoch => return,
+            DiskJob::Persist { persist, .. } => {
                 let begun = Instant::now();
-                self.disk.persist(&persist)?;
+                let result = disk.persist(&persist);
                 self.metrics.synced(begun.elapsed());
-                self.report(Input::Persisted { seq: persist.seq }).await;
+                result.map(|()| Some(Input::Persisted { seq: persist.seq }))
             }
             DiskJob::Initialise { members, reply } => {
-                let result = self.disk.bootstrap(&members, Vec::new());
-                let result = match result {
-                    Ok(()) => {
-                        let durable = self.disk.load()?;
-                        self.report(Input::Initialised(durable)).await;
-                        Ok(())
-                    }
+                let result = initialise(disk, &members);
+                let answer = match &result {
+                    Ok(_) => Ok(()),
                     Err(StorageError::BootstrapConflict { .. }) => {
                         Err(InitialiseError::AlreadyInitialised)
                     }
                     Err(e) => Err(InitialiseError::Storage(e.to_string())),
                 };
                 // The operator may have gone; a resend gets the same answer.
-                let _ = reply.send(result);
+                let _ = reply.send(answer);
+                match result {
+                    Err(StorageError::BootstrapConflict { .. }) => Ok(None),
+                    other => other.map(Some),
+                }
             }
+        };
+        match result {
+            Ok(input) => {
+                if let Some(input) = input {
+                    self.report(input).await;
+                }
+            }
+            Err(e) => self.fail(&e).await,
+        }
+    }
+
+    /// After a failed sync nobody knows what the disk holds, and asking again may falsely
+    /// succeed, so the open files are given up.
+    async fn fail(&mut self, error: &StorageError) {
+        error!(error:% = error, cause:? = std::error::Error::source(error);
+            "the data folder failed");
+        self.disk = None;
+        self.report(Input::DiskFailed).await;
+    }
+
+    async fn reopen(&mut self) {
+        let Place { folder, cluster } = &self.place;
+        let reopened = Disk::reopen(folder, cluster).and_then(|disk| Ok((disk.load()?, disk)));
+        match reopened {
+            Ok((durable, disk)) => {
+                info!(replica:% = disk.replica(); "the data folder works again");
+                self.epoch += 1;
+                self.disk = Some(disk);
+                let epoch = self.epoch;
+                self.report(Input::DiskBack { epoch, durable }).await;
+            }
+            Err(e) => log::debug!(error:% = e; "the data folder still fails"),
         }
-        Ok(())
     }
 
     async fn report(&self, input: Input) {
@@ -85,3 +143,8 @@
         }
     }
 }
+
+fn initialise(disk: &mut Disk, members: &Members) -> Result<Input, StorageError> {
+    disk.bootstrap(members, Vec::new())?;
+    Ok(Input::Initialised(disk.load()?))
+}
--- a/crates/filberthead/src/control/input.rs
+++ b/crates/filberthead/src/control/input.rs
@@ -36,6 +36,8 @@
     },
     /// An act of an operator.
     Admin(AdminRequest),
+    /// Whom to greet besides, by settings that have changed.
+    Seeds(Vec<SocketAddr>),
     /// A request of an adapter.
     Desk(DeskRequest),
     /// All batches up to this one are synced.
@@ -43,6 +45,15 @@
         /// Its number.
         seq: u64,
     },
+    /// The data folder failed: nothing is synced any more.
+    DiskFailed,
+    /// The data folder works again; this is what it holds.
+    DiskBack {
+        /// Number that jobs carry from now on.
+        epoch: u64,
+        /// Its content.
+        durable: Durable,
+    },
     /// The data folder now holds the initial membership.
     Initialised(Durable),
 }
@@ -130,7 +141,13 @@
 #[derive(Debug)]
 pub(crate) enum DiskJob {
     /// Sync a batch and report it.
-    Persist(Persist),
+    Persist {
+        /// Tells batches of the replica that was started from the folder's present
+        /// content from those of one before it, which must not be written.
+        epoch: u64,
+        /// The batch.
+        persist: Persist,
+    },
     /// Make the first membership.
     Initialise {
         /// The only voter, which is this replica.
--- a/crates/filberthead/src/control/mod.rs
+++ b/crates/filberthead/src/control/mod.rs
@@ -27,7 +27,7 @@
 use filberthead_consensus::Config;
 use filberthead_observe::ControlMetrics;
 use filberthead_peer::{HelloInfo, Origin, Transport, TransportError, cluster_id};
-use filberthead_ring::Receiver;
+use filberthead_ring::{Receiver, Sender};
 use filberthead_settings::ControlSettings;
 use filberthead_storage::{Disk, StorageError};
 use filberthead_types::Incarnation;
@@ -104,20 +104,31 @@
     },
 }
 
-/// Runs a control replica until it is asked to end. Each adapter gets a thread of its own.
+/// Runs a control replica until it is asked to end. Each adapter gets a thread of its own;
+/// `seeds` reads the group's seeds anew when the settings have changed.
 ///
 /// # Errors
 ///
 /// Fails if it can't start, or if one of its duties ends by itself, which a failed disk
 /// causes on purpose.
-pub fn run(cfg: &ControlSettings, adapters: Vec<Box<dyn Adapter>>) -> Result<(), ControlError> {
+pub fn run(
+    cfg: &ControlSettings,
+    adapters: Vec<Box<dyn Adapter>>,
+    seeds: impl Fn() -> Vec<SocketAddr> + 'static,
+) -> Result<(), ControlError> {
     let (source, stop) = stop_pair();
-    let duties = start(cfg, adapters, &stop)?;
+    let (duties, input) = start(cfg, adapters, &stop)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .context(RuntimeSnafu)?;
-    let ended = supervise(duties, source, || std::future::ready(()));
+    let reload = move || {
+        let seeds = seeds();
+        info!(seeds:? = seeds; "settings read again");
+        // With the duty behind, what it knows of others is newer than any seed.
+        let _ = input.push(Input::Seeds(seeds));
+    };
+    let ended = supervise(duties, source, reload, || std::future::ready(()));
     runtime.block_on(ended).context(SuperviseSnafu)
 }
 
@@ -125,9 +136,13 @@
     cfg: &ControlSettings,
     adapters: Vec<Box<dyn Adapter>>,
     stop: &Stop,
-) -> Result<Vec<Duty>, ControlError> {
+) -> Result<(Vec<Duty>, Sender<Input>), ControlError> {
     let clock = Clock::start();
     let disk = Disk::open(&cfg.data, &cfg.cluster).context(StorageSnafu)?;
+    let place = disk::Place {
+        folder: cfg.data.clone(),
+        cluster: cfg.cluster.clone(),
+    };
     let durable = disk.load().context(StorageSnafu)?;
     let id = disk.replica();
     let cluster = cluster_id(&cfg.cluster);
@@ -186,7 +201,7 @@
     let mut duties = vec![
         peers::spawn(transport, outbox, out_rx, stop.clone()).context(StartSnafu)?,
         disk::spawn(
-            disk,
+            (disk, place),
             disk_rx,
             input_tx.clone(),
             Arc::clone(&metrics),
@@ -195,14 +210,14 @@
         .context(StartSnafu)?,
         spawn_core(core, input_rx, stop.clone()).context(StartSnafu)?,
         samples::spawn(cfg, samples_rx, stop.clone()).context(StartSnafu)?,
-        admin::spawn(cfg, listener, input_tx, metrics, stop.clone())?,
+        admin::spawn(cfg, listener, input_tx.clone(), metrics, stop.clone())?,
     ];
     for adapter in adapters {
         let duty = desk::spawn(adapter, desk.clone(), stop.clone());
         duties.push(duty.context(StartSnafu)?);
     }
     announce(&[("peer", listens), ("operator", bound)]).context(ReadySnafu)?;
-    Ok(duties)
+    Ok((duties, input_tx))
 }
 
 /// Whom to greet at start.
--- a/crates/filberthead/src/entry/mod.rs
+++ b/crates/filberthead/src/entry/mod.rs
@@ -175,12 +175,19 @@
         .build()
         .context(RuntimeSnafu)?;
     let mut cut = 0;
-    let supervised = supervise(duties, source, || async { cut = planned.run().await });
+    let supervised = supervise(duties, source, keep_settings, || async {
+        cut = planned.run().await
+    });
     runtime.block_on(supervised).context(SuperviseSnafu)?;
     snafu::ensure!(cut == 0, CutSnafu { cut });
     Ok(())
 }
 
+/// An entry reads its settings at its start only.
+fn keep_settings() {
+    log::info!("asked to read settings again; they hold until a restart");
+}
+
 fn open(cfg: EntrySettings) -> Result<Opened, EntryError> {
     let (sorter, mailboxes) = sorter();
     let cluster = cluster_id(&cfg.cluster);
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -3,6 +3,7 @@
 //! Everything here lives on one thread. A borrow is never held across an await.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -37,6 +38,8 @@
     pub(crate) out: Sender<Outgoing>,
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) running: watch::Sender<usize>,
+    /// Seeds of the group, as the settings have them.
+    pub(crate) seeds: watch::Receiver<Vec<SocketAddr>>,
 }
 
 /// The routes in force.
@@ -58,6 +61,7 @@
     out: Sender<Outgoing>,
     phase: watch::Sender<Phase>,
     running: watch::Sender<usize>,
+    seeds: RefCell<watch::Receiver<Vec<SocketAddr>>>,
     silent: Cell<bool>,
 }
 
@@ -82,6 +86,7 @@
             out: parts.out,
             phase: parts.phase,
             running: parts.running,
+            seeds: RefCell::new(parts.seeds),
             silent: Cell::new(true),
         })
     }
@@ -168,6 +173,10 @@
     pub(crate) fn tick(&self) {
         let now = self.now();
         let mut member = self.member.borrow_mut();
+        let mut seeds = self.seeds.borrow_mut();
+        if seeds.has_changed().unwrap_or(false) {
+            member.set_seeds(seeds.borrow_and_update().iter().copied());
+        }
         member.set_ready(*self.phase.borrow() == Phase::Serving);
         let out = member.tick(now, Vec::new);
         let lost = member.heard().is_some_and(|at| now >= at + SILENT);
--- a/crates/filberthead/src/gateway/mod.rs
+++ b/crates/filberthead/src/gateway/mod.rs
@@ -113,16 +113,22 @@
     status: TcpListener,
 }
 
-/// Runs a gateway until the end of its planned stop.
+/// Runs a gateway until the end of its planned stop. `seeds` reads the group's seeds anew
+/// when the settings have changed.
 ///
 /// # Errors
 ///
 /// Fails if it can't start, or if one of its duties ends by itself.
-pub fn run(cfg: &GatewaySettings, dialect: Dialect) -> Result<(), GatewayError> {
+pub fn run(
+    cfg: &GatewaySettings,
+    dialect: Dialect,
+    seeds: impl Fn() -> Vec<SocketAddr> + 'static,
+) -> Result<(), GatewayError> {
     let opened = open(cfg)?;
     let (source, stop) = stop_pair();
     let phase = watch::Sender::new(Phase::Starting);
     let running = watch::Sender::new(0);
+    let seeded = watch::Sender::new(cfg.seeds.clone());
     let planned = PlannedStop {
         grace: cfg.stop_grace,
         phase: phase.clone(),
@@ -136,13 +142,18 @@
     ];
     info!(domain:% = cfg.failure_domain, seeds:? = cfg.seeds, caller:% = ready[0].1;
         "gateway starts");
-    let duties = start(cfg, dialect, opened, phase, running, &stop)?;
+    let duties = start(cfg, dialect, opened, (phase, running, &seeded), &stop)?;
     announce(&ready).context(ReadySnafu)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .context(RuntimeSnafu)?;
-    let supervised = supervise(duties, source, || planned.run());
+    let reload = move || {
+        let seeds = seeds();
+        info!(seeds:? = seeds; "settings read again");
+        seeded.send_replace(seeds);
+    };
+    let supervised = supervise(duties, source, reload, || planned.run());
     runtime.block_on(supervised).context(SuperviseSnafu)
 }
 
@@ -173,12 +184,18 @@
     listener.local_addr().context(ListenSnafu { addr })
 }
 
+/// What the duties share with the one that supervises them.
+type Shared<'a> = (
+    watch::Sender<Phase>,
+    watch::Sender<usize>,
+    &'a watch::Sender<Vec<SocketAddr>>,
+);
+
 fn start(
     cfg: &GatewaySettings,
     dialect: Dialect,
     opened: Opened,
-    phase: watch::Sender<Phase>,
-    running: watch::Sender<usize>,
+    (phase, running, seeded): Shared<'_>,
     stop: &Stop,
 ) -> Result<Vec<Duty>, GatewayError> {
     let caller_addr = match cfg.caller_advertise {
@@ -214,6 +231,7 @@
         out,
         phase,
         running,
+        seeds: seeded.subscribe(),
     };
     let (callers, rx) = (opened.callers, opened.rx);
     let stopping = stop.clone();
--- a/crates/filberthead/src/supervisor.rs
+++ b/crates/filberthead/src/supervisor.rs
@@ -110,7 +110,8 @@
 }
 
 /// Watches `duties` until the system sends SIGTERM or SIGINT, then runs `before_stop`,
-/// the daemon's own part of a planned stop, and ends the duties.
+/// the daemon's own part of a planned stop, and ends the duties. `reload` is called for
+/// each SIGHUP, which would otherwise end the process.
 ///
 /// # Errors
 ///
@@ -118,6 +119,7 @@
 pub(crate) async fn supervise<Fut: Future<Output = ()>>(
     duties: Vec<Duty>,
     stop: StopSource,
+    mut reload: impl FnMut() + 'static,
     before_stop: impl FnOnce() -> Fut,
 ) -> Result<(), SuperviseError> {
     let (tx, mut rx) = mpsc::channel(1);
@@ -126,6 +128,7 @@
         verdict: tx,
     };
     let mut term = signal(SignalKind::terminate()).context(SignalSnafu)?;
+    let mut hup = signal(SignalKind::hangup()).context(SignalSnafu)?;
     let mut int = signal(SignalKind::interrupt()).context(SignalSnafu)?;
     let (actor, _) = Actor::spawn(None, Supervisor, watched)
         .await
@@ -138,7 +141,13 @@
         // The actor is gone only if a duty has ended, which is reported by itself.
         let _ = actor.send_message(Message::Terminate);
     });
-    match rx.recv().await {
+    let verdict = loop {
+        tokio::select! {
+            verdict = rx.recv() => break verdict,
+            _ = hup.recv() => reload(),
+        }
+    };
+    match verdict {
         Some((Verdict::Terminate, duties)) => {
             info!("planned stop begins");
             before_stop().await;
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -93,9 +93,13 @@
         }
     }
 
-    /// Replaces the replicas of the settings, when these have changed.
+    /// Replaces the replicas of the settings, when these have changed. None at all means
+    /// that they couldn't be read, and changes nothing.
     pub fn set_seeds(&mut self, seeds: impl IntoIterator<Item = SocketAddr>) {
-        self.seeds = seeds.into_iter().collect();
+        let seeds: BTreeSet<_> = seeds.into_iter().collect();
+        if !seeds.is_empty() {
+            self.seeds = seeds;
+        }
     }
 
     /// Reports if it is time. `demand` is asked only then.
--- a/crates/storage/src/disk.rs
+++ b/crates/storage/src/disk.rs
@@ -70,6 +70,18 @@
         })
     }
 
+    /// Opens a folder again in which a write or sync has failed, once the disk works: what
+    /// is read back is written and synced anew before anybody counts on it.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::open`].
+    pub fn reopen(folder: impl AsRef<Path>, cluster: &str) -> Result<Self, StorageError> {
+        let mut disk = Self::open(folder, cluster)?;
+        disk.log.rewrite(&mut disk.folder)?;
+        Ok(disk)
+    }
+
     /// Identity of the replica, drawn at random when the folder was first used.
     pub fn replica(&self) -> ReplicaId {
         self.replica
--- a/crates/storage/src/log.rs
+++ b/crates/storage/src/log.rs
@@ -149,8 +149,10 @@
             let action = "cut";
             let path = folder.file(&name);
             file.set_len(end as u64).context(IoSnafu { action, path })?;
-            folder.sync(&file, &name)?;
         }
+        // The process may have been killed between the write of its last record and the
+        // sync. The record is read back all the same, and others will count on it.
+        folder.sync(&file, &name)?;
         self.file = Some(LogFile { name, file });
         Ok(())
     }
@@ -206,6 +208,15 @@
         Err(damaged(folder.file(name), 0, reason))
     }
 
+    /// Writes all that was read back into a new file. After a sync that failed, the
+    /// system may take pages for clean that never reached the disk.
+    pub(crate) fn rewrite(&mut self, folder: &mut Folder) -> Result<(), StorageError> {
+        if self.is_empty() {
+            return Ok(());
+        }
+        self.begin(folder)
+    }
+
     /// Appends what `persist` asks for, and returns once it is synced.
     pub(crate) fn append(
         &mut self,
--- a/src/bin/control.rs
+++ b/src/bin/control.rs
@@ -18,5 +18,14 @@
     // The guard writes out what is queued when it goes.
     let _log = filberthead_observe::init_logging(&cfg.log, cfg.node.as_str())
         .map_err(|e| Failure::Fault(e.into()))?;
-    control::run(&cfg, filberthead_adapter::adapters(&cfg)).map_err(|e| Failure::Fault(e.into()))
+    let path = path.to_owned();
+    let seeds = move || match ControlSettings::load(&path) {
+        Ok(cfg) => cfg.group.map_or(Vec::new(), |group| group.seeds),
+        Err(e) => {
+            log::warn!(error:% = e; "changed settings can't be read");
+            Vec::new()
+        }
+    };
+    control::run(&cfg, filberthead_adapter::adapters(&cfg), seeds)
+        .map_err(|e| Failure::Fault(e.into()))
 }
--- a/src/bin/gateway.rs
+++ b/src/bin/gateway.rs
@@ -19,5 +19,13 @@
     // The guard writes out what is queued when it goes.
     let _log = filberthead_observe::init_logging(&cfg.log, cfg.node.as_str())
         .map_err(|e| Failure::Fault(e.into()))?;
-    gateway::run(&cfg, dialect()).map_err(|e| Failure::Fault(e.into()))
+    let path = path.to_owned();
+    let seeds = move || match GatewaySettings::load(&path) {
+        Ok(cfg) => cfg.seeds,
+        Err(e) => {
+            log::warn!(error:% = e; "changed settings can't be read");
+            Vec::new()
+        }
+    };
+    gateway::run(&cfg, dialect(), seeds).map_err(|e| Failure::Fault(e.into()))
 }
