Find the other replicas by the log; let a lost identity go before its successor votes

Found by its test besides: a wiped replica was promoted while its old identity still counted as a voter, since that had been heard a moment ago; a second loss then left no majority.

Change: addresses are read from the log at start whether committed or not; an identity whose address another one has since goes first. An endpoint's own failure goes to the caller where no further attempt can be made.

--- a/crates/filberthead/src/control/core.rs
+++ b/crates/filberthead/src/control/core.rs
@@ -119,8 +119,10 @@
         let now = parts.clock.now();
         let applied = parts.durable.snapshot.index;
         let machine = decode_machine(&parts.durable.snapshot);
+        let mut book = parts.book;
+        learn_from_log(&mut book, &parts.durable);
         let replica = Replica::new(parts.id, parts.cfg.clone(), parts.durable, now);
-        let spreading = Spreading::new(parts.book.to_greet().into_iter().collect());
+        let spreading = Spreading::new(book.to_greet().into_iter().collect());
         let mut core = Self {
             id: parts.id,
             clock: parts.clock,
@@ -131,7 +133,7 @@
             outcomes: BTreeMap::new(),
             pending: HashMap::new(),
             next_token: 0,
-            book: parts.book,
+            book,
             hello: parts.hello,
             about: parts.about,
             next_hello: now,
@@ -371,6 +373,7 @@
         self.disk_epoch = epoch;
         self.applied = durable.snapshot.index;
         self.machine = decode_machine(&durable.snapshot);
+        learn_from_log(&mut self.book, &durable);
         self.replica = Replica::new(self.id, self.cfg.clone(), durable, now);
     }
 
@@ -552,6 +555,20 @@
     }
 }
 
+/// Learns where replicas are from entries that nobody has yet said are committed. An
+/// address is a hint and may be wrong; but without any, replicas that start together after
+/// a power cut could not find each other to say what is committed.
+fn learn_from_log(book: &mut Book, durable: &Durable) {
+    for entry in &durable.entries {
+        let Payload::Command(buf) = &entry.payload else {
+            continue;
+        };
+        if let Ok(machine::Entry::Locate { id, addr }) = postcard::from_bytes(buf) {
+            book.located(id, addr);
+        }
+    }
+}
+
 fn decode_machine(snapshot: &Snapshot) -> Machine {
     if snapshot.data.is_empty() {
         return Machine::default();
--- a/crates/filberthead/src/control/desk.rs
+++ b/crates/filberthead/src/control/desk.rs
@@ -4,6 +4,7 @@
 //! in here and asks for what is in force. Its threads never touch the state of the
 //! consensus duty.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use filberthead_fleet::{Endpoint, GatewayInfo, Order, OrderError};
@@ -96,14 +97,16 @@
 
 /// Speaks somebody's protocol on a thread of its own.
 pub trait Adapter: Send {
-    /// Name of the adapter's thread.
-    fn name(&self) -> &str;
+    /// Name of the adapter's thread, and of its address in the `ready` line.
+    fn name(&self) -> &'static str;
+
+    /// Where it listens, if it does.
+    fn addr(&self) -> Option<SocketAddr>;
 
     /// Runs until the process stops.
     fn run(self: Box<Self>, desk: Desk, stop: Stop) -> crate::LocalFuture;
 }
 
 pub(super) fn spawn(adapter: Box<dyn Adapter>, desk: Desk, stop: Stop) -> Result<Duty, DutyError> {
-    let name = adapter.name().to_owned();
-    Duty::spawn(&name, move || adapter.run(desk, stop))
+    Duty::spawn(adapter.name(), move || adapter.run(desk, stop))
 }
--- a/crates/filberthead/src/control/mod.rs
+++ b/crates/filberthead/src/control/mod.rs
@@ -212,11 +212,13 @@
         samples::spawn(cfg, samples_rx, stop.clone()).context(StartSnafu)?,
         admin::spawn(cfg, listener, input_tx.clone(), metrics, stop.clone())?,
     ];
+    let mut ready = vec![("peer", listens), ("operator", bound)];
     for adapter in adapters {
+        ready.extend(adapter.addr().map(|addr| (adapter.name(), addr)));
         let duty = desk::spawn(adapter, desk.clone(), stop.clone());
         duties.push(duty.context(StartSnafu)?);
     }
-    announce(&[("peer", listens), ("operator", bound)]).context(ReadySnafu)?;
+    announce(&ready).context(ReadySnafu)?;
     Ok((duties, input_tx))
 }
 
--- a/crates/filberthead/src/control/roster.rs
+++ b/crates/filberthead/src/control/roster.rs
@@ -111,12 +111,15 @@
     }
 
     fn may_go(&self, id: ReplicaId) -> bool {
-        if id == self.own || self.is_heard(id) {
+        if id == self.own {
             return false;
         }
         if self.is_displaced(id) {
             return true;
         }
+        if self.is_heard(id) {
+            return false;
+        }
         let stand_in = self.caught_up.iter().any(|learner| self.is_heard(*learner));
         match self.members.voters.contains(&id) {
             true => stand_in && self.is_gone(id),
@@ -124,14 +127,19 @@
         }
     }
 
-    /// Whether a caught-up replica with another identity has its address: its data folder
-    /// is lost, and the identity can never come back.
+    /// Whether a caught-up replica with another identity has its address since: its data
+    /// folder is lost, and the identity can never come back. It must go before the other
+    /// one votes, however lately it was heard, or the group would count a voter more that
+    /// never answers.
     fn is_displaced(&self, id: ReplicaId) -> bool {
         let Some(addr) = self.located.get(&id) else {
             return false;
         };
-        let new = |other: &&ReplicaId| self.located.get(other) == Some(addr) && **other != id;
-        let mut ready = self.caught_up.iter().filter(new);
+        let heard = |id: &ReplicaId| self.seen.get(id).and_then(|seen| seen.heard);
+        let newer = |other: &&ReplicaId| {
+            **other != id && self.located.get(other) == Some(addr) && heard(other) > heard(&id)
+        };
+        let mut ready = self.caught_up.iter().filter(newer);
         ready.any(|other| self.is_heard(*other))
     }
 
--- a/crates/filberthead/src/gateway/carry.rs
+++ b/crates/filberthead/src/gateway/carry.rs
@@ -60,6 +60,9 @@
     ran: u32,
     /// Endpoints that were out of reach.
     unreached: u32,
+    /// An endpoint's answer to a run with a bad end: what the caller gets if no further
+    /// attempt can be made.
+    failure: Option<Response<AnswerBody>>,
 }
 
 /// Answers a request of a caller.
@@ -102,6 +105,7 @@
         tried: Vec::new(),
         ran: 0,
         unreached: 0,
+        failure: None,
     };
     carried.run(body).await
 }
@@ -221,7 +225,10 @@
         self.ran += 1;
         let repeat = self.route.kind.is_idempotent();
         match again.filter(|_| repeat && self.may_repeat()) {
-            Some(body) => Next::Again(body),
+            Some(body) => {
+                self.failure = Some(answer);
+                Next::Again(body)
+            }
             None => Next::end(answer),
         }
     }
@@ -250,10 +257,13 @@
 
     /// The final answer where no further attempt is made: a promise that nothing ran only
     /// if that is so.
-    fn refused(&self, code: ResultCode, retry_after: Duration) -> Next {
+    fn refused(&mut self, code: ResultCode, retry_after: Duration) -> Next {
         let left = self.deadline.left().as_millis();
         info!(request:? = self.id(), route = self.route.name.as_str(), code:%, left,
             tried = self.tried.len(), retry_after_ms = retry_after.as_millis(); "refused");
+        if let Some(failure) = self.failure.take() {
+            return Next::end(failure);
+        }
         if self.ran > 0 {
             return Next::end(own(ResultCode::EndpointLost, None));
         }
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -152,8 +152,9 @@
         /// group's membership by itself: it takes in replicas that make themselves known,
         /// and lets those go that another one has replaced.
         SEEDS_OF_GROUP: TargetList = "seeds", Absent::Error(Roles::Gateway);
-        /// Port on which those VMs take messages of other processes.
-        SEED_PORT: u32 = "port", Absent::Error(Roles::Gateway), "1"..="65535";
+        /// Port on which those VMs take messages of other processes, where it isn't the
+        /// seeds' own port.
+        SEED_PORT: u32 = "port", UNSET, "1"..="65535";
         /// Whether the whole system starts for the first time. Then the first seed begins
         /// the group; a replica that later finds its disk empty must never do so.
         FIRST_START: bool = "first_start", default("false");
--- a/crates/testing/src/client.rs
+++ b/crates/testing/src/client.rs
@@ -125,8 +125,10 @@
     fn request(&self, to: SocketAddr) -> Request<Full<Bytes>> {
         let mut req = Request::builder()
             .method(self.method.clone())
-            .uri(&self.path)
-            .header("host", to.to_string());
+            .uri(&self.path);
+        if !self.headers.iter().any(|(name, _)| name == "host") {
+            req = req.header("host", to.to_string());
+        }
         for (name, value) in &self.headers {
             req = req.header(name, value);
         }
--- a/crates/testing/src/cluster/node.rs
+++ b/crates/testing/src/cluster/node.rs
@@ -28,7 +28,7 @@
 
 impl Node {
     /// Describes a daemon with a proxy for each address that it says under `keys`.
-    pub(super) fn new(
+    pub(crate) fn new(
         name: &str,
         program: &Path,
         dir: &Path,
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod proxy;
 pub mod record;
 pub mod runtime;
+pub mod site;
 pub mod standin;
 
 pub use eventually::{eventually, wait_until};
--- a/crates/testing/src/process.rs
+++ b/crates/testing/src/process.rs
@@ -147,6 +147,11 @@
         self.signal(Signal::TERM);
     }
 
+    /// Tells it that its settings have changed.
+    pub fn hang_up(&self) {
+        self.signal(Signal::HUP);
+    }
+
     /// Suspends it.
     pub fn suspend(&self) {
         self.signal(Signal::STOP);
--- /dev/null
+++ b/crates/testing/src/site/list.rs
@@ -0,0 +1,138 @@
+//! A stand-in for the platform's list of endpoints.
+
+use std::convert::Infallible;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use tokio::net::TcpListener;
+
+/// Lines on a page: few, so that tests turn pages.
+const PAGE: usize = 2;
+
+/// A line of the list.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
+pub struct Line {
+    /// Identity of the endpoint's start.
+    pub id: String,
+    /// Its service.
+    pub service: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub zone: String,
+    /// Version of its software.
+    pub version: String,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// `ready` or `draining`.
+    pub state: String,
+    /// How much longer it is cold.
+    pub warmup_left_ms: u64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    lines: Vec<Line>,
+    calls: u64,
+    fails: bool,
+}
+
+/// The list; it ends with the process.
+#[derive(Debug)]
+pub struct SiteList {
+    addr: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+impl SiteList {
+    /// Starts an empty list on a free loopback port.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no port can be bound.
+    pub fn start() -> Self {
+        let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
+        let listener = listener.expect("a loopback port can be bound");
+        let addr = listener.local_addr().expect("a bound port is known");
+        listener
+            .set_nonblocking(true)
+            .expect("a socket can be made non-blocking");
+        let state = Arc::new(Mutex::new(State::default()));
+        crate::runtime::handle().spawn(accept(listener, Arc::clone(&state)));
+        Self { addr, state }
+    }
+
+    /// Where it is read.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Replaces its lines.
+    pub fn set(&self, lines: Vec<Line>) {
+        self.lock().lines = lines;
+    }
+
+    /// Whether it answers with an error.
+    pub fn fail(&self, fails: bool) {
+        self.lock().fails = fails;
+    }
+
+    /// How often it was called.
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn accept(listener: std::net::TcpListener, state: Arc<Mutex<State>>) {
+    let listener = TcpListener::from_std(listener).expect("the listener can be registered");
+    while let Ok((stream, _)) = listener.accept().await {
+        let state = Arc::clone(&state);
+        tokio::spawn(async move {
+            let service = service_fn(move |req| {
+                let answer = answer(&state, &req);
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            // An error only means that the reader is gone.
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+fn answer(state: &Mutex<State>, req: &Request<Incoming>) -> Response<Full<Bytes>> {
+    let mut state = state.lock().unwrap_or_else(PoisonError::into_inner);
+    state.calls += 1;
+    let mut answer = Response::new(Full::default());
+    if state.fails || req.uri().path() != "/instances" {
+        *answer.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+        return answer;
+    }
+    let token = req
+        .uri()
+        .query()
+        .and_then(|q| q.strip_prefix("page_token="));
+    let from: usize = token.and_then(|t| t.parse().ok()).unwrap_or(0);
+    let page: Vec<_> = state.lines.iter().skip(from).take(PAGE).collect();
+    let next = from + PAGE;
+    let more = next < state.lines.len();
+    let body = serde_json::json!({
+        "instances": page,
+        "next_page_token": more.then(|| next.to_string()),
+    });
+    *answer.body_mut() = Full::new(Bytes::from(body.to_string()));
+    answer
+}
--- /dev/null
+++ b/crates/testing/src/site/mod.rs
@@ -0,0 +1,353 @@
+//! A deployment on the users' platform, in small: control replicas that keep their own
+//! membership, gateways, and stand-ins for the platform's list, endpoints and operators.
+//!
+//! Every address that processes are told is that of a proxy, so that links can be cut and
+//! a replica may come back on another port.
+
+mod endpoint;
+mod list;
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+pub use endpoint::{Manner, SiteEndpoint};
+pub use list::{Line, SiteList};
+
+use crate::client::{Answer, Call, CallError};
+use crate::cluster::{Ini, Node, Place};
+use crate::proxy::Network;
+use crate::wait_until;
+
+const ANY_PORT: &str = "127.0.0.1:0";
+/// Generous: a debug build on a machine that runs other tests too.
+const BOUND: Duration = Duration::from_secs(60);
+/// Host that requests of tests name.
+pub const HOST: &str = "shop.example";
+
+/// Where the programs under test lie.
+#[derive(Clone, Debug)]
+pub struct SitePrograms {
+    /// `filberthead-control`.
+    pub control: PathBuf,
+    /// `filberthead-gateway`.
+    pub gateway: PathBuf,
+}
+
+/// Builds a [`Site`].
+#[derive(Clone, Debug)]
+pub struct SiteBuilder {
+    programs: SitePrograms,
+    places: Vec<Place>,
+    replicas: usize,
+    gateways: usize,
+    seeds: usize,
+    tolerate: usize,
+}
+
+/// A deployment under test.
+#[derive(Debug)]
+pub struct Site {
+    /// Control replicas; the first ones are the seeds.
+    pub controls: Vec<Node>,
+    /// Gateways.
+    pub gateways: Vec<Node>,
+    /// Endpoints that are on the list or were.
+    pub endpoints: Vec<SiteEndpoint>,
+    /// The platform's list.
+    pub list: SiteList,
+    /// The links between all processes.
+    pub network: Network,
+    builder: SiteBuilder,
+    dir: tempfile::TempDir,
+}
+
+impl Site {
+    /// Three replicas and one gateway in two failure domains, one seed.
+    pub fn builder(programs: SitePrograms) -> SiteBuilder {
+        SiteBuilder {
+            programs,
+            places: vec![
+                Place::new("zagreb", "zagreb-a"),
+                Place::new("split", "split-a"),
+            ],
+            replicas: 3,
+            gateways: 1,
+            seeds: 1,
+            tolerate: 1,
+        }
+    }
+
+    /// The folder of settings, logs and data.
+    pub fn dir(&self) -> &Path {
+        self.dir.path()
+    }
+
+    /// The control replica of a name.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is none.
+    #[track_caller]
+    pub fn control(&mut self, name: &str) -> &mut Node {
+        let mut nodes = self.controls.iter_mut();
+        nodes.find(|n| n.name() == name).expect("a replica")
+    }
+
+    /// Adds an endpoint to the list.
+    pub fn add_endpoint(&mut self, service: &str, domain: &str) -> &SiteEndpoint {
+        let id = format!("i-{}", self.endpoints.len() + 1);
+        self.endpoints
+            .push(SiteEndpoint::start(&id, service, domain));
+        self.show_endpoints();
+        &self.endpoints[self.endpoints.len() - 1]
+    }
+
+    /// Puts all endpoints on the list that aren't gone.
+    pub fn show_endpoints(&self) {
+        let there = self.endpoints.iter().filter(|e| !e.is_gone());
+        self.list.set(there.map(SiteEndpoint::line).collect());
+    }
+
+    /// Sends an operator's call to each replica in turn, until one answers other than that
+    /// it can't tell.
+    ///
+    /// # Panics
+    ///
+    /// Panics if none does within a minute.
+    #[track_caller]
+    pub fn order(&self, call: &str, body: &str) -> Answer {
+        let mut answer = None;
+        wait_until(call, BOUND, || {
+            answer = self.controls.iter().find_map(|node| {
+                let answer = order_at(node, call, body).ok()?;
+                (answer.status != 503).then_some(answer)
+            });
+            answer.is_some()
+        });
+        answer.expect("the wait ends with an answer")
+    }
+
+    /// Puts routes in force: every path of [`HOST`] under `/SERVICE/` goes to that service.
+    ///
+    /// # Panics
+    ///
+    /// Panics if they aren't accepted.
+    #[track_caller]
+    pub fn put_routes(&self, version: u64, services: &[(&str, &str)]) {
+        let answer = self.order("config.put", &config(version, services));
+        assert_eq!(answer.status, 200, "routes are accepted");
+    }
+
+    /// Waits until a gateway says that callers may come.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it doesn't within a minute.
+    #[track_caller]
+    pub fn wait_serving(&self, gateway: usize) {
+        wait_until("the gateway is ready", BOUND, || self.is_serving(gateway));
+    }
+
+    /// Whether a gateway says that callers may come.
+    pub fn is_serving(&self, gateway: usize) -> bool {
+        let node = &self.gateways[gateway];
+        let addr = node.try_direct_addr("readiness");
+        let answer = addr.map(|addr| Call::get("/-/readyz").send(addr));
+        matches!(answer, Some(Ok(answer)) if answer.status == 200)
+    }
+
+    /// Sends a request to a gateway.
+    ///
+    /// # Errors
+    ///
+    /// As [`Call::send`].
+    pub fn request(&self, gateway: usize, call: &Call) -> Result<Answer, CallError> {
+        call.send(self.gateways[gateway].addr("caller"))
+    }
+}
+
+/// Sends an operator's call to one replica.
+///
+/// # Errors
+///
+/// As [`Call::send`].
+pub fn order_at(node: &Node, call: &str, body: &str) -> Result<Answer, CallError> {
+    let call = Call::new("POST", &format!("/-/rpc?call={call}")).body(body.to_owned());
+    let addr = node.addr("orders");
+    call.bound(Duration::from_secs(2)).send(addr)
+}
+
+/// A request of a test, as callers of the platform send it.
+pub fn request(method: &str, path: &str, id: &str) -> Call {
+    Call::new(method, path)
+        .header("host", HOST)
+        .header("x-request-id", id)
+        .header("x-deadline-ms", "20000")
+}
+
+/// A configuration of the platform: each service with its kind under its own prefix.
+pub fn config(version: u64, services: &[(&str, &str)]) -> String {
+    let route = |(name, kind): &(&str, &str)| {
+        serde_json::json!({
+            "name": format!("r-{name}"), "host": HOST, "path_prefix": format!("/{name}/"),
+            "kind": kind, "timeout_ms": 20000, "target_latency_ms": 15000, "priority": 1,
+            "service": name, "max_attempts": 2, "sticky_sessions": true, "allowed_regions": [],
+        })
+    };
+    let service = |(name, _): &(&str, &str)| {
+        serde_json::json!({
+            "name": name, "health_path": "/healthz", "max_connections": 330,
+            "warmup_s": 3.0, "warmup_per_s": 9.4,
+        })
+    };
+    serde_json::json!({
+        "version": version,
+        "routes": services.iter().map(route).collect::<Vec<_>>(),
+        "services": services.iter().map(service).collect::<Vec<_>>(),
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 67108864,
+            "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+    })
+    .to_string()
+}
+
+impl SiteBuilder {
+    /// Control replicas. Default 3.
+    #[must_use]
+    pub fn replicas(mut self, replicas: usize) -> Self {
+        self.replicas = replicas;
+        self
+    }
+
+    /// Gateways, spread over the failure domains in turn. Default 1.
+    #[must_use]
+    pub fn gateways(mut self, gateways: usize) -> Self {
+        self.gateways = gateways;
+        self
+    }
+
+    /// How many of the replicas are seeds. Default 1.
+    #[must_use]
+    pub fn seeds(mut self, seeds: usize) -> Self {
+        self.seeds = seeds;
+        self
+    }
+
+    /// Replicas that may be lost. Default 1.
+    #[must_use]
+    pub fn tolerate(mut self, tolerate: usize) -> Self {
+        self.tolerate = tolerate;
+        self
+    }
+
+    /// Starts everything and waits until each process listens.
+    ///
+    /// # Panics
+    ///
+    /// Panics if one doesn't.
+    #[track_caller]
+    pub fn start(self) -> Site {
+        let dir = tempfile::Builder::new().prefix("filberthead-").tempdir();
+        let network = Network::new();
+        let mut site = Site {
+            controls: Vec::new(),
+            gateways: Vec::new(),
+            endpoints: Vec::new(),
+            list: SiteList::start(),
+            network,
+            builder: self.clone(),
+            dir: dir.expect("a folder for the test"),
+        };
+        site.controls = (1..=self.replicas).map(|n| site.new_control(n)).collect();
+        site.gateways = (1..=self.gateways).map(|n| site.new_gateway(n)).collect();
+        let seeds: Vec<_> = site.controls.iter().map(|n| n.addr("peer")).collect();
+        let seeds = &seeds[..self.seeds];
+        let nodes = site.controls.iter_mut().chain(&mut site.gateways);
+        for node in nodes {
+            write_seeds(node.settings(), seeds);
+            node.spawn();
+        }
+        for node in site.controls.iter_mut().chain(&mut site.gateways) {
+            node.wait_ready();
+        }
+        for node in &mut site.controls {
+            node.settings().set("group", "first_start", "false");
+        }
+        site
+    }
+}
+
+fn write_seeds(settings: &mut Ini, seeds: &[SocketAddr]) {
+    let list: Vec<_> = seeds.iter().map(ToString::to_string).collect();
+    settings.set("group", "seeds", list.join(","));
+}
+
+impl Site {
+    fn new_control(&self, number: usize) -> Node {
+        let name = format!("control-{number}");
+        let keys = &["peer", "operator", "orders", "lookups"];
+        let program = &self.builder.programs.control;
+        let mut node = self.node(&name, number, "control", program, keys);
+        let data = node.data().display().to_string();
+        let (peer, operator) = (node.addr("peer"), node.addr("operator"));
+        node.settings()
+            .set("peers", "listen", ANY_PORT)
+            .set("peers", "advertise", peer)
+            .set("operators", "listen", ANY_PORT)
+            .set("operators", "advertise", operator)
+            .set("storage", "data", data)
+            .set("group", "first_start", "true")
+            .set("group", "tolerate", self.builder.tolerate)
+            .set("orders", "listen", ANY_PORT)
+            .set("lookups", "listen", ANY_PORT)
+            .set("platform", "list", self.list.addr())
+            .set("platform", "rate", "1000");
+        node
+    }
+
+    fn new_gateway(&self, number: usize) -> Node {
+        let name = format!("gateway-{number}");
+        let keys = &["peer", "caller"];
+        let program = &self.builder.programs.gateway;
+        let mut node = self.node(&name, number, "gateway", program, keys);
+        let (peer, caller) = (node.addr("peer"), node.addr("caller"));
+        node.settings()
+            .set("peers", "listen", ANY_PORT)
+            .set("peers", "advertise", peer)
+            .set("callers", "listen", ANY_PORT)
+            .set("callers", "advertise", caller)
+            .set("readiness", "listen", ANY_PORT)
+            .set("status", "listen", ANY_PORT)
+            .set("stop", "grace", "3s");
+        // The seeds are whole addresses; a port is for platforms that give others.
+        for place in &self.builder.places {
+            let section = format!("failure_domain {}", place.failure_domain);
+            node.settings().set(&section, "region", &place.region);
+        }
+        node
+    }
+
+    fn node(
+        &self,
+        name: &str,
+        number: usize,
+        role: &str,
+        program: &Path,
+        keys: &[&'static str],
+    ) -> Node {
+        let places = &self.builder.places;
+        let place = places[(number - 1) % places.len()].clone();
+        let folder = self.dir().file_name().unwrap_or_default();
+        let cluster = folder.to_string_lossy().to_ascii_lowercase();
+        let mut node = Node::new(name, program, self.dir(), place, &self.network, keys);
+        let place = node.place().clone();
+        node.settings()
+            .set("node", "role", role)
+            .set("node", "cluster", cluster)
+            .set("node", "name", name)
+            .set("node", "region", place.region)
+            .set("node", "failure_domain", place.failure_domain)
+            .set("log", "level", "debug");
+        node
+    }
+}
--- a/src/bin/control.rs
+++ b/src/bin/control.rs
@@ -26,6 +26,6 @@
             Vec::new()
         }
     };
-    control::run(&cfg, filberthead_adapter::adapters(&cfg), seeds)
-        .map_err(|e| Failure::Fault(e.into()))
+    let adapters = filberthead_adapter::adapters(&cfg).map_err(|e| Failure::Fault(e.into()))?;
+    control::run(&cfg, adapters, seeds).map_err(|e| Failure::Fault(e.into()))
 }
--- /dev/null
+++ b/tests/all/gateways.rs
@@ -0,0 +1,275 @@
+//! Requests through gateways: what may run, how often, and what callers are told.
+
+use std::time::Duration;
+
+use filberthead_testing::client::{Answer, Call};
+use filberthead_testing::cluster::Node;
+use filberthead_testing::site::{Manner, Site, SiteEndpoint, order_at, request};
+use filberthead_testing::{eventually, wait_until};
+
+use crate::groups::site;
+
+const BOUND: Duration = Duration::from_secs(60);
+const SERVICES: &[(&str, &str)] = &[
+    ("orders", "unsafe"),
+    ("catalogue", "safe"),
+    ("lessons", "download"),
+];
+
+/// One replica, one gateway, and endpoints of a service in the gateway's failure domain.
+fn start(service: &str, endpoints: usize) -> Site {
+    let mut site = site().replicas(1).tolerate(0).start();
+    for _ in 0..endpoints {
+        site.add_endpoint(service, "zagreb-a");
+    }
+    site.put_routes(1, SERVICES);
+    site.wait_serving(0);
+    site
+}
+
+#[track_caller]
+fn send(site: &Site, method: &str, path: &str, id: &str) -> Answer {
+    let answer = site.request(0, &request(method, path, id));
+    answer.expect("the gateway answers")
+}
+
+/// Sends requests until one is answered as wanted: what a gateway knows comes to it in
+/// its own time.
+#[track_caller]
+fn send_until(site: &Site, method: &str, path: &str, status: u16) -> Answer {
+    let mut number = 0;
+    eventually("the wanted answer", BOUND, || {
+        number += 1;
+        let answer = send(site, method, path, &format!("try-{number}"));
+        (answer.status == status).then_some(answer)
+    })
+}
+
+fn runs(endpoints: &[SiteEndpoint], id: &str) -> usize {
+    let all = endpoints.iter().flat_map(SiteEndpoint::ran);
+    all.filter(|ran| ran == id).count()
+}
+
+#[test]
+fn a_request_comes_back_with_its_endpoints_answer() {
+    let site = start("catalogue", 1);
+    let answer = send_until(&site, "GET", "/catalogue/cards?page=2", 200);
+    assert_eq!(answer.text(), "GET /catalogue/cards?page=2 0");
+    assert_eq!(answer.header("x-response-signature"), "signed");
+    let left = site.endpoints[0].deadlines()[0];
+    assert!((10_000..=20_000).contains(&left), "{left} ms left");
+    assert_eq!(send(&site, "GET", "/nowhere/", "x").status, 404);
+}
+
+/// A shop's order reaches an endpoint whose answer is lost. The shop must neither be told
+/// that the order did not run nor have it run again at another endpoint.
+#[test]
+fn an_order_whose_answer_is_lost_runs_once() {
+    let site = start("orders", 3);
+    send_until(&site, "POST", "/orders/warm-up", 200);
+    for endpoint in &site.endpoints {
+        endpoint.manner(Manner::LosesAnswer);
+    }
+    let answer = send(&site, "POST", "/orders/one", "order-1");
+    assert_eq!(answer.status, 502);
+    assert_eq!(runs(&site.endpoints, "order-1"), 1);
+}
+
+/// An endpoint answers under the id of another request, as one does whose answer came too
+/// late for its own. Nobody may be given it as the answer to their order.
+#[test]
+fn an_answer_to_somebody_else_is_given_to_nobody() {
+    let site = start("orders", 1);
+    send_until(&site, "POST", "/orders/warm-up", 200);
+    site.endpoints[0].manner(Manner::Crosses);
+    let answer = send(&site, "POST", "/orders/one", "order-1");
+    assert_eq!(answer.status, 502);
+    assert_eq!(answer.text(), "");
+}
+
+/// Every endpoint is full and says so. The caller is told that nothing ran, and when to
+/// come back; and nothing runs afterwards.
+#[test]
+fn an_order_that_all_refuse_is_refused_truthfully() {
+    let site = start("orders", 2);
+    send_until(&site, "POST", "/orders/warm-up", 200);
+    for endpoint in &site.endpoints {
+        endpoint.manner(Manner::Sheds);
+    }
+    let answer = send(&site, "POST", "/orders/one", "order-1");
+    assert_eq!(answer.status, 503);
+    let after: f64 = answer.header("retry-after").parse().expect("a time");
+    assert!(after > 0.0);
+    assert_eq!(runs(&site.endpoints, "order-1"), 0);
+}
+
+/// One of two endpoints fails what it runs. A reading may run again, so its caller gets
+/// the other one's answer; an order may not, so its caller gets the failure.
+#[test]
+fn only_idempotent_requests_are_tried_again() {
+    let mut site = start("catalogue", 1);
+    site.add_endpoint("catalogue", "zagreb-a");
+    send_until(&site, "GET", "/catalogue/warm-up", 200);
+    site.endpoints[0].manner(Manner::Fails);
+    site.endpoints[1].manner(Manner::Fails);
+    let failed = send(&site, "GET", "/catalogue/one", "read-1");
+    assert_eq!(failed.status, 500);
+    // Either has failed once or twice by now; one of them serves again.
+    site.endpoints[1].manner(Manner::Serves);
+    wait_until("a reading that the other one served", BOUND, || {
+        let answer = send(&site, "GET", "/catalogue/two", "read-2");
+        answer.status == 200 && runs(&site.endpoints[..1], "read-2") > 0
+    });
+    let orders = start("orders", 2);
+    send_until(&orders, "POST", "/orders/warm-up", 200);
+    orders
+        .endpoints
+        .iter()
+        .for_each(|e| e.manner(Manner::Fails));
+    let answer = send(&orders, "POST", "/orders/one", "order-1");
+    assert_eq!(answer.status, 500);
+    assert_eq!(runs(&orders.endpoints, "order-1"), 1);
+}
+
+/// An endpoint ends and another service's has its address, before the list shows it. No
+/// request may run there.
+#[test]
+fn an_address_that_has_changed_hands_runs_nothing() {
+    let site = start("orders", 1);
+    send_until(&site, "POST", "/orders/warm-up", 200);
+    site.endpoints[0].reborn("i-somebody-else");
+    let answer = send(&site, "POST", "/orders/one", "order-1");
+    assert_eq!(answer.status, 503);
+    assert_eq!(runs(&site.endpoints, "order-1"), 0);
+}
+
+/// The list says that an endpoint is to go, and an operator evacuates a failure domain.
+/// Neither may get new work from then on; work comes back when the evacuation ends.
+#[test]
+fn what_leaves_or_is_evacuated_gets_nothing_new() {
+    let mut site = start("catalogue", 1);
+    site.add_endpoint("catalogue", "split-a");
+    site.add_endpoint("catalogue", "zagreb-a");
+    send_until(&site, "GET", "/catalogue/warm-up", 200);
+    site.endpoints[0].drain();
+    site.show_endpoints();
+    assert_eq!(site.order("evacuations.start&of=split-a", "").status, 200);
+    let rest = |site: &Site| {
+        let before: Vec<_> = site.endpoints.iter().map(|e| e.ran().len()).collect();
+        (0..20).for_each(|n| {
+            send(site, "GET", &format!("/catalogue/{n}"), &format!("r-{n}"));
+        });
+        let after = site.endpoints.iter().map(|e| e.ran().len());
+        after.zip(before).map(|(a, b)| a - b).collect::<Vec<_>>()
+    };
+    wait_until("only the third one runs requests", BOUND, || {
+        rest(&site) == [0, 0, 20]
+    });
+    assert_eq!(site.order("evacuations.end&of=split-a", "").status, 200);
+    site.endpoints[2].leave();
+    site.show_endpoints();
+    wait_until("the second one is back", BOUND, || rest(&site)[1] > 0);
+}
+
+/// A caller leaves while its request runs. The endpoint must be told, so that it doesn't
+/// work for nobody.
+#[test]
+fn work_ends_when_its_caller_leaves() {
+    let site = start("catalogue", 1);
+    send_until(&site, "GET", "/catalogue/warm-up", 200);
+    site.endpoints[0].manner(Manner::Hangs);
+    let call = request("GET", "/catalogue/one", "read-1").bound(Duration::from_millis(500));
+    assert!(site.request(0, &call).is_err());
+    wait_until("the endpoint knows", BOUND, || {
+        site.endpoints[0].dropped().contains(&"read-1".to_owned())
+    });
+}
+
+/// An endpoint never answers. The caller gets its final answer when its time is up.
+#[test]
+fn a_request_that_hangs_is_answered_when_its_time_is_up() {
+    let site = start("catalogue", 1);
+    send_until(&site, "GET", "/catalogue/warm-up", 200);
+    site.endpoints[0].manner(Manner::Hangs);
+    let call = Call::new("GET", "/catalogue/one")
+        .header("host", filberthead_testing::site::HOST)
+        .header("x-request-id", "read-1")
+        .header("x-deadline-ms", "700");
+    let answer = site.request(0, &call).expect("an answer");
+    assert_eq!(answer.status, 504);
+}
+
+/// A gateway is stopped with a request running. It says at once that it leaves, finishes
+/// the request, and ends by itself in time.
+#[test]
+fn a_planned_stop_cuts_nothing() {
+    let mut site = start("catalogue", 1);
+    send_until(&site, "GET", "/catalogue/warm-up", 200);
+    site.endpoints[0].takes(Duration::from_millis(800));
+    let addr = site.gateways[0].addr("caller");
+    let running = std::thread::spawn(move || request("GET", "/catalogue/one", "read-1").send(addr));
+    wait_until("the request runs", BOUND, || {
+        site.endpoints[0].ran().contains(&"read-1".to_owned())
+    });
+    site.gateways[0].process().terminate();
+    wait_until("it says that it leaves", BOUND, || !site.is_serving(0));
+    let answer = running.join().expect("the caller").expect("an answer");
+    assert_eq!(answer.status, 200);
+    assert!(site.gateways[0].wait_exit().success());
+}
+
+/// The settings of a running process change and it is told so, or its console goes away.
+/// Neither may end it.
+#[test]
+fn a_process_that_is_asked_to_reload_goes_on() {
+    let site = start("catalogue", 1);
+    send_until(&site, "GET", "/catalogue/warm-up", 200);
+    for node in site.gateways.iter().chain(&site.controls) {
+        node.process_ref().hang_up();
+    }
+    for number in 0..20 {
+        let id = format!("read-{number}");
+        assert_eq!(send(&site, "GET", "/catalogue/one", &id).status, 200);
+    }
+    assert!(site.controls.iter().all(is_up));
+}
+
+fn is_up(node: &Node) -> bool {
+    order_at(node, "config.get", "").is_ok_and(|answer| answer.status == 200)
+}
+
+/// A gateway is killed, or told to stop. Callers who ask where to go must not be sent to
+/// it any more, and must be sent to it again when it is back.
+#[test]
+fn callers_are_sent_to_live_gateways_only() {
+    let mut site = site().replicas(1).tolerate(0).gateways(2).start();
+    site.put_routes(1, SERVICES);
+    site.wait_serving(0);
+    site.wait_serving(1);
+    let found = |site: &Site, domain: &str| {
+        let path = format!("/-/resolve?name=shop.example&region=zagreb&zone={domain}");
+        let answer = Call::get(&path)
+            .send(site.controls[0].addr("lookups"))
+            .ok()?;
+        let body: serde_json::Value = serde_json::from_slice(&answer.body).ok()?;
+        let addrs = body["addresses"].as_array()?.clone();
+        let texts = addrs
+            .iter()
+            .filter_map(|addr| addr.as_str().map(str::to_owned));
+        Some(texts.collect::<Vec<_>>())
+    };
+    let addr = |site: &Site, n: usize| vec![site.gateways[n].addr("caller").to_string()];
+    let (first, second) = (addr(&site, 0), addr(&site, 1));
+    wait_until("each is found by its neighbours", BOUND, || {
+        found(&site, "zagreb-a").as_ref() == Some(&first)
+            && found(&site, "split-a").as_ref() == Some(&second)
+    });
+    site.gateways[0].kill();
+    wait_until("the killed one is named to nobody", BOUND, || {
+        found(&site, "zagreb-a").as_ref() == Some(&second)
+    });
+    site.gateways[0].start();
+    wait_until("it is named again", BOUND, || {
+        found(&site, "zagreb-a").as_ref() == Some(&first)
+    });
+}
--- /dev/null
+++ b/tests/all/groups.rs
@@ -0,0 +1,152 @@
+//! Groups of control replicas that keep themselves, and what they accept.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use filberthead_testing::cluster::Node;
+use filberthead_testing::site::{Site, SiteBuilder, SitePrograms, config, order_at};
+use filberthead_testing::{eventually, wait_until};
+
+const BOUND: Duration = Duration::from_secs(60);
+const SERVICES: &[(&str, &str)] = &[("orders", "unsafe"), ("catalogue", "safe")];
+
+/// The programs as cargo built them for this test.
+pub(crate) fn site() -> SiteBuilder {
+    Site::builder(SitePrograms {
+        control: PathBuf::from(env!("CARGO_BIN_EXE_filberthead-control")),
+        gateway: PathBuf::from(env!("CARGO_BIN_EXE_filberthead-gateway")),
+    })
+}
+
+/// The version in force, as one replica proves it; `None` if it can't.
+fn version_at(node: &Node) -> Option<u64> {
+    let answer = order_at(node, "config.get", "").ok()?;
+    let body: serde_json::Value = serde_json::from_slice(&answer.body).ok()?;
+    body["version"].as_u64()
+}
+
+#[track_caller]
+fn wait_version(node: &Node, version: u64) {
+    wait_until("the replica proves the version", BOUND, || {
+        version_at(node) == Some(version)
+    });
+}
+
+#[test]
+fn replicas_find_each_other_by_one_seed_and_accept_orders() {
+    let site = site().start();
+    site.put_routes(7, SERVICES);
+    for node in &site.controls {
+        wait_version(node, 7);
+    }
+}
+
+/// All VMs of control lose power, and the only one that everybody's settings name does not
+/// come back. The others must find each other by what they know themselves, or no order is
+/// accepted and no route served again. They looked only where settings pointed, since
+/// addresses in the log count as unknown until a leader says that they are committed.
+#[test]
+fn a_majority_without_the_seed_goes_on_after_a_power_cut() {
+    let mut site = site().start();
+    site.put_routes(7, SERVICES);
+    site.controls.iter().for_each(|node| wait_version(node, 7));
+    site.controls.iter_mut().for_each(Node::kill);
+    site.controls[1].start();
+    site.controls[2].start();
+    wait_version(&site.controls[1], 7);
+    wait_version(&site.controls[2], 7);
+}
+
+/// A VM of control comes back with an empty disk. It is another replica then, must be
+/// taken in by itself, and the old one must go, or a second loss leaves no majority.
+#[test]
+fn a_replica_with_an_empty_disk_takes_the_place_of_the_old_one() {
+    let mut site = site().start();
+    site.put_routes(7, SERVICES);
+    site.controls[1].kill();
+    site.controls[1].wipe();
+    site.controls[1].start();
+    let voters = |site: &Site| site.controls[0].metric("voters");
+    wait_until("three voters again", BOUND, || {
+        wait_version_once(&site.controls[1], 7) && voters(&site) >= 3.0
+    });
+    // The second loss.
+    site.controls[2].kill();
+    site.put_routes(8, SERVICES);
+    wait_version(&site.controls[1], 8);
+}
+
+fn wait_version_once(node: &Node, version: u64) -> bool {
+    version_at(node) == Some(version)
+}
+
+/// An operator's answer is lost, and the same configuration comes again, later also one
+/// that is older, one of the same number with other content, and ones that are not valid.
+/// None of them may change what is in force, and only the last are refused.
+#[test]
+fn only_a_valid_configuration_of_a_higher_number_takes_effect() {
+    let site = site().replicas(1).tolerate(0).start();
+    site.put_routes(7, SERVICES);
+    site.put_routes(7, SERVICES);
+    site.put_routes(6, &[("orders", "safe")]);
+    site.put_routes(7, &[("orders", "safe")]);
+    let good = config(9, SERVICES);
+    let bad = [
+        good[..good.len() / 2].to_owned(),
+        good.replace(r#""service":"orders""#, r#""service":"nobody""#),
+        good.replace(r#""kind":"unsafe""#, r#""kind":"strange""#),
+        good.replace(r#""host":"shop.example""#, r#""host":"""#),
+        good.replace(r#""path_prefix":"/orders/""#, r#""path_prefix":"orders/""#),
+        good.replace(r#""timeout_ms":20000"#, r#""timeout_ms":0"#),
+        good.replace(r#""version":9"#, r#""version":3"#)
+            .replace("shop.example", ""),
+        "[]".to_owned(),
+        String::new(),
+    ];
+    for body in &bad {
+        assert_eq!(site.order("config.put", body).status, 400, "{body}");
+    }
+    let answer = site.order("config.get", "");
+    assert_eq!(answer.text(), config(7, SERVICES));
+}
+
+#[test]
+fn calls_that_do_not_exist_change_nothing() {
+    let site = site().replicas(1).tolerate(0).start();
+    site.put_routes(7, SERVICES);
+    let status = |call: &str| site.order(call, "").status.as_u16();
+    assert_eq!(status("config.drop"), 404);
+    assert_eq!(status("evacuations.start"), 400);
+    assert_eq!(status("evacuations.start&of=No-Such-Name!"), 400);
+    assert_eq!(status("evacuations.end&of=zagreb-a"), 200);
+}
+
+/// The leader is cut off from the others without knowing it, and they accept a change. An
+/// operator who asks the cut-off one must not be shown the older routes.
+#[test]
+fn a_leader_that_is_cut_off_shows_no_older_routes() {
+    let mut site = site().start();
+    site.put_routes(7, SERVICES);
+    let leads = |node: &Node| node.metric("_leader") > 0.0;
+    let leader = eventually("a leader", BOUND, || site.controls.iter().position(leads));
+    let name = site.controls[leader].name().to_owned();
+    let others: Vec<_> = site
+        .controls
+        .iter()
+        .map(|n| n.name().to_owned())
+        .filter(|n| *n != name)
+        .collect();
+    let sides: Vec<&str> = others.iter().map(String::as_str).collect();
+    site.network.partition(&[&[&name], &sides]);
+    wait_until("the others accept a change", BOUND, || {
+        others.iter().any(|other| {
+            let body = config(8, SERVICES);
+            let answer = order_at(site.control(other), "config.put", &body);
+            answer.is_ok_and(|answer| answer.status == 200)
+        })
+    });
+    let shown = version_at(site.control(&name));
+    assert_ne!(shown, Some(7), "the older routes are shown");
+    site.network.heal();
+    wait_version(site.control(&name), 8);
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -6,6 +6,8 @@
 mod control;
 mod crashing;
 mod entries;
+mod gateways;
+mod groups;
 mod homes;
 mod journals;
 mod measures;
