Count what learning an object costs others, so that a surge doesn't last

Change: the time that a slot is busy with learning an object is weighed by how full the region is. A refusal by an endpoint that reports free slots doesn't count it as full; what is hopeless is judged by time alone; 85 % of the retry budget is used instead of 60 %.

The bound for retries over all gateways still holds.

--- a/crates/filberthead/src/gateway/carry.rs
+++ b/crates/filberthead/src/gateway/carry.rs
@@ -29,6 +29,9 @@
 const MAX_UNREACHED: u32 = 3;
 /// Time below which no endpoint could answer any more.
 const TOO_LATE: Duration = Duration::from_millis(5);
+/// When a caller may come back whose request an endpoint has sent back: another try is as
+/// likely to find room at once as later.
+const SOON: Duration = Duration::from_millis(50);
 /// When a caller may come back to a gateway that doesn't know any routes yet.
 const STARTING: Duration = Duration::from_millis(300);
 
@@ -216,7 +219,7 @@
     fn not_run(&mut self, again: Option<RequestBody>) -> Next {
         match again.filter(|_| self.may_repeat()) {
             Some(body) => Next::Again(body),
-            None => self.refused(ResultCode::Overloaded, STARTING),
+            None => self.refused(ResultCode::Overloaded, SOON),
         }
     }
 
--- a/crates/place/src/budget.rs
+++ b/crates/place/src/budget.rs
@@ -13,9 +13,9 @@
 /// Parts that the window is counted in.
 const PARTS: usize = 10;
 /// Part of the ratio and floor that is spent: attempts are counted when they are made
-/// here and judged when they arrive, and requests that are counted here may never have
-/// been taken by another count.
-const SPENT: f64 = 0.6;
+/// here and judged when they arrive, and a gateway that starts doesn't know yet how many
+/// share the floor.
+const SPENT: f64 = 0.85;
 
 /// What bounds further attempts.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/place/src/endpoint.rs
+++ b/crates/place/src/endpoint.rs
@@ -174,7 +174,12 @@
             Outcome::Failed => self.failing += NEW * (1.0 - self.failing),
             Outcome::Full => {
                 self.failing += NEW * (1.0 - self.failing);
-                self.full_until = now + FULL_FOR;
+                // One that refuses with slots free, as its own count says, isn't full: it
+                // refuses some requests for reasons of its own, and may take the next.
+                let has_room = self.others_at == now && self.load(now) < f64::from(self.slots);
+                if !has_room {
+                    self.full_until = now + FULL_FOR;
+                }
             }
             Outcome::Gone => self.gone = true,
             Outcome::Broken => {
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -29,6 +29,12 @@
 /// Time over which demand is averaged: several reports, and well below the time in which
 /// demand changes by itself.
 const DEMAND_OVER: Duration = Duration::from_secs(2);
+/// Utilisation of a region's endpoints below which a slot is worth nothing to others, and
+/// above which it is worth the most.
+const HALF: f64 = 0.5;
+const FULL: f64 = 1.05;
+/// The most that a second of a slot counts.
+const MAX_PRESSURE: f64 = 4.0;
 /// Gateways that share a cold endpoint as long as nobody has said how many there are.
 const UNTOLD_GATEWAYS: u32 = 4;
 /// Shortest and longest time that a refused caller is told to stay away.
@@ -359,7 +365,7 @@
         } else {
             req.objective.min(req.left)
         };
-        chosen.total > patience.as_secs_f64()
+        chosen.way + chosen.wait + chosen.answer > patience.as_secs_f64()
     }
 
     fn send(
@@ -410,9 +416,16 @@
         for (region, indices) in by_region(&self.endpoints, &open) {
             // Where all gateways of this region send the object.
             let shared = region == self.cfg.region || Some(&region) == planned;
+            let pressure = self.pressure(now, &indices);
             for (place, index) in self.in_order(&indices, object).into_iter().enumerate() {
-                let candidate =
-                    self.price(now, req, object, &times, shared.then_some(place), index);
+                let candidate = self.price(
+                    now,
+                    req,
+                    object,
+                    &times,
+                    shared.then_some(place),
+                    (index, pressure),
+                );
                 let held = best.get(&region);
                 if held.is_none_or(|held| candidate.total < held.total) {
                     best.insert(region.clone(), candidate);
@@ -422,6 +435,22 @@
         best
     }
 
+    /// What a second of a slot is worth to others: nothing while half of the slots are
+    /// free, and several seconds of waiting when all are taken. Under pressure objects stay
+    /// where they are known; if they moved to wherever a slot is free, each would cost
+    /// several times the work, and a short surge would become a lasting overload.
+    fn pressure(&self, now: Moment, indices: &[usize]) -> f64 {
+        let endpoints = indices.iter().map(|index| &self.endpoints[*index]);
+        let (load, slots) = endpoints.fold((0.0, 0.0), |(load, slots), e| {
+            (load + e.load(now), slots + f64::from(e.slots))
+        });
+        let busy: f64 = load / f64::max(slots, 1.0);
+        if busy >= FULL {
+            return MAX_PRESSURE;
+        }
+        ((busy - HALF).max(0.0) / (FULL - busy)).min(MAX_PRESSURE)
+    }
+
     fn open(&self, now: Moment, req: &Request<'_>, paused_too: bool) -> Vec<usize> {
         let open = |e: &State| {
             e.service == *req.service
@@ -468,7 +497,7 @@
         object: Option<u64>,
         times: &Times,
         place: Option<usize>,
-        index: usize,
+        (index, pressure): (usize, f64),
     ) -> Candidate {
         let e = &self.endpoints[index];
         let known = match (object, place) {
@@ -481,11 +510,14 @@
         // slow, and all later ones are quick. Without this an endpoint that has just come
         // would get nothing as long as the others have room.
         let settles = place == Some(0) && e.load(now) < f64::from(e.slots);
-        let weighed = if settles {
+        let settled = if settles {
             times.quick() * e.slowness
         } else {
             answer
         };
+        // What others wait longer for, if this one keeps a slot busy to learn the object.
+        let learning = (answer - times.quick() * e.slowness).max(0.0);
+        let weighed = settled + pressure * learning;
         let each = times.expected(Acquaintance::Perhaps(0)) * e.slowness;
         let wait = cost::wait(e.load(now), e.slots, each);
         let failing = e.failing * req.objective.as_secs_f64();
--- a/crates/place/tests/all/main.rs
+++ b/crates/place/tests/all/main.rs
@@ -4,3 +4,4 @@
 mod objects;
 mod regions;
 mod support;
+mod surge;
