Forget slowness with time, and take up the plan when joining

Besides, gateways that start into traffic began from a plan made before all were counted, and ramped for seconds.

Change: opinions halve every 3 s, and answers from a queue aren't learned as slowness; a gateway that finds callers there takes the plan from told demand at once.

--- a/crates/place/src/endpoint.rs
+++ b/crates/place/src/endpoint.rs
@@ -22,6 +22,9 @@
 /// Time after which half of what was reported of others' requests is believed still:
 /// about the time that a request runs.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(200);
+/// Time after which half of what was learned about slowness and failures is forgotten:
+/// an endpoint that is avoided for them shows nothing new, and must be tried again.
+const OPINION_HALF_LIFE: Duration = Duration::from_secs(3);
 /// Weight of a new observation in running means: about the last ten count.
 const NEW: f64 = 0.1;
 /// Objects remembered for each endpoint, the oldest forgotten first.
@@ -74,10 +77,14 @@
     paused_until: Moment,
     pause: Duration,
     gone: bool,
+    /// Whether requests waited there when it last reported.
+    queues: bool,
     /// How much longer than expected its answers take; 1 is as expected.
-    pub(crate) slowness: f64,
+    slowness: f64,
     /// Part of its requests that end badly.
-    pub(crate) failing: f64,
+    failing: f64,
+    /// When either was last learned.
+    opinion_at: Moment,
     objects: HashMap<u64, Moment>,
 }
 
@@ -99,8 +106,10 @@
             paused_until: Moment::ZERO,
             pause: PAUSE_MIN,
             gone: false,
+            queues: false,
             slowness: 1.0,
             failing: 0.0,
+            opinion_at: now,
             objects: HashMap::new(),
         };
         state.listed(now, &listed);
@@ -134,11 +143,27 @@
         (f64::from(self.own) + others).max(floor)
     }
 
+    /// How much longer than expected its answers take, as far as that is still believed.
+    pub(crate) fn slowness(&self, now: Moment) -> f64 {
+        1.0 + (self.slowness - 1.0) * self.belief(now)
+    }
+
+    /// Part of its requests that end badly, as far as that is still believed.
+    pub(crate) fn failing(&self, now: Moment) -> f64 {
+        self.failing * self.belief(now)
+    }
+
+    fn belief(&self, now: Moment) -> f64 {
+        let age = now.saturating_sub(self.opinion_at);
+        0.5_f64.powf(age.as_secs_f64() / OPINION_HALF_LIFE.as_secs_f64())
+    }
+
     pub(crate) fn reported(&mut self, now: Moment, load: Load) {
         let all = f64::from(load.running + load.waiting);
         // The answer's own request may or may not be counted any more.
         self.others = (all - f64::from(self.own)).max(0.0);
         self.others_at = now;
+        self.queues = load.waiting > 0;
     }
 
     pub(crate) fn knows(&self, now: Moment, object: u64) -> bool {
@@ -163,13 +188,19 @@
     /// Notes how a request ended; `expected` is how long it should have taken.
     pub(crate) fn ended(&mut self, now: Moment, outcome: Outcome, expected: Duration) {
         self.own = self.own.saturating_sub(1);
+        self.slowness = self.slowness(now);
+        self.failing = self.failing(now);
+        self.opinion_at = now;
         match outcome {
             Outcome::Served(took) => {
                 self.pause = PAUSE_MIN;
                 self.failing *= 1.0 - NEW;
                 let ratio = took.as_secs_f64() / expected.as_secs_f64().max(0.001);
-                // One answer that took extremely long must not outweigh many.
-                self.slowness += NEW * (ratio.clamp(0.2, 10.0) - self.slowness);
+                // What waited in a queue says nothing about the endpoint's own speed, and
+                // one answer that took extremely long must not outweigh many.
+                if !self.queues {
+                    self.slowness += NEW * (ratio.clamp(0.5, 10.0) - self.slowness);
+                }
             }
             Outcome::Failed => self.failing += NEW * (1.0 - self.failing),
             Outcome::Full => {
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -35,6 +35,10 @@
 const FULL: f64 = 1.05;
 /// The most that a second of a slot counts.
 const MAX_PRESSURE: f64 = 4.0;
+/// Callers that come this soon after a gateway knows endpoints were there before it.
+const JOINED_WITHIN: Duration = Duration::from_secs(3);
+/// Time after which all gateways that have started together are counted: two reports.
+const COUNTED_AFTER: Duration = Duration::from_millis(1000);
 /// Gateways that share a cold endpoint as long as nobody has said how many there are.
 const UNTOLD_GATEWAYS: u32 = 4;
 /// Shortest and longest time that a refused caller is told to stay away.
@@ -127,6 +131,22 @@
     known: Acquaintance,
 }
 
+/// How far a gateway is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// No caller has come yet: whatever the plan says moves nothing.
+    Waiting,
+    /// Callers were there already when it started, and not all gateways are counted yet.
+    Beginning,
+    /// It has just joined gateways that serve, or all have started anew: it takes up the
+    /// plan that demand asks for, as the others have it.
+    Joining,
+    /// Callers have just begun to come to all gateways; demand isn't summed up yet.
+    Settling,
+    /// It follows demand in bounded steps.
+    Running,
+}
+
 /// What a gateway knows of endpoints.
 #[derive(Clone, Debug)]
 pub struct Placer {
@@ -139,6 +159,8 @@
     demand: BTreeMap<ServiceName, Slots>,
     /// What this gateway was asked to carry since the last report.
     own_demand: HashMap<ServiceName, OwnDemand>,
+    /// When endpoints were first known.
+    informed: Option<Moment>,
     /// When callers first came.
     first_arrival: Option<Moment>,
     /// Turns of requests that concern no object.
@@ -159,6 +181,7 @@
             plans: HashMap::new(),
             demand: BTreeMap::new(),
             own_demand: HashMap::new(),
+            informed: None,
             first_arrival: None,
             turns: 0,
             evacuated: BTreeSet::new(),
@@ -183,6 +206,7 @@
 
     /// Takes in the platform's list. What is known of endpoints that are still on it stays.
     pub fn set_endpoints(&mut self, now: Moment, list: Vec<Endpoint>) {
+        self.informed.get_or_insert(now);
         let held = std::mem::take(&mut self.endpoints);
         let mut held: HashMap<_, _> = held.into_iter().map(|e| (e.id.clone(), e)).collect();
         for listed in list {
@@ -268,6 +292,7 @@
                 *gateways.entry(region.clone()).or_default() += count;
             }
         }
+        let stage = self.stage(now);
         let own = &self.cfg.region;
         for service in self.services.keys() {
             let capacity = self.capacity(now, service);
@@ -275,23 +300,43 @@
                 continue;
             }
             let plan = self.plans.entry(service.clone()).or_default();
-            let Some(first) = self.first_arrival else {
-                let demand = plan::assumed(&gateways, &capacity);
-                plan.begin(now, plan::aim(own, &demand, &capacity));
-                continue;
-            };
-            // Sums are whole once every gateway has reported over a while.
-            if now < first + 2 * DEMAND_OVER {
-                plan.begin_at(now);
-                continue;
-            }
-            if let Some(demand) = self.demand.get(service) {
-                let aim = plan::aim(own, demand, &capacity);
-                plan.update(now, self.cfg.max_shift, own, &aim);
+            let told = self.demand.get(service).filter(|demand| !demand.is_empty());
+            match (stage, told) {
+                (Stage::Waiting, None) | (Stage::Beginning, _) => {
+                    let demand = plan::assumed(&gateways, &capacity);
+                    plan.begin(now, plan::aim(own, &demand, &capacity));
+                }
+                (Stage::Waiting | Stage::Joining, Some(demand)) => {
+                    plan.begin(now, plan::aim(own, demand, &capacity));
+                }
+                (Stage::Running, Some(demand)) => {
+                    let aim = plan::aim(own, demand, &capacity);
+                    plan.update(now, self.cfg.max_shift, own, &aim);
+                }
+                (Stage::Joining | Stage::Settling | Stage::Running, _) => plan.hold(now),
             }
         }
     }
 
+    /// How far this gateway is in its life, as plans go.
+    fn stage(&self, now: Moment) -> Stage {
+        let Some(first) = self.first_arrival else {
+            return Stage::Waiting;
+        };
+        let informed = self.informed.unwrap_or(first);
+        let joined = first < informed + JOINED_WITHIN;
+        let age = now.saturating_sub(first);
+        if age < COUNTED_AFTER && joined {
+            Stage::Beginning
+        } else if age < 3 * DEMAND_OVER && joined {
+            Stage::Joining
+        } else if age < 2 * DEMAND_OVER {
+            Stage::Settling
+        } else {
+            Stage::Running
+        }
+    }
+
     /// Slots of a service in each region that requests may be sent to.
     fn capacity(&self, now: Moment, service: &ServiceName) -> Slots {
         let mut capacity = Slots::new();
@@ -505,22 +550,22 @@
             (Some(_), Some(place)) => Acquaintance::Perhaps(place),
             _ => Acquaintance::Stranger,
         };
-        let answer = times.expected(known) * e.slowness;
+        let answer = times.expected(known) * e.slowness(now);
         // An object settles where all gateways will send it: its first request there is
         // slow, and all later ones are quick. Without this an endpoint that has just come
         // would get nothing as long as the others have room.
         let settles = place == Some(0) && e.load(now) < f64::from(e.slots);
         let settled = if settles {
-            times.quick() * e.slowness
+            times.quick() * e.slowness(now)
         } else {
             answer
         };
         // What others wait longer for, if this one keeps a slot busy to learn the object.
-        let learning = (answer - times.quick() * e.slowness).max(0.0);
+        let learning = (answer - times.quick() * e.slowness(now)).max(0.0);
         let weighed = settled + pressure * learning;
-        let each = times.expected(Acquaintance::Perhaps(0)) * e.slowness;
+        let each = times.expected(Acquaintance::Perhaps(0)) * e.slowness(now);
         let wait = cost::wait(e.load(now), e.slots, each);
-        let failing = e.failing * req.objective.as_secs_f64();
+        let failing = e.failing(now) * req.objective.as_secs_f64();
         let way = self.way(e);
         let crossing = self.crossing(e, req.large);
         let preference = match object {
--- a/crates/place/src/plan.rs
+++ b/crates/place/src/plan.rs
@@ -40,14 +40,14 @@
 }
 
 impl Plan {
-    /// Sets parts while no caller has been here yet, so that nothing moves.
+    /// Sets parts at once: nothing has moved by the plan before.
     pub(crate) fn begin(&mut self, now: Moment, aim: Slots) {
         self.away = aim;
         self.updated = Some(now);
     }
 
     /// Keeps the parts as they are.
-    pub(crate) fn begin_at(&mut self, now: Moment) {
+    pub(crate) fn hold(&mut self, now: Moment) {
         self.updated = Some(now);
     }
 
--- a/crates/place/tests/all/objects.rs
+++ b/crates/place/tests/all/objects.rs
@@ -96,3 +96,21 @@
     placer.ended(ms(3), &service, &other, Outcome::Broken);
     assert!(place(&mut placer, ms(4), "o").is_some());
 }
+
+/// All processes have been killed and everybody asks at once: the near endpoint's answers
+/// take long, because requests wait there. A minute later nobody is left, and requests
+/// must go there again instead of over the long way for good.
+#[test]
+fn an_endpoint_that_was_slow_is_tried_again() {
+    let mut placer = placer(
+        "north-1",
+        vec![endpoint("near", "north-1"), endpoint("far", "south-1")],
+    );
+    for number in 0..40 {
+        if let Some(target) = place(&mut placer, ms(number), "o") {
+            served(&mut placer, ms(number), &target, ms(2000));
+        }
+    }
+    let target = place(&mut placer, ms(60_000), "o").expect("a place");
+    assert_eq!(target.id, id("near"));
+}
--- a/crates/place/tests/all/regions.rs
+++ b/crates/place/tests/all/regions.rs
@@ -109,3 +109,16 @@
     placer.set_evacuated(ms(0), [domain("north-1")].into());
     assert_eq!(second(&mut placer, ms(0), 40), 40);
 }
+
+/// A gateway starts among others that serve. It must take up the plan that they follow at
+/// once: from a beginning of its own it would fill its region's few endpoints for as long
+/// as the ramp takes.
+#[test]
+fn a_gateway_that_joins_takes_up_the_plan_at_once() {
+    let mut placer = placer("north-1", lopsided());
+    gateways(&mut placer);
+    told(&mut placer, 9000, 4000);
+    placer.plan(ms(0));
+    let south = second(&mut placer, ms(100), 80);
+    assert!((32..=64).contains(&south), "{south} of 80");
+}
