Count the time that a VM was suspended

Cause, found by reading: leases are compared with the runtime's clock, which stands still while a VM is suspended. A leader that wakes would find its lease as fresh as before and could show older routes than the others have accepted.

Change: the difference between the clock that counts suspension and the one that doesn't is added to every moment.

--- a/crates/filberthead/src/clock.rs
+++ b/crates/filberthead/src/clock.rs
@@ -1,16 +1,24 @@
 //! The monotonic clock of a process.
 
+use std::time::Duration;
+
 use filberthead_types::Moment;
+use rustix::time::{ClockId, Timespec, clock_gettime};
 use tokio::time::Instant;
 
 /// Turns the runtime's clock into [`Moment`]s with one origin for the whole process, so
 /// that moments may pass between duties.
 ///
-/// The clock goes on while the process is stopped by a signal or starved, which is what
-/// leases rely on: the first step after a suspension sees the whole gap.
+/// The clock goes on while the process is stopped by a signal or starved, and also while
+/// its whole VM is suspended, which is what leases rely on: the first step after a
+/// suspension sees the whole gap. The runtime's own clock stands still while a VM is
+/// suspended; a leader that woke up would find its lease as fresh as before, and answer
+/// from a state that others have long changed. So the time that the system has slept is
+/// added to it.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
     origin: Instant,
+    slept: Duration,
 }
 
 impl Clock {
@@ -18,16 +26,38 @@
     pub fn start() -> Self {
         Self {
             origin: Instant::now(),
+            slept: slept(),
         }
     }
 
     /// Time since the origin.
     pub fn now(&self) -> Moment {
-        self.origin.elapsed()
+        // The sleep is read first: what passes between the two readings is then counted
+        // once, and the clock never goes back.
+        let slept = self.slept_since();
+        self.origin.elapsed() + slept
     }
 
     /// The runtime's instant for a moment of this clock.
     pub fn instant(&self, moment: Moment) -> Instant {
-        self.origin + moment
+        self.origin + moment.saturating_sub(self.slept_since())
+    }
+
+    fn slept_since(&self) -> Duration {
+        slept().saturating_sub(self.slept)
     }
 }
+
+/// Time that the system has been suspended since it was started, or a little less: a pause
+/// between the two readings must not pass for sleep.
+fn slept() -> Duration {
+    let with_sleep = duration(clock_gettime(ClockId::Boottime));
+    let steady = duration(clock_gettime(ClockId::Monotonic));
+    with_sleep.saturating_sub(steady)
+}
+
+fn duration(time: Timespec) -> Duration {
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::new(seconds, nanos)
+}
