--- a/crates/filberthead/src/control/desk.rs
+++ b/crates/filberthead/src/control/desk.rs
@@ -21,8 +21,9 @@
 pub struct Shown {
     /// The gateways that callers may be sent to.
     pub gateways: Arc<[GatewayInfo]>,
-    /// Whether this replica leads, with a valid lease.
-    pub leads: bool,
+    /// Whether this replica is to read the platform's list: while it leads, or while it
+    /// knows neither a leader nor any list.
+    pub reads: bool,
 }
 
 /// Hands orders to a control replica and asks it.
--- a/crates/filberthead/src/control/disk.rs
+++ b/crates/filberthead/src/control/disk.rs
@@ -23,6 +23,10 @@
 /// How often a failed folder is tried again.
 const REOPEN_PERIOD: Duration = Duration::from_millis(300);
 
+/// How long the disk must have been idle before a note is kept: orders come in storms, and
+/// each waits for the log's sync while only the last note counts.
+const NOTE_DELAY: Duration = Duration::from_millis(20);
+
 /// Which folder it is.
 #[derive(Clone, Debug)]
 pub(crate) struct Place {
@@ -42,6 +46,7 @@
         disk: Some(disk),
         place,
         epoch: 0,
+        note: None,
         tx,
         metrics,
     };
@@ -53,6 +58,8 @@
     disk: Option<Disk>,
     place: Place,
     epoch: u64,
+    /// The newest note that isn't kept yet.
+    note: Option<Vec<u8>>,
     tx: Sender<Input>,
     metrics: Arc<ControlMetrics>,
 }
@@ -66,6 +73,9 @@
                     None => return,
                 },
                 () = sleep(REOPEN_PERIOD), if self.disk.is_none() => self.reopen().await,
+                () = sleep(NOTE_DELAY), if self.disk.is_some() && self.note.is_some() => {
+                    self.remember().await;
+                }
                 () = stop.wait() => return,
             }
         }
@@ -84,6 +94,10 @@
                 self.metrics.synced(begun.elapsed());
                 result.map(|()| Some(Input::Persisted { seq: persist.seq }))
             }
+            DiskJob::Remember(note) => {
+                self.note = Some(note);
+                Ok(None)
+            }
             DiskJob::Initialise { members, reply } => {
                 let result = initialise(disk, &members);
                 let answer = match &result {
@@ -111,6 +125,15 @@
         }
     }
 
+    async fn remember(&mut self) {
+        let (Some(disk), Some(note)) = (&mut self.disk, self.note.take()) else {
+            return;
+        };
+        if let Err(e) = disk.remember(&note) {
+            self.fail(&e).await;
+        }
+    }
+
     /// After a failed sync nobody knows what the disk holds, and asking again may falsely
     /// succeed, so the open files are given up.
     async fn fail(&mut self, error: &StorageError) {
--- a/crates/filberthead/src/control/fleet.rs
+++ b/crates/filberthead/src/control/fleet.rs
@@ -5,7 +5,7 @@
 //! and waits for its word; one that knows no leader holds it for a moment, since an
 //! election is usually over within a second, and then says that it can't tell.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,12 +14,14 @@
 use filberthead_fleet::{Message, Order, OrderError, Outbound, Registry};
 use filberthead_peer::{Body, Origin};
 use filberthead_route::Change;
-use filberthead_types::{Moment, ReplicaId};
+use filberthead_types::{FailureDomain, Moment, ReplicaId};
 use log::{info, warn};
+use serde::{Deserialize, Serialize};
 use tokio::sync::{oneshot, watch};
 
 use super::core::{Core, Pending};
 use super::desk::{DeskRequest, Shown};
+use super::input::DiskJob;
 use super::machine::Entry;
 use super::roster::{self, Next, Seen, View};
 
@@ -35,6 +37,11 @@
 /// was lost.
 const LIST_CATCH_UP: Duration = Duration::from_millis(1000);
 
+/// Term of a list that was read by a replica that doesn't lead and had none.
+const NO_TERM: u64 = 0;
+/// How long a replica that starts waits for a leader's list before it reads its own.
+const LISTLESS: Duration = Duration::from_millis(150);
+
 /// Whom the word on an order goes to.
 pub(super) enum Asker {
     /// An adapter in this process.
@@ -69,6 +76,19 @@
     ),
 }
 
+/// What was in force, for gateways that start together with this replica. A replica that
+/// starts knows its log but not how much of it is committed, and learns that only from the
+/// next leader; until then gateways would have nothing to serve by. All that is noted here
+/// was committed once, so it never has to be taken back; it may be overtaken.
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+struct InForce {
+    /// The change, and its revision.
+    routes: Option<(u64, Arc<Change>)>,
+    evacuated: BTreeSet<FailureDomain>,
+    evacuated_at: u64,
+}
+
 /// How the group keeps itself.
 #[derive(Clone, Debug)]
 pub(crate) struct SelfKeeping {
@@ -105,6 +125,30 @@
         }
     }
 
+    /// Takes up what was in force when this replica last ran.
+    pub(crate) fn recall(&mut self, now: Moment, note: Option<&[u8]>) {
+        let Some(note) = note else {
+            return;
+        };
+        let noted: InForce = match postcard::from_bytes(note) {
+            Ok(noted) => noted,
+            Err(e) => {
+                // Another version of the program wrote it; the log has all that counts.
+                warn!(error:% = e; "the note of what was in force can't be read");
+                return;
+            }
+        };
+        // Nobody has reported yet, so there is nobody to tell.
+        if let Some((revision, change)) = noted.routes {
+            info!(version = change.version, revision; "routes were in force before the start");
+            let table = Arc::new(change.table.clone());
+            self.registry
+                .set_routes(now, revision, change.version, table);
+        }
+        self.registry
+            .set_evacuated(now, noted.evacuated_at, &noted.evacuated);
+    }
+
     /// Whether nobody has begun the group yet and this replica is to.
     pub(super) fn is_to_found(&self) -> bool {
         self.keeping.as_ref().is_some_and(|keeping| keeping.founds)
@@ -156,11 +200,16 @@
     fn take_list(&mut self, list: Vec<filberthead_fleet::Endpoint>) {
         let now = self.clock.now();
         let replica = self.replica.status(now);
-        if !replica.holds_lease {
-            return;
-        }
         let before = self.fleet.registry.have().endpoints;
-        let out = self.fleet.registry.listed(now, replica.term.0, list);
+        let term = if replica.holds_lease {
+            replica.term.0
+        } else if before.seq == 0 {
+            // Any leader's list, older ones included, takes the place of this one.
+            NO_TERM
+        } else {
+            return;
+        };
+        let out = self.fleet.registry.listed(now, term, list);
         self.tell(out);
         if self.fleet.registry.have().endpoints == before {
             return;
@@ -328,6 +377,10 @@
             let out = registry.set_routes(now, revision, change.version, table);
             self.tell(out);
         }
+        let held = self.fleet.registry.have();
+        if newer || self.machine.evacuated_at > held.evacuated {
+            self.note_in_force();
+        }
         let revision = self.machine.evacuated_at;
         if revision > self.fleet.registry.have().evacuated {
             info!(revision, domains:? = self.machine.evacuated; "evacuated failure domains");
@@ -338,6 +391,23 @@
         self.answer_those_behind();
     }
 
+    /// Has the disk duty keep what is in force. With its ring full it is dropped: the disk
+    /// is far behind then, and the next change is noted again.
+    fn note_in_force(&mut self) {
+        let routes = self.machine.routes.newest().cloned();
+        let noted = InForce {
+            routes: routes.map(|change| (self.machine.routes_at, change)),
+            evacuated: self.machine.evacuated.clone(),
+            evacuated_at: self.machine.evacuated_at,
+        };
+        match postcard::to_stdvec(&noted) {
+            Ok(note) => {
+                let _ = self.disk.push(DiskJob::Remember(note));
+            }
+            Err(e) => warn!(error:% = e; "what is in force can't be noted"),
+        }
+    }
+
     fn answer_those_behind(&mut self) {
         let applied = self.applied;
         let caught_up =
@@ -424,13 +494,16 @@
 
     fn show(&mut self, now: Moment) {
         let gateways = self.fleet.registry.ready(now);
-        let leads = self.replica.status(now).holds_lease;
+        let replica = self.replica.status(now);
+        let leads = replica.holds_lease;
+        let listless = self.fleet.registry.have().endpoints.seq == 0;
+        let reads = leads || (listless && replica.leader.is_none() && now >= LISTLESS);
         self.fleet.shown.send_if_modified(|shown| {
-            let same = shown.leads == leads && *shown.gateways == *gateways;
+            let same = shown.reads == reads && *shown.gateways == *gateways;
             if !same {
                 *shown = Shown {
                     gateways: gateways.into(),
-                    leads,
+                    reads,
                 };
             }
             !same
--- a/crates/filberthead/src/control/input.rs
+++ b/crates/filberthead/src/control/input.rs
@@ -148,6 +148,8 @@
         /// The batch.
         persist: Persist,
     },
+    /// Keep a note for the next start, once there is nothing more urgent.
+    Remember(Vec<u8>),
     /// Make the first membership.
     Initialise {
         /// The only voter, which is this replica.
--- a/crates/filberthead/src/control/mod.rs
+++ b/crates/filberthead/src/control/mod.rs
@@ -144,6 +144,7 @@
         cluster: cfg.cluster.clone(),
     };
     let durable = disk.load().context(StorageSnafu)?;
+    let note = disk.remembered().context(StorageSnafu)?;
     let id = disk.replica();
     let cluster = cluster_id(&cfg.cluster);
 
@@ -177,6 +178,8 @@
     };
     let metrics = Arc::clone(&gauges.metrics);
     let (shown_tx, shown_rx) = watch::channel(Shown::default());
+    let mut fleet = Fleet::new(keeping(cfg, peer_addr), shown_tx);
+    fleet.recall(clock.now(), note.as_deref());
     let core = Core::new(Parts {
         id,
         clock,
@@ -195,7 +198,7 @@
         out: out_tx,
         disk: disk_tx,
         gauges,
-        fleet: Fleet::new(keeping(cfg, peer_addr), shown_tx),
+        fleet,
     });
     let desk = Desk::new(input_tx.clone(), shown_rx);
     let mut duties = vec![
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -122,21 +122,25 @@
         let mut member = self.member.borrow_mut();
         let (out, updates) = member.receive(now, heard.from, heard.message);
         self.send(out);
-        let informed = member.is_informed();
         drop(member);
         for update in updates {
             self.update(now, update);
         }
-        if informed {
-            self.phase.send_if_modified(|phase| {
-                let first = *phase == Phase::Starting;
-                if first {
-                    *phase = Phase::Serving;
-                    info!("routes and endpoints are known, callers may come");
-                }
-                first
-            });
+        self.serve_if_informed(now);
+    }
+
+    fn serve_if_informed(&self, now: Moment) {
+        if !self.member.borrow().is_informed(now) {
+            return;
         }
+        self.phase.send_if_modified(|phase| {
+            let first = *phase == Phase::Starting;
+            if first {
+                *phase = Phase::Serving;
+                info!("routes and endpoints are known, callers may come");
+            }
+            first
+        });
     }
 
     fn update(&self, now: Moment, update: Update) {
@@ -172,6 +176,7 @@
     /// Reports to control if it is time.
     pub(crate) fn tick(&self) {
         let now = self.now();
+        self.serve_if_informed(now);
         let mut member = self.member.borrow_mut();
         let mut seeds = self.seeds.borrow_mut();
         if seeds.has_changed().unwrap_or(false) {
--- a/crates/fleet/src/api.rs
+++ b/crates/fleet/src/api.rs
@@ -66,6 +66,13 @@
 }
 
 impl Have {
+    /// Takes over what is newer in `other`.
+    pub fn raise(&mut self, other: &Self) {
+        self.routes = self.routes.max(other.routes);
+        self.evacuated = self.evacuated.max(other.evacuated);
+        self.endpoints = self.endpoints.max(other.endpoints);
+    }
+
     /// Whether anything in `other` is newer than here.
     pub fn lacks(&self, other: &Self) -> bool {
         other.routes > self.routes
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -19,6 +19,9 @@
 /// A replica that no notice has named for this long is no longer reported to.
 const CONTACT_FORGOTTEN: Duration = Duration::from_secs(30);
 
+/// How long a gateway that starts waits to hear from most replicas.
+const UNHEARD_OF: Duration = Duration::from_millis(1500);
+
 /// What a gateway learns.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Update {
@@ -50,6 +53,11 @@
     /// When each replica was last named or heard.
     contacts: BTreeMap<SocketAddr, Moment>,
     heard: Option<Moment>,
+    /// The first notice of each replica that was heard, and when the first of all came.
+    told: BTreeSet<SocketAddr>,
+    first_told: Option<Moment>,
+    /// The newest of everything that anybody was heard to hold.
+    newest: Have,
     have: Have,
     asked: Option<(Have, Moment)>,
     next_report: Moment,
@@ -64,6 +72,9 @@
             seeds: seeds.into_iter().collect(),
             contacts: BTreeMap::new(),
             heard: None,
+            told: BTreeSet::new(),
+            first_told: None,
+            newest: Have::default(),
             have: Have::default(),
             asked: None,
             next_report: Moment::ZERO,
@@ -75,9 +86,15 @@
         self.have
     }
 
-    /// Whether it knows routes and endpoints.
-    pub fn is_informed(&self) -> bool {
-        self.have.routes > 0 && self.have.endpoints.seq > 0
+    /// Whether it may serve by what it knows: it has routes and endpoints, the newest that
+    /// most replicas know of. One replica alone may have been down while hundreds of
+    /// changes passed. Where most can't be reached, what the others know has to do after
+    /// a while.
+    pub fn is_informed(&self, now: Moment) -> bool {
+        let has_all = self.have.routes > 0 && self.have.endpoints.seq > 0;
+        let most = 2 * self.told.len() > self.contacts.len();
+        let waited = self.first_told.is_some_and(|at| now >= at + UNHEARD_OF);
+        has_all && ((most && !self.have.lacks(&self.newest)) || waited)
     }
 
     /// When a control replica was last heard.
@@ -135,6 +152,9 @@
                 gateways,
                 demand,
             } => {
+                self.told.insert(from);
+                self.first_told.get_or_insert(now);
+                self.newest.raise(&have);
                 for replica in replicas.into_iter().chain([from]) {
                     self.contacts.insert(replica, now);
                 }
--- a/crates/fleet/tests/spreading.rs
+++ b/crates/fleet/tests/spreading.rs
@@ -74,7 +74,7 @@
     );
     registry.listed(ms(0), 1, vec![endpoint("a", 0)]);
     let learned = settle(ms(10), &mut member, &mut registry);
-    assert!(member.is_informed());
+    assert!(member.is_informed(ms(10)));
     assert!(
         learned
             .iter()
@@ -173,3 +173,38 @@
     assert_eq!(member.receive(ms(3), addr(3), notice.clone()).0.len(), 0);
     assert_eq!(member.receive(ms(400), addr(3), notice).0.len(), 1);
 }
+
+/// A gateway and a control VM start together, and that VM was down while the others
+/// accepted changes. The gateway hears it first and must not serve by its routes, unless
+/// nobody else can be heard.
+#[test]
+fn a_gateway_that_starts_serves_by_no_single_replicas_routes() {
+    let mut member = gateway();
+    let mut behind = Registry::default();
+    behind.set_replicas(vec![addr(CONTROL), addr(3), addr(4)]);
+    behind.set_routes(ms(0), 5, 1, Arc::new(Table::default()));
+    behind.listed(ms(0), 1, vec![endpoint("a", 0)]);
+    settle(ms(10), &mut member, &mut behind);
+    assert!(!member.is_informed(ms(20)), "one of three has been heard");
+    let newer = Message::Notice {
+        have: filberthead_fleet::Have {
+            routes: 9,
+            ..behind.have()
+        },
+        replicas: vec![addr(CONTROL), addr(3), addr(4)],
+        gateways: Vec::new(),
+        demand: Vec::new(),
+    };
+    member.receive(ms(30), addr(3), newer);
+    assert!(!member.is_informed(ms(40)), "newer routes are known of");
+    let routes = Message::Routes {
+        revision: 9,
+        version: 2,
+        table: Arc::new(Table::default()),
+    };
+    member.receive(ms(50), addr(3), routes);
+    assert!(member.is_informed(ms(60)));
+    let mut alone = gateway();
+    settle(ms(10), &mut alone, &mut behind);
+    assert!(alone.is_informed(ms(3000)), "nobody else is there");
+}
--- a/crates/storage/src/disk.rs
+++ b/crates/storage/src/disk.rs
@@ -11,9 +11,11 @@
 use crate::error::{StorageError, damaged};
 use crate::files::{FileSync, Folder, KernelSync};
 use crate::log::{self, Log};
+use crate::record::{self, Found};
 use crate::{identity, snapshot};
 
 const LOCK: &str = "lock";
+const NOTE: &str = "note";
 
 /// Index of the snapshot that a new cluster begins with.
 const FIRST_INDEX: u64 = 1;
@@ -149,6 +151,31 @@
         })
     }
 
+    /// Keeps a note beside the log, in place of the one before: it is there whole, as it
+    /// was or as it is now. The log doesn't depend on it.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::persist`].
+    pub fn remember(&mut self, note: &[u8]) -> Result<(), StorageError> {
+        self.check_open()?;
+        let buf = record::encode(0, &note)?;
+        self.closing(|disk| disk.folder.write(NOTE, &buf).map(drop))
+    }
+
+    /// The note that was kept last, if there is one that can be read.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the system refuses.
+    pub fn remembered(&self) -> Result<Option<Vec<u8>>, StorageError> {
+        let buf = self.folder.read(NOTE)?.unwrap_or_default();
+        Ok(match record::decode::<Vec<u8>>(&buf, 0) {
+            Found::Record { value, .. } => Some(value),
+            _ => None,
+        })
+    }
+
     fn persist_snapshot(
         &mut self,
         newer: &Snapshot,
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -9,6 +9,7 @@
 //! | `bootstrap` | the first snapshot, if this folder began a cluster |
 //! | `snapshot-N` | the state machine after entry N |
 //! | `log-G` | generation G of the log: all state after the snapshot, then what came since |
+//! | `note` | what its owner wants back at once after a restart; the log does without |
 //! | `synced` | how far the log was synced, written without a sync of its own |
 //!
 //! # Invariants
--- a/crates/storage/tests/all/folder.rs
+++ b/crates/storage/tests/all/folder.rs
@@ -166,3 +166,23 @@
     assert!(matches!(refused, Err(StorageError::Damaged { .. })));
     assert_eq!(load(folder.path()), before);
 }
+
+/// A note is there whole or not at all, and the log does without it.
+#[test]
+fn a_note_is_kept_beside_the_log() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut disk = Disk::open(folder.path(), CLUSTER).expect("a new folder");
+    assert_eq!(disk.remembered().expect("a folder"), None);
+    disk.remember(b"first").expect("a working disk");
+    disk.remember(b"second").expect("a working disk");
+    drop(disk);
+    let disk = Disk::open(folder.path(), CLUSTER).expect("a known folder");
+    assert_eq!(
+        disk.remembered().expect("a folder").as_deref(),
+        Some(&b"second"[..])
+    );
+    drop(disk);
+    std::fs::write(folder.path().join("note"), b"torn").expect("a file");
+    let disk = Disk::open(folder.path(), CLUSTER).expect("a known folder");
+    assert_eq!(disk.remembered().expect("a folder"), None);
+}
--- a/tests/all/gateways.rs
+++ b/tests/all/gateways.rs
@@ -273,3 +273,31 @@
         found(&site, "zagreb-a").as_ref() == Some(&first)
     });
 }
+
+/// A power cut takes everything, and only one of three control VMs comes back. There is no
+/// majority, so no order can be accepted and nothing proved; but callers are to be served
+/// by what was last in force. Gateways had nothing to go by, because a replica that starts
+/// doesn't know how much of its log is committed before there is a leader.
+#[test]
+fn a_gateway_serves_by_one_control_vm_that_was_left_by_a_power_cut() {
+    let mut site = site().start();
+    site.add_endpoint("catalogue", "zagreb-a");
+    site.put_routes(1, SERVICES);
+    site.wait_serving(0);
+    send_until(&site, "GET", "/catalogue/warm-up", 200);
+    // The note of what is in force is kept a moment after the order is accepted.
+    for node in &site.controls {
+        wait_until("it is noted", BOUND, || node.data().join("note").exists());
+    }
+    site.gateways[0].kill();
+    site.controls.iter_mut().for_each(Node::kill);
+    let own = site.controls[1].addr("peer").to_string();
+    site.controls[1].settings().set("group", "seeds", &own);
+    site.gateways[0].settings().set("group", "seeds", &own);
+    site.controls[1].start();
+    site.gateways[0].start();
+    site.wait_serving(0);
+    send_until(&site, "GET", "/catalogue/one", 200);
+    let answer = order_at(&site.controls[1], "config.get", "").expect("an answer");
+    assert_eq!(answer.status, 503, "nothing is proved");
+}
