--- a/crates/filberthead/src/entry/mod.rs
+++ b/crates/filberthead/src/entry/mod.rs
@@ -176,7 +176,7 @@
         .context(RuntimeSnafu)?;
     let mut cut = 0;
     let supervised = supervise(duties, source, keep_settings, || async {
-        cut = planned.run().await
+        cut = planned.run().await;
     });
     runtime.block_on(supervised).context(SuperviseSnafu)?;
     snafu::ensure!(cut == 0, CutSnafu { cut });
