Explain failed requests: lines for each attempt and refusal, metrics of gateways

Cause: on-call engineers have logs and metrics only; a gateway showed neither how attempts ended nor any number.

Change: one line for each attempt with request id, service, object, endpoint, expectation and outcome (served ones at debug level), one for each refusal and each request that was lost or had no answer in time; counters and histograms at /metrics of the status address; a setting for the stream of log lines, the standard output on the platform. A request that all endpoints have sent back counts as refused for want of room, not for want of endpoints, and may come back at once.

Tests: tests/all/explained.rs finds three kinds of failed request by id.

--- a/crates/filberthead/src/gateway/attempt.rs
+++ b/crates/filberthead/src/gateway/attempt.rs
@@ -12,7 +12,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Version};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Body;
-use log::debug;
+use log::{Level, debug, log};
 use tokio::time::timeout_at;
 
 use super::answer::AnswerBody;
@@ -75,7 +75,16 @@
 impl Drop for Place<'_> {
     fn drop(&mut self) {
         let now = self.core.now();
-        debug!(request:? = self.request, service:% = self.service, object:? = self.object, endpoint:% = self.target.id,
+        let (level, name) = match self.outcome {
+            Outcome::Served(_) => (Level::Debug, "served"),
+            Outcome::Failed => (Level::Info, "failed"),
+            Outcome::Full => (Level::Info, "full"),
+            Outcome::Gone => (Level::Info, "gone"),
+            Outcome::Broken => (Level::Info, "broken"),
+            Outcome::Abandoned => (Level::Info, "abandoned"),
+        };
+        self.core.metrics.attempted(name);
+        log!(level, request:? = self.request, service:% = self.service, object:? = self.object, endpoint:% = self.target.id,
             known:? = self.target.known, expected_ms = self.target.expected.as_millis(),
             overhead_ms = self.target.overhead.as_millis(),
             took_ms = now.saturating_sub(self.begun).as_millis(), outcome:? = self.outcome;
--- a/crates/filberthead/src/gateway/carry.rs
+++ b/crates/filberthead/src/gateway/carry.rs
@@ -8,13 +8,13 @@
 use filberthead_endpoint::RequestBody;
 use filberthead_place::{Decision, EndpointId, Refusal, Request as Wanted};
 use filberthead_route::{Kind, Matched, Route};
-use filberthead_types::{ResultCode, ServiceName};
+use filberthead_types::{ResultCode, ServiceName, header};
 use http::header::HOST;
 use http::request::Parts;
 use http::{Request, Response};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use log::{debug, info};
+use log::info;
 use tokio::time::{Instant, timeout_at};
 
 use super::answer::{AnswerBody, own};
@@ -63,6 +63,8 @@
     ran: u32,
     /// Endpoints that were out of reach.
     unreached: u32,
+    /// Endpoints that said that they have not run it.
+    sent_back: u32,
     /// An endpoint's answer to a run with a bad end: what the caller gets if no further
     /// attempt can be made.
     failure: Option<Response<AnswerBody>>,
@@ -98,6 +100,7 @@
     core.placer
         .borrow_mut()
         .arrived(core.now(), &target.service);
+    let kind = route.kind.as_str();
     let carried = Carried {
         core,
         route,
@@ -108,9 +111,21 @@
         tried: Vec::new(),
         ran: 0,
         unreached: 0,
+        sent_back: 0,
         failure: None,
     };
-    carried.run(body).await
+    let answer = carried.run(body).await;
+    core.metrics.finished(kind, code(&answer), begun.elapsed());
+    answer
+}
+
+/// What an answer is counted as: an endpoint's own, unless it bears a code of ours.
+fn code(answer: &Response<AnswerBody>) -> ResultCode {
+    let own = answer.headers().get(header::RESULT);
+    let number = own.and_then(|value| value.to_str().ok()?.parse().ok());
+    number
+        .and_then(ResultCode::from_number)
+        .unwrap_or(ResultCode::Answered)
 }
 
 fn find(in_force: &InForce, head: &Parts) -> Option<Arc<Matched>> {
@@ -162,11 +177,14 @@
         let target = match decision {
             Decision::Send(target) => target,
             Decision::Refuse { why, retry_after } => {
-                let code = match why {
-                    Refusal::NoEndpoint => ResultCode::NoEndpoint,
-                    Refusal::Overloaded => ResultCode::Overloaded,
+                return match why {
+                    // Those that there are have sent it back.
+                    Refusal::NoEndpoint if self.sent_back > 0 => {
+                        self.refused(ResultCode::Overloaded, SOON)
+                    }
+                    Refusal::NoEndpoint => self.refused(ResultCode::NoEndpoint, retry_after),
+                    Refusal::Overloaded => self.refused(ResultCode::Overloaded, retry_after),
                 };
-                return self.refused(code, retry_after);
             }
         };
         self.tried.push(target.id.clone());
@@ -184,7 +202,8 @@
             Attempt::Failed(answer) => self.failed(answer, again),
             Attempt::Lost => self.lost(&target.id, again),
             Attempt::Late => {
-                self.note("late", &target.id);
+                self.ran += 1;
+                self.note("no answer when the time was up", &target.id);
                 Next::end(own(ResultCode::DeadlineWhileRunning, None))
             }
         }
@@ -217,6 +236,7 @@
 
     /// Sent back by an endpoint that has not run it.
     fn not_run(&mut self, again: Option<RequestBody>) -> Next {
+        self.sent_back += 1;
         match again.filter(|_| self.may_repeat()) {
             Some(body) => Next::Again(body),
             None => self.refused(ResultCode::Overloaded, SOON),
@@ -238,7 +258,7 @@
 
     fn lost(&mut self, endpoint: &EndpointId, again: Option<RequestBody>) -> Next {
         self.ran += 1;
-        self.note("lost", endpoint);
+        self.note("lost with the request at it", endpoint);
         let repeat = self.route.kind.is_idempotent();
         match again.filter(|_| repeat && self.may_repeat()) {
             Some(body) => Next::Again(body),
@@ -275,7 +295,9 @@
 
     fn note(&self, what: &'static str, endpoint: &EndpointId) {
         let left = self.deadline.left().as_millis();
-        debug!(request:? = self.id(), endpoint:%, left; "{what}");
+        let route = self.route.name.as_str();
+        info!(request:? = self.id(), route, endpoint:%, left, ran = self.ran,
+            tried = self.tried.len(); "{what}");
     }
 
     fn id(&self) -> Option<&http::HeaderValue> {
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -10,6 +10,7 @@
 
 use filberthead_endpoint::Client;
 use filberthead_fleet::{Member, Outbound, Update};
+use filberthead_observe::GatewayMetrics;
 use filberthead_peer::Body;
 use filberthead_place::Placer;
 use filberthead_ring::Sender;
@@ -38,6 +39,7 @@
     pub(crate) out: Sender<Outgoing>,
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) running: watch::Sender<usize>,
+    pub(crate) metrics: Arc<GatewayMetrics>,
     /// Seeds of the group, as the settings have them.
     pub(crate) seeds: watch::Receiver<Vec<SocketAddr>>,
 }
@@ -56,6 +58,7 @@
     pub(crate) dialect: Arc<Dialect>,
     pub(crate) client: Client,
     pub(crate) placer: RefCell<Placer>,
+    pub(crate) metrics: Arc<GatewayMetrics>,
     member: RefCell<Member>,
     in_force: RefCell<Option<Rc<InForce>>>,
     out: Sender<Outgoing>,
@@ -81,6 +84,7 @@
             dialect: parts.dialect,
             client: Client::with_connect_timeout(CONNECT_TIMEOUT),
             placer: RefCell::new(parts.placer),
+            metrics: parts.metrics,
             member: RefCell::new(parts.member),
             in_force: RefCell::new(None),
             out: parts.out,
@@ -151,6 +155,7 @@
                 version,
                 table,
             } => {
+                self.metrics.routes_version(version);
                 info!(version, revision, routes = table.routes.len(); "routes in force");
                 placer.set_routes(&table);
                 let in_force = InForce {
@@ -165,6 +170,7 @@
                 placer.set_evacuated(now, domains);
             }
             Update::Endpoints(list) => {
+                self.metrics.endpoints(list.len());
                 info!(endpoints = list.len(); "list of endpoints");
                 placer.set_endpoints(now, list);
             }
@@ -182,7 +188,10 @@
         if seeds.has_changed().unwrap_or(false) {
             member.set_seeds(seeds.borrow_and_update().iter().copied());
         }
-        member.set_ready(*self.phase.borrow() == Phase::Serving);
+        let ready = *self.phase.borrow() == Phase::Serving;
+        member.set_ready(ready);
+        self.metrics.ready(ready);
+        self.metrics.running(*self.running.borrow());
         let placer = &self.placer;
         let out = member.tick(now, || {
             let mut placer = placer.borrow_mut();
--- a/crates/filberthead/src/gateway/mod.rs
+++ b/crates/filberthead/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 use std::sync::Arc;
 
 use filberthead_fleet::{GatewayInfo, Member, Message};
+use filberthead_observe::GatewayMetrics;
 use filberthead_peer::{Body, Deliver, Origin, Transport, TransportError, cluster_id};
 use filberthead_place::{BudgetConfig, Config, Placer};
 use filberthead_ring::{Receiver, Sender, ring};
@@ -217,10 +218,12 @@
         domain: cfg.failure_domain.clone(),
         caller_addr,
     };
+    let metrics = Arc::new(GatewayMetrics::new());
     let probes = readiness::Probes {
         readiness: opened.readiness,
         status: opened.status,
         path: dialect.readiness_path,
+        metrics: Arc::clone(&metrics),
         phase: phase.subscribe(),
     };
     let parts = CoreParts {
@@ -231,6 +234,7 @@
         out,
         phase,
         running,
+        metrics,
         seeds: seeded.subscribe(),
     };
     let (callers, rx) = (opened.callers, opened.rx);
--- a/crates/filberthead/src/gateway/readiness.rs
+++ b/crates/filberthead/src/gateway/readiness.rs
@@ -3,8 +3,10 @@
 
 use std::convert::Infallible;
 use std::net::TcpListener;
+use std::sync::Arc;
 
 use bytes::Bytes;
+use filberthead_observe::GatewayMetrics;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -18,12 +20,15 @@
 use crate::stop::Stop;
 use crate::{Duty, DutyError};
 
+const METRICS_PATH: &str = "/metrics";
+
 /// What the duty listens on and shows.
 pub(crate) struct Probes {
     pub(crate) readiness: TcpListener,
     pub(crate) status: TcpListener,
     pub(crate) path: &'static str,
     pub(crate) phase: watch::Receiver<Phase>,
+    pub(crate) metrics: Arc<GatewayMetrics>,
 }
 
 /// Starts the duty.
@@ -53,9 +58,10 @@
             continue;
         };
         let (path, phase) = (probes.path, probes.phase.clone());
+        let metrics = Arc::clone(&probes.metrics);
         tokio::task::spawn_local(async move {
             let service = service_fn(move |req| {
-                let answer = answer(path, *phase.borrow(), &req);
+                let answer = answer(path, *phase.borrow(), &metrics, &req);
                 async move { Ok::<_, Infallible>(answer) }
             });
             let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
@@ -66,7 +72,15 @@
     }
 }
 
-fn answer(path: &str, phase: Phase, req: &Request<Incoming>) -> Response<Full<Bytes>> {
+fn answer(
+    path: &str,
+    phase: Phase,
+    metrics: &GatewayMetrics,
+    req: &Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    if req.method() == Method::GET && req.uri().path() == METRICS_PATH {
+        return Response::new(Full::new(Bytes::from(metrics.encode())));
+    }
     let (status, text) = match (req.method(), req.uri().path()) {
         (&Method::GET, asked) if asked == path => match phase {
             Phase::Serving => (StatusCode::OK, "ready\n"),
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -13,5 +13,6 @@
 
 pub use logging::{DroppedLines, LogGuard, LoggingError, format_line, init_logging, logger};
 pub use metrics::{
-    ControlMetrics, EntryMetrics, PeerMetrics, PeerTotals, RequestMetrics, SlotMetrics,
+    ControlMetrics, EntryMetrics, GatewayMetrics, PeerMetrics, PeerTotals, RequestMetrics,
+    SlotMetrics,
 };
--- a/crates/observe/src/logging/mod.rs
+++ b/crates/observe/src/logging/mod.rs
@@ -1,4 +1,4 @@
-//! Log lines with stable keys, on the standard error output.
+//! Log lines with stable keys, on the standard error output or the standard output.
 //!
 //! A line has `ts`, `level`, `process`, `target` and `msg`, then the keys that the call
 //! added. Writing can block for as long as whoever reads the other end pleases, and a
@@ -13,7 +13,7 @@
 use std::sync::mpsc::sync_channel;
 use std::time::SystemTime;
 
-use filberthead_settings::LogSettings;
+use filberthead_settings::{LogSettings, LogStream};
 use log::{Level, Log, Record};
 use snafu::{ResultExt, Snafu};
 
@@ -44,7 +44,7 @@
     },
 }
 
-/// Starts logging for this process to the standard error output.
+/// Starts logging for this process, to the stream that its settings name.
 ///
 /// Lines are written for as long as the guard is kept; dropping it writes out what is
 /// queued, for a second at most.
@@ -53,7 +53,11 @@
 ///
 /// Fails if it has been called before, or if no thread can be started.
 pub fn init_logging(settings: &LogSettings, process: &str) -> Result<LogGuard, LoggingError> {
-    let (logger, guard) = logger(settings, process, std::io::stderr())?;
+    let out: Box<dyn Write + Send> = match settings.stream {
+        LogStream::Stdout => Box::new(std::io::stdout()),
+        LogStream::Stderr => Box::new(std::io::stderr()),
+    };
+    let (logger, guard) = logger(settings, process, out)?;
     log::set_boxed_logger(logger).context(StartedSnafu)?;
     log::set_max_level(settings.level);
     Ok(guard)
--- /dev/null
+++ b/crates/observe/src/metrics/gateway.rs
@@ -0,0 +1,134 @@
+//! Metrics of a gateway.
+
+use std::time::Duration;
+
+use filberthead_types::ResultCode;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Registry, Unit};
+
+use super::labels::ReasonLabels;
+use super::{encoded, observe, registry, set, wait_histogram};
+
+/// Label sets are enumerations of the code: kinds of routes and result codes.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct EndLabels {
+    kind: &'static str,
+    code: u16,
+    result: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct KindLabels {
+    kind: &'static str,
+}
+
+/// Metrics of a gateway. Shared by its duties.
+#[derive(Debug)]
+pub struct GatewayMetrics {
+    registry: Registry,
+    requests: Family<EndLabels, Counter>,
+    durations: Family<KindLabels, Histogram, fn() -> Histogram>,
+    attempts: Family<ReasonLabels, Counter>,
+    running: Gauge,
+    routes_version: Gauge,
+    endpoints: Gauge,
+    ready: Gauge,
+}
+
+impl Default for GatewayMetrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl GatewayMetrics {
+    /// Metrics at zero.
+    pub fn new() -> Self {
+        let mut metrics = Self {
+            registry: Registry::default(),
+            requests: Family::default(),
+            durations: Family::new_with_constructor(wait_histogram),
+            attempts: Family::default(),
+            running: Gauge::default(),
+            routes_version: Gauge::default(),
+            endpoints: Gauge::default(),
+            ready: Gauge::default(),
+        };
+        metrics.registry = registry(|registry| metrics.register(registry));
+        metrics
+    }
+
+    fn register(&self, registry: &mut Registry) {
+        let requests = "Requests by kind of route and result code";
+        registry.register("gateway_requests", requests, self.requests.clone());
+        registry.register_with_unit(
+            "gateway_request_duration",
+            "Time from a request's arrival to its final answer, by kind of route",
+            Unit::Seconds,
+            self.durations.clone(),
+        );
+        let attempts = "Attempts at endpoints by how they ended";
+        registry.register("gateway_attempts", attempts, self.attempts.clone());
+        let running = "Requests without a final answer";
+        registry.register("gateway_running", running, self.running.clone());
+        let version = "Operators' number of the routes in force";
+        registry.register(
+            "gateway_routes_version",
+            version,
+            self.routes_version.clone(),
+        );
+        let endpoints = "Endpoints on the platform's list as known here";
+        registry.register("gateway_endpoints", endpoints, self.endpoints.clone());
+        let ready = "1 while callers may be sent here";
+        registry.register("gateway_ready", ready, self.ready.clone());
+    }
+
+    /// Counts a request that has its final answer; `took` since its arrival.
+    pub fn finished(&self, kind: &'static str, code: ResultCode, took: Duration) {
+        let labels = EndLabels {
+            kind,
+            code: code.number(),
+            result: code.slug(),
+        };
+        self.requests.get_or_create_owned(&labels).inc();
+        let duration = self.durations.get_or_create_owned(&KindLabels { kind });
+        observe(&duration, took);
+    }
+
+    /// Counts an attempt that ended so.
+    pub fn attempted(&self, outcome: &'static str) {
+        let labels = ReasonLabels { reason: outcome };
+        self.attempts.get_or_create_owned(&labels).inc();
+    }
+
+    /// Sets how many requests are running.
+    pub fn running(&self, running: usize) {
+        set(&self.running, running as u64);
+    }
+
+    /// Sets the number of the routes in force.
+    pub fn routes_version(&self, version: u64) {
+        set(&self.routes_version, version);
+    }
+
+    /// Sets how many endpoints are known.
+    pub fn endpoints(&self, endpoints: usize) {
+        set(&self.endpoints, endpoints as u64);
+    }
+
+    /// Sets whether callers may be sent here.
+    pub fn ready(&self, ready: bool) {
+        self.ready.set(ready.into());
+    }
+
+    /// The text that `/metrics` answers.
+    pub fn encode(&self) -> String {
+        encoded(&self.registry)
+    }
+}
--- a/crates/observe/src/metrics/mod.rs
+++ b/crates/observe/src/metrics/mod.rs
@@ -7,6 +7,7 @@
 
 mod control;
 mod entry;
+mod gateway;
 mod labels;
 mod peer;
 mod process;
@@ -21,6 +22,7 @@
 
 pub use control::ControlMetrics;
 pub use entry::{EntryMetrics, SlotMetrics};
+pub use gateway::GatewayMetrics;
 pub use peer::{PeerMetrics, PeerTotals};
 pub use requests::RequestMetrics;
 
--- a/crates/observe/tests/logging.rs
+++ b/crates/observe/tests/logging.rs
@@ -130,6 +130,7 @@
     LogSettings {
         level,
         format: LogFormat::Json,
+        stream: filberthead_settings::LogStream::default(),
     }
 }
 
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -20,6 +20,15 @@
 }
 
 impl Kind {
+    /// A word for it, in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Safe => "safe",
+            Self::Unsafe => "unsafe",
+            Self::Download => "download",
+        }
+    }
+
     /// Whether a request may run a second time.
     pub fn is_idempotent(self) -> bool {
         self != Self::Unsafe
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -13,7 +13,7 @@
 use crate::value::{
     ByteSize, ClusterName, HttpUrl, ListenAddr, Percent, Role, TargetAddr, TargetList, Value,
 };
-use crate::{LogFormat, ReviewPolicy};
+use crate::{LogFormat, LogStream, ReviewPolicy};
 
 macro_rules! sections {
     ($(
@@ -252,11 +252,13 @@
         /// Disk space that samples may take; the oldest go first.
         SAMPLE_SIZE: ByteSize = "size", default("64MiB"), "64KiB"..="4GiB";
     }
-    /// Log lines, on the standard error output.
+    /// Log lines.
     ["log"] All {
         /// Least severe level that is written.
         LOG_LEVEL: LevelFilter = "level", default("info");
         /// Text for people, or one JSON object a line.
         LOG_FORMAT: LogFormat = "format", default("plain");
+        /// Where lines are written.
+        LOG_STREAM: LogStream = "stream", default("stderr");
     }
 }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -28,6 +28,6 @@
 pub use entry::{EndpointSettings, EntrySettings};
 pub use gateway::{BudgetSettings, GatewaySettings};
 pub use load::{check, check_text};
-pub use log::{LogFormat, LogSettings};
+pub use log::{LogFormat, LogSettings, LogStream};
 pub use problem::{Problem, SettingsError};
 pub use reference::reference;
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -287,5 +287,6 @@
     Some(LogSettings {
         level: document.get(&keys::LOG_LEVEL)?,
         format: document.get(&keys::LOG_FORMAT)?,
+        stream: document.get(&keys::LOG_STREAM)?,
     })
 }
--- a/crates/settings/src/log.rs
+++ b/crates/settings/src/log.rs
@@ -10,6 +10,16 @@
     Plain,
 }
 
+/// Where log lines are written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd)]
+pub enum LogStream {
+    /// The standard output, after the `ready` line.
+    Stdout,
+    /// The standard error output.
+    #[default]
+    Stderr,
+}
+
 /// From the section `[log]`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LogSettings {
@@ -17,4 +27,6 @@
     pub level: log::LevelFilter,
     /// How a line is written.
     pub format: LogFormat,
+    /// Where lines are written.
+    pub stream: LogStream,
 }
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -7,7 +7,7 @@
 use filberthead_types::{FailureDomain, NodeName, Region, ServiceName};
 use log::LevelFilter;
 
-use crate::{LogFormat, ReviewPolicy};
+use crate::{LogFormat, LogStream, ReviewPolicy};
 
 /// A type that a value is read into.
 pub(crate) trait Value: Sized + PartialOrd {
@@ -66,6 +66,19 @@
     }
 }
 
+impl Value for LogStream {
+    const FORM: &'static str = "`stdout` or `stderr`";
+    const CHOICES: &'static [&'static str] = &["stdout", "stderr"];
+
+    fn read(text: &str) -> Option<Self> {
+        match text {
+            "stdout" => Some(Self::Stdout),
+            "stderr" => Some(Self::Stderr),
+            _ => None,
+        }
+    }
+}
+
 impl Value for ReviewPolicy {
     const FORM: &'static str = "`optional` or `required`";
     const CHOICES: &'static [&'static str] = &["optional", "required"];
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod control;
 mod crashing;
 mod entries;
+mod explained;
 mod gateways;
 mod groups;
 mod homes;
