--- a/crates/filberthead/src/control/core.rs
+++ b/crates/filberthead/src/control/core.rs
@@ -26,10 +26,11 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::book::Book;
-use super::fleet::{Asker, Fleet, Reader, order_error};
+use super::fleet::Fleet;
 use super::gauges::Gauges;
 use super::input::{AdminRequest, DiskJob, InitialiseError, Input, SubmitError};
 use super::machine::{self, Applied, Machine};
+use super::orders::{Asker, Reader, order_error};
 use super::shares::Shares;
 use super::spreading::{Spreading, Standing};
 use crate::Clock;
--- /dev/null
+++ b/crates/filberthead/src/control/in_force.rs
@@ -0,0 +1,71 @@
+//! The note of what is in force, for the next start.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use filberthead_route::Change;
+use filberthead_types::{FailureDomain, Moment};
+use log::{info, warn};
+use serde::{Deserialize, Serialize};
+
+use super::core::Core;
+use super::fleet::Fleet;
+use super::input::DiskJob;
+
+/// What was in force, for gateways that start together with this replica. A replica that
+/// starts knows its log but not how much of it is committed, and learns that only from the
+/// next leader; until then gateways would have nothing to serve by. All that is noted here
+/// was committed once, so it never has to be taken back; it may be overtaken.
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
+struct InForce {
+    /// The change, and its revision.
+    routes: Option<(u64, Arc<Change>)>,
+    evacuated: BTreeSet<FailureDomain>,
+    evacuated_at: u64,
+}
+
+impl Fleet {
+    /// Takes up what was in force when this replica last ran.
+    pub(crate) fn recall(&mut self, now: Moment, note: Option<&[u8]>) {
+        let Some(note) = note else {
+            return;
+        };
+        let noted: InForce = match postcard::from_bytes(note) {
+            Ok(noted) => noted,
+            Err(e) => {
+                // Another version of the program wrote it; the log has all that counts.
+                warn!(error:% = e; "the note of what was in force can't be read");
+                return;
+            }
+        };
+        // Nobody has reported yet, so there is nobody to tell.
+        if let Some((revision, change)) = noted.routes {
+            info!(version = change.version, revision; "routes were in force before the start");
+            let table = Arc::new(change.table.clone());
+            self.registry
+                .set_routes(now, revision, change.version, table);
+        }
+        self.registry
+            .set_evacuated(now, noted.evacuated_at, &noted.evacuated);
+    }
+}
+
+impl Core {
+    /// Has the disk duty keep what is in force. With its ring full it is dropped: the disk
+    /// is far behind then, and the next change is noted again.
+    pub(super) fn note_in_force(&mut self) {
+        let routes = self.machine.routes.newest().cloned();
+        let noted = InForce {
+            routes: routes.map(|change| (self.machine.routes_at, change)),
+            evacuated: self.machine.evacuated.clone(),
+            evacuated_at: self.machine.evacuated_at,
+        };
+        match postcard::to_stdvec(&noted) {
+            Ok(note) => {
+                let _ = self.disk.push(DiskJob::Remember(note));
+            }
+            Err(e) => warn!(error:% = e; "what is in force can't be noted"),
+        }
+    }
+}
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -6,30 +6,35 @@
 //!
 //! How it decides, and the load that each part answers:
 //!
-//! - *By object* ([`rank`]): an endpoint that has handled an object lately is several times
+//! - *By object* (`rank`): an endpoint that has handled an object lately is several times
 //!   faster with it, so requests for one object go to the same endpoints, in an order that
 //!   every gateway computes alike without talking.
-//! - *By expected time* ([`cost`]): of the endpoints that may run a request the one goes
+//! - *By expected time* (`cost`): of the endpoints that may run a request the one goes
 //!   first that should answer soonest, counting what waits there, how far it is, whether it
 //!   knows the object, and how slow it has been.
-//! - *Across regions* ([`plan`], [`mix`]): where a region has too few endpoints, some of its
+//! - *Across regions* (`plan`, `mix`): where a region has too few endpoints, some of its
 //!   objects live in another one; the part of requests that run elsewhere changes only
 //!   slowly, so that no region is met by a step of load.
-//! - *Cold endpoints* ([`cold`]): each gets no more requests a second than it bears, from
+//! - *Cold endpoints* (`cold`): each gets no more requests a second than it bears, from
 //!   all gateways together, without their talking.
-//! - *Retries* ([`budget`]): further attempts stay within a part of first ones, over all
+//! - *Retries* (`budget`): further attempts stay within a part of first ones, over all
 //!   gateways, without their talking.
 
 mod budget;
 mod cold;
 mod cost;
+mod decide;
 mod endpoint;
 mod mix;
 mod placer;
 mod plan;
+mod planning;
 mod rank;
+mod request;
 
 pub use budget::{Budget, BudgetConfig};
 pub use cost::Acquaintance;
 pub use endpoint::{EndpointId, Load, Outcome};
-pub use placer::{Belief, Config, Decision, Placer, Refusal, Request, Target};
+pub use placer::Placer;
+pub use planning::Belief;
+pub use request::{Config, Decision, Refusal, Request, Target};
--- /dev/null
+++ b/crates/place/src/planning.rs
@@ -0,0 +1,177 @@
+//! The plan of each service, kept from what control tells of demand.
+//!
+//! A plan may only change slowly once callers have seen it; before, or when this gateway
+//! joins others that serve, it is taken up at once ([`Stage`]).
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use filberthead_fleet::Demand;
+use filberthead_types::{Moment, Region, ServiceName};
+
+use crate::Placer;
+use crate::cost::Times;
+use crate::plan::{self, Plan, Slots};
+
+/// Time over which demand is averaged: several reports, and well below the time in which
+/// demand changes by itself.
+const DEMAND_OVER: Duration = Duration::from_secs(2);
+/// Callers that come this soon after a gateway knows endpoints were there before it.
+const JOINED_WITHIN: Duration = Duration::from_secs(3);
+/// Time after which all gateways that have started together are counted: two reports.
+const COUNTED_AFTER: Duration = Duration::from_millis(1000);
+
+/// How far a gateway is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// No caller has come yet: whatever the plan says moves nothing.
+    Waiting,
+    /// Callers were there already when it started, and not all gateways are counted yet.
+    Beginning,
+    /// It has just joined gateways that serve, or all have started anew: it takes up the
+    /// plan that demand asks for, as the others have it.
+    Joining,
+    /// Callers have just begun to come to all gateways; demand isn't summed up yet.
+    Settling,
+    /// It follows demand in bounded steps.
+    Running,
+}
+
+impl Stage {
+    /// This stage while `holds`, and the last one afterwards.
+    fn until(self, holds: bool) -> Self {
+        if holds { self } else { Self::Running }
+    }
+}
+
+/// Requests of a service at this gateway.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct OwnDemand {
+    pub(crate) since: u32,
+    per_s: f64,
+    at: Moment,
+}
+
+impl OwnDemand {
+    /// Requests a second, averaged; counts anew from now.
+    fn take(&mut self, now: Moment) -> f64 {
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        let weight = (passed / DEMAND_OVER.as_secs_f64()).min(1.0);
+        let per_s = f64::from(self.since) / passed.max(0.001);
+        self.per_s += weight * (per_s - self.per_s);
+        self.since = 0;
+        self.at = now;
+        self.per_s
+    }
+}
+
+/// What a placer believes of a service, for logs.
+#[derive(Clone, Debug)]
+pub struct Belief {
+    /// The service.
+    pub service: ServiceName,
+    /// Time of an answer where the object is known, and where it isn't.
+    pub times: (Duration, Duration),
+    /// Parts of its requests that run in other regions.
+    pub away: BTreeMap<Region, f64>,
+    /// Busy slots that each region is asked for, as told.
+    pub demand: BTreeMap<Region, f64>,
+    /// Slots that each region has.
+    pub capacity: BTreeMap<Region, f64>,
+}
+
+impl Placer {
+    /// What this gateway was asked to carry lately, for its report.
+    pub fn demand(&mut self, now: Moment) -> Vec<Demand> {
+        let times = &self.times;
+        let of = |(service, own): (&ServiceName, &mut OwnDemand)| {
+            let per_s = own.take(now);
+            let quick = times.get(service).map(Times::quick)?;
+            Some(Demand {
+                service: service.clone(),
+                busy_milli: (per_s * quick * 1000.0).round() as u32,
+            })
+        };
+        self.own_demand.iter_mut().filter_map(of).collect()
+    }
+
+    /// Moves the plan of each service towards what demand and capacity ask for.
+    pub fn plan(&mut self, now: Moment) {
+        let mut gateways: BTreeMap<Region, u32> = BTreeMap::new();
+        for (domain, count) in &self.gateways {
+            if let Some(region) = self.cfg.regions.get(domain) {
+                *gateways.entry(region.clone()).or_default() += count;
+            }
+        }
+        let stage = self.stage(now);
+        let own = &self.cfg.region;
+        for service in self.services.keys() {
+            let capacity = self.capacity(now, service);
+            if capacity.is_empty() {
+                continue;
+            }
+            let plan = self.plans.entry(service.clone()).or_default();
+            let told = self.demand.get(service).filter(|demand| !demand.is_empty());
+            match (stage, told) {
+                (Stage::Waiting, None) | (Stage::Beginning, _) => {
+                    let demand = plan::assumed(&gateways, &capacity);
+                    plan.begin(now, plan::aim(own, &demand, &capacity));
+                }
+                (Stage::Waiting | Stage::Joining, Some(demand)) => {
+                    plan.begin(now, plan::aim(own, demand, &capacity));
+                }
+                (Stage::Running, Some(demand)) => {
+                    let aim = plan::aim(own, demand, &capacity);
+                    plan.update(now, self.cfg.max_shift, own, &aim);
+                }
+                (Stage::Joining | Stage::Settling | Stage::Running, _) => plan.hold(now),
+            }
+        }
+    }
+
+    /// How far this gateway is in its life, as plans go.
+    fn stage(&self, now: Moment) -> Stage {
+        let Some(first) = self.first_arrival else {
+            return Stage::Waiting;
+        };
+        let informed = self.informed.unwrap_or(first);
+        if self.found_callers == Some(true) {
+            return Stage::Joining.until(now < first + 3 * DEMAND_OVER);
+        }
+        let joined = first < informed + JOINED_WITHIN;
+        let age = now.saturating_sub(first);
+        if age < COUNTED_AFTER && joined {
+            Stage::Beginning
+        } else if age < 3 * DEMAND_OVER && joined {
+            Stage::Joining
+        } else if age < 2 * DEMAND_OVER {
+            Stage::Settling
+        } else {
+            Stage::Running
+        }
+    }
+
+    /// Slots of a service in each region that requests may be sent to.
+    fn capacity(&self, now: Moment, service: &ServiceName) -> Slots {
+        let mut capacity = Slots::new();
+        for e in self.endpoints.iter().filter(|e| e.service == *service) {
+            let there = e.is_usable(now) && !self.evacuated.contains(&e.domain);
+            if let Some(region) = e.region.as_ref().filter(|_| there) {
+                *capacity.entry(region.clone()).or_default() += f64::from(e.slots);
+            }
+        }
+        capacity
+    }
+
+    /// What is believed of each service of the routes.
+    pub fn beliefs(&self, now: Moment) -> Vec<Belief> {
+        let belief = |service: &ServiceName| Belief {
+            service: service.clone(),
+            times: self.times.get(service).map(Times::both).unwrap_or_default(),
+            away: self.plans.get(service).map(Plan::parts).unwrap_or_default(),
+            demand: self.demand.get(service).cloned().unwrap_or_default(),
+            capacity: self.capacity(now, service),
+        };
+        self.services.keys().map(belief).collect()
+    }
+}
--- /dev/null
+++ b/crates/place/src/request.rs
@@ -0,0 +1,85 @@
+//! What is asked of a placer, and what it answers.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use filberthead_types::{FailureDomain, Region, ServiceName};
+
+use crate::{Acquaintance, BudgetConfig, EndpointId};
+
+/// Where a gateway is and what bounds it.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Its region.
+    pub region: Region,
+    /// Its failure domain.
+    pub domain: FailureDomain,
+    /// Region of each failure domain.
+    pub regions: BTreeMap<FailureDomain, Region>,
+    /// Bounds on further attempts.
+    pub budget: BudgetConfig,
+    /// Part of a region's requests that may change regions from one window to the next.
+    pub max_shift: f64,
+}
+
+/// What the decision needs to know of a request.
+#[derive(Clone, Copy, Debug)]
+pub struct Request<'a> {
+    /// Service that its route sends it to.
+    pub service: &'a ServiceName,
+    /// Name of the object that it concerns, if endpoints remember objects.
+    pub object: Option<&'a [u8]>,
+    /// Whether its answer is large.
+    pub large: bool,
+    /// Time within which its answer is worth most.
+    pub objective: Duration,
+    /// Time until its caller has left.
+    pub left: Duration,
+    /// Whether it has been refused before: then it is better served late than not at all.
+    pub returned: bool,
+    /// The only regions where it may run; empty allows all.
+    pub regions: &'a [Region],
+    /// Endpoints that have had it.
+    pub tried: &'a [EndpointId],
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Identity that the endpoint must have.
+    pub id: EndpointId,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Time that its answer should take.
+    pub expected: Duration,
+    /// How it stands to the object.
+    pub known: Acquaintance,
+    /// Whether it concerns an object.
+    pub concerns_object: bool,
+    /// Time that goes by besides: the way there and back, and the wait for a slot.
+    pub overhead: Duration,
+}
+
+/// Why a request has no place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// No endpoint of the service may get it.
+    NoEndpoint,
+    /// Every endpoint has so much to do that it would answer too late.
+    Overloaded,
+}
+
+/// What to do with a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// Send it there.
+    Send(Target),
+    /// Refuse it; nothing has run.
+    Refuse {
+        /// Why.
+        why: Refusal,
+        /// When the caller may come back.
+        retry_after: Duration,
+    },
+}
