Avoid endpoints that fall silent before the first deadline

Their attempts ended without an answer at endpoints that were dark: kept connections took the requests and stayed silent, and an attempt that ended so told nothing about its endpoint.

Change: an endpoint with requests that has said nothing for five times what an answer takes, 400 ms at least, is left out; an attempt that was given up in such silence pauses it like a broken connection, and kept connections to it are dropped; a wait without an answer counts as slow.

--- a/crates/filberthead/src/gateway/attempt.rs
+++ b/crates/filberthead/src/gateway/attempt.rs
@@ -27,6 +27,9 @@
 /// lately: one that the endpoint closes at the same moment would leave in doubt whether
 /// it ran.
 const FRESH: Duration = Duration::from_secs(3);
+/// An answer that hasn't come for so long says that kept connections may be dead: it is
+/// several times what the services' work takes.
+const SILENT: Duration = Duration::from_millis(700);
 /// Part of the time for which an endpoint keeps idle connections that is made use of.
 const KEPT_PART: f64 = 0.7;
 
@@ -61,8 +64,8 @@
     target: &'a Target,
     begun: Moment,
     outcome: Outcome,
-    request: Option<&'a HeaderValue>,
-    object: Option<&'a HeaderValue>,
+    request: &'a str,
+    object: &'a str,
 }
 
 impl Place<'_> {
@@ -75,16 +78,23 @@
 impl Drop for Place<'_> {
     fn drop(&mut self) {
         let now = self.core.now();
+        if let Outcome::Abandoned(waited) = &mut self.outcome {
+            *waited = now.saturating_sub(self.begun);
+            if *waited >= SILENT {
+                // Other connections to it may be as dead as this one, without a reset.
+                self.core.client.forget(self.target.addr);
+            }
+        }
         let (level, name) = match self.outcome {
             Outcome::Served(_) => (Level::Debug, "served"),
             Outcome::Failed => (Level::Info, "failed"),
             Outcome::Full => (Level::Info, "full"),
             Outcome::Gone => (Level::Info, "gone"),
             Outcome::Broken => (Level::Info, "broken"),
-            Outcome::Abandoned => (Level::Info, "abandoned"),
+            Outcome::Abandoned(_) => (Level::Info, "abandoned"),
         };
         self.core.metrics.attempted(name);
-        log!(level, request:? = self.request, service:% = self.service, object:? = self.object, endpoint:% = self.target.id,
+        log!(level, request = self.request, service:% = self.service, object = self.object, endpoint:% = self.target.id,
             known:? = self.target.known, expected_ms = self.target.expected.as_millis(),
             overhead_ms = self.target.overhead.as_millis(),
             took_ms = now.saturating_sub(self.begun).as_millis(), outcome:? = self.outcome;
@@ -107,9 +117,9 @@
         service: job.service,
         target,
         begun: core.now(),
-        outcome: Outcome::Abandoned,
-        request: job.head.headers.get(&core.dialect.request_id),
-        object: job.head.headers.get(&core.dialect.object),
+        outcome: Outcome::Abandoned(Duration::ZERO),
+        request: text(&job.head.headers, &core.dialect.request_id),
+        object: text(&job.head.headers, &core.dialect.object),
     };
     let req = request(core, job, body, target);
     let empty = HeaderValue::from_static("");
@@ -225,17 +235,19 @@
 fn note(core: &Core, headers: &HeaderMap, target: &Target) {
     let now = core.now();
     let mut placer = core.placer.borrow_mut();
-    if let Some(load) = text(headers, &core.dialect.load).and_then(load) {
+    if let Some(load) = load(text(headers, &core.dialect.load)) {
         placer.reported(now, &target.id, load);
     }
-    let cold = text(headers, &core.dialect.cold_ms).and_then(|ms| ms.parse::<u64>().ok());
-    if let Some(ms) = cold.filter(|ms| *ms > 0) {
+    let cold = text(headers, &core.dialect.cold_ms).parse::<u64>();
+    if let Some(ms) = cold.ok().filter(|ms| *ms > 0) {
         placer.is_cold(now, &target.id, Duration::from_millis(ms));
     }
 }
 
-fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok().map(str::trim)
+/// A header as text; empty if there is none, or none that can be read.
+pub(crate) fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> &'a str {
+    let value = headers.get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().trim()
 }
 
 /// Reads `running,waiting,slots`.
@@ -249,8 +261,7 @@
 
 /// For how long an idle connection may be used again, from `Keep-Alive: timeout=N`.
 fn kept_for(headers: &HeaderMap) -> Option<Duration> {
-    let text = text(headers, &KEEP_ALIVE)?;
-    let mut fields = text.split(',').map(str::trim);
+    let mut fields = text(headers, &KEEP_ALIVE).split(',').map(str::trim);
     let seconds = fields.find_map(|field| field.strip_prefix("timeout="))?;
     let seconds: u32 = seconds.parse().ok()?;
     Some(Duration::from_secs(seconds.into()).mul_f64(KEPT_PART))
--- a/crates/filberthead/src/gateway/carry.rs
+++ b/crates/filberthead/src/gateway/carry.rs
@@ -18,7 +18,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::answer::{AnswerBody, own};
-use super::attempt::{Attempt, Job, attempt};
+use super::attempt::{Attempt, Job, attempt, text};
 use super::core::{Core, InForce};
 use super::deadline::Deadline;
 
@@ -57,6 +57,8 @@
     head: &'a Parts,
     deadline: Deadline,
     returned: bool,
+    /// Number of the routes that it was matched by.
+    version: u64,
     /// Endpoints that have had it, or were out of reach.
     tried: Vec<EndpointId>,
     /// Attempts that may have run.
@@ -108,6 +110,7 @@
         head: &head,
         deadline,
         returned: has_returned(core, &head, route),
+        version: in_force.version,
         tried: Vec::new(),
         ran: 0,
         unreached: 0,
@@ -137,9 +140,8 @@
 /// Whether the caller has less time than callers of this route usually have, because an
 /// earlier attempt has used some of it.
 fn has_returned(core: &Core, head: &Parts, route: &Route) -> bool {
-    let told = head.headers.get(&core.dialect.deadline_ms);
-    let told = told.and_then(|value| value.to_str().ok()?.trim().parse::<u128>().ok());
-    told.is_some_and(|ms| ms < route.timeout.as_millis())
+    let told = text(&head.headers, &core.dialect.deadline_ms).parse::<u128>();
+    told.is_ok_and(|ms| ms < route.timeout.as_millis())
 }
 
 /// Reads a short body whole.
@@ -282,8 +284,10 @@
     /// if that is so.
     fn refused(&mut self, code: ResultCode, retry_after: Duration) -> Next {
         let left = self.deadline.left().as_millis();
-        info!(request:? = self.id(), route = self.route.name.as_str(), code:%, left,
-            tried = self.tried.len(), retry_after_ms = retry_after.as_millis(); "refused");
+        let (list_ms, control_ms) = self.core.ages();
+        info!(request = self.id(), route = self.route.name.as_str(), code:%, left,
+            tried = self.tried.len(), returned = self.returned, version = self.version,
+            list_ms, control_ms, retry_after_ms = retry_after.as_millis(); "refused");
         if let Some(failure) = self.failure.take() {
             return Next::end(failure);
         }
@@ -296,11 +300,11 @@
     fn note(&self, what: &'static str, endpoint: &EndpointId) {
         let left = self.deadline.left().as_millis();
         let route = self.route.name.as_str();
-        info!(request:? = self.id(), route, endpoint:%, left, ran = self.ran,
-            tried = self.tried.len(); "{what}");
+        info!(request = self.id(), route, endpoint:%, left, ran = self.ran,
+            tried = self.tried.len(), version = self.version; "{what}");
     }
 
-    fn id(&self) -> Option<&http::HeaderValue> {
-        self.head.headers.get(&self.core.dialect.request_id)
+    fn id(&self) -> &str {
+        text(&self.head.headers, &self.core.dialect.request_id)
     }
 }
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -66,6 +66,8 @@
     running: watch::Sender<usize>,
     seeds: RefCell<watch::Receiver<Vec<SocketAddr>>>,
     silent: Cell<bool>,
+    /// When the list of endpoints last changed.
+    listed_at: Cell<Moment>,
 }
 
 /// Counts a request as running until it is dropped.
@@ -92,6 +94,7 @@
             running: parts.running,
             seeds: RefCell::new(parts.seeds),
             silent: Cell::new(true),
+            listed_at: Cell::new(Moment::ZERO),
         })
     }
 
@@ -104,6 +107,15 @@
         self.in_force.borrow().clone()
     }
 
+    /// Ages of what decisions are made from, in milliseconds: since the list of endpoints
+    /// changed, and since control was last heard.
+    pub(crate) fn ages(&self) -> (u128, u128) {
+        let now = self.now();
+        let heard = self.member.borrow().heard().unwrap_or_default();
+        let since = |at: Moment| now.saturating_sub(at).as_millis();
+        (since(self.listed_at.get()), since(heard))
+    }
+
     pub(crate) fn phase(&self) -> watch::Receiver<Phase> {
         self.phase.subscribe()
     }
@@ -170,6 +182,7 @@
                 placer.set_evacuated(now, domains);
             }
             Update::Endpoints(list) => {
+                self.listed_at.set(now);
                 self.metrics.endpoints(list.len());
                 info!(endpoints = list.len(); "list of endpoints");
                 placer.set_endpoints(now, list);
--- a/crates/place/src/decide.rs
+++ b/crates/place/src/decide.rs
@@ -111,7 +111,11 @@
         chosen: &Candidate,
     ) -> Decision {
         let state = &mut self.endpoints[chosen.index];
-        state.sent(now, object);
+        state.sent(
+            now,
+            object,
+            Duration::from_secs_f64(chosen.answer + chosen.wait),
+        );
         let service = self.services.get(&state.service);
         let per_s = service.map_or(1.0, |service| service.cold_per_s);
         let region = state.region.clone();
--- a/crates/place/src/endpoint.rs
+++ b/crates/place/src/endpoint.rs
@@ -17,6 +17,10 @@
 const PAUSE_MIN: Duration = Duration::from_millis(300);
 /// Longest pause: the platform's list shows a lost endpoint by then.
 const PAUSE_MAX: Duration = Duration::from_secs(4);
+/// Silence with a request there after which an endpoint counts as stalled: so many times
+/// what an answer takes, and no less than this, which a lost packet may cost.
+const STALLED_TIMES: u32 = 5;
+const STALLED_MIN: Duration = Duration::from_millis(400);
 /// How long an endpoint that said it was full counts as full.
 const FULL_FOR: Duration = Duration::from_millis(120);
 /// Time after which half of what was reported of others' requests is believed still:
@@ -54,8 +58,8 @@
     Gone,
     /// It couldn't be reached, or broke off.
     Broken,
-    /// The caller left, or the time was up.
-    Abandoned,
+    /// The caller left, or the time was up, after this time without an answer.
+    Abandoned(Duration),
 }
 
 #[derive(Clone, Debug)]
@@ -77,6 +81,10 @@
     paused_until: Moment,
     pause: Duration,
     gone: bool,
+    /// When a request was sent to it while it had none, or it last answered.
+    progress_at: Moment,
+    /// Silence from then on that counts as a stall.
+    patience: Duration,
     /// Whether requests waited there when it last reported.
     queues: bool,
     /// How much longer than expected its answers take; 1 is as expected.
@@ -106,6 +114,8 @@
             paused_until: Moment::ZERO,
             pause: PAUSE_MIN,
             gone: false,
+            progress_at: now,
+            patience: STALLED_MIN,
             queues: false,
             slowness: 1.0,
             failing: 0.0,
@@ -127,7 +137,14 @@
 
     /// Whether requests may go there at all.
     pub(crate) fn is_usable(&self, now: Moment) -> bool {
-        !self.gone && !self.draining && now >= self.paused_until
+        !self.gone && !self.draining && now >= self.paused_until && !self.is_stalled(now)
+    }
+
+    /// Whether it has requests and has said nothing for too long. A VM without power, or
+    /// behind a cut, resets no connection: kept ones take requests and stay silent, and
+    /// each request would find that out only at its deadline.
+    fn is_stalled(&self, now: Moment) -> bool {
+        self.own > 0 && now >= self.progress_at + self.patience
     }
 
     /// Requests there, by the best guess.
@@ -171,7 +188,11 @@
         sent.is_some_and(|at| now < *at + OBJECT_KEPT)
     }
 
-    pub(crate) fn sent(&mut self, now: Moment, object: Option<u64>) {
+    pub(crate) fn sent(&mut self, now: Moment, object: Option<u64>, expected: Duration) {
+        if self.own == 0 {
+            self.progress_at = now;
+            self.patience = (expected * STALLED_TIMES).max(STALLED_MIN);
+        }
         self.own += 1;
         let Some(object) = object else {
             return;
@@ -185,12 +206,24 @@
         }
     }
 
+    /// Leaves it alone for a while, for longer with each time.
+    fn pause(&mut self, now: Moment) {
+        if now < self.paused_until {
+            return;
+        }
+        self.paused_until = now + self.pause;
+        self.pause = (self.pause * 2).min(PAUSE_MAX);
+    }
+
     /// Notes how a request ended; `expected` is how long it should have taken.
     pub(crate) fn ended(&mut self, now: Moment, outcome: Outcome, expected: Duration) {
         self.own = self.own.saturating_sub(1);
         self.slowness = self.slowness(now);
         self.failing = self.failing(now);
         self.opinion_at = now;
+        if !matches!(outcome, Outcome::Abandoned(_) | Outcome::Broken) {
+            self.progress_at = now;
+        }
         match outcome {
             Outcome::Served(took) => {
                 self.pause = PAUSE_MIN;
@@ -215,10 +248,19 @@
             Outcome::Gone => self.gone = true,
             Outcome::Broken => {
                 self.failing += NEW * (1.0 - self.failing);
-                self.paused_until = now + self.pause;
-                self.pause = (self.pause * 2).min(PAUSE_MAX);
+                self.pause(now);
+            }
+            Outcome::Abandoned(waited) => {
+                // It would have taken longer still.
+                let ratio = waited.as_secs_f64() / expected.as_secs_f64().max(0.001);
+                if ratio > self.slowness && !self.queues {
+                    self.slowness += NEW * (ratio.min(10.0) - self.slowness);
+                }
+                let silent = now >= self.progress_at + self.patience;
+                if silent && waited >= self.patience {
+                    self.pause(now);
+                }
             }
-            Outcome::Abandoned => {}
         }
     }
 }
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -165,6 +165,9 @@
     pub fn ended(&mut self, now: Moment, service: &ServiceName, target: &Target, outcome: Outcome) {
         let outcome = match outcome {
             Outcome::Served(took) => Outcome::Served(took.saturating_sub(target.overhead)),
+            Outcome::Abandoned(waited) => {
+                Outcome::Abandoned(waited.saturating_sub(target.overhead))
+            }
             other => other,
         };
         if let Some(state) = self.state(&target.id) {
--- a/crates/place/tests/all/bounds.rs
+++ b/crates/place/tests/all/bounds.rs
@@ -157,13 +157,13 @@
                     1 => Outcome::Failed,
                     2 => Outcome::Full,
                     3 => Outcome::Broken,
-                    _ => Outcome::Abandoned,
+                    _ => Outcome::Abandoned(ms(50)),
                 };
                 gateway.ended(ms(at), &service, &target, outcome);
             }
         }
         for target in &running {
-            gateway.ended(ms(100), &service, target, Outcome::Abandoned);
+            gateway.ended(ms(100), &service, target, Outcome::Abandoned(ms(50)));
         }
         let later = ms(60_000);
         let three: Vec<_> = (0..3)
--- a/crates/place/tests/all/objects.rs
+++ b/crates/place/tests/all/objects.rs
@@ -119,3 +119,62 @@
     let now = place(&mut placer, ms(60_000), "o").expect("a place");
     assert_eq!(now.id, first.id);
 }
+
+/// An endpoint takes requests and never answers. Each of them is given up only when its
+/// time is up, and nothing else ever tells about the endpoint; after a few of them its
+/// objects must go elsewhere.
+#[test]
+fn an_endpoint_that_never_answers_is_avoided() {
+    let mut placer = placer(
+        "north-1",
+        vec![endpoint("a", "north-1"), endpoint("b", "north-1")],
+    );
+    let first = place(&mut placer, ms(0), "o").expect("a place");
+    served(&mut placer, ms(0), &first, ms(100));
+    let mut silent = 0;
+    for number in 1..30 {
+        let target = place(&mut placer, ms(number), "o").expect("a place");
+        if target.id == first.id {
+            silent += 1;
+            placer.ended(
+                ms(number),
+                &service(),
+                &target,
+                Outcome::Abandoned(ms(1000)),
+            );
+        } else {
+            served(&mut placer, ms(number), &target, ms(100));
+        }
+    }
+    assert!(silent <= 6, "{silent} of 29 requests met silence");
+}
+
+/// An endpoint loses power with kept connections to it. Requests that are sent there stay
+/// without an answer until their deadlines, a second later; long before that, others must
+/// go elsewhere. Once it is back it is used again.
+#[test]
+fn an_endpoint_that_falls_silent_is_avoided_before_the_first_deadline() {
+    let mut placer = placer(
+        "north-1",
+        vec![endpoint("a", "north-1"), endpoint("b", "north-1")],
+    );
+    let first = place(&mut placer, ms(0), "o").expect("a place");
+    served(&mut placer, ms(50), &first, ms(50));
+    let silent = place(&mut placer, ms(100), "o").expect("a place");
+    assert_eq!(silent.id, first.id);
+    // Its one request has no answer yet at 900 ms, long after it should have come.
+    for at in (900..1100).step_by(20) {
+        let other = place(&mut placer, ms(at), "o").expect("a place");
+        assert_ne!(other.id, first.id, "at {at}");
+        served(&mut placer, ms(at), &other, ms(100));
+    }
+    placer.ended(ms(1100), &service(), &silent, Outcome::Abandoned(ms(1000)));
+    let after = place(&mut placer, ms(1110), "o").expect("a place");
+    assert_ne!(
+        after.id, first.id,
+        "one answer that never came is reason for a pause"
+    );
+    served(&mut placer, ms(1110), &after, ms(100));
+    let back = place(&mut placer, ms(30_000), "o").expect("a place");
+    assert_eq!(back.id, first.id);
+}
--- a/tests/all/explained.rs
+++ b/tests/all/explained.rs
@@ -54,7 +54,15 @@
     explained(
         &site,
         "refused-1",
-        &["refused", "1200", "retry_after_ms", "r-orders"],
+        &[
+            "refused",
+            "1200",
+            "retry_after_ms",
+            "r-orders",
+            "version=1",
+            "list_ms",
+            "control_ms",
+        ],
     );
 }
 
