--- /dev/null
+++ b/crates/peer/examples/cost.rs
@@ -0,0 +1,110 @@
+//! Prints the encoded sizes of messages between gateways and control, a line each.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use filberthead_fleet::{
+    Demand, Endpoint, EndpointState, GatewayInfo, Have, Message, Report, Stamp,
+};
+use filberthead_peer::{Body, Envelope, Origin, cluster_id, encode};
+use filberthead_types::{FailureDomain, Incarnation, Region, ServiceName};
+
+fn addr(number: u16) -> SocketAddr {
+    SocketAddr::from(([10, 1, 0, 1], number))
+}
+
+fn domain(number: usize) -> FailureDomain {
+    format!("domain-{number:02}").parse().expect("a name")
+}
+
+fn size(message: Message) -> usize {
+    let origin = Origin {
+        name: "edge-domain-01-1".parse().expect("a name"),
+        incarnation: Incarnation(u64::MAX),
+        addr: addr(7540),
+        replica: None,
+    };
+    let body = Body::Fleet(message);
+    let buf = encode(cluster_id("filberthead"), &Envelope { origin, body });
+    buf.expect("a message can be encoded").len()
+}
+
+fn service(number: usize) -> ServiceName {
+    format!("service-{number}").parse().expect("a name")
+}
+
+fn report() -> Message {
+    let demand = |number| Demand {
+        service: service(number),
+        busy_milli: 12_345,
+    };
+    Message::Report(Report {
+        gateway: GatewayInfo {
+            name: "edge-domain-01-1".parse().expect("a name"),
+            region: "region-1".parse().expect("a name"),
+            domain: domain(1),
+            caller_addr: addr(8548),
+        },
+        ready: true,
+        have: have(),
+        demand: (0..3).map(demand).collect(),
+    })
+}
+
+fn have() -> Have {
+    Have {
+        routes: 12_345,
+        evacuated: 12_300,
+        endpoints: Stamp {
+            term: 9,
+            seq: 4_000,
+        },
+    }
+}
+
+fn notice(replicas: u16, domains: usize, regions: usize) -> Message {
+    let regions =
+        (0..regions).map(|n| -> Region { format!("region-{n}").parse().expect("a name") });
+    let demand = regions.flat_map(|r| (0..3).map(move |n| (r.clone(), service(n), 12_345)));
+    Message::Notice {
+        have: have(),
+        replicas: (0..replicas).map(addr).collect(),
+        gateways: (0..domains).map(|n| (domain(n), 28)).collect(),
+        demand: demand.collect(),
+    }
+}
+
+fn endpoints(count: usize) -> Message {
+    let endpoint = |number: usize| Endpoint {
+        id: format!("i-{number:010x}"),
+        service: service(number % 3),
+        addr: addr(8080),
+        domain: domain(number % 22),
+        slots: 3,
+        state: EndpointState::Ready,
+        cold_left: Duration::ZERO,
+    };
+    Message::Endpoints {
+        stamp: Stamp {
+            term: 9,
+            seq: 4_000,
+        },
+        list: (0..count).map(endpoint).collect(),
+    }
+}
+
+fn main() {
+    let report = size(report());
+    let small = size(notice(6, 6, 3));
+    let target = size(notice(7, 22, 9));
+    println!("fleet-report: {report} B");
+    println!("fleet-notice-6-domains: {small} B");
+    println!("fleet-notice-22-domains: {target} B");
+    println!(
+        "fleet-endpoint: {} B",
+        (size(endpoints(1000)) - size(endpoints(0))) / 1000
+    );
+    // Two reports a second to each of seven replicas, and as many notices back.
+    println!("fleet-gateway-22-domains: {} B/s", 14 * (report + target));
+    println!("fleet-replica-a-gateway: {} B/s", 2 * (report + target));
+}
