Read load and slowness once a candidate; work out beliefs only for the log

Cause, from reading the whole change again: pricing a candidate worked out its load three times and its slowness four times, each a power; what a placer believes was worked out twice a second for a debug line that is off; a registry made the message of its list in two places.

Change: one reading each, one function for the list. No behaviour changes: the same values enter the same sums.

--- a/crates/filberthead/src/gateway/attempt.rs
+++ b/crates/filberthead/src/gateway/attempt.rs
@@ -94,7 +94,8 @@
             Outcome::Abandoned(_) => (Level::Info, "abandoned"),
         };
         self.core.metrics.attempted(name);
-        log!(level, request = self.request, service:% = self.service, object = self.object, endpoint:% = self.target.id,
+        log!(level, request = self.request, service:% = self.service, object = self.object,
+            endpoint:% = self.target.id,
             known:? = self.target.known, expected_ms = self.target.expected.as_millis(),
             overhead_ms = self.target.overhead.as_millis(),
             took_ms = now.saturating_sub(self.begun).as_millis(), outcome:? = self.outcome;
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -16,7 +16,7 @@
 use filberthead_ring::Sender;
 use filberthead_route::{CallerBounds, Matcher};
 use filberthead_types::Moment;
-use log::{debug, info, warn};
+use log::{Level, debug, info, log_enabled, warn};
 use tokio::sync::watch;
 
 use super::stop::Phase;
@@ -209,7 +209,12 @@
         let out = member.tick(now, || {
             let mut placer = placer.borrow_mut();
             placer.plan(now);
-            for belief in placer.beliefs(now) {
+            // Working out what is believed costs more than the line itself.
+            let beliefs = match log_enabled!(Level::Debug) {
+                true => placer.beliefs(now),
+                false => Vec::new(),
+            };
+            for belief in beliefs {
                 debug!(service:% = belief.service, away:? = belief.away, times:? = belief.times,
                     demand:? = belief.demand, capacity:? = belief.capacity; "plan");
             }
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -167,10 +167,7 @@
             revision: self.have.evacuated,
             domains: self.evacuated.clone(),
         });
-        let endpoints = (self.have.endpoints > have.endpoints).then(|| Message::Endpoints {
-            stamp: self.have.endpoints,
-            list: self.aged(now),
-        });
+        let endpoints = self.endpoints_for(now, have.endpoints);
         let news = [routes, evacuated, endpoints];
         news.into_iter().flatten().map(|news| (to, news)).collect()
     }
--- a/crates/place/src/decide.rs
+++ b/crates/place/src/decide.rs
@@ -256,28 +256,26 @@
             (Some(_), Some(place)) => Acquaintance::Perhaps(place),
             _ => Acquaintance::Stranger,
         };
-        let answer = times.expected(known) * e.slowness(now);
+        let (slowness, load) = (e.slowness(now), e.load(now));
+        let answer = times.expected(known) * slowness;
+        let quick = times.quick() * slowness;
         // An object settles where all gateways will send it: its first request there is
         // slow, and all later ones are quick. Without this an endpoint that has just come
         // would get nothing as long as the others have room.
-        let settles = place == Some(0) && e.load(now) < f64::from(e.slots);
-        let settled = if settles {
-            times.quick() * e.slowness(now)
-        } else {
-            answer
-        };
+        let settles = place == Some(0) && load < f64::from(e.slots);
+        let settled = if settles { quick } else { answer };
         // What others wait longer for, if this one keeps a slot busy to learn the object.
-        let learning = (answer - times.quick() * e.slowness(now)).max(0.0);
+        let learning = (answer - quick).max(0.0);
         let weighed = settled + pressure * learning;
-        let each = times.expected(Acquaintance::Perhaps(0)) * e.slowness(now);
-        let wait = cost::wait(e.load(now), e.slots, each);
+        let each = times.expected(Acquaintance::Perhaps(0)) * slowness;
+        let wait = cost::wait(load, e.slots, each);
         let failing = e.failing(now) * req.objective.as_secs_f64();
         let way = self.way(e);
         let crossing = self.crossing(e, req.large);
         let preference = match object {
             Some(_) => RANK_COST * place.unwrap_or(0) as f64,
             // Without an object the emptiest goes first.
-            None => RANK_COST * e.load(now),
+            None => RANK_COST * load,
         };
         Candidate {
             index,
