Make connections between processes anew that have gone silent; a randomised soak

The connections to one replica were forgotten by the way between, as a device does that resets nothing. Messages go one way on a connection, so the others went on sending into silent ones; the replica heard no leader for a minute and more, and proved no version.

Ruled out: the election and the group's membership; the replica's own messages arrived, and a restart of it helped at once.

Change: each message says how many messages its sender has had from its receiver (one or two bytes).

The soak: real processes, faults drawn from a seed, injected from outside by signals, data folders and proxies; judged by what callers and operators were told and endpoints ran.

--- a/crates/peer/examples/cost.rs
+++ b/crates/peer/examples/cost.rs
@@ -25,7 +25,14 @@
         replica: None,
     };
     let body = Body::Fleet(message);
-    let buf = encode(cluster_id("filberthead"), &Envelope { origin, body });
+    let buf = encode(
+        cluster_id("filberthead"),
+        &Envelope {
+            origin,
+            received: 1000,
+            body,
+        },
+    );
     buf.expect("a message can be encoded").len()
 }
 
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -4,11 +4,13 @@
 //! socket of the receiver. A reply is a message of its own, to the address in the
 //! envelope. So a cut in one direction shows as just that, and no sender ever waits for
 //! a receiver: a destination that doesn't drain costs a bounded buffer, then messages
-//! to it are dropped and counted. Every protocol above this package repeats what it
+//! to it are dropped and counted. A connection that has gone silent is found out by what
+//! the other side acknowledges, and made anew (`silence`). Every protocol above this package repeats what it
 //! needs answered.
 
 mod codec;
 mod message;
+mod silence;
 mod transport;
 
 pub use codec::{DecodeError, MAX_MESSAGE_LEN, decode, encode};
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -31,6 +31,9 @@
 pub struct Envelope {
     /// The sender.
     pub origin: Origin,
+    /// How many messages the sender has had from the receiver: what tells the receiver
+    /// that its own connection to the sender carries.
+    pub received: u64,
     /// What is said.
     pub body: Body,
 }
--- a/crates/peer/src/transport.rs
+++ b/crates/peer/src/transport.rs
@@ -16,6 +16,7 @@
 use nng::{Protocol, Socket};
 use snafu::{ResultExt, Snafu};
 
+use crate::silence::{Acknowledgements, Belief, Watch};
 use crate::{Body, Envelope, MAX_MESSAGE_LEN, Origin, decode, encode};
 
 /// Messages that wait for a destination whose connection is slow or down. When they
@@ -113,6 +114,7 @@
 pub struct Transport {
     addr: SocketAddr,
     counters: Arc<Counters>,
+    acknowledgements: Arc<Acknowledgements>,
     stop: Arc<AtomicBool>,
     thread: Option<JoinHandle<()>>,
 }
@@ -130,11 +132,13 @@
     ) -> Result<Self, TransportError> {
         let (socket, addr) = open(addr).context(ListenSnafu { addr })?;
         let counters = Arc::new(Counters::default());
+        let acknowledgements = Arc::new(Acknowledgements::default());
         let stop = Arc::new(AtomicBool::new(false));
         let receiver = Receiver {
             socket,
             cluster,
             counters: Arc::clone(&counters),
+            acknowledgements: Arc::clone(&acknowledgements),
             stop: Arc::clone(&stop),
         };
         let thread = std::thread::Builder::new()
@@ -144,6 +148,7 @@
         Ok(Self {
             addr,
             counters,
+            acknowledgements,
             stop,
             thread: Some(thread),
         })
@@ -167,6 +172,7 @@
             destinations: HashMap::new(),
             swept: Instant::now(),
             counters: Arc::clone(&self.counters),
+            acknowledgements: Arc::clone(&self.acknowledgements),
         }
     }
 }
@@ -206,6 +212,7 @@
     socket: Socket,
     cluster: ClusterId,
     counters: Arc<Counters>,
+    acknowledgements: Arc<Acknowledgements>,
     stop: Arc<AtomicBool>,
 }
 
@@ -232,6 +239,9 @@
                 self.counters
                     .received_bytes
                     .fetch_add(len, Ordering::Relaxed);
+                let from = envelope.origin.addr;
+                self.acknowledgements
+                    .received(Instant::now(), from, envelope.received);
                 deliver.deliver(envelope.origin, envelope.body);
             }
             Err(e) => {
@@ -247,6 +257,7 @@
 struct Destination {
     socket: Socket,
     used: Instant,
+    watch: Watch,
 }
 
 /// Sends messages; never waits for a destination.
@@ -257,6 +268,7 @@
     destinations: HashMap<SocketAddr, Destination>,
     swept: Instant,
     counters: Arc<Counters>,
+    acknowledgements: Arc<Acknowledgements>,
 }
 
 impl Outbox {
@@ -270,6 +282,7 @@
         let protocol = body.protocol();
         let envelope = Envelope {
             origin: self.origin.clone(),
+            received: self.acknowledgements.count(to),
             body,
         };
         let buf = match encode(self.cluster, &envelope) {
@@ -293,7 +306,11 @@
         let destination = match self.destinations.entry(to) {
             Entry::Occupied(e) => e.into_mut(),
             Entry::Vacant(e) => match dial(to) {
-                Ok(socket) => e.insert(Destination { socket, used: now }),
+                Ok(socket) => e.insert(Destination {
+                    socket,
+                    used: now,
+                    watch: Watch::default(),
+                }),
                 Err(error) => {
                     warn!(to:%, error:%; "can't dial a peer");
                     return false;
@@ -301,6 +318,14 @@
             },
         };
         destination.used = now;
+        let belief = destination.watch.sending(now, to, &self.acknowledgements);
+        if belief == Belief::Silent {
+            debug!(to:%; "what was sent isn't acknowledged, the connection is made anew");
+            match dial(to) {
+                Ok(socket) => destination.socket = socket,
+                Err(error) => warn!(to:%, error:%; "can't dial a peer"),
+            }
+        }
         destination.socket.try_send(buf).is_ok()
     }
 
@@ -309,6 +334,7 @@
             return;
         }
         self.swept = now;
+        self.acknowledgements.forget(now);
         self.destinations
             .retain(|_, destination| now < destination.used + IDLE_CLOSE);
     }
--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -16,6 +16,7 @@
             addr,
             replica: None,
         },
+        received: 3,
         body: Body::Hello(HelloInfo {
             leads: true,
             operator_addr: addr,
--- a/crates/spread/examples/cost.rs
+++ b/crates/spread/examples/cost.rs
@@ -330,6 +330,8 @@
         let start = Instant::now();
         let envelope = Envelope {
             origin: peer.origin.clone(),
+            // Two bytes, as after some hundred messages.
+            received: 1000,
             body: Body::Spread(message),
         };
         let buf = encode(CLUSTER, &envelope).expect("every message can be encoded");
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod record;
 pub mod runtime;
 pub mod site;
+pub mod soak;
 pub mod standin;
 
 pub use eventually::{eventually, wait_until};
--- a/crates/testing/src/proxy/link.rs
+++ b/crates/testing/src/proxy/link.rs
@@ -41,11 +41,16 @@
     rules: watch::Receiver<Rules>,
     client: Option<Arc<str>>,
     direction: Direction,
+    /// Silences before this connection was made.
+    silences: u64,
 }
 
 impl Gate {
     fn flow(&self) -> Flow {
         let rules = self.rules.borrow();
+        if rules.silences > self.silences {
+            return Flow::Hold;
+        }
         rules.flows(self.client.as_deref()).get(self.direction)
     }
 
@@ -85,8 +90,10 @@
 }
 
 async fn relay(client: TcpStream, rules: watch::Receiver<Rules>, owners: Owners) {
+    let silences = rules.borrow().silences;
     let gate = Gate {
         client: name_of(&client, owners).await,
+        silences,
         rules,
         direction: Direction::ToServer,
     };
--- a/crates/testing/src/proxy/mod.rs
+++ b/crates/testing/src/proxy/mod.rs
@@ -75,6 +75,9 @@
     refuse: bool,
     /// Counts calls of [`FaultProxy::cut`]; a connection older than the last one ends.
     cuts: u64,
+    /// Counts calls of [`FaultProxy::silence`]; a connection older than the last one
+    /// carries nothing any more.
+    silences: u64,
     flows: Flows,
     /// Flows of connections made by a process of this name; they go before `flows`.
     links: Vec<(Arc<str>, Flows)>,
@@ -137,6 +140,7 @@
             target: None,
             refuse: false,
             cuts: 0,
+            silences: 0,
             flows: Flows::default(),
             links: Vec::new(),
         }));
@@ -201,6 +205,12 @@
         self.rules.send_modify(|rules| rules.cuts += 1);
     }
 
+    /// Holds back all bytes of the connections made so far, for good, while new ones pass:
+    /// what a device on the way does that has forgotten them.
+    pub fn silence(&self) {
+        self.rules.send_modify(|rules| rules.silences += 1);
+    }
+
     pub(crate) fn rules(&self) -> &Arc<watch::Sender<Rules>> {
         &self.rules
     }
--- a/crates/testing/src/site/endpoint.rs
+++ b/crates/testing/src/site/endpoint.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Either, Full};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -16,6 +16,13 @@
 use tokio::sync::Notify;
 
 use super::Line;
+use crate::standin::{AnswerBody, Payload};
+
+/// An answer that is a short text, or as many bytes as the request names.
+type SiteBody = Either<Full<Bytes>, AnswerBody>;
+
+/// Length of an answer that is to break off, unless the request names one.
+const CUT_BYTES: u64 = 100;
 
 /// How an endpoint answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -33,17 +40,29 @@
     Crosses,
     /// It takes the request and never answers.
     Hangs,
+    /// It runs the request and breaks off in the middle of the answer.
+    Cuts,
+}
+
+/// A request that an endpoint began to run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// Its id.
+    pub id: String,
+    /// Its method and path.
+    pub what: String,
 }
 
 #[derive(Debug, Default)]
 struct State {
     id: String,
+    shown_at: Option<SocketAddr>,
     manner: Manner,
     takes: Duration,
     draining: bool,
     gone: bool,
     cold_ms: u64,
-    ran: Vec<String>,
+    ran: Vec<Run>,
     /// Time left that each request named.
     deadlines: Vec<u64>,
     /// Requests whose connection closed while they ran.
@@ -88,7 +107,7 @@
         Line {
             id: state.id.clone(),
             service: self.service.clone(),
-            address: self.addr,
+            address: state.shown_at.unwrap_or(self.addr),
             zone: self.domain.clone(),
             version: "v1".to_owned(),
             slots: 3,
@@ -134,9 +153,40 @@
 
     /// Ids of the requests that it ran, in order.
     pub fn ran(&self) -> Vec<String> {
+        let ran = &self.lock().ran;
+        ran.iter().map(|run| run.id.clone()).collect()
+    }
+
+    /// The requests that it ran, in order.
+    pub fn runs(&self) -> Vec<Run> {
         self.lock().ran.clone()
     }
 
+    /// Has the list name this address, that of a proxy before the endpoint.
+    pub(super) fn show_at(&self, addr: SocketAddr) {
+        self.lock().shown_at = Some(addr);
+    }
+
+    /// Where it listens itself.
+    pub(super) fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Its identity.
+    pub fn id(&self) -> String {
+        self.lock().id.clone()
+    }
+
+    /// Whether the list says that it is to go.
+    pub fn is_draining(&self) -> bool {
+        self.lock().draining
+    }
+
+    /// Its failure domain.
+    pub fn domain(&self) -> &str {
+        &self.domain
+    }
+
     /// Time left that requests named, in milliseconds.
     pub fn deadlines(&self) -> Vec<u64> {
         self.lock().deadlines.clone()
@@ -182,10 +232,7 @@
     }
 }
 
-async fn handle(
-    endpoint: SiteEndpoint,
-    req: Request<Incoming>,
-) -> io::Result<Response<Full<Bytes>>> {
+async fn handle(endpoint: SiteEndpoint, req: Request<Incoming>) -> io::Result<Response<SiteBody>> {
     let (head, body) = req.into_parts();
     let text = |headers: &HeaderMap, name: &str| {
         let value = headers.get(name).and_then(|value| value.to_str().ok());
@@ -197,20 +244,20 @@
         let state = endpoint.lock();
         (state.id.clone(), state.manner, state.takes)
     };
-    let answer = |status: StatusCode, body: Bytes| {
+    let answer = |status: StatusCode, body: SiteBody| {
         Response::builder()
             .status(status)
             .header("x-request-id", &id)
             .header("x-instance-id", &own)
             .header("x-server-load", "0,0,3")
-            .body(Full::new(body))
+            .body(body)
             .map_err(io::Error::other)
     };
     if text(&head.headers, "x-target-instance") != own {
-        return answer(StatusCode::MISDIRECTED_REQUEST, Bytes::new());
+        return answer(StatusCode::MISDIRECTED_REQUEST, short(Bytes::new()));
     }
     if manner == Manner::Sheds {
-        let mut answer = answer(StatusCode::SERVICE_UNAVAILABLE, Bytes::new())?;
+        let mut answer = answer(StatusCode::SERVICE_UNAVAILABLE, short(Bytes::new()))?;
         answer
             .headers_mut()
             .insert("x-not-executed", http::HeaderValue::from_static("1"));
@@ -218,7 +265,10 @@
     }
     {
         let mut state = endpoint.lock();
-        state.ran.push(id.clone());
+        state.ran.push(Run {
+            id: id.clone(),
+            what: format!("{} {}", head.method, head.uri),
+        });
         let left = text(&head.headers, "x-deadline-ms").parse::<u64>();
         state.deadlines.extend(left);
     }
@@ -237,7 +287,7 @@
         _ => {}
     }
     running.done = true;
-    let whole = Bytes::from(format!("{} {} {}", head.method, head.uri, body.len()));
+    let whole = whole_answer(&head, &body, manner);
     let status = match manner {
         Manner::Fails => StatusCode::INTERNAL_SERVER_ERROR,
         _ => StatusCode::OK,
@@ -254,3 +304,35 @@
     }
     Ok(answer)
 }
+
+fn short(body: Bytes) -> SiteBody {
+    Either::Left(Full::new(body))
+}
+
+/// As many bytes as the query `bytes=N` names, or a text that names the request.
+fn whole_answer(head: &http::request::Parts, body: &[u8], manner: Manner) -> SiteBody {
+    let (method, uri) = (head.method.as_str(), head.uri.to_string());
+    let bytes = named_bytes(&uri);
+    if bytes.is_none() && manner != Manner::Cuts {
+        return short(Bytes::from(format!("{method} {uri} {}", body.len())));
+    }
+    let bytes = bytes.unwrap_or(CUT_BYTES);
+    let payload = Payload::of_answer(method, &uri, body);
+    let cut = (manner == Manner::Cuts).then_some(bytes / 2);
+    Either::Right(AnswerBody::new(payload, 0, bytes).cut_after(cut))
+}
+
+fn named_bytes(uri: &str) -> Option<u64> {
+    uri.split_once("?bytes=")?.1.parse().ok()
+}
+
+/// Whether this is the whole answer to a request.
+pub fn is_answer(method: &str, path: &str, body: &[u8], answer: &[u8]) -> bool {
+    match named_bytes(path) {
+        Some(bytes) => {
+            answer.len() as u64 == bytes
+                && Payload::of_answer(method, path, body).matches(0, answer)
+        }
+        None => answer == format!("{method} {path} {}", body.len()).as_bytes(),
+    }
+}
--- a/crates/testing/src/site/mod.rs
+++ b/crates/testing/src/site/mod.rs
@@ -7,16 +7,17 @@
 mod endpoint;
 mod list;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-pub use endpoint::{Manner, SiteEndpoint};
+pub use endpoint::{Manner, Run, SiteEndpoint, is_answer};
 pub use list::{Line, SiteList};
 
 use crate::client::{Answer, Call, CallError};
 use crate::cluster::{Ini, Node, Place};
-use crate::proxy::Network;
+use crate::proxy::{FaultProxy, Network};
 use crate::wait_until;
 
 const ANY_PORT: &str = "127.0.0.1:0";
@@ -58,6 +59,8 @@
     pub list: SiteList,
     /// The links between all processes.
     pub network: Network,
+    /// Proxies before endpoints, by the endpoint's place among all.
+    links: BTreeMap<usize, FaultProxy>,
     builder: SiteBuilder,
     dir: tempfile::TempDir,
 }
@@ -83,6 +86,11 @@
         self.dir.path()
     }
 
+    /// Keeps the folder when this is dropped.
+    pub fn keep(&mut self) {
+        self.dir.disable_cleanup(true);
+    }
+
     /// The control replica of a name.
     ///
     /// # Panics
@@ -103,6 +111,25 @@
         &self.endpoints[self.endpoints.len() - 1]
     }
 
+    /// Adds an endpoint to the list under the address of a proxy before it.
+    pub fn add_linked_endpoint(&mut self, service: &str, domain: &str) -> usize {
+        let number = self.endpoints.len();
+        let id = format!("i-{}", number + 1);
+        let endpoint = SiteEndpoint::start(&id, service, domain);
+        let proxy = self.network.proxy(&id);
+        proxy.retarget(endpoint.addr());
+        endpoint.show_at(proxy.addr());
+        self.links.insert(number, proxy);
+        self.endpoints.push(endpoint);
+        self.show_endpoints();
+        number
+    }
+
+    /// The proxy before an endpoint that has one.
+    pub fn link(&self, endpoint: usize) -> Option<&FaultProxy> {
+        self.links.get(&endpoint)
+    }
+
     /// Puts all endpoints on the list that aren't gone.
     pub fn show_endpoints(&self) {
         let there = self.endpoints.iter().filter(|e| !e.is_gone());
@@ -255,6 +282,7 @@
             endpoints: Vec::new(),
             list: SiteList::start(),
             network,
+            links: BTreeMap::new(),
             builder: self.clone(),
             dir: dir.expect("a folder for the test"),
         };
--- /dev/null
+++ b/crates/testing/src/soak/drive.rs
@@ -0,0 +1,442 @@
+//! Carries out a plan and looks what came of it.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tokio::task::JoinHandle;
+
+use super::history::{Asked, Ended};
+use super::nodes::Nodes;
+use super::plan::{Plan, Step, Target};
+use super::verdict::{Ran, Violation, judge};
+use super::world::{SERVICES, World, only_in};
+use super::{callers, operators};
+use crate::cluster::Node;
+use crate::proxy::{Direction, FaultProxy, Flow};
+use crate::runtime;
+use crate::site::{Manner, Site, SitePrograms, is_answer, order_at, request};
+
+/// Failure domains of a [`Site`]; the second one may be evacuated.
+const DOMAINS: [&str; 2] = ["zagreb-a", "split-a"];
+/// Attempts that the routes of a [`Site`] allow.
+const MAX_ATTEMPTS: usize = 2;
+/// Time in which everything has to be back once all faults are over: many times what it
+/// takes, since debug builds on a busy machine take long.
+const BACK_WITHIN: Duration = Duration::from_secs(60);
+/// Time in which nothing more may go to what has left.
+const LEFT_WITHIN: Duration = Duration::from_secs(20);
+const LOOK_EVERY: Duration = Duration::from_millis(20);
+/// Requests to each gateway and service after which an endpoint that gets none has left.
+const BURST: usize = 10;
+/// How long a cold endpoint is cold, in milliseconds.
+const COLD_MS: u64 = 2_000;
+
+/// What came of a soak.
+#[derive(Debug)]
+pub struct Report {
+    /// Seed of its plan.
+    pub seed: u64,
+    /// Steps that were taken.
+    pub steps: usize,
+    /// Requests of callers.
+    pub requests: usize,
+    /// Those that an endpoint served.
+    pub served: usize,
+    /// Changes of routes that were accepted.
+    pub accepted: usize,
+    /// Times that routes were shown to an operator.
+    pub shown: usize,
+    /// Broken promises.
+    pub violations: Vec<Violation>,
+    /// Folder with settings, logs and data; it stays if a promise was broken.
+    pub dir: std::path::PathBuf,
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "seed {}: {} steps, {} requests, {} served, {} changes accepted, {} reads, {} broken",
+            self.seed,
+            self.steps,
+            self.requests,
+            self.served,
+            self.accepted,
+            self.shown,
+            self.violations.len()
+        )?;
+        for violation in &self.violations {
+            write!(f, "\n  {violation}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Version that a replica proves to be the newest.
+pub(super) fn proven(node: &Node) -> Option<u64> {
+    let answer = order_at(node, "config.get", "").ok()?;
+    let body: serde_json::Value = serde_json::from_slice(&answer.body).ok()?;
+    body["version"].as_u64()
+}
+
+/// Carries out a plan.
+///
+/// # Panics
+///
+/// Panics if a process can't be started.
+pub fn play(programs: SitePrograms, plan: &Plan) -> Report {
+    let mut drive = Drive::start(programs, plan);
+    let begun = Instant::now();
+    for timed in &plan.steps {
+        drive.wait_until(begun + timed.at);
+        drive.take(&timed.step);
+    }
+    drive.wait_until(begun + plan.size.lasts);
+    drive.calm();
+    drive.settle();
+    drive.report(plan)
+}
+
+struct Drive {
+    nodes: Nodes,
+    world: Arc<World>,
+    tasks: Vec<JoinHandle<()>>,
+    evacuation: Option<JoinHandle<bool>>,
+    seed: u64,
+    asked: usize,
+    found: Vec<Violation>,
+}
+
+impl Drive {
+    fn start(programs: SitePrograms, plan: &Plan) -> Self {
+        let size = plan.size;
+        let mut site = Site::builder(programs)
+            .replicas(size.controls)
+            .tolerate((size.controls - 1) / 2)
+            .seeds(size.controls.min(3))
+            .gateways(size.gateways)
+            .start();
+        for domain in DOMAINS {
+            for (service, _) in SERVICES {
+                for _ in 0..size.endpoints {
+                    site.add_linked_endpoint(service, domain);
+                }
+            }
+        }
+        let world = Arc::new(World::new(&site));
+        let (_, first) = world.next_routes(1);
+        let accepted = site.order("config.put", &first);
+        assert!(accepted.status.is_success(), "the first routes are valid");
+        (0..size.gateways).for_each(|gateway| site.wait_serving(gateway));
+        let mut drive = Self {
+            nodes: Nodes::new(site, Arc::clone(&world)),
+            world,
+            tasks: Vec::new(),
+            evacuation: None,
+            seed: plan.seed,
+            asked: 0,
+            found: Vec::new(),
+        };
+        drive.begin_traffic(size.callers);
+        drive
+    }
+
+    fn begin_traffic(&mut self, callers: usize) {
+        let seed = self.seed;
+        for number in 0..callers {
+            let world = Arc::clone(&self.world);
+            self.spawn(callers::call(world, number, seed ^ (number as u64 + 1)));
+        }
+        // Two operators change routes at once, and one reads.
+        for number in 100..102 {
+            self.spawn(operators::change(Arc::clone(&self.world), seed ^ number));
+        }
+        self.spawn(operators::read(Arc::clone(&self.world), seed ^ 200));
+    }
+
+    fn spawn(&mut self, task: impl Future<Output = ()> + Send + 'static) {
+        self.tasks.push(runtime::handle().spawn(task));
+    }
+
+    fn wait_until(&mut self, due: Instant) {
+        loop {
+            self.found.extend(self.nodes.look());
+            let left = due.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return;
+            }
+            std::thread::sleep(left.min(LOOK_EVERY));
+        }
+    }
+
+    fn take(&mut self, step: &Step) {
+        match step {
+            Step::Kill(target) => self.nodes.kill(*target),
+            Step::Start(target) => self.nodes.start(*target),
+            Step::Stop(target) => self.nodes.stop(*target),
+            Step::HangUp(target) => self.nodes.hang_up(*target),
+            Step::Freeze(target) => self.nodes.freeze(*target),
+            Step::Resume(target) => self.nodes.resume(*target),
+            Step::Tear(control) => self.nodes.tear(*control),
+            Step::Wipe(control) => {
+                self.nodes.wipe(*control);
+            }
+            Step::PowerCut(lost) => self.nodes.power_cut(*lost),
+            Step::Partition(targets) => self.partition(targets),
+            Step::OneWay(from, to) => {
+                let (from, to) = (self.nodes.name(*from), self.nodes.name(*to));
+                self.nodes.site.network.cut_one_way(&from, &to);
+            }
+            Step::Slow(ms) => self.slow(Duration::from_millis(*ms)),
+            Step::Heal => self.nodes.site.network.heal(),
+            Step::Reset(target) => self.proxies(*target, FaultProxy::cut),
+            Step::Silence(target) => self.proxies(*target, FaultProxy::silence),
+            Step::LoseAcks(control) => {
+                let orders = self.nodes.site.controls[*control].proxy("orders");
+                orders.set(Direction::ToClient, Flow::Hold);
+            }
+            Step::KeepAcks(control) => self.nodes.site.controls[*control].proxy("orders").heal(),
+            _ => self.take_outside(step),
+        }
+    }
+
+    /// Steps that concern endpoints and operators.
+    fn take_outside(&mut self, step: &Step) {
+        let site = &mut self.nodes.site;
+        match step {
+            Step::Manner(endpoint, manner) => site.endpoints[*endpoint].manner(*manner),
+            Step::CutEndpoint(endpoint) => {
+                site.link(*endpoint).into_iter().for_each(FaultProxy::hold);
+            }
+            Step::HealEndpoint(endpoint) => {
+                site.link(*endpoint).into_iter().for_each(FaultProxy::heal);
+            }
+            Step::Drain(endpoint) => {
+                site.endpoints[*endpoint].drain();
+                site.show_endpoints();
+            }
+            Step::Reborn(endpoint) => {
+                let id = format!("{}-again", site.endpoints[*endpoint].id());
+                site.endpoints[*endpoint].reborn(&id);
+            }
+            Step::Join(service) => {
+                let number = site.add_linked_endpoint(SERVICES[*service].0, DOMAINS[0]);
+                site.endpoints[number].cool(COLD_MS);
+                site.show_endpoints();
+            }
+            Step::Evacuate if self.evacuation.is_none() => {
+                let order = operators::evacuate(Arc::clone(&self.world), DOMAINS[1], self.seed);
+                self.evacuation = Some(runtime::handle().spawn(order));
+            }
+            _ => {}
+        }
+    }
+
+    fn partition(&mut self, targets: &[Target]) {
+        let all = self.nodes.targets();
+        let mut names = |within: bool| -> Vec<String> {
+            let side = all.iter().filter(|t| targets.contains(t) == within);
+            side.map(|t| self.nodes.name(*t)).collect()
+        };
+        let (within, without) = (names(true), names(false));
+        let within: Vec<&str> = within.iter().map(String::as_str).collect();
+        let without: Vec<&str> = without.iter().map(String::as_str).collect();
+        self.nodes.site.network.partition(&[&within, &without]);
+    }
+
+    fn slow(&mut self, by: Duration) {
+        let all = self.nodes.targets();
+        let names: Vec<String> = all.iter().map(|t| self.nodes.name(*t)).collect();
+        let alone: Vec<[&str; 1]> = names.iter().map(|name| [name.as_str()]).collect();
+        let groups: Vec<&[&str]> = alone.iter().map(<[&str; 1]>::as_slice).collect();
+        self.nodes
+            .site
+            .network
+            .set_between(&groups, Flow::Delay(by));
+    }
+
+    fn proxies(&mut self, target: Target, act: impl Fn(&FaultProxy)) {
+        let node = self.nodes.node(target);
+        for key in Nodes::keys(target) {
+            act(node.proxy(key));
+        }
+    }
+
+    /// Takes back all faults, and ends traffic.
+    fn calm(&mut self) {
+        let site = &self.nodes.site;
+        site.network.heal();
+        for (number, endpoint) in site.endpoints.iter().enumerate() {
+            endpoint.manner(Manner::Serves);
+            site.link(number).into_iter().for_each(FaultProxy::heal);
+        }
+        site.show_endpoints();
+        for node in &site.controls {
+            node.proxy("orders").heal();
+        }
+        for target in self.nodes.targets() {
+            self.nodes.resume(target);
+            self.nodes.start(target);
+        }
+        while self.nodes.is_any_stopping() {
+            self.wait_until(Instant::now() + LOOK_EVERY);
+        }
+        self.world.end();
+        let tasks = std::mem::take(&mut self.tasks);
+        runtime::wait(async move {
+            for task in tasks {
+                task.await.expect("no task of the soak panics");
+            }
+        });
+    }
+
+    /// Waits until everything is back, and looks that nothing goes where it must not.
+    fn settle(&mut self) {
+        let accepted = self.world.accepted();
+        let controls = self.nodes.site.controls.len();
+        for control in 0..controls {
+            let what = format!("control {control} proves version {accepted}");
+            self.must_be_back(&what, |drive| {
+                let node = &drive.nodes.site.controls[control];
+                proven(node).is_some_and(|version| version >= accepted)
+            });
+        }
+        let newest = proven(&self.nodes.site.controls[0]).unwrap_or(accepted);
+        for gateway in 0..self.nodes.site.gateways.len() {
+            for path in paths(newest) {
+                let what = format!("gateway {gateway} serves {path}");
+                self.must_be_back(&what, |drive| drive.is_served(gateway, &path));
+            }
+        }
+        self.look_for_left();
+    }
+
+    fn must_be_back(&mut self, what: &str, holds: impl FnMut(&mut Self) -> bool) {
+        if !self.holds_within(BACK_WITHIN, holds) {
+            self.found.push(Violation::NotBack(what.to_owned()));
+        }
+    }
+
+    fn holds_within(&mut self, bound: Duration, mut holds: impl FnMut(&mut Self) -> bool) -> bool {
+        let end = Instant::now() + bound;
+        while Instant::now() < end {
+            if holds(self) {
+                return true;
+            }
+            std::thread::sleep(LOOK_EVERY);
+        }
+        false
+    }
+
+    fn is_served(&mut self, gateway: usize, path: &str) -> bool {
+        self.asked += 1;
+        let id = format!("end-{}", self.asked);
+        let method = if path.starts_with("/orders") {
+            "POST"
+        } else {
+            "GET"
+        };
+        let result = self
+            .nodes
+            .site
+            .request(gateway, &request(method, path, &id));
+        let (ended, served) = match result {
+            Ok(answer) => {
+                let status = answer.status.as_u16();
+                let own = is_answer(method, path, b"", &answer.body);
+                (Ended::Answered { status, own }, status == 200)
+            }
+            Err(_) => (Ended::Closed, false),
+        };
+        let unknown = matches!(ended, Ended::Answered { status: 404, .. });
+        if !unknown {
+            self.world.history().asked.push(Asked {
+                id,
+                what: format!("{method} {path}"),
+                idempotent: method == "GET",
+                gateway,
+                ended,
+            });
+        }
+        served
+    }
+
+    /// Endpoints that are to leave, or whose failure domain is evacuated for sure.
+    fn left(&mut self) -> Vec<usize> {
+        let evacuated = self
+            .evacuation
+            .take()
+            .is_some_and(|task| runtime::wait(async move { task.await.unwrap_or(false) }));
+        let endpoints = self.nodes.site.endpoints.iter().enumerate();
+        let left =
+            endpoints.filter(|(_, e)| e.is_draining() || (evacuated && e.domain() == DOMAINS[1]));
+        left.map(|(number, _)| number).collect()
+    }
+
+    fn look_for_left(&mut self) {
+        let left = self.left();
+        let mut at_fault = Vec::new();
+        self.holds_within(LEFT_WITHIN, |drive| {
+            at_fault = drive.burst(&left);
+            at_fault.is_empty()
+        });
+        let found = at_fault.into_iter().map(Violation::WorkForOneThatLeft);
+        self.found.extend(found);
+    }
+
+    /// Sends some requests, and tells which of these endpoints got any.
+    fn burst(&mut self, left: &[usize]) -> Vec<usize> {
+        let count =
+            |drive: &Self, endpoint: usize| drive.nodes.site.endpoints[endpoint].runs().len();
+        let before: Vec<_> = left.iter().map(|e| count(self, *e)).collect();
+        for gateway in 0..self.nodes.site.gateways.len() {
+            for number in 0..BURST {
+                for (service, _) in SERVICES {
+                    self.is_served(gateway, &format!("/{service}/{number}"));
+                }
+            }
+        }
+        let pairs = left.iter().zip(before);
+        let got = pairs.filter(|(e, before)| count(self, **e) > *before);
+        got.map(|(e, _)| *e).collect()
+    }
+
+    fn report(mut self, plan: &Plan) -> Report {
+        let endpoints = self.nodes.site.endpoints.iter().enumerate();
+        let ran: Vec<Ran> = endpoints
+            .flat_map(|(endpoint, e)| {
+                e.runs().into_iter().map(move |run| Ran {
+                    endpoint,
+                    id: run.id,
+                    what: run.what,
+                })
+            })
+            .collect();
+        let history = self.world.history().clone();
+        self.found
+            .extend(judge(&history, &ran, MAX_ATTEMPTS, plan.planned_only));
+        let served = |asked: &&Asked| matches!(asked.ended, Ended::Answered { status: 200, .. });
+        if !self.found.is_empty() {
+            self.nodes.site.keep();
+        }
+        Report {
+            seed: plan.seed,
+            steps: plan.steps.len(),
+            requests: history.asked.len(),
+            served: history.asked.iter().filter(served).count(),
+            accepted: history.told.iter().filter(|t| t.accepted.is_some()).count(),
+            shown: history.shown.len(),
+            violations: self.found,
+            dir: self.nodes.site.dir().to_owned(),
+        }
+    }
+}
+
+/// A path of each service, and the one that only this version has.
+fn paths(version: u64) -> Vec<String> {
+    let services = SERVICES.iter().map(|(name, _)| format!("/{name}/end"));
+    services
+        .chain([format!("{}end", only_in(version))])
+        .collect()
+}
--- /dev/null
+++ b/crates/testing/src/soak/nodes.rs
@@ -0,0 +1,233 @@
+//! The processes under test, and what is done to each.
+
+use std::collections::BTreeMap;
+use std::fs::{self, File};
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use super::plan::Target;
+use super::verdict::Violation;
+use super::world::World;
+use crate::cluster::Node;
+use crate::site::Site;
+
+/// Time after which a process that was told to stop has to be gone: its grace, and as much
+/// again as a busy machine may take.
+const STOP_BOUND: Duration = Duration::from_secs(30);
+/// What a write that was torn by a loss of power leaves behind the last whole record: a
+/// length, and less than that of data.
+const TORN: [u8; 11] = [200, 0, 0, 0, 7, 1, 2, 3, 4, 5, 6];
+
+/// What was last done to a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Up,
+    Down,
+    Frozen,
+    Stopping(Instant),
+}
+
+/// All processes.
+pub(super) struct Nodes {
+    pub(super) site: Site,
+    world: Arc<World>,
+    states: BTreeMap<Target, State>,
+}
+
+impl Nodes {
+    pub(super) fn new(site: Site, world: Arc<World>) -> Self {
+        let controls = (0..site.controls.len()).map(Target::Control);
+        let gateways = (0..site.gateways.len()).map(Target::Gateway);
+        let states = controls.chain(gateways).map(|t| (t, State::Up)).collect();
+        Self {
+            site,
+            world,
+            states,
+        }
+    }
+
+    pub(super) fn targets(&self) -> Vec<Target> {
+        self.states.keys().copied().collect()
+    }
+
+    pub(super) fn node(&mut self, target: Target) -> &mut Node {
+        match target {
+            Target::Control(number) => &mut self.site.controls[number],
+            Target::Gateway(number) => &mut self.site.gateways[number],
+        }
+    }
+
+    pub(super) fn name(&mut self, target: Target) -> String {
+        self.node(target).name().to_owned()
+    }
+
+    /// Keys of the addresses that others reach it by.
+    pub(super) fn keys(target: Target) -> &'static [&'static str] {
+        match target {
+            Target::Control(_) => &["peer", "orders", "lookups"],
+            Target::Gateway(_) => &["peer", "caller"],
+        }
+    }
+
+    fn state(&self, target: Target) -> State {
+        self.states.get(&target).copied().unwrap_or(State::Down)
+    }
+
+    fn set(&mut self, target: Target, state: State) {
+        if let Target::Gateway(number) = target {
+            self.world.lives[number].fetch_add(1, Ordering::SeqCst);
+        }
+        self.states.insert(target, state);
+    }
+
+    pub(super) fn kill(&mut self, target: Target) {
+        if self.state(target) != State::Down {
+            self.set(target, State::Down);
+            self.node(target).kill();
+        }
+    }
+
+    pub(super) fn start(&mut self, target: Target) {
+        if self.state(target) == State::Down {
+            self.node(target).start();
+            self.set(target, State::Up);
+        }
+    }
+
+    /// Asks it to stop, again if it has been asked before.
+    pub(super) fn stop(&mut self, target: Target) {
+        match self.state(target) {
+            State::Up => {
+                self.node(target).process().terminate();
+                // It serves on, so its life goes on.
+                self.states.insert(target, State::Stopping(Instant::now()));
+            }
+            State::Stopping(_) => self.node(target).process().terminate(),
+            State::Down | State::Frozen => {}
+        }
+    }
+
+    pub(super) fn hang_up(&mut self, target: Target) {
+        if self.state(target) != State::Down {
+            self.node(target).process().hang_up();
+        }
+    }
+
+    pub(super) fn freeze(&mut self, target: Target) {
+        if self.state(target) == State::Up {
+            self.node(target).process().suspend();
+            self.states.insert(target, State::Frozen);
+        }
+    }
+
+    pub(super) fn resume(&mut self, target: Target) {
+        if self.state(target) == State::Frozen {
+            self.node(target).process().resume();
+            self.states.insert(target, State::Up);
+        }
+    }
+
+    /// Starts those again that have stopped, and looks for those that don't, or that have
+    /// ended without having been told to.
+    pub(super) fn look(&mut self) -> Vec<Violation> {
+        let mut found = Vec::new();
+        for target in self.targets() {
+            let state = self.state(target);
+            let ended = state != State::Down && self.node(target).process().try_exit().is_some();
+            match state {
+                State::Stopping(_) if ended => {
+                    self.kill(target);
+                    self.start(target);
+                }
+                State::Stopping(since) if since.elapsed() > STOP_BOUND => {
+                    found.push(Violation::NotBack(format!("{target:?} doesn't stop")));
+                    self.kill(target);
+                    self.start(target);
+                }
+                State::Up | State::Frozen if ended => {
+                    found.push(Violation::NotBack(format!("{target:?} ended by itself")));
+                    self.kill(target);
+                    self.start(target);
+                }
+                _ => {}
+            }
+        }
+        found
+    }
+
+    /// Whether any process is on its way to its end.
+    pub(super) fn is_any_stopping(&self) -> bool {
+        let mut states = self.states.values();
+        states.any(|state| matches!(state, State::Stopping(_)))
+    }
+
+    fn controls(&self) -> Vec<Target> {
+        (0..self.site.controls.len()).map(Target::Control).collect()
+    }
+
+    /// Loses power with a write under way.
+    pub(super) fn tear(&mut self, control: usize) {
+        let target = Target::Control(control);
+        if self.state(target) == State::Down {
+            return;
+        }
+        self.kill(target);
+        let data = self.node(target).data().to_owned();
+        let files = fs::read_dir(data).into_iter().flatten().flatten();
+        let logs = files.map(|file| file.path()).filter(|path| {
+            let name = path.file_name().unwrap_or_default().to_string_lossy();
+            name.starts_with("log-")
+        });
+        if let Some(newest) = logs.max() {
+            let file = File::options().append(true).open(newest);
+            let torn = file.and_then(|mut file| file.write_all(&TORN));
+            torn.expect("the log can be written");
+        }
+        self.start(target);
+    }
+
+    /// Loses a disk. Only a group that is whole bears it: each voter is up, and holds all
+    /// that was accepted. Says whether it was done.
+    pub(super) fn wipe(&mut self, control: usize) -> bool {
+        let whole = self.is_whole();
+        if whole {
+            let target = Target::Control(control);
+            self.kill(target);
+            self.node(target).wipe();
+            self.start(target);
+        }
+        whole
+    }
+
+    /// All replicas lose power at once, and one its disk as well if the group is whole.
+    pub(super) fn power_cut(&mut self, lost: Option<usize>) {
+        let lost = lost.filter(|_| self.is_whole());
+        let controls = self.controls();
+        for target in &controls {
+            self.kill(*target);
+        }
+        if let Some(control) = lost {
+            self.node(Target::Control(control)).wipe();
+        }
+        for target in &controls {
+            self.node(*target).spawn();
+        }
+        for target in controls {
+            self.node(target).wait_ready();
+            self.set(target, State::Up);
+        }
+    }
+
+    fn is_whole(&mut self) -> bool {
+        let controls = self.controls();
+        let up = controls.iter().all(|t| self.state(*t) == State::Up);
+        let accepted = self.world.accepted();
+        let voters = controls.len() as f64;
+        up && self.site.controls.iter().all(|node| {
+            super::drive::proven(node).is_some_and(|version| version >= accepted)
+                && node.metric("voters") >= voters
+        })
+    }
+}
--- a/crates/testing/src/standin/body.rs
+++ b/crates/testing/src/standin/body.rs
@@ -17,7 +17,7 @@
 const FLUSH: Duration = Duration::from_millis(10);
 
 /// Bytes of a payload, made as they are taken.
-pub(super) struct AnswerBody {
+pub(crate) struct AnswerBody {
     payload: Payload,
     at: u64,
     end: u64,
@@ -30,7 +30,7 @@
 }
 
 impl AnswerBody {
-    pub(super) fn new(payload: Payload, start: u64, end: u64) -> Self {
+    pub(crate) fn new(payload: Payload, start: u64, end: u64) -> Self {
         Self {
             payload,
             at: start,
@@ -43,7 +43,7 @@
     }
 
     /// Breaks the answer off after so many bytes of its body.
-    pub(super) fn cut_after(mut self, bytes: Option<u64>) -> Self {
+    pub(crate) fn cut_after(mut self, bytes: Option<u64>) -> Self {
         self.cut = bytes.map(|bytes| self.at + bytes);
         self.pause = bytes.map(|_| Box::pin(tokio::time::sleep(FLUSH)));
         self
--- a/crates/testing/src/standin/mod.rs
+++ b/crates/testing/src/standin/mod.rs
@@ -15,6 +15,7 @@
 use std::path::Path;
 use std::sync::Arc;
 
+pub(crate) use body::AnswerBody;
 pub use payload::Payload;
 pub use record::{Event, Record, Seen, Stage};
 pub use script::{Fault, Rule, Script, When, WhenFull};
--- a/tests/all/control/hostile.rs
+++ b/tests/all/control/hostile.rs
@@ -23,6 +23,7 @@
             addr,
             replica: None,
         },
+        received: 0,
         body: Body::Hello(HelloInfo {
             leads: false,
             operator_addr: addr,
--- a/tests/all/groups.rs
+++ b/tests/all/groups.rs
@@ -150,3 +150,19 @@
     site.network.heal();
     wait_version(site.control(&name), 8);
 }
+
+/// A device between two VMs forgets all connections to one replica: what the others send it
+/// vanishes, nothing is reset, and new connections would pass. It never heard of a leader
+/// again, and took itself for cut off until it was restarted.
+#[test]
+fn a_replica_is_heard_again_after_its_connections_have_gone_silent() {
+    let site = site().start();
+    site.put_routes(7, SERVICES);
+    site.controls.iter().for_each(|node| wait_version(node, 7));
+    let leads = |node: &Node| node.metric("_leader") > 0.0;
+    let leader = eventually("a leader", BOUND, || site.controls.iter().position(leads));
+    let follower = (leader + 1) % site.controls.len();
+    site.controls[follower].proxy("peer").silence();
+    site.put_routes(8, SERVICES);
+    wait_version(&site.controls[follower], 8);
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -16,6 +16,7 @@
 mod orders;
 mod report;
 mod requests;
+mod soak;
 mod spreading;
 mod stops;
 mod support;
