Tell gateways what has changed on the list of endpoints, not the whole list

Cause: a list of 585 endpoints is 26 KB, and each change sent it to 71 gateways whose links bear 6 Mbit/s; docs/CAPACITY.md named it as what doesn't reach 6,000 endpoints.

Change: a list keeps its last 48 changes; whoever holds an older one is told one change from there, if that is shorter. Lists read without a leader have no term and are never told as changes, since two replicas number theirs alike. A change of a list that isn't held is not taken; a replica asks at once for what it lacks.

--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -187,6 +187,13 @@
                 info!(endpoints = list.len(); "list of endpoints");
                 placer.set_endpoints(now, list);
             }
+            Update::EndpointsChanged(change) => {
+                self.listed_at.set(now);
+                info!(changed = change.changed.len(), gone = change.gone.len();
+                    "list of endpoints changed");
+                placer.change_endpoints(now, change);
+                self.metrics.endpoints(placer.endpoints());
+            }
             Update::Gateways(counts) => placer.set_gateways(&counts),
             Update::Demand(demand) => placer.set_demand(&demand),
         }
--- a/crates/fleet/src/api.rs
+++ b/crates/fleet/src/api.rs
@@ -53,6 +53,18 @@
     pub seq: u64,
 }
 
+/// How one list of endpoints differs from another.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct EndpointChange {
+    /// Number of the list that it changes.
+    pub from: Stamp,
+    /// Endpoints that are new or not as they were.
+    pub changed: Vec<Endpoint>,
+    /// Identities of those that are on the list no more.
+    pub gone: Vec<String>,
+}
+
 /// Which revisions somebody holds. 0 means none.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -187,6 +199,13 @@
         /// The list.
         list: Vec<Endpoint>,
     },
+    /// What has changed in the list of endpoints.
+    EndpointsChanged {
+        /// Number of the list that comes of it.
+        stamp: Stamp,
+        /// The change.
+        change: EndpointChange,
+    },
     /// A replica that doesn't lead passes an order on to the leader.
     Order {
         /// Comes back with the outcome.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,18 +11,20 @@
 //! - the routes in force and the evacuated failure domains, under their index in the
 //!   replicated log, so that all replicas number them alike;
 //! - the list of endpoints, which one leader reads and stamps with its term, so that
-//!   whatever a deposed leader still sends loses.
+//!   whatever a deposed leader still sends loses. Who holds an older list is told what has
+//!   changed since (`list`).
 //!
 //! Invariant: a [`Member`] never goes back to a lower revision of anything. A process that
 //! starts anew begins with nothing and serves nothing until it has both routes and list.
 
 mod api;
+mod list;
 mod member;
 mod registry;
 
 pub use api::{
-    Demand, Endpoint, EndpointState, GatewayInfo, Have, Message, Order, OrderError, Outbound,
-    Report, Stamp,
+    Demand, Endpoint, EndpointChange, EndpointState, GatewayInfo, Have, Message, Order, OrderError,
+    Outbound, Report, Stamp,
 };
 pub use member::{Member, Update};
 pub use registry::Registry;
--- /dev/null
+++ b/crates/fleet/src/list.rs
@@ -0,0 +1,184 @@
+//! The list of endpoints, and what has changed in it lately.
+//!
+//! The load it answers: a release replaces endpoints one after the other, and each step is
+//! a new list. At six hundred endpoints a list is 26 KB; sent whole to every gateway, steps
+//! of a second would fill a twentieth of a gateway's link and grow with the square of the
+//! deployment. So whoever holds a list is told only what has changed since.
+//!
+//! A stamp names the same content on every replica, since only the leader of a term gives
+//! stamps; so a change from one stamp to another may come from any of them. Lists that were
+//! read without a leader have no term, and replicas number them each on its own: nothing is
+//! ever told as a change of one of those.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use filberthead_types::Moment;
+
+use crate::{Endpoint, EndpointChange, Message, Stamp};
+
+/// A change of an endpoint's cold time by less than this is the passing of time seen
+/// through a clock of another machine, not news.
+const COLD_NOISE: Duration = Duration::from_millis(700);
+/// Changes that are kept: as many as come within some tens of seconds of a release. Who
+/// was away for longer gets the whole list.
+const KEPT_CHANGES: usize = 48;
+
+/// What became of news about the list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Taken {
+    /// It is held now.
+    New,
+    /// Something at least as new is held.
+    Old,
+    /// It is a change of a list that isn't held.
+    Gap,
+}
+
+/// The list that a replica holds.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct List {
+    stamp: Stamp,
+    by_id: BTreeMap<String, Endpoint>,
+    /// When cold times were as they stand.
+    at: Moment,
+    /// From an older stamp to a newer one, without a gap, up to what is held.
+    changes: VecDeque<(Stamp, EndpointChange)>,
+}
+
+impl List {
+    pub(crate) fn stamp(&self) -> Stamp {
+        self.stamp
+    }
+
+    /// Whether a list that was read just now differs from this one by no more than the
+    /// passing of time.
+    pub(crate) fn tells_nothing_new(&self, now: Moment, list: &[Endpoint]) -> bool {
+        let same = |e: &Endpoint| {
+            let held = self.by_id.get(&e.id);
+            held.is_some_and(|held| is_same(&aged(held, now.saturating_sub(self.at)), e))
+        };
+        self.by_id.len() == list.len() && list.iter().all(same)
+    }
+
+    /// Takes in a whole list.
+    pub(crate) fn replace(&mut self, now: Moment, stamp: Stamp, list: Vec<Endpoint>) -> Taken {
+        if stamp <= self.stamp {
+            return Taken::Old;
+        }
+        self.age(now);
+        let by_id: BTreeMap<_, _> = list.into_iter().map(|e| (e.id.clone(), e)).collect();
+        let held = |e: &&Endpoint| self.by_id.get(&e.id).is_some_and(|held| is_same(held, e));
+        let change = EndpointChange {
+            from: self.stamp,
+            changed: by_id.values().filter(|e| !held(e)).cloned().collect(),
+            gone: self
+                .by_id
+                .keys()
+                .filter(|id| !by_id.contains_key(*id))
+                .cloned()
+                .collect(),
+        };
+        self.by_id = by_id;
+        self.keep(stamp, change);
+        Taken::New
+    }
+
+    /// Takes in a change.
+    pub(crate) fn apply(&mut self, now: Moment, stamp: Stamp, change: EndpointChange) -> Taken {
+        if stamp <= self.stamp {
+            return Taken::Old;
+        }
+        if change.from != self.stamp {
+            return Taken::Gap;
+        }
+        self.age(now);
+        for id in &change.gone {
+            self.by_id.remove(id);
+        }
+        for endpoint in &change.changed {
+            self.by_id.insert(endpoint.id.clone(), endpoint.clone());
+        }
+        self.keep(stamp, change);
+        Taken::New
+    }
+
+    fn keep(&mut self, stamp: Stamp, change: EndpointChange) {
+        self.stamp = stamp;
+        self.changes.push_back((stamp, change));
+        if self.changes.len() > KEPT_CHANGES {
+            self.changes.pop_front();
+        }
+    }
+
+    /// What somebody lacks who holds the list with this stamp.
+    pub(crate) fn since(&self, now: Moment, have: Stamp) -> Option<Message> {
+        if self.stamp <= have {
+            return None;
+        }
+        let passed = now.saturating_sub(self.at);
+        let news = match self.change_since(have) {
+            Some(mut change) => {
+                let fresh = |e: &Endpoint| self.by_id.get(&e.id).map(|e| aged(e, passed));
+                change.changed = change.changed.iter().filter_map(fresh).collect();
+                Message::EndpointsChanged {
+                    stamp: self.stamp,
+                    change,
+                }
+            }
+            None => Message::Endpoints {
+                stamp: self.stamp,
+                list: self.by_id.values().map(|e| aged(e, passed)).collect(),
+            },
+        };
+        Some(news)
+    }
+
+    /// All changes from a stamp on as one, if they are all kept and shorter than the list.
+    fn change_since(&self, have: Stamp) -> Option<EndpointChange> {
+        if have.term == 0 {
+            return None;
+        }
+        let first = self.changes.iter().position(|(_, c)| c.from == have)?;
+        let mut changed = BTreeMap::new();
+        let mut gone = BTreeMap::new();
+        for (_, change) in self.changes.iter().skip(first) {
+            for endpoint in &change.changed {
+                gone.remove(&endpoint.id);
+                changed.insert(&endpoint.id, endpoint);
+            }
+            for id in &change.gone {
+                changed.remove(id);
+                gone.insert(id, ());
+            }
+        }
+        (changed.len() + gone.len() < self.by_id.len()).then(|| EndpointChange {
+            from: have,
+            changed: changed.into_values().cloned().collect(),
+            gone: gone.into_keys().cloned().collect(),
+        })
+    }
+
+    fn age(&mut self, now: Moment) {
+        let passed = now.saturating_sub(self.at);
+        self.at = now;
+        for endpoint in self.by_id.values_mut() {
+            endpoint.cold_left = endpoint.cold_left.saturating_sub(passed);
+        }
+    }
+}
+
+fn aged(e: &Endpoint, passed: Duration) -> Endpoint {
+    Endpoint {
+        cold_left: e.cold_left.saturating_sub(passed),
+        ..e.clone()
+    }
+}
+
+fn is_same(a: &Endpoint, b: &Endpoint) -> bool {
+    let plain = |e: &Endpoint| Endpoint {
+        cold_left: Duration::ZERO,
+        ..e.clone()
+    };
+    a.cold_left.abs_diff(b.cold_left) < COLD_NOISE && plain(a) == plain(b)
+}
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -8,7 +8,7 @@
 use filberthead_route::Table;
 use filberthead_types::{FailureDomain, Moment, Region, ServiceName};
 
-use crate::{Demand, Endpoint, GatewayInfo, Have, Message, Outbound, Report};
+use crate::{Demand, Endpoint, EndpointChange, GatewayInfo, Have, Message, Outbound, Report};
 
 /// Time between reports: three fit into the silence after which a gateway is taken for
 /// dead, and a notice that was lost is made up for within it.
@@ -38,6 +38,8 @@
     Evacuated(BTreeSet<FailureDomain>),
     /// The endpoints there are.
     Endpoints(Vec<Endpoint>),
+    /// What has changed in them.
+    EndpointsChanged(EndpointChange),
     /// How many gateways there are in each failure domain.
     Gateways(Vec<(FailureDomain, u32)>),
     /// What all gateways of each region were asked to carry.
@@ -182,6 +184,16 @@
                 self.have.endpoints = stamp;
                 (Vec::new(), vec![Update::Endpoints(list)])
             }
+            Message::EndpointsChanged { stamp, change } if stamp > self.have.endpoints => {
+                if change.from != self.have.endpoints {
+                    // An answer to a question that another one has overtaken; the next
+                    // notice is to ask again.
+                    self.asked = None;
+                    return (Vec::new(), Vec::new());
+                }
+                self.have.endpoints = stamp;
+                (Vec::new(), vec![Update::EndpointsChanged(change)])
+            }
             _ => (Vec::new(), Vec::new()),
         }
     }
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -8,7 +8,10 @@
 use filberthead_route::Table;
 use filberthead_types::{FailureDomain, Moment, NodeName, Region, ServiceName};
 
-use crate::{Demand, Endpoint, GatewayInfo, Have, Message, Outbound, Report, Stamp};
+use crate::list::{List, Taken};
+use crate::{
+    Demand, Endpoint, EndpointChange, GatewayInfo, Have, Message, Outbound, Report, Stamp,
+};
 
 /// Silence after which a gateway is no longer named to callers: three reports, so that
 /// one that is lost or late takes nobody out of service.
@@ -16,9 +19,6 @@
 /// Silence after which a gateway is forgotten. Its place in counts lasts this long, since
 /// one that is cut off from control may still be serving.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(30);
-/// A change of an endpoint's cold time by less than this is the passing of time seen
-/// through a clock of another machine, not news.
-const COLD_NOISE: Duration = Duration::from_millis(700);
 
 #[derive(Clone, Debug)]
 struct Seen {
@@ -38,8 +38,7 @@
     version: u64,
     table: Option<Arc<Table>>,
     evacuated: BTreeSet<FailureDomain>,
-    endpoints: Vec<Endpoint>,
-    endpoints_at: Moment,
+    endpoints: List,
 }
 
 impl Registry {
@@ -88,47 +87,35 @@
     /// Takes in a list of endpoints that this replica, the leader of `term`, has read
     /// just now. A list that tells nothing new keeps its stamp.
     pub fn listed(&mut self, now: Moment, term: u64, list: Vec<Endpoint>) -> Vec<Outbound> {
-        if self.have.endpoints.term == term && self.tells_nothing_new(now, &list) {
+        let held = self.endpoints.stamp();
+        if held.term == term && self.endpoints.tells_nothing_new(now, &list) {
             return Vec::new();
         }
-        let seq = match self.have.endpoints {
-            Stamp { term: held, seq } if held == term => seq + 1,
-            _ => 1,
-        };
-        self.take_endpoints(now, Stamp { term, seq }, list)
+        let seq = if held.term == term { held.seq + 1 } else { 1 };
+        let taken = self.endpoints.replace(now, Stamp { term, seq }, list);
+        self.after(now, taken)
     }
 
-    fn take_endpoints(&mut self, now: Moment, stamp: Stamp, list: Vec<Endpoint>) -> Vec<Outbound> {
-        if stamp <= self.have.endpoints {
-            return Vec::new();
+    fn after(&mut self, now: Moment, taken: Taken) -> Vec<Outbound> {
+        self.have.endpoints = self.endpoints.stamp();
+        match taken {
+            Taken::New => self.notices(now),
+            Taken::Old | Taken::Gap => Vec::new(),
         }
-        self.have.endpoints = stamp;
-        self.endpoints = list;
-        self.endpoints_at = now;
-        self.notices(now)
-    }
-
-    fn tells_nothing_new(&self, now: Moment, list: &[Endpoint]) -> bool {
-        let held = self.aged(now);
-        let same = |(a, b): (&Endpoint, &Endpoint)| {
-            let noise = a.cold_left.abs_diff(b.cold_left) < COLD_NOISE;
-            let plain = |e: &Endpoint| Endpoint {
-                cold_left: Duration::ZERO,
-                ..e.clone()
-            };
-            noise && plain(a) == plain(b)
-        };
-        held.len() == list.len() && held.iter().zip(list).all(same)
     }
 
-    /// The list, with cold times as they are by now.
-    fn aged(&self, now: Moment) -> Vec<Endpoint> {
-        let age = now.saturating_sub(self.endpoints_at);
-        let older = |e: &Endpoint| Endpoint {
-            cold_left: e.cold_left.saturating_sub(age),
-            ..e.clone()
-        };
-        self.endpoints.iter().map(older).collect()
+    fn changed(
+        &mut self,
+        now: Moment,
+        from: SocketAddr,
+        stamp: Stamp,
+        change: EndpointChange,
+    ) -> Vec<Outbound> {
+        let taken = self.endpoints.apply(now, stamp, change);
+        if taken == Taken::Gap {
+            return vec![(from, Message::Ask(self.have))];
+        }
+        self.after(now, taken)
     }
 
     /// Takes in a message of a gateway or of another replica.
@@ -136,7 +123,11 @@
         match message {
             Message::Report(report) => self.reported(now, from, report),
             Message::Ask(have) => self.newer_than(now, &have, from),
-            Message::Endpoints { stamp, list } => self.take_endpoints(now, stamp, list),
+            Message::Endpoints { stamp, list } => {
+                let taken = self.endpoints.replace(now, stamp, list);
+                self.after(now, taken)
+            }
+            Message::EndpointsChanged { stamp, change } => self.changed(now, from, stamp, change),
             _ => Vec::new(),
         }
     }
@@ -172,12 +163,9 @@
         news.into_iter().flatten().map(|news| (to, news)).collect()
     }
 
-    /// The list for another replica that holds `have`, if it lacks it.
+    /// What another replica lacks of the list if it holds `have`.
     pub fn endpoints_for(&self, now: Moment, have: Stamp) -> Option<Message> {
-        (self.have.endpoints > have).then(|| Message::Endpoints {
-            stamp: self.have.endpoints,
-            list: self.aged(now),
-        })
+        self.endpoints.since(now, have)
     }
 
     fn notices(&mut self, now: Moment) -> Vec<Outbound> {
--- a/crates/fleet/tests/spreading.rs
+++ b/crates/fleet/tests/spreading.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use filberthead_fleet::{
-    Endpoint, EndpointState, GatewayInfo, Member, Message, Registry, Stamp, Update,
+    Endpoint, EndpointChange, EndpointState, GatewayInfo, Have, Member, Message, Registry, Stamp,
+    Update,
 };
 use filberthead_route::Table;
 use filberthead_types::Moment;
@@ -208,3 +209,95 @@
     settle(ms(10), &mut alone, &mut behind);
     assert!(alone.is_informed(ms(3000)), "nobody else is there");
 }
+
+fn list(ids: std::ops::Range<u32>) -> Vec<Endpoint> {
+    ids.map(|id| endpoint(&format!("i-{id:03}"), 0)).collect()
+}
+
+/// What a replica tells somebody who holds this list.
+fn told(registry: &mut Registry, endpoints: Stamp) -> Message {
+    let have = Have {
+        endpoints,
+        ..registry.have()
+    };
+    let mut out = registry.receive(ms(0), addr(GATEWAY), Message::Ask(have));
+    out.pop().expect("it lacks the newest list").1
+}
+
+/// During a release each endpoint that is replaced makes a new list of six hundred. Sent
+/// whole to every gateway, lists took a tenth of a small VM's link. A gateway that was away
+/// for longer than changes are kept gets the whole list.
+#[test]
+fn who_holds_an_older_list_is_told_what_has_changed() {
+    let mut registry = Registry::default();
+    registry.listed(ms(0), 4, list(0..100));
+    let first = registry.have().endpoints;
+    registry.listed(ms(1), 4, list(1..101));
+    registry.listed(ms(2), 4, list(2..102));
+    let Message::EndpointsChanged { stamp, change } = told(&mut registry, first) else {
+        panic!("the change alone");
+    };
+    assert_eq!(stamp, registry.have().endpoints);
+    assert_eq!(change.from, first);
+    assert_eq!(change.changed, list(100..102));
+    assert_eq!(change.gone, ["i-000", "i-001"]);
+    for step in 3..60 {
+        registry.listed(ms(u64::from(step)), 4, list(step..step + 100));
+    }
+    assert!(matches!(
+        told(&mut registry, first),
+        Message::Endpoints { .. }
+    ));
+}
+
+/// Two replicas that hear no leader read the list each for itself, and number what they
+/// read alike though one has seen an endpoint more. A change of the one's list must never
+/// be told to a gateway that holds the other's: it would lack an endpoint for good.
+#[test]
+fn lists_without_a_leader_are_never_told_as_changes() {
+    let mut registry = Registry::default();
+    registry.listed(ms(0), 0, list(0..100));
+    let first = registry.have().endpoints;
+    registry.listed(ms(1), 0, list(0..101));
+    assert!(matches!(
+        told(&mut registry, first),
+        Message::Endpoints { .. }
+    ));
+    registry.listed(ms(2), 1, list(0..102));
+    assert!(matches!(
+        told(&mut registry, first),
+        Message::Endpoints { .. }
+    ));
+}
+
+/// A change of a list that a gateway or replica doesn't hold must not be taken: it holds
+/// nothing of what came between. A replica asks at once for what it lacks.
+#[test]
+fn a_change_of_another_list_is_not_taken() {
+    let stamp = |seq| Stamp { term: 4, seq };
+    let change = || Message::EndpointsChanged {
+        stamp: stamp(9),
+        change: EndpointChange {
+            from: stamp(8),
+            changed: list(3..4),
+            gone: Vec::new(),
+        },
+    };
+    let whole = |seq| Message::Endpoints {
+        stamp: stamp(seq),
+        list: list(0..2),
+    };
+    let (mut member, mut registry) = (gateway(), Registry::default());
+    member.receive(ms(1), addr(CONTROL), whole(7));
+    assert_eq!(member.receive(ms(2), addr(CONTROL), change()).1, Vec::new());
+    assert_eq!(member.have().endpoints, stamp(7));
+    member.receive(ms(3), addr(CONTROL), whole(8));
+    assert_eq!(member.receive(ms(4), addr(CONTROL), change()).1.len(), 1);
+    assert_eq!(member.have().endpoints, stamp(9));
+    registry.receive(ms(1), addr(CONTROL), whole(7));
+    let out = registry.receive(ms(2), addr(CONTROL), change());
+    assert!(matches!(out[..], [(_, Message::Ask(_))]));
+    registry.receive(ms(3), addr(CONTROL), whole(8));
+    registry.receive(ms(4), addr(CONTROL), change());
+    assert_eq!(registry.have().endpoints, stamp(9));
+}
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
-use filberthead_fleet::Endpoint;
+use filberthead_fleet::{Endpoint, EndpointChange};
 use filberthead_route::{Service, Table};
 use filberthead_types::{FailureDomain, Moment, Region, ServiceName};
 
@@ -103,6 +103,27 @@
         // for anything any more.
     }
 
+    /// Takes in what has changed on the platform's list.
+    pub fn change_endpoints(&mut self, now: Moment, change: EndpointChange) {
+        self.informed.get_or_insert(now);
+        let gone: BTreeSet<&str> = change.gone.iter().map(String::as_str).collect();
+        self.endpoints.retain(|e| !gone.contains(&*e.id));
+        for listed in change.changed {
+            match self.endpoints.iter_mut().find(|e| *e.id == *listed.id) {
+                Some(state) => state.listed(now, &listed),
+                None => {
+                    let region = self.cfg.regions.get(&listed.domain).cloned();
+                    self.endpoints.push(State::new(now, listed, region));
+                }
+            }
+        }
+    }
+
+    /// How many endpoints are listed.
+    pub fn endpoints(&self) -> usize {
+        self.endpoints.len()
+    }
+
     /// Takes in the evacuated failure domains. Endpoints of one that comes back may have
     /// become cold meanwhile.
     pub fn set_evacuated(&mut self, now: Moment, domains: BTreeSet<FailureDomain>) {
