Pass downloads on while they come; finish what runs when a gateway stops listening

Downloads over 8 kB now go on while they come, until their deadline.

Cause (stop): found by the test of a download under a planned stop. What watch::wait_for returns was held for as long as the connection's last answer was written; it locks the phase, and the next look at the phase blocked the gateway's only thread. Every request that was still running when the gateway stopped listening was cut at the end of the grace.

Ruled out: that only long downloads are concerned; any request in progress at that moment was.

Change: the guard is dropped before the connection goes on. The stop waits for connections, not for requests, so an answer that is half written counts.

--- a/crates/filberthead/src/gateway/answer.rs
+++ b/crates/filberthead/src/gateway/answer.rs
@@ -11,6 +11,8 @@
 use http::{HeaderName, HeaderValue, Response, StatusCode};
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
+use snafu::{ResultExt, Snafu};
+use tokio::time::Sleep;
 
 const RESULT: HeaderName = HeaderName::from_static(header::RESULT);
 
@@ -24,30 +26,54 @@
         body: Incoming,
         /// Goes back to the pool once the body has come to its end.
         connection: Option<Connection>,
+        /// When the caller has left; whatever is missing then is of no use.
+        late: Pin<Box<Sleep>>,
     },
 }
 
+/// Why an answer ends before it is whole. The caller's connection is closed then.
+#[derive(Debug)]
+#[derive(Snafu)]
+pub(crate) enum AnswerError {
+    /// The endpoint broke off.
+    #[snafu(display("the endpoint broke off"))]
+    Cut {
+        /// hyper's word.
+        source: hyper::Error,
+    },
+    /// The deadline passed.
+    #[snafu(display("the answer was not whole in time"))]
+    Late,
+}
+
 impl Body for AnswerBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = AnswerError;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
         match self.get_mut() {
             Self::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
             Self::Whole(bytes) => {
                 let frame = Frame::data(std::mem::take(bytes));
                 Poll::Ready(Some(Ok(frame)))
             }
-            Self::Passing { body, connection } => {
-                let frame = ready!(Pin::new(&mut *body).poll_frame(cx));
+            Self::Passing {
+                body,
+                connection,
+                late,
+            } => {
+                let Poll::Ready(frame) = Pin::new(&mut *body).poll_frame(cx) else {
+                    ready!(late.as_mut().poll(cx));
+                    return Poll::Ready(Some(LateSnafu.fail()));
+                };
                 let whole = frame.is_none() || body.is_end_stream();
                 if whole && let Some(connection) = connection.take() {
                     connection.release();
                 }
-                Poll::Ready(frame)
+                Poll::Ready(frame.map(|frame| frame.context(CutSnafu)))
             }
         }
     }
--- a/crates/filberthead/src/gateway/attempt.rs
+++ b/crates/filberthead/src/gateway/attempt.rs
@@ -13,7 +13,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Body;
 use log::{Level, debug, log};
-use tokio::time::timeout_at;
+use tokio::time::{sleep_until, timeout_at};
 
 use super::answer::AnswerBody;
 use super::core::Core;
@@ -23,6 +23,9 @@
 /// Answers up to this long are read whole before the caller gets a byte, so that one that
 /// breaks off can still be had elsewhere.
 const WHOLE: u64 = 1024 * 1024;
+/// Downloads that are longer than this pass through: read whole first, 90 kB over a link of
+/// 6 Mbit/s come a tenth of a second later.
+const WHOLE_DOWNLOAD: u64 = 8 * 1024;
 /// A request that may run only once takes a kept connection only if it was used this
 /// lately: one that the endpoint closes at the same moment would leave in doubt whether
 /// it ran.
@@ -182,8 +185,7 @@
         return Attempt::NotRun;
     }
     remove_hop_by_hop(&mut head.headers);
-    let known = body.size_hint().exact();
-    if known.is_none_or(|len| len <= WHOLE) {
+    if !passes(job.kind, head.status, body.size_hint().exact()) {
         let limited = Limited::new(body, WHOLE as usize).collect();
         let bytes = match timeout_at(job.deadline.answer, limited).await {
             Ok(Ok(body)) => body.to_bytes(),
@@ -199,8 +201,22 @@
         return finished(place, head, AnswerBody::Whole(bytes));
     }
     place.served();
-    let connection = Some(connection);
-    finished(place, head, AnswerBody::Passing { body, connection })
+    let passing = AnswerBody::Passing {
+        body,
+        connection: Some(connection),
+        late: Box::pin(sleep_until(job.deadline.answer)),
+    };
+    finished(place, head, passing)
+}
+
+/// Whether an answer of this length goes on while it comes. A failure never does: the
+/// request may be tried elsewhere.
+fn passes(kind: Kind, status: StatusCode, length: Option<u64>) -> bool {
+    let whole = match kind {
+        Kind::Download if status.is_success() => WHOLE_DOWNLOAD,
+        _ => WHOLE,
+    };
+    length.is_some_and(|length| length > whole)
 }
 
 fn finished(place: &mut Place<'_>, mut head: http::response::Parts, body: AnswerBody) -> Attempt {
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -38,7 +38,8 @@
     pub(crate) member: Member,
     pub(crate) out: Sender<Outgoing>,
     pub(crate) phase: watch::Sender<Phase>,
-    pub(crate) running: watch::Sender<usize>,
+    /// Callers' connections that are open.
+    pub(crate) connections: watch::Sender<usize>,
     pub(crate) metrics: Arc<GatewayMetrics>,
     /// Seeds of the group, as the settings have them.
     pub(crate) seeds: watch::Receiver<Vec<SocketAddr>>,
@@ -63,7 +64,8 @@
     in_force: RefCell<Option<Rc<InForce>>>,
     out: Sender<Outgoing>,
     phase: watch::Sender<Phase>,
-    running: watch::Sender<usize>,
+    connections: watch::Sender<usize>,
+    running: Cell<usize>,
     seeds: RefCell<watch::Receiver<Vec<SocketAddr>>>,
     silent: Cell<bool>,
     /// When the list of endpoints last changed.
@@ -75,7 +77,16 @@
 
 impl Drop for Running {
     fn drop(&mut self) {
-        self.0.running.send_modify(|running| *running -= 1);
+        self.0.running.set(self.0.running.get() - 1);
+    }
+}
+
+/// Counts a caller's connection as open until it is dropped.
+pub(crate) struct Connected(Rc<Core>);
+
+impl Drop for Connected {
+    fn drop(&mut self) {
+        self.0.connections.send_modify(|open| *open -= 1);
     }
 }
 
@@ -91,7 +102,8 @@
             in_force: RefCell::new(None),
             out: parts.out,
             phase: parts.phase,
-            running: parts.running,
+            connections: parts.connections,
+            running: Cell::new(0),
             seeds: RefCell::new(parts.seeds),
             silent: Cell::new(true),
             listed_at: Cell::new(Moment::ZERO),
@@ -125,10 +137,15 @@
     }
 
     pub(crate) fn begin(self: &Rc<Self>) -> Running {
-        self.running.send_modify(|running| *running += 1);
+        self.running.set(self.running.get() + 1);
         Running(Rc::clone(self))
     }
 
+    pub(crate) fn connected(self: &Rc<Self>) -> Connected {
+        self.connections.send_modify(|open| *open += 1);
+        Connected(Rc::clone(self))
+    }
+
     /// Takes in a message of control.
     pub(crate) fn heard(&self, heard: Heard) {
         let now = self.now();
@@ -211,7 +228,7 @@
         let ready = *self.phase.borrow() == Phase::Serving;
         member.set_ready(ready);
         self.metrics.ready(ready);
-        self.metrics.running(*self.running.borrow());
+        self.metrics.running(self.running.get());
         let placer = &self.placer;
         let out = member.tick(now, || {
             let mut placer = placer.borrow_mut();
--- a/crates/filberthead/src/gateway/mod.rs
+++ b/crates/filberthead/src/gateway/mod.rs
@@ -128,12 +128,12 @@
     let opened = open(cfg)?;
     let (source, stop) = stop_pair();
     let phase = watch::Sender::new(Phase::Starting);
-    let running = watch::Sender::new(0);
+    let connections = watch::Sender::new(0);
     let seeded = watch::Sender::new(cfg.seeds.clone());
     let planned = PlannedStop {
         grace: cfg.stop_grace,
         phase: phase.clone(),
-        running: running.subscribe(),
+        connections: connections.subscribe(),
     };
     let ready = [
         ("caller", bound(&opened.callers)?),
@@ -143,7 +143,7 @@
     ];
     info!(domain:% = cfg.failure_domain, seeds:? = cfg.seeds, caller:% = ready[0].1;
         "gateway starts");
-    let duties = start(cfg, dialect, opened, (phase, running, &seeded), &stop)?;
+    let duties = start(cfg, dialect, opened, (phase, connections, &seeded), &stop)?;
     announce(&ready).context(ReadySnafu)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -196,7 +196,7 @@
     cfg: &GatewaySettings,
     dialect: Dialect,
     opened: Opened,
-    (phase, running, seeded): Shared<'_>,
+    (phase, connections, seeded): Shared<'_>,
     stop: &Stop,
 ) -> Result<Vec<Duty>, GatewayError> {
     let caller_addr = match cfg.caller_advertise {
@@ -233,7 +233,7 @@
         member: Member::new(info, cfg.seeds.clone()),
         out,
         phase,
-        running,
+        connections,
         metrics,
         seeds: seeded.subscribe(),
     };
--- a/crates/filberthead/src/gateway/serve.rs
+++ b/crates/filberthead/src/gateway/serve.rs
@@ -14,6 +14,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use log::{debug, warn};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use super::Heard;
@@ -82,6 +83,7 @@
 }
 
 async fn connection(core: Rc<Core>, stream: TcpStream, caller: SocketAddr) {
+    let _open = core.connected();
     if let Err(e) = stream.set_nodelay(true) {
         debug!(caller:%, error:% = e; "a connection broke at its start");
         return;
@@ -102,7 +104,7 @@
     let mut serving = std::pin::pin!(serving);
     let result = tokio::select! {
         result = serving.as_mut() => result,
-        _ = phase.wait_for(|phase| *phase >= Phase::Ending) => {
+        () = ending(&mut phase) => {
             // Ends the connection after the request that it is answering.
             serving.as_mut().graceful_shutdown();
             serving.await
@@ -113,6 +115,16 @@
     }
 }
 
+/// Waits until no new connections are taken.
+///
+/// What `wait_for` returns holds the phase locked. Kept while the last answers are written,
+/// it would block the next change of phase, and with it this whole thread: every request
+/// still running when the gateway stops listening was cut.
+async fn ending(phase: &mut watch::Receiver<Phase>) {
+    // An error means that the process is about to end.
+    drop(phase.wait_for(|phase| *phase >= Phase::Ending).await);
+}
+
 async fn answer(
     core: &Rc<Core>,
     caller: SocketAddr,
--- a/crates/filberthead/src/gateway/stop.rs
+++ b/crates/filberthead/src/gateway/stop.rs
@@ -35,8 +35,9 @@
     pub(crate) grace: Duration,
     /// Where the gateway's phase is told.
     pub(crate) phase: watch::Sender<Phase>,
-    /// Requests that are running.
-    pub(crate) running: watch::Receiver<usize>,
+    /// Callers' connections that are open. One ends once its last answer is on its way,
+    /// so no answer is cut that is only half written.
+    pub(crate) connections: watch::Receiver<usize>,
 }
 
 impl PlannedStop {
@@ -47,9 +48,9 @@
         sleep(self.grace.mul_f64(LINGER)).await;
         self.phase.send_replace(Phase::Ending);
         let end = begun + self.grace.mul_f64(END);
-        let idle = self.running.wait_for(|running| *running == 0);
-        let ended = timeout_at(end, idle).await.is_ok();
-        let running = *self.running.borrow();
-        info!(running, in_time = ended; "planned stop ends");
+        let none = self.connections.wait_for(|open| *open == 0);
+        let ended = timeout_at(end, none).await.is_ok();
+        let open = *self.connections.borrow();
+        info!(open, in_time = ended; "planned stop ends");
     }
 }
--- a/crates/testing/src/site/endpoint.rs
+++ b/crates/testing/src/site/endpoint.rs
@@ -42,6 +42,8 @@
     Hangs,
     /// It runs the request and breaks off in the middle of the answer.
     Cuts,
+    /// It runs the request and sends its answer at so many bytes a second.
+    Paced(u64),
 }
 
 /// A request that an endpoint began to run.
@@ -319,7 +321,12 @@
     let bytes = bytes.unwrap_or(CUT_BYTES);
     let payload = Payload::of_answer(method, &uri, body);
     let cut = (manner == Manner::Cuts).then_some(bytes / 2);
-    Either::Right(AnswerBody::new(payload, 0, bytes).cut_after(cut))
+    let pace = match manner {
+        Manner::Paced(pace) => Some(pace),
+        _ => None,
+    };
+    let body = AnswerBody::new(payload, 0, bytes).cut_after(cut).pace(pace);
+    Either::Right(body)
 }
 
 fn named_bytes(uri: &str) -> Option<u64> {
--- a/crates/testing/src/standin/body.rs
+++ b/crates/testing/src/standin/body.rs
@@ -49,7 +49,7 @@
         self
     }
 
-    pub(super) fn pace(mut self, bytes_per_second: Option<u64>) -> Self {
+    pub(crate) fn pace(mut self, bytes_per_second: Option<u64>) -> Self {
         self.pace = bytes_per_second;
         self
     }
--- a/tests/all/gateways.rs
+++ b/tests/all/gateways.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-use filberthead_testing::client::{Answer, Call};
+use filberthead_testing::client::{Answer, Call, CallError};
 use filberthead_testing::cluster::Node;
 use filberthead_testing::site::{Manner, Site, SiteEndpoint, order_at, request};
+use filberthead_testing::standin::Payload;
 use filberthead_testing::{eventually, wait_until};
 
 use crate::groups::site;
@@ -334,3 +335,51 @@
         site.endpoints[3].ran().len() == before
     });
 }
+
+/// A performer's lesson is long and comes slowly. It must reach the performer while it
+/// comes: read whole by the gateway first, each lesson came later by the time that it needs
+/// on a small VM's link. What is missing at the deadline is of no use to anybody, and what
+/// there is must not look whole.
+#[test]
+fn a_download_goes_on_while_it_comes() {
+    let site = start("lessons", 1);
+    send_until(&site, "GET", "/lessons/warm-up", 200);
+    site.endpoints[0].manner(Manner::Paced(200_000));
+    let path = "/lessons/1?bytes=20000000";
+    let call = Call::new("GET", path)
+        .header("host", filberthead_testing::site::HOST)
+        .header("x-request-id", "lesson-1")
+        .header("x-deadline-ms", "3000");
+    let Err(CallError::Cut { status, got }) = site.request(0, &call) else {
+        panic!("the lesson is cut at its deadline");
+    };
+    assert_eq!(status, 200);
+    assert!(!got.is_empty());
+    assert!(Payload::of_answer("GET", path, b"").matches(0, &got));
+}
+
+/// A gateway is stopped while a lesson comes that is still under way when it takes no more
+/// callers. The lesson's head had been answered, so nothing counted as running, and the
+/// process ended in the middle of it.
+#[test]
+fn a_planned_stop_cuts_no_download() {
+    const PACE: u64 = 200_000;
+    const LASTS_S: u64 = 9;
+    let mut site = start("lessons", 1);
+    site.gateways[0].settings().set("stop", "grace", "12s");
+    site.gateways[0].restart();
+    site.wait_serving(0);
+    send_until(&site, "GET", "/lessons/warm-up", 200);
+    site.endpoints[0].manner(Manner::Paced(PACE));
+    let path = format!("/lessons/1?bytes={}", PACE * LASTS_S);
+    let addr = site.gateways[0].addr("caller");
+    let call = request("GET", &path, "lesson-1");
+    let running = std::thread::spawn(move || call.send(addr));
+    wait_until("the lesson runs", BOUND, || {
+        site.endpoints[0].ran().contains(&"lesson-1".to_owned())
+    });
+    site.gateways[0].process().terminate();
+    let answer = running.join().expect("the caller").expect("an answer");
+    assert_eq!(answer.body.len() as u64, PACE * LASTS_S);
+    assert!(site.gateways[0].wait_exit().success());
+}
