Let large answers give way to short messages on a small VM's link

Downloads of 90 kB hold a link of 6.7 Mbit/s for 107 ms each, and everything waits behind them.

Change: large answers go out in pieces of 8 ms of the link, a piece only when the link should have sent what went before; short messages go at once. The rate comes from the settings.

--- a/crates/filberthead/src/gateway/answer.rs
+++ b/crates/filberthead/src/gateway/answer.rs
@@ -1,18 +1,16 @@
 //! Answers to callers: an endpoint's own, or the gateway's.
 
 use std::pin::Pin;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
-use filberthead_endpoint::Connection;
 use filberthead_types::{Meaning, ResultCode, header};
 use http::header::RETRY_AFTER;
 use http::{HeaderName, HeaderValue, Response, StatusCode};
 use http_body::{Body, Frame, SizeHint};
-use hyper::body::Incoming;
-use snafu::{ResultExt, Snafu};
-use tokio::time::Sleep;
+
+use super::passing::{AnswerError, Passing};
 
 const RESULT: HeaderName = HeaderName::from_static(header::RESULT);
 
@@ -20,30 +18,8 @@
 pub(crate) enum AnswerBody {
     /// All of it is here.
     Whole(Bytes),
-    /// It comes from an endpoint while the caller reads it. If it breaks off there, it
-    /// breaks off here as well, so that a cut answer never looks whole.
-    Passing {
-        body: Incoming,
-        /// Goes back to the pool once the body has come to its end.
-        connection: Option<Connection>,
-        /// When the caller has left; whatever is missing then is of no use.
-        late: Pin<Box<Sleep>>,
-    },
-}
-
-/// Why an answer ends before it is whole. The caller's connection is closed then.
-#[derive(Debug)]
-#[derive(Snafu)]
-pub(crate) enum AnswerError {
-    /// The endpoint broke off.
-    #[snafu(display("the endpoint broke off"))]
-    Cut {
-        /// hyper's word.
-        source: hyper::Error,
-    },
-    /// The deadline passed.
-    #[snafu(display("the answer was not whole in time"))]
-    Late,
+    /// It comes from an endpoint while the caller reads it.
+    Passing(Box<Passing>),
 }
 
 impl Body for AnswerBody {
@@ -60,35 +36,21 @@
                 let frame = Frame::data(std::mem::take(bytes));
                 Poll::Ready(Some(Ok(frame)))
             }
-            Self::Passing {
-                body,
-                connection,
-                late,
-            } => {
-                let Poll::Ready(frame) = Pin::new(&mut *body).poll_frame(cx) else {
-                    ready!(late.as_mut().poll(cx));
-                    return Poll::Ready(Some(LateSnafu.fail()));
-                };
-                let whole = frame.is_none() || body.is_end_stream();
-                if whole && let Some(connection) = connection.take() {
-                    connection.release();
-                }
-                Poll::Ready(frame.map(|frame| frame.context(CutSnafu)))
-            }
+            Self::Passing(passing) => passing.poll_frame(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Whole(bytes) => bytes.is_empty(),
-            Self::Passing { body, .. } => body.is_end_stream(),
+            Self::Passing(passing) => passing.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
-            Self::Passing { body, .. } => body.size_hint(),
+            Self::Passing(passing) => passing.size_hint(),
         }
     }
 }
--- a/crates/filberthead/src/gateway/attempt.rs
+++ b/crates/filberthead/src/gateway/attempt.rs
@@ -13,11 +13,12 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Body;
 use log::{Level, debug, log};
-use tokio::time::{sleep_until, timeout_at};
+use tokio::time::timeout_at;
 
 use super::answer::AnswerBody;
 use super::core::Core;
 use super::deadline::Deadline;
+use super::passing::Passing;
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 /// Answers up to this long are read whole before the caller gets a byte, so that one that
@@ -33,6 +34,8 @@
 /// An answer that hasn't come for so long says that kept connections may be dead: it is
 /// several times what the services' work takes.
 const SILENT: Duration = Duration::from_millis(700);
+/// What the head of a request or answer takes on a link, about.
+pub(crate) const HEAD_BYTES: usize = 300;
 /// Part of the time for which an endpoint keeps idle connections that is made use of.
 const KEPT_PART: f64 = 0.7;
 
@@ -126,6 +129,7 @@
         object: text(&job.head.headers, &core.dialect.object),
     };
     let req = request(core, job, body, target);
+    core.sends(HEAD_BYTES + req.body().size_hint().lower() as usize);
     let empty = HeaderValue::from_static("");
     let name = &core.dialect.request_id;
     let value = job.head.headers.get(name).unwrap_or(&empty);
@@ -171,7 +175,7 @@
     req
 }
 
-async fn receive(core: &Core, job: &Job<'_>, answer: Answer, place: &mut Place<'_>) -> Attempt {
+async fn receive(core: &Rc<Core>, job: &Job<'_>, answer: Answer, place: &mut Place<'_>) -> Attempt {
     let (mut head, body) = answer.response.into_parts();
     let mut connection = answer.connection;
     note(core, &head.headers, place.target);
@@ -201,12 +205,8 @@
         return finished(place, head, AnswerBody::Whole(bytes));
     }
     place.served();
-    let passing = AnswerBody::Passing {
-        body,
-        connection: Some(connection),
-        late: Box::pin(sleep_until(job.deadline.answer)),
-    };
-    finished(place, head, passing)
+    let passing = Passing::new(core, body, connection, job.deadline.answer);
+    finished(place, head, AnswerBody::Passing(Box::new(passing)))
 }
 
 /// Whether an answer of this length goes on while it comes. A failure never does: the
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -12,7 +12,7 @@
 use filberthead_fleet::{Member, Outbound, Update};
 use filberthead_observe::GatewayMetrics;
 use filberthead_peer::Body;
-use filberthead_place::Placer;
+use filberthead_place::{Link, Placer};
 use filberthead_ring::Sender;
 use filberthead_route::{CallerBounds, Matcher};
 use filberthead_types::Moment;
@@ -38,6 +38,8 @@
     pub(crate) member: Member,
     pub(crate) out: Sender<Outgoing>,
     pub(crate) phase: watch::Sender<Phase>,
+    /// The VM's link, if its rate is known.
+    pub(crate) link: Option<Link>,
     /// Callers' connections that are open.
     pub(crate) connections: watch::Sender<usize>,
     pub(crate) metrics: Arc<GatewayMetrics>,
@@ -60,6 +62,8 @@
     pub(crate) client: Client,
     pub(crate) placer: RefCell<Placer>,
     pub(crate) metrics: Arc<GatewayMetrics>,
+    /// The VM's link, if its rate is known.
+    link: Option<RefCell<Link>>,
     member: RefCell<Member>,
     in_force: RefCell<Option<Rc<InForce>>>,
     out: Sender<Outgoing>,
@@ -98,6 +102,7 @@
             client: Client::with_connect_timeout(CONNECT_TIMEOUT),
             placer: RefCell::new(parts.placer),
             metrics: parts.metrics,
+            link: parts.link.map(RefCell::new),
             member: RefCell::new(parts.member),
             in_force: RefCell::new(None),
             out: parts.out,
@@ -114,6 +119,26 @@
         self.clock.now()
     }
 
+    /// Notes bytes that go out.
+    pub(crate) fn sends(&self, bytes: usize) {
+        if let Some(link) = &self.link {
+            link.borrow_mut().sent(self.now(), bytes);
+        }
+    }
+
+    /// How much longer the link has other things to send than large answers.
+    pub(crate) fn link_busy_for(&self) -> Option<Duration> {
+        let now = self.now();
+        let at = self.link.as_ref()?.borrow().next_piece(now)?;
+        Some(at.saturating_sub(now))
+    }
+
+    /// Bytes of a large answer that go out at once, at most.
+    pub(crate) fn piece(&self) -> usize {
+        let link = self.link.as_ref();
+        link.map_or(usize::MAX, |link| link.borrow().piece())
+    }
+
     /// The routes in force, if any are known.
     pub(crate) fn in_force(&self) -> Option<Rc<InForce>> {
         self.in_force.borrow().clone()
--- a/crates/filberthead/src/gateway/mod.rs
+++ b/crates/filberthead/src/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod core;
 mod deadline;
 mod dialect;
+mod passing;
 mod readiness;
 mod serve;
 mod stop;
@@ -22,7 +23,7 @@
 use filberthead_fleet::{GatewayInfo, Member, Message};
 use filberthead_observe::GatewayMetrics;
 use filberthead_peer::{Body, Deliver, Origin, Transport, TransportError, cluster_id};
-use filberthead_place::{BudgetConfig, Config, Placer};
+use filberthead_place::{BudgetConfig, Config, Link, Placer};
 use filberthead_ring::{Receiver, Sender, ring};
 use filberthead_settings::GatewaySettings;
 use filberthead_types::Incarnation;
@@ -38,6 +39,7 @@
 use crate::supervisor::supervise;
 use crate::{Clock, Duty, DutyError, SuperviseError, peers};
 
+const BITS_PER_MBIT: f64 = 1e6;
 /// Messages of control that wait for the requests duty. When full, further ones are
 /// dropped; control repeats what it says.
 const MESSAGES: usize = 256;
@@ -234,6 +236,7 @@
         out,
         phase,
         connections,
+        link: cfg.link_rate.map(|rate| Link::new(rate * BITS_PER_MBIT)),
         metrics,
         seeds: seeded.subscribe(),
     };
--- /dev/null
+++ b/crates/filberthead/src/gateway/passing.rs
@@ -0,0 +1,126 @@
+//! A large answer that goes on to its caller while it comes from its endpoint.
+
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use filberthead_endpoint::Connection;
+use http_body::{Body, Frame, SizeHint};
+use hyper::body::Incoming;
+use snafu::{ResultExt, Snafu};
+use tokio::time::{Instant, Sleep, sleep_until};
+
+use super::core::Core;
+
+/// Why an answer ends before it is whole. The caller's connection is closed then, so that
+/// a cut answer never looks whole.
+#[derive(Debug)]
+#[derive(Snafu)]
+pub(crate) enum AnswerError {
+    /// The endpoint broke off.
+    #[snafu(display("the endpoint broke off"))]
+    Cut {
+        /// hyper's word.
+        source: hyper::Error,
+    },
+    /// The deadline passed.
+    #[snafu(display("the answer was not whole in time"))]
+    Late,
+}
+
+/// The rest of an answer.
+pub(crate) struct Passing {
+    core: Rc<Core>,
+    body: Incoming,
+    /// Goes back to the pool once the body has come to its end.
+    connection: Option<Connection>,
+    /// When the caller has left; whatever is missing then is of no use.
+    late: Pin<Box<Sleep>>,
+    /// What has come and isn't sent yet. No more is read until it is, which stops the
+    /// endpoint through TCP.
+    held: Bytes,
+    /// Until when the link has other things to send.
+    busy: Option<Pin<Box<Sleep>>>,
+}
+
+impl Passing {
+    pub(crate) fn new(
+        core: &Rc<Core>,
+        body: Incoming,
+        connection: Connection,
+        deadline: Instant,
+    ) -> Self {
+        Self {
+            core: Rc::clone(core),
+            body,
+            connection: Some(connection),
+            late: Box::pin(sleep_until(deadline)),
+            held: Bytes::new(),
+            busy: None,
+        }
+    }
+
+    pub(crate) fn poll_frame(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
+        if self.late.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Some(LateSnafu.fail()));
+        }
+        if self.held.is_empty() {
+            match ready!(self.poll_body(cx)) {
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(data) => self.held = data,
+                    Err(trailers) => return Poll::Ready(Some(Ok(trailers))),
+                },
+                other => return Poll::Ready(other),
+            }
+        }
+        ready!(self.poll_link(cx));
+        let piece = self.held.len().min(self.core.piece());
+        self.core.sends(piece);
+        Poll::Ready(Some(Ok(Frame::data(self.held.split_to(piece)))))
+    }
+
+    fn poll_body(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerError>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        let whole = frame.is_none() || self.body.is_end_stream();
+        if whole && let Some(connection) = self.connection.take() {
+            connection.release();
+        }
+        Poll::Ready(frame.map(|frame| frame.context(CutSnafu)))
+    }
+
+    /// Waits until the link is free for a piece.
+    fn poll_link(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        loop {
+            if let Some(busy) = &mut self.busy {
+                ready!(busy.as_mut().poll(cx));
+                self.busy = None;
+            }
+            match self.core.link_busy_for() {
+                Some(wait) => self.busy = Some(Box::pin(tokio::time::sleep(wait))),
+                None => return Poll::Ready(()),
+            }
+        }
+    }
+
+    pub(crate) fn is_end_stream(&self) -> bool {
+        self.held.is_empty() && self.body.is_end_stream()
+    }
+
+    pub(crate) fn size_hint(&self) -> SizeHint {
+        let held = self.held.len() as u64;
+        let rest = self.body.size_hint();
+        let mut hint = SizeHint::new();
+        hint.set_lower(rest.lower() + held);
+        if let Some(upper) = rest.upper() {
+            hint.set_upper(upper + held);
+        }
+        hint
+    }
+}
--- a/crates/filberthead/src/gateway/serve.rs
+++ b/crates/filberthead/src/gateway/serve.rs
@@ -19,6 +19,7 @@
 
 use super::Heard;
 use super::answer::AnswerBody;
+use super::attempt::HEAD_BYTES;
 use super::carry::carry;
 use super::core::Core;
 use super::stop::Phase;
@@ -133,6 +134,9 @@
     let running = core.begin();
     let mut answer = carry(core, caller, req).await;
     drop(running);
+    if let AnswerBody::Whole(body) = answer.body() {
+        core.sends(HEAD_BYTES + body.len());
+    }
     if core.is_leaving() {
         let close = HeaderValue::from_static("close");
         answer.headers_mut().insert(CONNECTION, close);
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -17,6 +17,7 @@
 //!   slowly, so that no region is met by a step of load.
 //! - *Cold endpoints* (`cold`): each gets no more requests a second than it bears, from
 //!   all gateways together, without their talking.
+//! - *Large answers* (`link`): they give way to short messages on a VM's own link.
 //! - *Retries* (`budget`): further attempts stay within a part of first ones, over all
 //!   gateways, without their talking.
 
@@ -25,6 +26,7 @@
 mod cost;
 mod decide;
 mod endpoint;
+mod link;
 mod mix;
 mod placer;
 mod plan;
@@ -35,6 +37,7 @@
 pub use budget::{Budget, BudgetConfig};
 pub use cost::Acquaintance;
 pub use endpoint::{EndpointId, Load, Outcome};
+pub use link::Link;
 pub use placer::Placer;
 pub use planning::Belief;
 pub use request::{Config, Decision, Refusal, Request, Target};
--- /dev/null
+++ b/crates/place/src/link.rs
@@ -0,0 +1,63 @@
+//! When pieces of large answers go out.
+//!
+//! The load it answers: a small VM's link carries a download of 90 kB in a tenth of a
+//! second, and whatever is sent meanwhile waits behind it: requests to endpoints, short
+//! answers to callers. At half of the link's load each of these waited 60 ms in each
+//! direction, a third of what an answer takes. So large answers go out in pieces, and a
+//! piece only when the link should have sent what went before. Short messages go at once:
+//! at most a piece is before them, and downloads have all that they leave.
+//!
+//! The link's queue isn't seen; it is reckoned from what was sent and the link's rate. What
+//! is sent besides, such as reports to control, is too little to matter.
+
+use std::time::Duration;
+
+use filberthead_types::Moment;
+
+/// Time that a piece takes on the link: what a short message may wait for one.
+const PIECE: Duration = Duration::from_millis(8);
+/// Smallest piece: below it a wake-up costs more than it saves.
+const MIN_PIECE: usize = 4 * 1024;
+/// Largest piece: all that is at hand of an answer at once.
+const MAX_PIECE: usize = 64 * 1024;
+/// Reckoned queue up to which another piece is sent, so that a timer that fires late
+/// doesn't leave the link idle.
+const AHEAD: Duration = Duration::from_millis(6);
+/// Part of the rate that is reckoned with: headers of packets take the rest.
+const USED: f64 = 0.95;
+
+/// A VM's link, in the direction away from it.
+#[derive(Clone, Copy, Debug)]
+pub struct Link {
+    bytes_per_s: f64,
+    /// When it will have sent all that was handed to it.
+    free_at: Moment,
+}
+
+impl Link {
+    /// A link of so many bits a second that has nothing to send.
+    pub fn new(bits_per_s: f64) -> Self {
+        Self {
+            bytes_per_s: (USED * bits_per_s / 8.0).max(1.0),
+            free_at: Moment::ZERO,
+        }
+    }
+
+    /// Notes bytes that are sent now.
+    pub fn sent(&mut self, now: Moment, bytes: usize) {
+        let takes = Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
+        self.free_at = self.free_at.max(now) + takes;
+    }
+
+    /// When the next piece of a large answer may be sent; `None` at once.
+    pub fn next_piece(&self, now: Moment) -> Option<Moment> {
+        let at = self.free_at.saturating_sub(AHEAD);
+        (at > now).then_some(at)
+    }
+
+    /// Bytes of a piece, at most.
+    pub fn piece(&self) -> usize {
+        let bytes = (self.bytes_per_s * PIECE.as_secs_f64()) as usize;
+        bytes.clamp(MIN_PIECE, MAX_PIECE)
+    }
+}
--- a/crates/place/tests/all/main.rs
+++ b/crates/place/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Placement: each module replays one pattern of load.
 
 mod bounds;
+mod link;
 mod objects;
 mod regions;
 mod support;
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -51,6 +51,8 @@
     pub regions: BTreeMap<FailureDomain, Region>,
     /// Bounds that all gateways keep together.
     pub budgets: BudgetSettings,
+    /// Rate of the VM's link, in Mbit/s.
+    pub link_rate: Option<f64>,
     /// Time from the signal of a planned stop until the process must have ended.
     pub stop_grace: Duration,
     /// Logging.
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -204,6 +204,12 @@
         /// one window of two seconds to the next.
         MAX_SHIFT: f64 = "max_shift", default("0.15"), "0.01"..="1";
     }
+    /// The link of a gateway's VM.
+    ["link"] Gateway {
+        /// Its rate in Mbit/s. Large answers go out in pieces that leave it to short
+        /// messages first. Without it they go out as fast as they come.
+        LINK_RATE: f64 = "rate", UNSET, "0.1"..="1000000";
+    }
     /// The planned stop of a gateway.
     ["stop"] Gateway {
         /// Time from the signal until the process must have ended.
