Have callers of an overloaded gateway connect anew

Cause: callers keep their connections.

Ruled out: endpoints and objects; grouped by these, times differ far less.

Change: reports tell how much of the link is used, notices the mean by failure domain; a gateway above it ends a part of its surplus connections after their answers. A mean older than 2 s isn't used: with control down everybody would end connections for nothing.

--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -9,13 +9,13 @@
 use std::time::Duration;
 
 use filberthead_endpoint::Client;
-use filberthead_fleet::{Member, Outbound, Update};
+use filberthead_fleet::{Load, Member, Outbound, Update};
 use filberthead_observe::GatewayMetrics;
 use filberthead_peer::Body;
-use filberthead_place::{Link, Placer};
+use filberthead_place::{Balance, Link, Placer};
 use filberthead_ring::Sender;
 use filberthead_route::{CallerBounds, Matcher};
-use filberthead_types::Moment;
+use filberthead_types::{FailureDomain, Moment};
 use log::{Level, debug, info, log_enabled, warn};
 use tokio::sync::watch;
 
@@ -40,6 +40,8 @@
     pub(crate) phase: watch::Sender<Phase>,
     /// The VM's link, if its rate is known.
     pub(crate) link: Option<Link>,
+    /// The failure domain that it runs in.
+    pub(crate) domain: FailureDomain,
     /// Callers' connections that are open.
     pub(crate) connections: watch::Sender<usize>,
     pub(crate) metrics: Arc<GatewayMetrics>,
@@ -64,6 +66,7 @@
     pub(crate) metrics: Arc<GatewayMetrics>,
     /// The VM's link, if its rate is known.
     link: Option<RefCell<Link>>,
+    balance: RefCell<Balance>,
     member: RefCell<Member>,
     in_force: RefCell<Option<Rc<InForce>>>,
     out: Sender<Outgoing>,
@@ -72,6 +75,7 @@
     running: Cell<usize>,
     seeds: RefCell<watch::Receiver<Vec<SocketAddr>>>,
     silent: Cell<bool>,
+    domain: FailureDomain,
     /// When the list of endpoints last changed.
     listed_at: Cell<Moment>,
 }
@@ -103,6 +107,7 @@
             placer: RefCell::new(parts.placer),
             metrics: parts.metrics,
             link: parts.link.map(RefCell::new),
+            balance: RefCell::default(),
             member: RefCell::new(parts.member),
             in_force: RefCell::new(None),
             out: parts.out,
@@ -111,6 +116,7 @@
             running: Cell::new(0),
             seeds: RefCell::new(parts.seeds),
             silent: Cell::new(true),
+            domain: parts.domain,
             listed_at: Cell::new(Moment::ZERO),
         })
     }
@@ -133,6 +139,19 @@
         Some(at.saturating_sub(now))
     }
 
+    /// Thousandths of the link that are in use.
+    fn link_milli(&self, now: Moment) -> u32 {
+        let link = self.link.as_ref();
+        let used = link.map_or(0.0, |link| link.borrow_mut().used(now));
+        self.balance.borrow_mut().set_own(used);
+        (used * 1000.0) as u32
+    }
+
+    /// Whether a caller that has its answer is to connect anew.
+    pub(crate) fn ends_connection(&self) -> bool {
+        self.is_leaving() || self.balance.borrow_mut().is_to_end(self.now())
+    }
+
     /// Bytes of a large answer that go out at once, at most.
     pub(crate) fn piece(&self) -> usize {
         let link = self.link.as_ref();
@@ -238,6 +257,11 @@
             }
             Update::Gateways(counts) => placer.set_gateways(&counts),
             Update::Demand(demand) => placer.set_demand(&demand),
+            Update::Links(links) => {
+                let mut own = links.iter().filter(|(domain, _)| *domain == self.domain);
+                let mean = own.next().map(|(_, milli)| f64::from(*milli) / 1000.0);
+                self.balance.borrow_mut().set_mean(now, mean);
+            }
         }
     }
 
@@ -267,7 +291,10 @@
                 debug!(service:% = belief.service, away:? = belief.away, times:? = belief.times,
                     demand:? = belief.demand, capacity:? = belief.capacity; "plan");
             }
-            placer.demand(now)
+            Load {
+                demand: placer.demand(now),
+                link_milli: self.link_milli(now),
+            }
         });
         let lost = member.heard().is_some_and(|at| now >= at + SILENT);
         if lost && !self.silent.replace(true) {
--- a/crates/filberthead/src/gateway/serve.rs
+++ b/crates/filberthead/src/gateway/serve.rs
@@ -137,7 +137,7 @@
     if let AnswerBody::Whole(body) = answer.body() {
         core.sends(HEAD_BYTES + body.len());
     }
-    if core.is_leaving() {
+    if core.ends_connection() {
         let close = HeaderValue::from_static("close");
         answer.headers_mut().insert(CONNECTION, close);
     }
--- a/crates/fleet/src/api.rs
+++ b/crates/fleet/src/api.rs
@@ -130,6 +130,8 @@
     pub have: Have,
     /// What it was asked to carry.
     pub demand: Vec<Demand>,
+    /// Thousandths of its link that are in use.
+    pub link_milli: u32,
 }
 
 /// What an operator wants.
@@ -173,6 +175,9 @@
         gateways: Vec<(FailureDomain, u32)>,
         /// Busy slots that all gateways of a region asked for, in thousandths.
         demand: Vec<(Region, ServiceName, u32)>,
+        /// Thousandths of their links that gateways of a failure domain use on average,
+        /// of those that callers are sent to.
+        links: Vec<(FailureDomain, u32)>,
     },
     /// Asks for all that is newer than what the sender holds.
     Ask(Have),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -26,5 +26,5 @@
     Demand, Endpoint, EndpointChange, EndpointState, GatewayInfo, Have, Message, Order, OrderError,
     Outbound, Report, Stamp,
 };
-pub use member::{Member, Update};
+pub use member::{Load, Member, Update};
 pub use registry::Registry;
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -44,6 +44,17 @@
     Gateways(Vec<(FailureDomain, u32)>),
     /// What all gateways of each region were asked to carry.
     Demand(Vec<(Region, ServiceName, u32)>),
+    /// Thousandths of their links that gateways of a failure domain use on average.
+    Links(Vec<(FailureDomain, u32)>),
+}
+
+/// What a gateway carries.
+#[derive(Clone, Debug, Default)]
+pub struct Load {
+    /// What it was asked to carry.
+    pub demand: Vec<Demand>,
+    /// Thousandths of its link that are in use.
+    pub link_milli: u32,
 }
 
 /// What a gateway knows of control.
@@ -121,19 +132,21 @@
         }
     }
 
-    /// Reports if it is time. `demand` is asked only then.
-    pub fn tick(&mut self, now: Moment, demand: impl FnOnce() -> Vec<Demand>) -> Vec<Outbound> {
+    /// Reports if it is time. `load` is asked only then.
+    pub fn tick(&mut self, now: Moment, load: impl FnOnce() -> Load) -> Vec<Outbound> {
         if now < self.next_report {
             return Vec::new();
         }
         self.next_report = now + REPORT_PERIOD;
         self.contacts
             .retain(|_, named| now < *named + CONTACT_FORGOTTEN);
+        let Load { demand, link_milli } = load();
         let report = Message::Report(Report {
             gateway: self.info.clone(),
             ready: self.ready,
             have: self.have,
-            demand: demand(),
+            demand,
+            link_milli,
         });
         let known: BTreeSet<_> = self.contacts.keys().chain(&self.seeds).copied().collect();
         known.into_iter().map(|to| (to, report.clone())).collect()
@@ -153,6 +166,7 @@
                 replicas,
                 gateways,
                 demand,
+                links,
             } => {
                 self.told.insert(from);
                 self.first_told.get_or_insert(now);
@@ -160,7 +174,11 @@
                 for replica in replicas.into_iter().chain([from]) {
                     self.contacts.insert(replica, now);
                 }
-                let updates = vec![Update::Gateways(gateways), Update::Demand(demand)];
+                let updates = vec![
+                    Update::Gateways(gateways),
+                    Update::Demand(demand),
+                    Update::Links(links),
+                ];
                 (self.ask(now, from, have), updates)
             }
             Message::Routes {
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -27,6 +27,7 @@
     ready: bool,
     at: Moment,
     demand: Vec<Demand>,
+    link_milli: u32,
 }
 
 /// What a control replica knows of gateways, and holds for them.
@@ -139,6 +140,7 @@
             ready: report.ready,
             at: now,
             demand: report.demand,
+            link_milli: report.link_milli,
         };
         self.gateways.insert(seen.info.name.clone(), seen);
         vec![(from, self.notice(now))]
@@ -182,6 +184,7 @@
             replicas: self.replicas.clone(),
             gateways: self.counts(),
             demand: self.demand(now),
+            links: self.links(now),
         }
     }
 
@@ -207,6 +210,21 @@
         sums.into_iter().map(flat).collect()
     }
 
+    /// Mean use of links by failure domain.
+    fn links(&self, now: Moment) -> Vec<(FailureDomain, u32)> {
+        let mut sums: BTreeMap<&FailureDomain, (u32, u32)> = BTreeMap::new();
+        let ready = |seen: &&Seen| seen.ready && seen.is_live(now);
+        for seen in self.gateways.values().filter(ready) {
+            let (sum, count) = sums.entry(&seen.info.domain).or_default();
+            *sum += seen.link_milli;
+            *count += 1;
+        }
+        let mean = |(domain, (sum, count)): (&FailureDomain, (u32, u32))| {
+            (domain.clone(), sum / count.max(1))
+        };
+        sums.into_iter().map(mean).collect()
+    }
+
     /// The gateways that callers may be sent to.
     pub fn ready(&self, now: Moment) -> Vec<GatewayInfo> {
         let ready = |seen: &&Seen| seen.ready && seen.is_live(now);
--- a/crates/fleet/tests/spreading.rs
+++ b/crates/fleet/tests/spreading.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use filberthead_fleet::{
-    Endpoint, EndpointChange, EndpointState, GatewayInfo, Have, Member, Message, Registry, Stamp,
-    Update,
+    Endpoint, EndpointChange, EndpointState, GatewayInfo, Have, Load, Member, Message, Registry,
+    Stamp, Update,
 };
 use filberthead_route::Table;
 use filberthead_types::Moment;
@@ -49,7 +49,7 @@
 /// returns what the gateway learned.
 fn settle(now: Moment, member: &mut Member, registry: &mut Registry) -> Vec<Update> {
     let mut to_control: Vec<Message> = member
-        .tick(now, Vec::new)
+        .tick(now, Load::default)
         .into_iter()
         .map(|(_, m)| m)
         .collect();
@@ -166,6 +166,7 @@
         replicas: Vec::new(),
         gateways: Vec::new(),
         demand: Vec::new(),
+        links: Vec::new(),
     };
     assert_eq!(
         member.receive(ms(2), addr(CONTROL), notice.clone()).0.len(),
@@ -195,6 +196,7 @@
         replicas: vec![addr(CONTROL), addr(3), addr(4)],
         gateways: Vec::new(),
         demand: Vec::new(),
+        links: Vec::new(),
     };
     member.receive(ms(30), addr(3), newer);
     assert!(!member.is_informed(ms(40)), "newer routes are known of");
--- a/crates/peer/examples/cost.rs
+++ b/crates/peer/examples/cost.rs
@@ -55,6 +55,7 @@
         ready: true,
         have: have(),
         demand: (0..3).map(demand).collect(),
+        link_milli: 456,
     })
 }
 
@@ -78,6 +79,7 @@
         replicas: (0..replicas).map(addr).collect(),
         gateways: (0..domains).map(|n| (domain(n), 28)).collect(),
         demand: demand.collect(),
+        links: (0..domains).map(|n| (domain(n), 456)).collect(),
     }
 }
 
--- /dev/null
+++ b/crates/place/src/balance.rs
@@ -0,0 +1,65 @@
+//! Which callers are asked to connect anew.
+//!
+//! The load it answers: callers choose a gateway at random for each connection and keep it
+//! for many requests. After some gateways were down, or a crowd has moved, one of them has
+//! five times the requests of its neighbours for as long as its connections last; its link
+//! is full while theirs are empty. A gateway whose link is used more than its neighbours'
+//! ends some connections after their answers. Their callers choose anew, so the surplus
+//! goes to all evenly.
+//!
+//! It can't go back and forth: each gateway only ever gives away a part of its surplus over
+//! the mean, far less than all of it within the time in which the mean is told.
+
+use std::time::Duration;
+
+use filberthead_types::Moment;
+
+/// Use of a link below which nobody waits for it, however uneven.
+const BUSY: f64 = 0.2;
+/// Use over the mean that is left alone: what chance makes of a few connections.
+const UNEVEN: f64 = 1.15;
+/// Time for which the mean is believed: some reports. Without control nobody knows it, and
+/// everybody who has more to do than before would end connections for nothing.
+const MEAN_KEPT: Duration = Duration::from_secs(2);
+/// Part of the answers that end a surplus connection: with two requests a second on each,
+/// half of a surplus goes within two to three seconds.
+const PART: f64 = 0.25;
+
+/// Compares a gateway with its neighbours.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Balance {
+    own: f64,
+    mean: Option<(f64, Moment)>,
+    /// Part of an end that is due.
+    due: f64,
+}
+
+impl Balance {
+    /// Takes in how much of its own link is used.
+    pub fn set_own(&mut self, used: f64) {
+        self.own = used;
+    }
+
+    /// Takes in how much of their links the gateways of its failure domain use on average,
+    /// if anybody knows.
+    pub fn set_mean(&mut self, now: Moment, used: Option<f64>) {
+        self.mean = used.map(|used| (used, now));
+    }
+
+    /// Whether the connection of this answer is to end.
+    pub fn is_to_end(&mut self, now: Moment) -> bool {
+        let told = self.mean.filter(|(_, at)| now < *at + MEAN_KEPT);
+        let Some((mean, _)) = told else {
+            return false;
+        };
+        if self.own < BUSY || self.own < UNEVEN * mean {
+            return false;
+        }
+        self.due += PART * (1.0 - mean / self.own);
+        let ends = self.due >= 1.0;
+        if ends {
+            self.due -= 1.0;
+        }
+        ends
+    }
+}
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -18,9 +18,12 @@
 //! - *Cold endpoints* (`cold`): each gets no more requests a second than it bears, from
 //!   all gateways together, without their talking.
 //! - *Large answers* (`link`): they give way to short messages on a VM's own link.
+//! - *Connections* (`balance`): a gateway with more of them than its neighbours ends some,
+//!   so that their callers choose anew.
 //! - *Retries* (`budget`): further attempts stay within a part of first ones, over all
 //!   gateways, without their talking.
 
+mod balance;
 mod budget;
 mod cold;
 mod cost;
@@ -34,6 +37,7 @@
 mod rank;
 mod request;
 
+pub use balance::Balance;
 pub use budget::{Budget, BudgetConfig};
 pub use cost::Acquaintance;
 pub use endpoint::{EndpointId, Load, Outcome};
--- a/crates/place/src/link.rs
+++ b/crates/place/src/link.rs
@@ -23,6 +23,9 @@
 /// Reckoned queue up to which another piece is sent, so that a timer that fires late
 /// doesn't leave the link idle.
 const AHEAD: Duration = Duration::from_millis(6);
+/// Time over which the link's use is averaged: some downloads, and well below the time in
+/// which callers come and go.
+const USE_OVER: Duration = Duration::from_secs(2);
 /// Part of the rate that is reckoned with: headers of packets take the rest.
 const USED: f64 = 0.95;
 
@@ -32,6 +35,10 @@
     bytes_per_s: f64,
     /// When it will have sent all that was handed to it.
     free_at: Moment,
+    /// Bytes since its use was last averaged.
+    since: f64,
+    averaged: Moment,
+    used: f64,
 }
 
 impl Link {
@@ -40,6 +47,9 @@
         Self {
             bytes_per_s: (USED * bits_per_s / 8.0).max(1.0),
             free_at: Moment::ZERO,
+            since: 0.0,
+            averaged: Moment::ZERO,
+            used: 0.0,
         }
     }
 
@@ -47,6 +57,20 @@
     pub fn sent(&mut self, now: Moment, bytes: usize) {
         let takes = Duration::from_secs_f64(bytes as f64 / self.bytes_per_s);
         self.free_at = self.free_at.max(now) + takes;
+        self.since += bytes as f64;
+    }
+
+    /// Part of the link that was used lately. Is to be asked regularly.
+    pub fn used(&mut self, now: Moment) -> f64 {
+        let passed = now.saturating_sub(self.averaged).as_secs_f64();
+        if passed > 0.0 {
+            let weight = (passed / USE_OVER.as_secs_f64()).min(1.0);
+            let lately = self.since / passed / self.bytes_per_s;
+            self.used += weight * (lately - self.used);
+            self.since = 0.0;
+            self.averaged = now;
+        }
+        self.used
     }
 
     /// When the next piece of a large answer may be sent; `None` at once.
--- a/crates/place/tests/all/main.rs
+++ b/crates/place/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Placement: each module replays one pattern of load.
 
+mod balance;
 mod bounds;
 mod link;
 mod objects;
--- a/crates/testing/src/site/list.rs
+++ b/crates/testing/src/site/list.rs
@@ -128,8 +128,8 @@
         *answer.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
         return answer;
     }
-    let domain = parameter(&req, "zone").map(str::to_owned);
-    let token = parameter(&req, "page_token");
+    let domain = parameter(req, "zone").map(str::to_owned);
+    let token = parameter(req, "page_token");
     let from: usize = token.and_then(|t| t.parse().ok()).unwrap_or(0);
     state.domains_read.extend(domain.clone());
     let of_domain = |line: &&Line| domain.as_ref().is_none_or(|domain| line.zone == *domain);
