Explain a request from the logs of all processes: filberthead explain

Cause: from a caller's id to a cause, on-call had to search each gateway's log by hand and put lines in order.

Change: observe::Story collects the lines of one request from JSON logs, wherever in a line they begin, in the order of time, and what each process that it met had last said about routes, endpoints and control. The command reads files or standard input.

Measured: observe's story tests (order, beliefs, fuzzed lines) and explained::one_command_tells_the_story_of_a_request on real logs.

--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -10,9 +10,11 @@
 mod logging;
 mod metrics;
 pub mod samples;
+mod story;
 
 pub use logging::{DroppedLines, LogGuard, LoggingError, format_line, init_logging, logger};
 pub use metrics::{
     ControlMetrics, EntryMetrics, GatewayMetrics, PeerMetrics, PeerTotals, RequestMetrics,
     SlotMetrics,
 };
+pub use story::{Event, Story};
--- /dev/null
+++ b/crates/observe/tests/story.rs
@@ -0,0 +1,48 @@
+//! The story of a request comes from all logs, in order, and from nothing else.
+
+use bolero::check;
+use filberthead_observe::{Event, Story};
+
+fn line(ts: &str, process: &str, msg: &str, more: &str) -> String {
+    format!(
+        r#"{{"ts":"2026-10-14T09:21:{ts}Z","level":"info","process":"{process}","target":"t","msg":"{msg}"{more}}}"#
+    )
+}
+
+/// A station owner's submission is refused by one gateway and then lost at another. On-call
+/// has both logs, one written with another program's times before each line.
+#[test]
+fn lines_of_all_processes_stand_in_order() {
+    let routes = line("01.000", "gateway-2", "routes in force", r#","version":7"#);
+    let newer = line("01.500", "gateway-2", "routes in force", r#","version":8"#);
+    let lost = line("03.000", "gateway-2", "lost", r#","request":"a1","ran":1"#);
+    let after = line("04.000", "gateway-2", "routes in force", r#","version":9"#);
+    let code = r#","request":"a1","code":"1200""#;
+    let refused = format!("  17.25 {}", line("02.000", "gateway-1", "refused", code));
+    let other = line("02.500", "gateway-1", "refused", r#","request":"a12""#);
+    let lines = [&routes, &newer, &lost, &after, &refused, &other];
+    let story = Story::of("a1", lines.into_iter().map(String::as_str));
+    let told: Vec<_> = story.events.iter().map(ToString::to_string).collect();
+    assert_eq!(
+        told,
+        [
+            "2026-10-14T09:21:02.000Z gateway-1: refused code=1200",
+            "2026-10-14T09:21:03.000Z gateway-2: lost ran=1",
+        ]
+    );
+    let believed: Vec<_> = story.beliefs.iter().map(ToString::to_string).collect();
+    assert_eq!(
+        believed,
+        ["2026-10-14T09:21:01.500Z gateway-2: routes in force version=8"]
+    );
+}
+
+/// Logs hold lines of other programs, and lines that were cut at the end of a disk.
+#[test]
+fn whatever_stands_in_a_log_is_borne() {
+    check!().for_each(|bytes: &[u8]| {
+        let text = String::from_utf8_lossy(bytes);
+        let _ = Event::parse(&text);
+        assert!(Story::of("a1", text.lines()).events.len() <= text.lines().count());
+    });
+}
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -6,7 +6,7 @@
 
 /// The commands, for close spellings.
 pub(super) const COMMANDS: &[&str] = &[
-    "check", "control", "help", "report", "status", "table", "token",
+    "check", "control", "explain", "help", "report", "status", "table", "token",
 ];
 
 const GENERAL: &str = "\
@@ -18,6 +18,9 @@
   report [FILE]      service-level burn, from control replicas or, on the VM of one, from
                      its settings file; --html for a page with plots, --out FILE
   check FILE         find every problem of a settings file
+  explain ID [FILE...]
+                     what logs of any processes tell of a request, from files or standard
+                     input, in the order of time
   token new NAME ROLE [--services A,B]
                      draw a bearer token: role read, propose or accept
 
@@ -81,7 +84,7 @@
 
 pub(super) fn run(args: &mut Args) -> Result<Exit> {
     let page = match args.maybe_word().as_deref() {
-        None | Some("help" | "status" | "report" | "check" | "token") => GENERAL,
+        None | Some("help" | "status" | "report" | "check" | "explain" | "token") => GENERAL,
         Some("table") => TABLE,
         Some("control") => CONTROL,
         Some(other) => return Err(args::unknown("command", other, COMMANDS)),
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -9,6 +9,7 @@
 mod check;
 mod control;
 mod error;
+mod explain;
 mod help;
 mod report;
 mod session;
@@ -49,6 +50,7 @@
     match args.word("a command; see `filberthead help`")?.as_str() {
         "help" => help::run(&mut args),
         "check" => check::run(args, json),
+        "explain" => explain::run(args, json),
         "token" => token::run(args, json),
         "report" => report(args, json),
         command @ ("table" | "status" | "control") => remote(command, args, json),
--- a/tests/all/explained.rs
+++ b/tests/all/explained.rs
@@ -1,5 +1,6 @@
 //! From the id of a failed request to its cause, by logs and metrics alone.
 
+use std::process::Command;
 use std::time::Duration;
 
 use filberthead_testing::site::{Manner, Site, request};
@@ -30,6 +31,17 @@
     about.map(str::to_owned).collect()
 }
 
+/// What `filberthead explain` prints of a request, from the logs of all processes.
+fn story(site: &Site, id: &str) -> String {
+    let log = |name: &str| site.dir().join(format!("{name}.log"));
+    let output = Command::new(env!("CARGO_BIN_EXE_filberthead"))
+        .args(["explain", id])
+        .args([log("gateway-1"), log("control-1")])
+        .output()
+        .expect("the command line starts");
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
 /// Waits until a line about the request holds all these words.
 #[track_caller]
 fn explained(site: &Site, id: &str, words: &[&str]) {
@@ -78,6 +90,30 @@
     explained(&site, "lost-1", &["lost with the request at it", "ran=1"]);
 }
 
+/// An engineer has the logs of all processes as they are written, in JSON, and the id of an
+/// order that got 502. One command names the endpoint that has it and the routes it went by.
+#[test]
+fn one_command_tells_the_story_of_a_request() {
+    let mut site = start();
+    site.gateways[0].settings().set("log", "format", "json");
+    site.gateways[0].restart();
+    site.wait_serving(0);
+    site.endpoints[0].manner(Manner::LosesAnswer);
+    let answer = site.request(0, &request("POST", "/orders/one", "lost-2"));
+    assert_eq!(answer.expect("an answer").status, 502);
+    let wanted = [
+        "request lost-2",
+        "outcome=Broken",
+        "lost with the request at it endpoint=i-1",
+        "routes in force",
+    ];
+    eventually("the whole story", BOUND, || {
+        let story = story(&site, "lost-2");
+        wanted.iter().all(|part| story.contains(part)).then_some(())
+    });
+    assert!(story(&site, "nobody-1").contains("no line names nobody-1"));
+}
+
 /// A request met an endpoint that wasn't the one on the list any more: the log names it.
 #[test]
 fn a_request_to_an_endpoint_that_had_left_is_explained() {
