--- a/crates/filberthead/src/entry/carry/budget.rs
+++ b/crates/filberthead/src/entry/carry/budget.rs
@@ -28,6 +28,11 @@
         self.saved = (self.saved + EARNED).min(MAX_SAVED);
     }
 
+    /// Retries that may be made at once.
+    pub(crate) fn left(&self) -> u32 {
+        self.saved as u32
+    }
+
     /// Whether a retry may be made now.
     pub(crate) fn spend(&mut self) -> bool {
         if self.saved < 1.0 {
--- a/crates/filberthead/src/entry/carry/core.rs
+++ b/crates/filberthead/src/entry/carry/core.rs
@@ -280,6 +280,11 @@
         self.budget.borrow_mut().spend()
     }
 
+    /// Retries that the budget has left.
+    pub(crate) fn retries_left(&self) -> u32 {
+        self.budget.borrow().left()
+    }
+
     /// Asks steering for a place and waits in its queue if need be. `abandoned` ends
     /// the wait. Steering sees each attempt under an id of its own, because the same
     /// request may come here twice after a broken connection between two entries.
