--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -15,7 +15,7 @@
 use filberthead_place::{Balance, Link, Placer};
 use filberthead_ring::Sender;
 use filberthead_route::{CallerBounds, Matcher};
-use filberthead_types::{FailureDomain, Moment};
+use filberthead_types::Moment;
 use log::{Level, debug, info, log_enabled, warn};
 use tokio::sync::watch;
 
@@ -40,8 +40,6 @@
     pub(crate) phase: watch::Sender<Phase>,
     /// The VM's link, if its rate is known.
     pub(crate) link: Option<Link>,
-    /// The failure domain that it runs in.
-    pub(crate) domain: FailureDomain,
     /// Callers' connections that are open.
     pub(crate) connections: watch::Sender<usize>,
     pub(crate) metrics: Arc<GatewayMetrics>,
@@ -75,7 +73,6 @@
     running: Cell<usize>,
     seeds: RefCell<watch::Receiver<Vec<SocketAddr>>>,
     silent: Cell<bool>,
-    domain: FailureDomain,
     /// When the list of endpoints last changed.
     listed_at: Cell<Moment>,
 }
@@ -116,7 +113,6 @@
             running: Cell::new(0),
             seeds: RefCell::new(parts.seeds),
             silent: Cell::new(true),
-            domain: parts.domain,
             listed_at: Cell::new(Moment::ZERO),
         })
     }
@@ -256,10 +252,9 @@
                 self.metrics.endpoints(placer.endpoints());
             }
             Update::Gateways(counts) => placer.set_gateways(&counts),
-            Update::Demand(demand) => placer.set_demand(&demand),
-            Update::Links(links) => {
-                let mut own = links.iter().filter(|(domain, _)| *domain == self.domain);
-                let mean = own.next().map(|(_, milli)| f64::from(*milli) / 1000.0);
+            Update::Demand(demand) => placer.set_demand(now, &demand),
+            Update::Links(milli) => {
+                let mean = milli.map(|milli| f64::from(milli) / 1000.0);
                 self.balance.borrow_mut().set_mean(now, mean);
             }
         }
--- a/crates/filberthead/src/gateway/mod.rs
+++ b/crates/filberthead/src/gateway/mod.rs
@@ -236,7 +236,6 @@
         out,
         phase,
         connections,
-        domain: cfg.failure_domain.clone(),
         link: cfg.link_rate.map(|rate| Link::new(rate * BITS_PER_MBIT)),
         metrics,
         seeds: seeded.subscribe(),
--- a/crates/fleet/src/api.rs
+++ b/crates/fleet/src/api.rs
@@ -175,9 +175,9 @@
         gateways: Vec<(FailureDomain, u32)>,
         /// Busy slots that all gateways of a region asked for, in thousandths.
         demand: Vec<(Region, ServiceName, u32)>,
-        /// Thousandths of their links that gateways of a failure domain use on average,
-        /// of those that callers are sent to.
-        links: Vec<(FailureDomain, u32)>,
+        /// Thousandths of their links that gateways of the receiver's failure domain use on
+        /// average, of those that callers are sent to.
+        link_milli: Option<u32>,
     },
     /// Asks for all that is newer than what the sender holds.
     Ask(Have),
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -44,8 +44,8 @@
     Gateways(Vec<(FailureDomain, u32)>),
     /// What all gateways of each region were asked to carry.
     Demand(Vec<(Region, ServiceName, u32)>),
-    /// Thousandths of their links that gateways of a failure domain use on average.
-    Links(Vec<(FailureDomain, u32)>),
+    /// Thousandths of their links that gateways of this failure domain use on average.
+    Links(Option<u32>),
 }
 
 /// What a gateway carries.
@@ -166,7 +166,7 @@
                 replicas,
                 gateways,
                 demand,
-                links,
+                link_milli,
             } => {
                 self.told.insert(from);
                 self.first_told.get_or_insert(now);
@@ -177,7 +177,7 @@
                 let updates = vec![
                     Update::Gateways(gateways),
                     Update::Demand(demand),
-                    Update::Links(links),
+                    Update::Links(link_milli),
                 ];
                 (self.ask(now, from, have), updates)
             }
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -142,8 +142,9 @@
             demand: report.demand,
             link_milli: report.link_milli,
         };
+        let domain = seen.info.domain.clone();
         self.gateways.insert(seen.info.name.clone(), seen);
-        vec![(from, self.notice(now))]
+        vec![(from, self.notice(now, &domain))]
     }
 
     fn newer_than(&self, now: Moment, have: &Have, to: SocketAddr) -> Vec<Outbound> {
@@ -173,18 +174,25 @@
     fn notices(&mut self, now: Moment) -> Vec<Outbound> {
         self.gateways
             .retain(|_, seen| now < seen.at + FORGOTTEN_AFTER);
-        let notice = self.notice(now);
+        let mut notices: BTreeMap<&FailureDomain, Message> = BTreeMap::new();
         let live = self.gateways.values().filter(|seen| seen.is_live(now));
-        live.map(|seen| (seen.addr, notice.clone())).collect()
+        live.map(|seen| {
+            let domain = &seen.info.domain;
+            let notice = notices.entry(domain);
+            let notice = notice.or_insert_with(|| self.notice(now, domain));
+            (seen.addr, notice.clone())
+        })
+        .collect()
     }
 
-    fn notice(&self, now: Moment) -> Message {
+    /// A notice for gateways of a failure domain.
+    fn notice(&self, now: Moment, domain: &FailureDomain) -> Message {
         Message::Notice {
             have: self.have,
             replicas: self.replicas.clone(),
             gateways: self.counts(),
             demand: self.demand(now),
-            links: self.links(now),
+            link_milli: self.link_milli(now, domain),
         }
     }
 
@@ -210,19 +218,17 @@
         sums.into_iter().map(flat).collect()
     }
 
-    /// Mean use of links by failure domain.
-    fn links(&self, now: Moment) -> Vec<(FailureDomain, u32)> {
-        let mut sums: BTreeMap<&FailureDomain, (u32, u32)> = BTreeMap::new();
-        let ready = |seen: &&Seen| seen.ready && seen.is_live(now);
-        for seen in self.gateways.values().filter(ready) {
-            let (sum, count) = sums.entry(&seen.info.domain).or_default();
-            *sum += seen.link_milli;
-            *count += 1;
-        }
-        let mean = |(domain, (sum, count)): (&FailureDomain, (u32, u32))| {
-            (domain.clone(), sum / count.max(1))
-        };
-        sums.into_iter().map(mean).collect()
+    /// Mean use of the links of a failure domain's gateways.
+    fn link_milli(&self, now: Moment, domain: &FailureDomain) -> Option<u32> {
+        let ready = |seen: &&Seen| seen.ready && seen.is_live(now) && seen.info.domain == *domain;
+        let used: Vec<u32> = self
+            .gateways
+            .values()
+            .filter(ready)
+            .map(|seen| seen.link_milli)
+            .collect();
+        let count = u32::try_from(used.len()).unwrap_or(u32::MAX);
+        used.iter().sum::<u32>().checked_div(count)
     }
 
     /// The gateways that callers may be sent to.
--- a/crates/fleet/tests/spreading.rs
+++ b/crates/fleet/tests/spreading.rs
@@ -166,7 +166,7 @@
         replicas: Vec::new(),
         gateways: Vec::new(),
         demand: Vec::new(),
-        links: Vec::new(),
+        link_milli: None,
     };
     assert_eq!(
         member.receive(ms(2), addr(CONTROL), notice.clone()).0.len(),
@@ -196,7 +196,7 @@
         replicas: vec![addr(CONTROL), addr(3), addr(4)],
         gateways: Vec::new(),
         demand: Vec::new(),
-        links: Vec::new(),
+        link_milli: None,
     };
     member.receive(ms(30), addr(3), newer);
     assert!(!member.is_informed(ms(40)), "newer routes are known of");
@@ -303,3 +303,40 @@
     registry.receive(ms(4), addr(CONTROL), change());
     assert_eq!(registry.have().endpoints, stamp(9));
 }
+
+/// Two failure domains, one of them crowded. Each gateway is told the mean of its own.
+#[test]
+fn a_gateway_is_told_how_busy_its_neighbours_are() {
+    let member = |name: &str, domain: &str| {
+        let info = GatewayInfo {
+            name: name.parse().expect("a name"),
+            region: "split".parse().expect("a name"),
+            domain: domain.parse().expect("a name"),
+            caller_addr: addr(80),
+        };
+        let mut member = Member::new(info, [addr(CONTROL)]);
+        member.set_ready(true);
+        member
+    };
+    let mut registry = Registry::default();
+    let mut told = |member: &mut Member, now, link_milli| {
+        let load = || Load {
+            link_milli,
+            ..Load::default()
+        };
+        let report = member.tick(now, load).pop().expect("a report").1;
+        let notice = registry.receive(now, addr(GATEWAY), report).pop();
+        let updates = member
+            .receive(now, addr(CONTROL), notice.expect("a notice").1)
+            .1;
+        updates.into_iter().find_map(|update| match update {
+            Update::Links(mean) => Some(mean),
+            _ => None,
+        })
+    };
+    let mut near = [member("a-1", "split-a"), member("a-2", "split-a")];
+    let mut far = member("b-1", "split-b");
+    assert_eq!(told(&mut near[0], ms(1), 800), Some(Some(800)));
+    assert_eq!(told(&mut near[1], ms(2), 200), Some(Some(500)));
+    assert_eq!(told(&mut far, ms(3), 100), Some(Some(100)));
+}
--- a/crates/peer/examples/cost.rs
+++ b/crates/peer/examples/cost.rs
@@ -79,7 +79,7 @@
         replicas: (0..replicas).map(addr).collect(),
         gateways: (0..domains).map(|n| (domain(n), 28)).collect(),
         demand: demand.collect(),
-        links: (0..domains).map(|n| (domain(n), 456)).collect(),
+        link_milli: Some(456),
     }
 }
 
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -28,6 +28,8 @@
     pub(crate) plans: HashMap<ServiceName, Plan>,
     /// What gateways of each region were asked to carry, as control sums it up.
     pub(crate) demand: BTreeMap<ServiceName, Slots>,
+    /// When that was last told.
+    pub(crate) demand_at: Moment,
     /// What this gateway was asked to carry since the last report.
     pub(crate) own_demand: HashMap<ServiceName, OwnDemand>,
     /// When endpoints were first known.
@@ -55,6 +57,7 @@
             times: HashMap::new(),
             plans: HashMap::new(),
             demand: BTreeMap::new(),
+            demand_at: Moment::ZERO,
             own_demand: HashMap::new(),
             informed: None,
             found_callers: None,
@@ -147,7 +150,8 @@
 
     /// Takes in what the gateways of each region were asked to carry, in thousandths of
     /// busy slots.
-    pub fn set_demand(&mut self, demand: &[(Region, ServiceName, u32)]) {
+    pub fn set_demand(&mut self, now: Moment, demand: &[(Region, ServiceName, u32)]) {
+        self.demand_at = now;
         self.found_callers.get_or_insert(!demand.is_empty());
         self.demand.clear();
         for (region, service, busy_milli) in demand {
--- a/crates/place/src/planning.rs
+++ b/crates/place/src/planning.rs
@@ -16,6 +16,10 @@
 /// Time over which demand is averaged: several reports, and well below the time in which
 /// demand changes by itself.
 const DEMAND_OVER: Duration = Duration::from_secs(2);
+/// Time for which demand that was told is believed: some reports. With all of control down
+/// nobody tells it any more; a plan that went on following what it was, in the first second
+/// of a day for one, would bring all requests home to a region that can't bear them.
+const DEMAND_KEPT: Duration = Duration::from_secs(2);
 /// Callers that come this soon after a gateway knows endpoints were there before it.
 const JOINED_WITHIN: Duration = Duration::from_secs(3);
 /// Time after which all gateways that have started together are counted: two reports.
@@ -120,7 +124,7 @@
                 (Stage::Waiting | Stage::Joining, Some(demand)) => {
                     plan.begin(now, plan::aim(own, demand, &capacity));
                 }
-                (Stage::Running, Some(demand)) => {
+                (Stage::Running, Some(demand)) if now < self.demand_at + DEMAND_KEPT => {
                     let aim = plan::aim(own, demand, &capacity);
                     plan.update(now, self.cfg.max_shift, own, &aim);
                 }
--- a/crates/place/tests/all/regions.rs
+++ b/crates/place/tests/all/regions.rs
@@ -34,12 +34,12 @@
     south
 }
 
-fn told(placer: &mut Placer, north: u32, south: u32) {
+fn told(placer: &mut Placer, now: Moment, north: u32, south: u32) {
     let demand = [
         (region("north"), service(), north),
         (region("south"), service(), south),
     ];
-    placer.set_demand(&demand);
+    placer.set_demand(now, &demand);
 }
 
 /// The north has 6 slots and its callers keep 9 busy, the south has 24 and room. A part of
@@ -50,7 +50,7 @@
     gateways(&mut placer);
     placer.plan(ms(0));
     for number in 0..30 {
-        told(&mut placer, 9000, 4000);
+        told(&mut placer, ms(1000 * number), 9000, 4000);
         second(&mut placer, ms(1000 * number), 80);
     }
     let mut homes: BTreeMap<String, BTreeSet<bool>> = BTreeMap::new();
@@ -86,8 +86,9 @@
         let busy = if (window / 5) % 2 == 0 { 1000 } else { 12_000 };
         let mut south = 0;
         for half in 0..2 {
-            told(&mut placer, busy, 2000);
-            south += second(&mut placer, ms(2000 * window + 1000 * half), 200);
+            let now = ms(2000 * window + 1000 * half);
+            told(&mut placer, now, busy, 2000);
+            south += second(&mut placer, now, 200);
         }
         let part = south as f64 / 400.0;
         if let Some(before) = before {
@@ -117,7 +118,7 @@
 fn a_gateway_that_joins_takes_up_the_plan_at_once() {
     let mut placer = placer("north-1", lopsided());
     gateways(&mut placer);
-    told(&mut placer, 9000, 4000);
+    told(&mut placer, ms(0), 9000, 4000);
     placer.plan(ms(0));
     let south = second(&mut placer, ms(100), 80);
     assert!((32..=64).contains(&south), "{south} of 80");
@@ -138,3 +139,24 @@
         assert!(off < ms(20), "{way}: {target:?}");
     }
 }
+
+/// All of control dies in the first second of a day, when hardly anybody has come yet, and
+/// stays down. Callers of a region with too few endpoints must go on being served where the
+/// plan has their objects: what was told of demand says nothing of what it is.
+#[test]
+fn a_plan_does_not_follow_demand_that_nobody_tells_any_more() {
+    let mut placer = placer("north-1", lopsided());
+    gateways(&mut placer);
+    for number in 0..8 {
+        told(&mut placer, ms(1000 * number), 9000, 4000);
+        second(&mut placer, ms(1000 * number), 80);
+    }
+    let before = second(&mut placer, ms(8000), 80);
+    assert!(before >= 32, "{before} of 80");
+    told(&mut placer, ms(9000), 100, 100);
+    for number in 9..40 {
+        second(&mut placer, ms(1000 * number), 80);
+    }
+    let after = second(&mut placer, ms(40_000), 80);
+    assert!(after + 16 >= before, "{before}, later {after} of 80");
+}
