Give gateways of a soak longer than any request to stop

Cause: with 3 s, a request that comes at the end of the time in which callers are taken has less than its deadline of 1.5 s until the process ends, and may be cut rightly on a busy machine; the soak would call that a broken promise.

Change: 8 s in soaks. Nothing else changes.

--- a/crates/testing/src/site/mod.rs
+++ b/crates/testing/src/site/mod.rs
@@ -44,6 +44,7 @@
     gateways: usize,
     seeds: usize,
     tolerate: usize,
+    stop_grace: Duration,
 }
 
 /// A deployment under test.
@@ -78,6 +79,7 @@
             gateways: 1,
             seeds: 1,
             tolerate: 1,
+            stop_grace: Duration::from_secs(3),
         }
     }
 
@@ -267,6 +269,13 @@
         self
     }
 
+    /// Time from the signal of a planned stop until a gateway has ended. Default 3 s.
+    #[must_use]
+    pub fn stop_grace(mut self, grace: Duration) -> Self {
+        self.stop_grace = grace;
+        self
+    }
+
     /// Starts everything and waits until each process listens.
     ///
     /// # Panics
@@ -349,7 +358,11 @@
             .set("callers", "advertise", caller)
             .set("readiness", "listen", ANY_PORT)
             .set("status", "listen", ANY_PORT)
-            .set("stop", "grace", "3s");
+            .set(
+                "stop",
+                "grace",
+                format!("{}s", self.builder.stop_grace.as_secs()),
+            );
         // The seeds are whole addresses; a port is for platforms that give others.
         for place in &self.builder.places {
             let section = format!("failure_domain {}", place.failure_domain);
--- a/crates/testing/src/soak/drive.rs
+++ b/crates/testing/src/soak/drive.rs
@@ -21,6 +21,9 @@
 const DOMAINS: [&str; 2] = ["zagreb-a", "split-a"];
 /// Attempts that the routes of a [`Site`] allow.
 const MAX_ATTEMPTS: usize = 2;
+/// Time that a gateway has for a planned stop: it takes callers for 0.6 of it, and the rest
+/// is longer than any request's deadline, so that nothing needs to be cut.
+const STOP_GRACE: Duration = Duration::from_secs(8);
 /// Time in which everything has to be back once all faults are over: many times what it
 /// takes, since debug builds on a busy machine take long.
 const BACK_WITHIN: Duration = Duration::from_secs(60);
@@ -116,6 +119,7 @@
             .tolerate((size.controls - 1) / 2)
             .seeds(size.controls.min(3))
             .gateways(size.gateways)
+            .stop_grace(STOP_GRACE)
             .start();
         for domain in DOMAINS {
             for (service, _) in SERVICES {
