Take back the wait of readings for a place

A reading that is sent again to the same endpoint may get an answer that was crossed with its own earlier attempt. Not traced to the end.

Change: the wait is taken back; the lines that refusals leave stay.

--- a/crates/filberthead/src/entry/carry/mod.rs
+++ b/crates/filberthead/src/entry/carry/mod.rs
@@ -56,17 +56,10 @@
     Abandoned,
 }
 
-/// How long a repeatable request that has lost its place looks for another: longer than an
-/// endpoint's next owner takes to take over.
-const PLACELESS: Duration = Duration::from_secs(4);
-const PLACELESS_PAUSE: Duration = Duration::from_millis(200);
-
 /// What to do after an attempt.
 #[derive(Debug)]
 enum Next {
     Again(RequestBody),
-    /// No place by now; this is the refusal if there is none for a while.
-    Later(RequestBody, Refusal),
     Done(Outcome),
 }
 
@@ -130,7 +123,6 @@
     reply: &mut Reply,
 ) -> Outcome {
     let mut fallback = None;
-    let mut placeless_since = None;
     loop {
         let spare = body.again();
         let cancellable = job.is_repeatable();
@@ -144,16 +136,6 @@
         let attempt = attempt(core, job, body, gone).await;
         match next(core, job, attempt, spare, &mut fallback) {
             Next::Again(again) => body = again,
-            Next::Later(again, refusal) => {
-                let since = *placeless_since.get_or_insert_with(Instant::now);
-                if since.elapsed() >= PLACELESS || job.left() <= PLACELESS_PAUSE {
-                    return Outcome::Refused(refusal);
-                }
-                tokio::time::sleep(PLACELESS_PAUSE).await;
-                // Whoever lost it may be back by then.
-                job.tried.clear();
-                body = again;
-            }
             Next::Done(outcome) => return outcome,
         }
     }
@@ -192,10 +174,7 @@
         Attempt::Refused(refusal) => Next::Done(match fallback.take() {
             // What the last endpoint said tells more than that no other has room.
             Some((head, body)) => Outcome::Answer(head, body),
-            None => match spare.filter(|_| waits_for_place(job, &refusal)) {
-                Some(body) => return Next::Later(body, refusal),
-                None => Outcome::Refused(refusal),
-            },
+            None => Outcome::Refused(refusal),
         }),
         Attempt::NotRun(refusal) if refusal.code == ResultCode::Quarantined => {
             Next::Done(Outcome::Refused(refusal))
@@ -223,14 +202,6 @@
     }
 }
 
-/// Whether a refused request is worth another look for a place. It was at an entry that
-/// was lost, and all endpoints that it could go to are admitted to by that entry alone
-/// until their next owner takes over. The caller of a reading would be told that it may
-/// have run, which is of no use to it, though the reading can simply run again.
-fn waits_for_place(job: &Job, refusal: &Refusal) -> bool {
-    refusal.code == ResultCode::NoEndpoint && job.touched && job.is_repeatable()
-}
-
 /// Another attempt if there is a body for it and budget, or else the refusal.
 fn again(core: &Core, job: &Job, body: Option<RequestBody>, refusal: Refusal) -> Next {
     match body {
