Parse a log line once, and say in one place what stood in two

Story parsed each line of a log twice; the soak and the tests of groups each had their own question for the version that a replica proves; two ways to add an endpoint to a site, and two to begin with a listed endpoint, were copies of each other.

Change: one parse a line; site::proven; Site::new_endpoint; Placer::begin. Behaviour is the same, and no assertion has changed.

Measured: lints, the tests of observe's stories, of placement and of groups pass.

--- a/crates/observe/src/story.rs
+++ b/crates/observe/src/story.rs
@@ -44,12 +44,15 @@
 impl Event {
     /// Reads a JSON line, wherever in the text it begins; `None` if there is none.
     pub fn parse(line: &str) -> Option<Self> {
-        let map = object(line)?;
+        Self::of(&object(line)?)
+    }
+
+    fn of(map: &Map<String, Value>) -> Option<Self> {
         let fields = map.iter().filter(|(key, _)| !HEAD.contains(&key.as_str()));
         Some(Self {
-            at: text(&map, "ts")?,
-            process: text(&map, "process")?,
-            message: text(&map, "msg")?,
+            at: text(map, "ts")?,
+            process: text(map, "process")?,
+            message: text(map, "msg")?,
             fields: fields
                 .map(|(key, value)| (key.clone(), plain(value)))
                 .collect(),
@@ -97,10 +100,13 @@
         let mut beliefs: BTreeMap<(String, &str), Event> = BTreeMap::new();
         let mut story = Self::default();
         for line in lines {
-            let Some(event) = Event::parse(line) else {
+            let Some(map) = object(line) else {
+                continue;
+            };
+            let Some(event) = Event::of(&map) else {
                 continue;
             };
-            if is_about(line, id) {
+            if is_about(&map, id) {
                 story.meet(&beliefs, &event.process);
                 story.events.push(event);
             } else if let Some(subject) = subject(&event.message) {
@@ -128,6 +134,6 @@
     found.map(|(_, subject)| *subject)
 }
 
-fn is_about(line: &str, id: &str) -> bool {
-    object(line).is_some_and(|map| map.get(REQUEST).is_some_and(|value| plain(value) == id))
+fn is_about(map: &Map<String, Value>, id: &str) -> bool {
+    map.get(REQUEST).is_some_and(|value| plain(value) == id)
 }
--- a/crates/peer/src/silence.rs
+++ b/crates/peer/src/silence.rs
@@ -18,7 +18,7 @@
 
 /// Time after which a sent message should have been acknowledged: three periods of the
 /// rarest protocol, so that a lost message or a slow VM closes no good connection.
-pub(crate) const PATIENCE: Duration = Duration::from_millis(1500);
+const PATIENCE: Duration = Duration::from_millis(1500);
 /// Longest time between attempts to reach a process that acknowledges nothing.
 const MAX_PATIENCE: Duration = Duration::from_secs(12);
 /// Time after which a process that was not heard is forgotten.
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -95,10 +95,7 @@
                     state.listed(now, &listed);
                     state
                 }
-                None => {
-                    let region = self.cfg.regions.get(&listed.domain).cloned();
-                    State::new(now, listed, region)
-                }
+                None => self.begin(now, listed),
             };
             self.endpoints.push(state);
         }
@@ -115,13 +112,19 @@
             match self.endpoints.iter_mut().find(|e| *e.id == *listed.id) {
                 Some(state) => state.listed(now, &listed),
                 None => {
-                    let region = self.cfg.regions.get(&listed.domain).cloned();
-                    self.endpoints.push(State::new(now, listed, region));
+                    let state = self.begin(now, listed);
+                    self.endpoints.push(state);
                 }
             }
         }
     }
 
+    /// What is known of an endpoint that is listed for the first time.
+    fn begin(&self, now: Moment, listed: Endpoint) -> State {
+        let region = self.cfg.regions.get(&listed.domain).cloned();
+        State::new(now, listed, region)
+    }
+
     /// How many endpoints are listed.
     pub fn endpoints(&self) -> usize {
         self.endpoints.len()
--- a/crates/testing/src/site/mod.rs
+++ b/crates/testing/src/site/mod.rs
@@ -106,23 +106,28 @@
 
     /// Adds an endpoint to the list.
     pub fn add_endpoint(&mut self, service: &str, domain: &str) -> &SiteEndpoint {
-        let id = format!("i-{}", self.endpoints.len() + 1);
+        let number = self.new_endpoint(service, domain);
+        self.show_endpoints();
+        &self.endpoints[number]
+    }
+
+    /// Starts an endpoint that the list doesn't name yet.
+    fn new_endpoint(&mut self, service: &str, domain: &str) -> usize {
+        let number = self.endpoints.len();
+        let id = format!("i-{}", number + 1);
         self.endpoints
             .push(SiteEndpoint::start(&id, service, domain));
-        self.show_endpoints();
-        &self.endpoints[self.endpoints.len() - 1]
+        number
     }
 
     /// Adds an endpoint to the list under the address of a proxy before it.
     pub fn add_linked_endpoint(&mut self, service: &str, domain: &str) -> usize {
-        let number = self.endpoints.len();
-        let id = format!("i-{}", number + 1);
-        let endpoint = SiteEndpoint::start(&id, service, domain);
-        let proxy = self.network.proxy(&id);
+        let number = self.new_endpoint(service, domain);
+        let endpoint = &self.endpoints[number];
+        let proxy = self.network.proxy(&endpoint.id());
         proxy.retarget(endpoint.addr());
         endpoint.show_at(proxy.addr());
         self.links.insert(number, proxy);
-        self.endpoints.push(endpoint);
         self.show_endpoints();
         number
     }
@@ -207,6 +212,13 @@
     call.bound(Duration::from_secs(2)).send(addr)
 }
 
+/// Version of the routes that a replica proves to be the newest; `None` if it can't.
+pub fn proven(node: &Node) -> Option<u64> {
+    let answer = order_at(node, "config.get", "").ok()?;
+    let body: serde_json::Value = serde_json::from_slice(&answer.body).ok()?;
+    body["version"].as_u64()
+}
+
 /// A request of a test, as callers of the platform send it.
 pub fn request(method: &str, path: &str, id: &str) -> Call {
     Call::new(method, path)
--- a/crates/testing/src/soak/drive.rs
+++ b/crates/testing/src/soak/drive.rs
@@ -12,10 +12,9 @@
 use super::verdict::{Ran, Violation, judge};
 use super::world::{SERVICES, World, only_in};
 use super::{callers, operators};
-use crate::cluster::Node;
 use crate::proxy::{Direction, FaultProxy, Flow};
 use crate::runtime;
-use crate::site::{Manner, Site, SitePrograms, is_answer, order_at, request};
+use crate::site::{Manner, Site, SitePrograms, is_answer, proven, request};
 
 /// Failure domains of a [`Site`]; the second one may be evacuated.
 const DOMAINS: [&str; 2] = ["zagreb-a", "split-a"];
@@ -76,13 +75,6 @@
     }
 }
 
-/// Version that a replica proves to be the newest.
-pub(super) fn proven(node: &Node) -> Option<u64> {
-    let answer = order_at(node, "config.get", "").ok()?;
-    let body: serde_json::Value = serde_json::from_slice(&answer.body).ok()?;
-    body["version"].as_u64()
-}
-
 /// Carries out a plan.
 ///
 /// # Panics
--- a/tests/all/groups.rs
+++ b/tests/all/groups.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use filberthead_testing::cluster::Node;
-use filberthead_testing::site::{Site, SiteBuilder, SitePrograms, config, order_at};
+use filberthead_testing::site::{Site, SiteBuilder, SitePrograms, config, order_at, proven};
 use filberthead_testing::{eventually, wait_until};
 
 const BOUND: Duration = Duration::from_secs(60);
@@ -18,17 +18,10 @@
     })
 }
 
-/// The version in force, as one replica proves it; `None` if it can't.
-fn version_at(node: &Node) -> Option<u64> {
-    let answer = order_at(node, "config.get", "").ok()?;
-    let body: serde_json::Value = serde_json::from_slice(&answer.body).ok()?;
-    body["version"].as_u64()
-}
-
 #[track_caller]
 fn wait_version(node: &Node, version: u64) {
     wait_until("the replica proves the version", BOUND, || {
-        version_at(node) == Some(version)
+        proven(node) == Some(version)
     });
 }
 
@@ -77,7 +70,7 @@
 }
 
 fn wait_version_once(node: &Node, version: u64) -> bool {
-    version_at(node) == Some(version)
+    proven(node) == Some(version)
 }
 
 /// An operator's answer is lost, and the same configuration comes again, later also one
@@ -145,7 +138,7 @@
             answer.is_ok_and(|answer| answer.status == 200)
         })
     });
-    let shown = version_at(site.control(&name));
+    let shown = proven(site.control(&name));
     assert_ne!(shown, Some(7), "the older routes are shown");
     site.network.heal();
     wait_version(site.control(&name), 8);
