Each answer of a gateway's own before an endpoint has one line, with what decided it

Cause: a request that was answered 404 by the gateway left a line with the caller, the path and the number of the routes. Neither its id nor its host stood there, nor how old the routes were, who had handed them out, how many there were and whether the gateway had said that it is ready; answers of other kinds before a route (not ready, no target, body too large or broken off) left no line at all. Old routes, routes of a cut-off replica and routes that were read wrongly couldn't be told apart.

Change: `turned away`, one line for each such answer, with all of these. `routes in force` names the replica that the routes came from. No answer and no routing has changed.

Ruled out: the bounded queue of the log alone as the bound, since a flood would push out the lines of everything else.

--- a/crates/filberthead/src/gateway/carry.rs
+++ b/crates/filberthead/src/gateway/carry.rs
@@ -9,7 +9,6 @@
 use filberthead_place::{Decision, EndpointId, Refusal, Request as Wanted};
 use filberthead_route::{Kind, Matched, Route};
 use filberthead_types::{ResultCode, ServiceName, header};
-use http::header::HOST;
 use http::request::Parts;
 use http::{Request, Response};
 use http_body_util::BodyExt;
@@ -18,6 +17,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::answer::{AnswerBody, own};
+use super::arrival::{Arrival, host};
 use super::attempt::{Attempt, Job, attempt, text};
 use super::core::{Core, InForce};
 use super::deadline::Deadline;
@@ -79,25 +79,27 @@
     req: Request<Incoming>,
 ) -> Response<AnswerBody> {
     let begun = Instant::now();
+    let (head, body) = req.into_parts();
+    let mut arrival = Arrival::new(core, caller, &head);
     let Some(in_force) = core.in_force() else {
-        return own(ResultCode::NotReady, Some(STARTING));
+        return arrival.turn_away(ResultCode::NotReady, Some(STARTING));
     };
-    let (head, body) = req.into_parts();
+    arrival.held = Some(&in_force);
     let Some(matched) = find(&in_force, &head) else {
-        info!(caller:%, path = head.uri.path(), version = in_force.version; "no route");
-        return own(ResultCode::UnknownService, None);
+        return arrival.turn_away(ResultCode::UnknownService, None);
     };
     let route = &matched.route;
+    arrival.route = Some(route);
     let deadline = Deadline::new(begun, &head.headers, &core.dialect.deadline_ms, route);
     let Some(target) = route.targets.get(matched.split.deal()) else {
-        return own(ResultCode::NoEndpoint, Some(STARTING));
+        return arrival.turn_away(ResultCode::NoEndpoint, Some(STARTING));
     };
     if body.size_hint().lower() > in_force.bounds.body_bytes {
-        return own(ResultCode::BodyTooLarge, None);
+        return arrival.turn_away(ResultCode::BodyTooLarge, None);
     }
     let body = match take_body(body, &deadline).await {
         Ok(body) => body,
-        Err(code) => return own(code, None),
+        Err(code) => return arrival.turn_away(code, None),
     };
     core.placer
         .borrow_mut()
@@ -132,9 +134,8 @@
 }
 
 fn find(in_force: &InForce, head: &Parts) -> Option<Arc<Matched>> {
-    let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = host.or_else(|| head.uri.host())?;
-    in_force.matcher.find(host, head.uri.path()).cloned()
+    let matcher = &in_force.matcher;
+    matcher.find(host(head)?, head.uri.path()).cloned()
 }
 
 /// Whether the caller has less time than callers of this route usually have, because an
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -10,12 +10,12 @@
 
 use filberthead_endpoint::Client;
 use filberthead_fleet::{Load, Member, Outbound, Update};
-use filberthead_observe::GatewayMetrics;
+use filberthead_observe::{GatewayMetrics, LineAllowance};
 use filberthead_peer::Body;
 use filberthead_place::{Balance, Link, Placer};
 use filberthead_ring::Sender;
 use filberthead_route::{CallerBounds, Matcher};
-use filberthead_types::Moment;
+use filberthead_types::{Moment, ResultCode};
 use log::{Level, debug, info, log_enabled, warn};
 use tokio::sync::watch;
 
@@ -29,6 +29,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Silence of all control replicas after which the log says so.
 const SILENT: Duration = Duration::from_secs(2);
+/// Lines a second about requests that are turned away, by code. With half a kilobyte to a
+/// line, all codes together stay below 100 kB a second whatever callers send.
+const LINES_A_SECOND: u32 = 20;
 
 /// What the duty starts with.
 pub(crate) struct CoreParts {
@@ -48,9 +51,16 @@
 }
 
 /// The routes in force.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct InForce {
     pub(crate) version: u64,
+    pub(crate) revision: u64,
+    /// How many routes there are.
+    pub(crate) routes: usize,
+    /// The control replica that they came from.
+    pub(crate) from: SocketAddr,
+    /// When they came.
+    pub(crate) since: Moment,
     pub(crate) matcher: Matcher,
     pub(crate) bounds: CallerBounds,
 }
@@ -75,6 +85,8 @@
     silent: Cell<bool>,
     /// When the list of endpoints last changed.
     listed_at: Cell<Moment>,
+    /// Lines about requests that were turned away.
+    told: RefCell<LineAllowance<ResultCode>>,
 }
 
 /// Counts a request as running until it is dropped.
@@ -114,6 +126,7 @@
             seeds: RefCell::new(parts.seeds),
             silent: Cell::new(true),
             listed_at: Cell::new(Moment::ZERO),
+            told: RefCell::new(LineAllowance::new(LINES_A_SECOND)),
         })
     }
 
@@ -176,6 +189,18 @@
         *self.phase.borrow() >= Phase::Leaving
     }
 
+    /// How far this gateway has come, and whether what it knows does to serve by.
+    pub(crate) fn standing(&self) -> (Phase, bool) {
+        let informed = self.member.borrow().is_informed(self.now());
+        (*self.phase.borrow(), informed)
+    }
+
+    /// Whether a line about a request that is turned away may be written, and how many of
+    /// its kind were left out before it.
+    pub(crate) fn may_tell(&self, code: ResultCode) -> Option<u64> {
+        self.told.borrow_mut().take(self.now(), code)
+    }
+
     pub(crate) fn begin(self: &Rc<Self>) -> Running {
         self.running.set(self.running.get() + 1);
         Running(Rc::clone(self))
@@ -197,7 +222,7 @@
         self.send(out);
         drop(member);
         for update in updates {
-            self.update(now, update);
+            self.update(now, heard.from, update);
         }
         self.serve_if_informed(now);
     }
@@ -216,7 +241,7 @@
         });
     }
 
-    fn update(&self, now: Moment, update: Update) {
+    fn update(&self, now: Moment, from: SocketAddr, update: Update) {
         let mut placer = self.placer.borrow_mut();
         match update {
             Update::Routes {
@@ -225,10 +250,14 @@
                 table,
             } => {
                 self.metrics.routes_version(version);
-                info!(version, revision, routes = table.routes.len(); "routes in force");
+                info!(version, revision, routes = table.routes.len(), from:%; "routes in force");
                 placer.set_routes(&table);
                 let in_force = InForce {
                     version,
+                    revision,
+                    routes: table.routes.len(),
+                    from,
+                    since: now,
                     matcher: Matcher::new(&table),
                     bounds: table.bounds,
                 };
--- a/crates/filberthead/src/gateway/mod.rs
+++ b/crates/filberthead/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 //! and on a fraction of a core each crossing costs a wake-up and gains nothing.
 
 mod answer;
+mod arrival;
 mod attempt;
 mod carry;
 mod core;
--- a/crates/filberthead/src/gateway/stop.rs
+++ b/crates/filberthead/src/gateway/stop.rs
@@ -29,6 +29,17 @@
     Ending,
 }
 
+impl Phase {
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Starting => "starting",
+            Self::Serving => "serving",
+            Self::Leaving => "leaving",
+            Self::Ending => "ending",
+        }
+    }
+}
+
 /// Carries out a planned stop.
 pub(crate) struct PlannedStop {
     /// Time from the signal until the process must have ended.
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -12,7 +12,9 @@
 pub mod samples;
 mod story;
 
-pub use logging::{DroppedLines, LogGuard, LoggingError, format_line, init_logging, logger};
+pub use logging::{
+    DroppedLines, LineAllowance, LogGuard, LoggingError, format_line, init_logging, logger,
+};
 pub use metrics::{
     ControlMetrics, EntryMetrics, GatewayMetrics, PeerMetrics, PeerTotals, RequestMetrics,
     SlotMetrics,
--- /dev/null
+++ b/crates/observe/src/logging/allowance.rs
@@ -0,0 +1,57 @@
+//! How many lines of each kind may be written in a second.
+//!
+//! Callers can bring about as many refusals as they like. Each is worth a line, but a flood
+//! of one kind must neither fill the log nor push out the few lines of another kind.
+
+use std::collections::HashMap;
+use std::hash::Hash;
+use std::time::Duration;
+
+use filberthead_types::Moment;
+
+const SPAN: Duration = Duration::from_secs(1);
+
+/// Bounds lines by kind. Kinds come from an enumeration of the code: each is kept for good.
+#[derive(Clone, Debug)]
+pub struct LineAllowance<K> {
+    a_second: u32,
+    kinds: HashMap<K, Kind>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Kind {
+    /// When the second began that is counted now.
+    begun: Moment,
+    left: u32,
+    omitted: u64,
+}
+
+impl<K: Eq + Hash> LineAllowance<K> {
+    /// Allows so many lines of each kind in a second.
+    pub fn new(a_second: u32) -> Self {
+        Self {
+            a_second,
+            kinds: HashMap::new(),
+        }
+    }
+
+    /// Whether a line may be written now: `None` if not, else how many of its kind were
+    /// left out since the last one that was written.
+    pub fn take(&mut self, now: Moment, kind: K) -> Option<u64> {
+        let left = self.a_second;
+        let kind = self.kinds.entry(kind).or_insert(Kind {
+            begun: now,
+            left,
+            omitted: 0,
+        });
+        if now >= kind.begun + SPAN {
+            (kind.begun, kind.left) = (now, left);
+        }
+        if kind.left == 0 {
+            kind.omitted += 1;
+            return None;
+        }
+        kind.left -= 1;
+        Some(std::mem::take(&mut kind.omitted))
+    }
+}
--- a/crates/observe/src/logging/mod.rs
+++ b/crates/observe/src/logging/mod.rs
@@ -6,6 +6,7 @@
 //! queue, and a thread of its own writes it out. When the queue is full the line is
 //! dropped and counted, and the next line that gets through tells how many are missing.
 
+mod allowance;
 mod line;
 mod queue;
 
@@ -17,6 +18,7 @@
 use log::{Level, Log, Record};
 use snafu::{ResultExt, Snafu};
 
+pub use allowance::LineAllowance;
 pub use line::format_line;
 pub(crate) use queue::dropped_lines;
 pub use queue::{DroppedLines, LogGuard};
--- /dev/null
+++ b/crates/observe/tests/allowance.rs
@@ -0,0 +1,58 @@
+//! Lines of each kind stay within their allowance, and none is left out unsaid.
+
+use std::time::Duration;
+
+use filberthead_observe::LineAllowance;
+use filberthead_types::{Moment, ResultCode};
+
+const A_SECOND: u32 = 3;
+
+fn at(ms: u64) -> Moment {
+    Duration::from_millis(ms)
+}
+
+/// Tries so many lines of a kind; for each that is written, how many were left out before.
+fn written(
+    lines: &mut LineAllowance<ResultCode>,
+    now: Moment,
+    kind: ResultCode,
+    tries: usize,
+) -> Vec<u64> {
+    (0..tries).filter_map(|_| lines.take(now, kind)).collect()
+}
+
+#[test]
+fn the_next_line_tells_what_was_left_out() {
+    let mut lines = LineAllowance::new(A_SECOND);
+    let kind = ResultCode::UnknownService;
+    assert_eq!(written(&mut lines, at(500), kind, 10), [0, 0, 0]);
+    assert!(written(&mut lines, at(1_499), kind, 5).is_empty());
+    assert_eq!(written(&mut lines, at(1_500), kind, 4), [12, 0, 0]);
+    assert_eq!(written(&mut lines, at(9_000), kind, 1), [1]);
+}
+
+/// Callers ask for a service that there isn't, thousands of times a second. The one order
+/// that is refused for another reason in that second must still have its line.
+#[test]
+fn a_flood_of_one_kind_leaves_the_others_their_lines() {
+    let mut lines = LineAllowance::new(A_SECOND);
+    written(&mut lines, at(0), ResultCode::UnknownService, 10_000);
+    assert_eq!(written(&mut lines, at(0), ResultCode::NotReady, 1), [0]);
+}
+
+/// Whatever comes when, no second has more than its allowance, and lines written and left
+/// out add up to those that were tried.
+#[test]
+fn a_long_flood_stays_bounded() {
+    let mut lines = LineAllowance::new(A_SECOND);
+    let kind = ResultCode::BodyTooLarge;
+    let mut told = Vec::new();
+    for step in 0..1_000 {
+        told.extend(written(&mut lines, at(step * 10), kind, 7));
+    }
+    assert_eq!(told.len(), 10 * A_SECOND as usize);
+    let omitted: u64 = told.iter().sum();
+    // Those after the last line are told by the next.
+    let rest = written(&mut lines, at(10_000), kind, 1);
+    assert_eq!(omitted + rest[0] + told.len() as u64, 7_000);
+}
