Requests that a gateway answers before it has found a route are counted

Cause: filberthead_gateway_requests_total counted a request only once an endpoint had been looked for, so 404 for no route, 413, 400 and not ready were in no metric: a gateway that turns everybody away looked idle.

Change: each answer of that sort is counted, with the kind of its route, and with `none` where no route was found. The label stays an enumeration of the code. Their times go into the histogram of the same kind, apart from those of other kinds.

--- a/crates/filberthead/src/gateway/arrival.rs
+++ b/crates/filberthead/src/gateway/arrival.rs
@@ -9,6 +9,7 @@
 use http::header::HOST;
 use http::request::Parts;
 use log::info;
+use tokio::time::Instant;
 
 use super::answer::{AnswerBody, own};
 use super::attempt::text;
@@ -22,6 +23,7 @@
 pub(crate) struct Arrival<'a> {
     core: &'a Core,
     caller: SocketAddr,
+    begun: Instant,
     head: &'a Parts,
     /// The routes that it is matched by, if any are known.
     pub(crate) held: Option<&'a InForce>,
@@ -30,10 +32,11 @@
 }
 
 impl<'a> Arrival<'a> {
-    pub(crate) fn new(core: &'a Core, caller: SocketAddr, head: &'a Parts) -> Self {
+    pub(crate) fn new(core: &'a Core, caller: SocketAddr, begun: Instant, head: &'a Parts) -> Self {
         Self {
             core,
             caller,
+            begun,
             head,
             held: None,
             route: None,
@@ -48,6 +51,9 @@
         retry_after: Option<Duration>,
     ) -> Response<AnswerBody> {
         let answer = own(code, retry_after);
+        let kind = self.route.map(|route| route.kind.as_str());
+        let took = self.begun.elapsed();
+        self.core.metrics.finished(kind, code, took);
         if let Some(omitted) = self.core.may_tell(code) {
             self.tell(code, answer.status().as_u16(), omitted);
         }
--- a/crates/filberthead/src/gateway/carry.rs
+++ b/crates/filberthead/src/gateway/carry.rs
@@ -80,7 +80,7 @@
 ) -> Response<AnswerBody> {
     let begun = Instant::now();
     let (head, body) = req.into_parts();
-    let mut arrival = Arrival::new(core, caller, &head);
+    let mut arrival = Arrival::new(core, caller, begun, &head);
     let Some(in_force) = core.in_force() else {
         return arrival.turn_away(ResultCode::NotReady, Some(STARTING));
     };
@@ -120,7 +120,8 @@
         failure: None,
     };
     let answer = carried.run(body).await;
-    core.metrics.finished(kind, code(&answer), begun.elapsed());
+    core.metrics
+        .finished(Some(kind), code(&answer), begun.elapsed());
     answer
 }
 
--- a/crates/observe/src/metrics/gateway.rs
+++ b/crates/observe/src/metrics/gateway.rs
@@ -13,6 +13,9 @@
 use super::labels::ReasonLabels;
 use super::{encoded, observe, registry, set, wait_histogram};
 
+/// Kind of requests that were answered before a route was found.
+const NO_KIND: &str = "none";
+
 /// Label sets are enumerations of the code: kinds of routes and result codes.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
@@ -65,7 +68,7 @@
     }
 
     fn register(&self, registry: &mut Registry) {
-        let requests = "Requests by kind of route and result code";
+        let requests = "Requests by kind of route, none where no route was found, and result code";
         registry.register("gateway_requests", requests, self.requests.clone());
         registry.register_with_unit(
             "gateway_request_duration",
@@ -89,8 +92,10 @@
         registry.register("gateway_ready", ready, self.ready.clone());
     }
 
-    /// Counts a request that has its final answer; `took` since its arrival.
-    pub fn finished(&self, kind: &'static str, code: ResultCode, took: Duration) {
+    /// Counts a request that has its final answer, by its route's kind if it had a route;
+    /// `took` since its arrival.
+    pub fn finished(&self, kind: Option<&'static str>, code: ResultCode, took: Duration) {
+        let kind = kind.unwrap_or(NO_KIND);
         let labels = EndLabels {
             kind,
             code: code.number(),
--- a/crates/observe/tests/metrics.rs
+++ b/crates/observe/tests/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use filberthead_observe::{ControlMetrics, EntryMetrics, PeerTotals};
+use filberthead_observe::{ControlMetrics, EntryMetrics, GatewayMetrics, PeerTotals};
 use filberthead_types::{Epoch, Region, ResultCode, ServiceName, Version};
 
 fn service(name: &str) -> ServiceName {
@@ -46,6 +46,23 @@
     assert!((value(&text, &sum) - 0.05).abs() < 1e-9);
 }
 
+/// A gateway turned proper requests away as unknown, and no metric showed it: what was
+/// answered before a route was found wasn't counted.
+#[test]
+fn a_gateways_answers_without_a_route_are_counted() {
+    let metrics = GatewayMetrics::new();
+    let took = Duration::from_millis(1);
+    metrics.finished(Some("safe"), ResultCode::Answered, took);
+    metrics.finished(None, ResultCode::UnknownService, took);
+    metrics.finished(None, ResultCode::UnknownService, took);
+    let text = metrics.encode();
+    let unknown = "kind=\"none\",code=\"1100\",result=\"unknown-service\"";
+    let unknown = format!("filberthead_gateway_requests_total{{{unknown}}}");
+    assert_eq!(value(&text, &unknown), 2.0);
+    let count = "filberthead_gateway_request_duration_seconds_count{kind=\"safe\"}";
+    assert_eq!(value(&text, count), 1.0);
+}
+
 #[test]
 fn every_result_code_has_a_series_of_its_own() {
     let metrics = EntryMetrics::new();
