Tests of requests that a gateway turns away: a line each, counted, bounded in a flood

Cause: nothing tested that such answers can be explained afterwards, nor that a flood of them leaves the log bounded.

Change: tests with whole processes for not ready, no route, a body that is too large, breaks off or doesn't come in time; for `filberthead explain`; for a flood; for texts of many kilobytes. A route without a target can't be had by a configuration that is accepted, so it has no test.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -20,3 +20,4 @@
 mod spreading;
 mod stops;
 mod support;
+mod turned_away;
--- /dev/null
+++ b/tests/all/turned_away.rs
@@ -0,0 +1,270 @@
+//! Requests that a gateway answers itself before an endpoint is looked for: one line each
+//! says what decided, and no flood of them holds up anything else.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+use filberthead_observe::{Event, Story};
+use filberthead_testing::site::{HOST, Site, request};
+use filberthead_testing::{eventually, wait_until};
+
+use crate::groups::site;
+
+const BOUND: Duration = Duration::from_secs(60);
+const SERVICES: &[(&str, &str)] = &[("orders", "unsafe"), ("catalogue", "safe")];
+const MESSAGE: &str = "turned away";
+/// Of one code in a second, as the gateway allows.
+const LINES_A_SECOND: u64 = 20;
+
+/// One replica and one gateway that logs JSON and has no routes yet.
+fn bare() -> Site {
+    let mut site = site().replicas(1).tolerate(0).start();
+    site.gateways[0].settings().set("log", "format", "json");
+    site.gateways[0].restart();
+    site
+}
+
+/// A gateway that serves orders.
+fn start() -> Site {
+    let mut site = bare();
+    site.add_endpoint("orders", "zagreb-a");
+    site.put_routes(1, SERVICES);
+    site.wait_serving(0);
+    wait_until("an order runs", BOUND, || {
+        let answer = site.request(0, &request("POST", "/orders/warm-up", "warm"));
+        answer.is_ok_and(|answer| answer.status == 200)
+    });
+    site
+}
+
+fn log(site: &Site) -> String {
+    let path = site.dir().join("gateway-1.log");
+    std::fs::read_to_string(path).unwrap_or_default()
+}
+
+/// Lines about requests that were turned away, so far.
+fn turned_away(site: &Site) -> Vec<Event> {
+    let log = log(site);
+    let events = log.lines().filter_map(Event::parse);
+    events.filter(|event| event.message == MESSAGE).collect()
+}
+
+fn field<'a>(event: &'a Event, key: &str) -> &'a str {
+    let found = event.fields.iter().find(|(name, _)| name == key);
+    let (_, value) = found.unwrap_or_else(|| panic!("no {key} in {event}"));
+    value
+}
+
+fn number(event: &Event, key: &str) -> u64 {
+    let text = field(event, key);
+    let number = text.parse();
+    number.unwrap_or_else(|_| panic!("{key} is {text} in {event}"))
+}
+
+/// The one line about a request.
+#[track_caller]
+fn line(site: &Site, id: &str) -> Event {
+    wait_until("a line about the request", BOUND, || {
+        !Story::of(id, log(site).lines()).events.is_empty()
+    });
+    let mut events = Story::of(id, log(site).lines()).events;
+    assert_eq!(events.len(), 1, "{events:?}");
+    let event = events.remove(0);
+    assert_eq!(event.message, MESSAGE);
+    event
+}
+
+#[track_caller]
+fn says(event: &Event, fields: &[(&str, &str)]) {
+    for (key, value) in fields {
+        assert_eq!(field(event, key), *value, "{key} in {event}");
+    }
+}
+
+/// Sends a head that announces so many bytes of body, and then only a few.
+fn begin_order(gateway: SocketAddr, id: &str, length: u64, deadline_ms: u64) -> TcpStream {
+    let mut till = TcpStream::connect(gateway).expect("a connection");
+    let head = format!(
+        "POST /orders/one HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: {id}\r\n\
+         x-deadline-ms: {deadline_ms}\r\ncontent-length: {length}\r\n\r\n"
+    );
+    till.write_all(head.as_bytes()).expect("the head is sent");
+    till.write_all(b"ab").expect("a part is sent");
+    till
+}
+
+/// The first line of the answer.
+fn status_line(till: &mut TcpStream) -> String {
+    let mut buf = [0; 12];
+    till.read_exact(&mut buf).expect("an answer");
+    String::from_utf8_lossy(&buf).into_owned()
+}
+
+/// A caller asks for a prefix that no route has. Whoever has the id can tell how old the
+/// routes were that decided it, where they came from and that the gateway was ready.
+#[test]
+fn a_request_without_a_route_is_explained() {
+    let site = start();
+    let call = request("GET", "/nowhere/cards?page=2", "astray-1");
+    let answer = site.request(0, &call).expect("an answer");
+    assert_eq!(answer.status, 404);
+    let line = line(&site, "astray-1");
+    says(
+        &line,
+        &[
+            ("host", HOST),
+            ("path", "/nowhere/cards"),
+            ("code", "1100 unknown-service"),
+            ("status", "404"),
+            ("route", "null"),
+            ("version", "1"),
+            ("routes", "2"),
+            ("from", &site.controls[0].addr("peer").to_string()),
+            ("phase", "serving"),
+            ("informed", "true"),
+            ("omitted", "0"),
+        ],
+    );
+    assert!(number(&line, "revision") > 0);
+    assert!(number(&line, "routes_ms") < 60_000);
+    assert!(number(&line, "control_ms") < 10_000);
+    let gateway = &site.gateways[0];
+    assert!((gateway.metric("kind=\"none\",code=\"1100\"") - 1.0).abs() < 1e-9);
+}
+
+/// A gateway that has never had routes refuses everything, and says that it has none.
+#[test]
+fn a_request_to_a_gateway_without_routes_is_explained() {
+    let site = bare();
+    let answer = site.request(0, &request("POST", "/orders/one", "early-1"));
+    assert_eq!(answer.expect("an answer").status, 503);
+    says(
+        &line(&site, "early-1"),
+        &[
+            ("code", "1206 not-ready"),
+            ("status", "503"),
+            ("version", "null"),
+            ("revision", "null"),
+            ("routes", "0"),
+            ("routes_ms", "null"),
+            ("from", "null"),
+            ("phase", "starting"),
+            ("informed", "false"),
+        ],
+    );
+    let gateway = &site.gateways[0];
+    assert!((gateway.metric("kind=\"none\",code=\"1206\"") - 1.0).abs() < 1e-9);
+}
+
+/// An order is too large, another one's body breaks off, a third one's doesn't come in time.
+/// Each has a route, which its line and the metrics name.
+#[test]
+fn an_order_whose_body_can_not_be_had_is_explained() {
+    let site = start();
+    let gateway = site.gateways[0].addr("caller");
+    let mut large = begin_order(gateway, "large-1", 64 * 1024 * 1024 + 1, 20_000);
+    assert_eq!(status_line(&mut large), "HTTP/1.1 413");
+    let broken = begin_order(gateway, "broken-1", 100, 20_000);
+    broken.shutdown(Shutdown::Write).expect("it breaks off");
+    let mut slow = begin_order(gateway, "slow-1", 100, 300);
+    assert_eq!(status_line(&mut slow), "HTTP/1.1 503");
+    for (id, code, status) in [
+        ("large-1", "1104 body-too-large", "413"),
+        ("broken-1", "1103 bad-request", "400"),
+        ("slow-1", "1203 deadline-before-run", "503"),
+    ] {
+        let fields = [
+            ("code", code),
+            ("status", status),
+            ("route", "r-orders"),
+            ("version", "1"),
+        ];
+        says(&line(&site, id), &fields);
+    }
+    let gateway = &site.gateways[0];
+    for code in ["1104", "1103", "1203"] {
+        let series = format!("kind=\"unsafe\",code=\"{code}\"");
+        assert!((gateway.metric(&series) - 1.0).abs() < 1e-9, "{series}");
+    }
+}
+
+/// An engineer has the id of a request that got 404, and the logs. One command shows the
+/// line, and before it which routes the gateway had put in force, and from whom.
+#[test]
+fn one_command_tells_the_story_of_a_request_without_a_route() {
+    let site = start();
+    let answer = site.request(0, &request("GET", "/nowhere/", "astray-2"));
+    assert_eq!(answer.expect("an answer").status, 404);
+    line(&site, "astray-2");
+    let output = Command::new(env!("CARGO_BIN_EXE_filberthead"))
+        .args(["explain", "astray-2"])
+        .arg(site.dir().join("gateway-1.log"))
+        .arg(site.dir().join("control-1.log"))
+        .output()
+        .expect("the command line starts");
+    let story = String::from_utf8_lossy(&output.stdout);
+    let from = format!("from={}", site.controls[0].addr("peer"));
+    for parts in [
+        ["turned away", "code=1100 unknown-service", &from],
+        ["routes in force", "version=1", &from],
+    ] {
+        let whole = |line: &str| parts.iter().all(|part| line.contains(part));
+        assert!(story.lines().any(whole), "no {parts:?} in {story}");
+    }
+}
+
+/// Somebody asks for a service that there isn't, as fast as they can. The log would fill
+/// with that alone: its lines are bounded, they tell how many were left out, and neither an
+/// order nor the line of another refusal suffers.
+#[test]
+fn a_flood_of_requests_without_a_route_leaves_a_bounded_log() {
+    const FLOOD: u64 = 2_000;
+    let site = start();
+    // Past the proxy, which lets some 25 new connections through a second.
+    let gateway = site.gateways[0].direct_addr("caller");
+    let begun = Instant::now();
+    for number in 0..FLOOD {
+        let call = request("GET", "/nowhere/", &format!("flood-{number}"));
+        let answer = call.send(gateway).expect("an answer");
+        assert_eq!(answer.status, 404);
+    }
+    let order = site.request(0, &request("POST", "/orders/one", "order-1"));
+    assert_eq!(order.expect("an answer").status, 200);
+    let mut large = begin_order(gateway, "large-1", 64 * 1024 * 1024 + 1, 20_000);
+    assert_eq!(status_line(&mut large), "HTTP/1.1 413");
+    line(&site, "large-1");
+    let seconds = begun.elapsed().as_secs() + 1;
+    // The line after the flood tells what was left out at its end.
+    std::thread::sleep(Duration::from_secs(1));
+    let last = request("GET", "/nowhere/", "last-1");
+    assert_eq!(site.request(0, &last).expect("an answer").status, 404);
+    line(&site, "last-1");
+    let astray = |event: &Event| field(event, "code") == "1100 unknown-service";
+    let lines: Vec<_> = turned_away(&site).into_iter().filter(astray).collect();
+    let written = lines.len() as u64;
+    let omitted: u64 = lines.iter().map(|line| number(line, "omitted")).sum();
+    assert_eq!(written + omitted, FLOOD + 1);
+    assert!(omitted > 0, "{written} lines in {seconds} s");
+    assert!(
+        written <= LINES_A_SECOND * seconds + 1,
+        "{written} lines in {seconds} s"
+    );
+    let counted = site.gateways[0].metric("kind=\"none\",code=\"1100\"");
+    assert!((counted - (FLOOD + 1) as f64).abs() < 1e-9);
+}
+
+/// A caller may name itself, its host and its path in many kilobytes; a line shows the
+/// beginning of each.
+#[test]
+fn a_line_shows_a_bounded_part_of_what_a_caller_sent() {
+    let site = start();
+    let path = format!("/nowhere/{}", "ž".repeat(2_000));
+    let path = path.replace('ž', "%C5%BE");
+    let call = request("GET", &path, &"x".repeat(3_000));
+    assert_eq!(site.request(0, &call).expect("an answer").status, 404);
+    let line = eventually("the line", BOUND, || turned_away(&site).pop());
+    assert!(field(&line, "path").starts_with("/nowhere/%C5%BE"));
+    assert_eq!(field(&line, "path").len(), 256);
+}
