A test of limits that are judged by the slots of some entries

Cause: the leader adds up the slots of the entries that have renewed with it, and judges a limit by the sum. After a change of leader, while one of two entries of a region can't reach it, the limit that the region has slots for is refused.

--- a/tests/all/operators/mod.rs
+++ b/tests/all/operators/mod.rs
@@ -5,6 +5,7 @@
 mod fake;
 mod group;
 mod input;
+mod limits;
 mod resend;
 mod shifts;
 mod tokens;
