Judge a limit by the slots of all entries, or not at all

Cause: the leader of control added up the slots of whichever entries had renewed with it in the last 10 s, and judged limits by the sum. After a change of leader, while renewals are late, while endpoints pass from one entry to another and while an entry is without a lease the sum is too low, and a limit that the region has slots for is refused: operators::limits fails with "change-dangerous ... the limit 6 of orders/split is above its 3 slots".

Ruled out: to ask only for the entries of the directory. So control keeps in mind the failure domains, not the entries.

Change: the keeper of leases says whether it knows all slots of a region: it has waited out the leader before; each failure domain known by the directory has reported; each member of each roster follows it, was heard within a lease, had an answered renewal just before and goes by the same list as the others; nobody joins or leaves. Otherwise the slots of the row are unknown. A row with an unknown figure is named as not compared, also if others of its figures are known; requests in progress are still compared, since there can only be more. Slots of an entry that is silent for longer than a lease aren't added to those of its heirs any more.

--- a/crates/filberthead/src/control/shares.rs
+++ b/crates/filberthead/src/control/shares.rs
@@ -11,11 +11,12 @@
 
 use filberthead_operator::RowReading;
 use filberthead_peer::{Body, Origin};
-use filberthead_steer::{Message, Renew, ServiceDemand, ShareKeeper};
+use filberthead_steer::{LEASE, Message, Renew, ServiceDemand, ShareKeeper};
 use filberthead_table::{RowKey, View};
 use filberthead_types::{Epoch, Moment, NodeName, Region};
 
 use super::core::Core;
+use super::spreading::Domains;
 
 /// Longest time that a request of an entry that fell silent may go on running: the
 /// longest deadline that entries accept.
@@ -63,17 +64,22 @@
 
     fn renew(&mut self, now: Moment, from: &NodeName, renew: &Renew) -> Option<Message> {
         let (_, keeper) = self.keeper.as_mut()?;
-        let usage = Usage {
-            region: renew.region.clone(),
-            demand: renew.demand.clone(),
-            heard: now,
-        };
-        self.usage.insert(from.clone(), usage);
-        Some(Message::Grant(keeper.renew(now, from, renew)))
+        let grant = keeper.renew(now, from, renew);
+        // One without a number answers a renewal that was overtaken.
+        if grant.serial > 0 {
+            let usage = Usage {
+                region: renew.region.clone(),
+                demand: renew.demand.clone(),
+                heard: now,
+            };
+            self.usage.insert(from.clone(), usage);
+        }
+        Some(Message::Grant(grant))
     }
 
-    /// What runs in each row, by the renewals of the last seconds.
-    pub(crate) fn readings(&self, now: Moment) -> Vec<RowReading> {
+    /// What runs in each row, by the renewals of the last seconds. `domains` are all
+    /// failure domains that control knows of, with their regions.
+    pub(crate) fn readings(&self, now: Moment, domains: &Domains) -> Vec<RowReading> {
         let mut rows: BTreeMap<RowKey, RowReading> = BTreeMap::new();
         for usage in self.usage.values() {
             let age = now.saturating_sub(usage.heard);
@@ -82,13 +88,23 @@
             }
         }
         let mut rows: Vec<_> = rows.into_values().collect();
-        // Entries that wait for their endpoints have none. That says nothing of what the
-        // region can carry, and must not make every limit look too high.
         for row in &mut rows {
-            row.slots = row.slots.filter(|slots| *slots > 0);
+            // The slots of some entries say nothing of what the region can carry, and
+            // must not make a limit look too high; nor must those of entries that have
+            // no endpoints yet.
+            let knows = self.knows_slots(now, &row.region, domains);
+            row.slots = row.slots.filter(|slots| *slots > 0 && knows);
         }
         rows
     }
+
+    fn knows_slots(&self, now: Moment, region: &Region, domains: &Domains) -> bool {
+        let Some((_, keeper)) = &self.keeper else {
+            return false;
+        };
+        let here = domains.iter().filter(|(_, of)| *of == region);
+        keeper.knows_slots(now, region, here.map(|(domain, _)| domain))
+    }
 }
 
 impl Usage {
@@ -108,7 +124,11 @@
             });
             add(&mut reading.running, demand.running);
             add(&mut reading.shifted, demand.shifted);
-            add(&mut reading.slots, demand.slots);
+            // An entry that is silent for longer may have lost its endpoints to others,
+            // who count them now.
+            if age < LEASE {
+                add(&mut reading.slots, demand.slots);
+            }
             let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
             reading.age_ms = reading.age_ms.max(age_ms);
         }
--- a/crates/filberthead/src/control/spreading.rs
+++ b/crates/filberthead/src/control/spreading.rs
@@ -1,5 +1,6 @@
 //! The control side of spreading: [`Source`] joined to the replica.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,9 +8,9 @@
 use filberthead_operator::EntryStatus;
 use filberthead_peer::Origin;
 use filberthead_spread::source::{Action, Event, MemberStatus, Source};
-use filberthead_spread::{Config, Leader, Message, Sender};
+use filberthead_spread::{Config, Leader, MemberInfo, Message, Sender};
 use filberthead_table::View;
-use filberthead_types::{Epoch, Moment};
+use filberthead_types::{Epoch, FailureDomain, Moment, Region};
 
 /// Whether this replica leads, as the source wants to know it.
 pub(crate) enum Standing {
@@ -27,10 +28,14 @@
     },
 }
 
+/// Failure domains and their regions.
+pub(crate) type Domains = BTreeMap<FailureDomain, Region>;
+
 /// Spreads committed versions and tells who has them.
 #[derive(Debug)]
 pub(crate) struct Spreading {
     source: Source,
+    domains: Domains,
 }
 
 impl Spreading {
@@ -38,6 +43,7 @@
     pub(crate) fn new(replicas: Vec<SocketAddr>) -> Self {
         Self {
             source: Source::new(Config::builder().build(), replicas),
+            domains: Domains::new(),
         }
     }
 
@@ -83,13 +89,32 @@
         members.into_iter().map(entry_status).collect()
     }
 
+    /// Failure domains that have entries, or had some that weren't stopped in order.
+    pub(crate) fn domains(&self) -> &Domains {
+        &self.domains
+    }
+
     fn step(&mut self, now: Moment, event: Event) -> Vec<(SocketAddr, Message)> {
-        let send = |action| match action {
-            Action::Send { to, message } => Some((to, message)),
-            Action::Entries(_) => None,
-        };
-        let actions = self.source.step(now, event);
-        actions.into_iter().filter_map(send).collect()
+        let mut out = Vec::new();
+        for action in self.source.step(now, event) {
+            match action {
+                Action::Send { to, message } => out.push((to, message)),
+                Action::Entries(members) => self.learn_domains(&members),
+            }
+        }
+        out
+    }
+
+    /// The directory drops entries that fall silent. They and their endpoints may be well
+    /// and just cut off, so their failure domain is kept in mind all the same.
+    fn learn_domains(&mut self, members: &[MemberInfo]) {
+        for left in members.iter().filter(|member| member.leaving) {
+            self.domains.remove(&left.failure_domain);
+        }
+        for member in members.iter().filter(|member| !member.leaving) {
+            let domain = member.failure_domain.clone();
+            self.domains.insert(domain, member.region.clone());
+        }
     }
 }
 
--- a/crates/filberthead/src/control/status.rs
+++ b/crates/filberthead/src/control/status.rs
@@ -27,7 +27,7 @@
             version: self.machine.table.version(),
             replicas: self.replicas(&replica),
             entries: self.spreading.entries(now),
-            rows: self.shares.readings(now),
+            rows: self.shares.readings(now, self.spreading.domains()),
         }
     }
 
--- a/crates/operator/src/administration.rs
+++ b/crates/operator/src/administration.rs
@@ -217,7 +217,8 @@
     pub running: Option<u64>,
     /// Those of them that a shift has brought.
     pub shifted: Option<u64>,
-    /// Slots of the region's endpoints that are not leaving.
+    /// Slots of the region's endpoints that are not leaving; `None` unless all entries
+    /// of the region have reported what they own.
     pub slots: Option<u64>,
     /// Age of the oldest report behind the figures, in milliseconds.
     pub age_ms: u64,
--- a/crates/operator/src/answer/mod.rs
+++ b/crates/operator/src/answer/mod.rs
@@ -47,7 +47,8 @@
     /// Who has rejected the proposal.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub rejected_by: Vec<String>,
-    /// Rows whose danger could not be judged, for want of a fresh reading.
+    /// Rows whose danger could not be judged in full, for want of fresh readings of all
+    /// entries.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub unchecked: Vec<String>,
     /// Where the leader serves this API.
--- a/crates/operator/src/live.rs
+++ b/crates/operator/src/live.rs
@@ -18,7 +18,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(crate) struct LiveCheck {
     pub(crate) findings: Vec<Finding>,
-    /// Rows without a fresh reading.
+    /// Rows without a fresh reading of all that they are compared with.
     pub(crate) unchecked: Vec<String>,
 }
 
@@ -26,9 +26,12 @@
     let mut check = LiveCheck::default();
     for edit in edits {
         let Some(values) = edit.set else { continue };
-        match fresh(readings, &edit.key) {
-            Some(reading) => find(&edit.key, &values, reading, &mut check.findings),
-            None => check.unchecked.push(edit.key.to_string()),
+        let reading = fresh(readings, &edit.key);
+        if let Some(reading) = reading {
+            find(&edit.key, &values, reading, &mut check.findings);
+        }
+        if !reading.is_some_and(is_whole) {
+            check.unchecked.push(edit.key.to_string());
         }
     }
     check.findings.truncate(MAX_FINDINGS);
@@ -42,6 +45,10 @@
         .filter(|reading| reading.age_ms <= MAX_AGE_MS)
 }
 
+fn is_whole(reading: &RowReading) -> bool {
+    reading.running.is_some() && reading.shifted.is_some() && reading.slots.is_some()
+}
+
 fn find(key: &RowKey, values: &RowValues, reading: &RowReading, findings: &mut Vec<Finding>) {
     let mut add = |danger, reason| {
         findings.push(Finding {
--- a/crates/operator/tests/api.rs
+++ b/crates/operator/tests/api.rs
@@ -448,6 +448,11 @@
     let old = post(&change(4, "orders", 1, 51)).await;
     assert_eq!(old.code, 2000);
     assert_eq!(old.answer().unchecked, ["orders/zagreb"]);
+
+    set(reading(Some(1), None, 100));
+    let in_part = post(&change(5, "orders", 2, 99)).await;
+    assert_eq!(in_part.code, 2000, "{:?}", in_part.answer());
+    assert_eq!(in_part.answer().unchecked, ["orders/zagreb"]);
 }
 
 /// Where every change needs a review, neither a direct change nor a waiver goes through.
--- a/crates/steer/src/keeper/mod.rs
+++ b/crates/steer/src/keeper/mod.rs
@@ -20,7 +20,7 @@
 use std::time::Duration;
 
 use filberthead_table::{RowKey, View};
-use filberthead_types::{Epoch, FailureDomain, Incarnation, Moment, NodeName};
+use filberthead_types::{Epoch, FailureDomain, Incarnation, Moment, NodeName, Region};
 
 use crate::lease::{Grant, KeptRoster, LEASE, MARGIN, Part, Renew, ServiceParts};
 use quota::{Demand, Quota};
@@ -232,6 +232,22 @@
         .collect()
     }
 
+    /// Whether the slots that entries of a region reported last are all its slots, so far
+    /// as can be known here. `domains` are failure domains of the region that are known
+    /// by other ways: one whose entries haven't renewed with this leader has slots too.
+    pub fn knows_slots<'a>(
+        &self,
+        now: Moment,
+        region: &Region,
+        domains: impl IntoIterator<Item = &'a FailureDomain>,
+    ) -> bool {
+        let mut here = self.rosters.values().filter(|r| r.region() == region);
+        let mut domains = domains.into_iter();
+        now >= self.quiet_until
+            && here.all(|roster| roster.knows_slots(now))
+            && domains.all(|domain| self.rosters.contains_key(domain))
+    }
+
     /// Most requests that holders may have in progress under a row, by what was granted:
     /// never more than the highest limit that was in force while a part of it may hold.
     pub fn committed(&self, now: Moment, key: &RowKey) -> u32 {
--- a/crates/steer/src/keeper/roster.rs
+++ b/crates/steer/src/keeper/roster.rs
@@ -19,13 +19,17 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use filberthead_types::{Epoch, FailureDomain, Moment, NodeName, Region};
+use filberthead_types::{Epoch, FailureDomain, Moment, NodeName, Region, ServiceName};
 
 use crate::lease::{KeptRoster, LEASE, MARGIN, Renew, Roster, majority};
 
 /// Silence after which an entry that isn't a member counts as gone.
 const RECENT: std::time::Duration = LEASE;
 
+/// Renewals without an answer after which an entry's lease may have lapsed unnoticed: half
+/// of those that fit into a lease.
+const UNANSWERED: u64 = 3;
+
 #[derive(Debug)]
 struct Heard {
     at: Moment,
@@ -35,6 +39,10 @@
     refusing: Option<NodeName>,
     promised: Vec<NodeName>,
     leaving: bool,
+    /// Renewals sent since the last one whose answer it took in.
+    unanswered: u64,
+    /// Services whose endpoints it knows.
+    services: BTreeSet<ServiceName>,
 }
 
 /// What an entry is told.
@@ -101,6 +109,46 @@
         members.any(|name| !self.heard.contains_key(name) && !self.joining.contains(name))
     }
 
+    /// Whether the slots that the members reported last are all slots of the failure
+    /// domain. They are not while one is silent, or endpoints are on their way from one
+    /// owner to the next, or a member holds none for want of a lease or of the list.
+    pub(crate) fn knows_slots(&self, now: Moment) -> bool {
+        let Some(roster) = &self.roster else {
+            return false;
+        };
+        let mut staying = roster
+            .members
+            .iter()
+            .filter(|name| !self.has_left(now, name));
+        let holds = |name: &NodeName| self.heard.get(name).is_some_and(|h| self.holds(now, h));
+        let passing = self.must_ack.is_some()
+            || self.leaving_member().is_some()
+            || self.newcomer(now).is_some();
+        self.trusted && staying.all(holds) && self.has_one_list() && self.settled() && !passing
+    }
+
+    /// Whether a member said that it stops, and then fell silent: the last one keeps its
+    /// endpoints to the end, and its place in the roster beyond that.
+    fn has_left(&self, now: Moment, name: &NodeName) -> bool {
+        let heard = self.heard.get(name);
+        heard.is_some_and(|heard| heard.leaving && now >= heard.at + RECENT)
+    }
+
+    /// Whether a member held its endpoints when it was last heard, and was so just now.
+    fn holds(&self, now: Moment, heard: &Heard) -> bool {
+        let leased = heard.term == self.term && heard.unanswered < UNANSWERED;
+        now < heard.at + RECENT && leased && !heard.services.is_empty()
+    }
+
+    /// Whether all members know of endpoints of the same services. While they don't,
+    /// some haven't got the list yet by which they would own theirs.
+    fn has_one_list(&self) -> bool {
+        let members = self.roster.iter().flat_map(|r| &r.members);
+        let heard = members.filter_map(|name| self.heard.get(name));
+        let lists: BTreeSet<_> = heard.map(|heard| &heard.services).collect();
+        lists.len() <= 1
+    }
+
     /// Takes over the roster of the leader before; no higher one was ever granted.
     pub(crate) fn restore(&mut self, kept: KeptRoster) {
         self.learn(kept.roster);
@@ -154,6 +202,8 @@
             refusing: renew.refusing.clone(),
             promised: renew.promised.clone(),
             leaving: renew.leaving,
+            unanswered: renew.serial.saturating_sub(renew.accepted),
+            services: renew.demand.iter().map(|d| d.service.clone()).collect(),
         };
         self.heard.insert(from.clone(), heard);
         // A restarted entry, which follows no roster, admits to nothing either.
--- a/crates/steer/tests/all/main.rs
+++ b/crates/steer/tests/all/main.rs
@@ -4,4 +4,5 @@
 mod common;
 mod policy;
 mod random;
+mod slots;
 mod world;
--- a/src/cli/session.rs
+++ b/src/cli/session.rs
@@ -159,7 +159,8 @@
             let mut lines = format!("{}\n", answer.message);
             for row in &answer.unchecked {
                 lines.push_str(&format!(
-                    "note: {row}: no fresh reading, so not compared with what runs there\n"
+                    "note: {row}: not all its entries have reported just now, so not compared with \
+                     all that is there\n"
                 ));
             }
             lines
--- a/tests/all/operators/limits.rs
+++ b/tests/all/operators/limits.rs
@@ -18,8 +18,9 @@
 const SLOTS: u32 = 3;
 /// The entry that the next leader doesn't hear.
 const CUT: &str = "entry-split-b-1";
-/// Longer than a leader waits for what was granted by the one before.
-const HEARD: Duration = Duration::from_secs(6);
+/// Longer than a leader waits for what was granted by the one before, and than the
+/// directory keeps an entry that is silent.
+const HEARD: Duration = Duration::from_secs(8);
 
 /// A region of two failure domains, with an entry and an endpoint in each of them.
 fn start() -> Desk {
