Test: a gateway that starts by old routes denies no route, while it fails

Cause: a gateway that has started beside a replica that is cut off with older routes answers 404 on what was added since, from its first moment on. Ruled out: that readiness guards it. Callers who have its address from before come at once, and only the word that it is ready waits for most replicas.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -14,6 +14,7 @@
 mod measures;
 mod operators;
 mod orders;
+mod outdated;
 mod report;
 mod requests;
 mod soak;
