Deny a route for good only while control proves that there are no newer ones

Cause: a gateway answers what its routes lack with 404, and a body over their bound with 413, by whatever routes it holds. Those may have been overtaken: it is cut off from control, it has just started and got the routes of a replica that is cut off or has only its note to go by, or nobody leads after a power cut. A caller who is told so doesn't come back. Ruled out: that the age of the last notice would do, since a replica that is cut off itself sends notices; that a gateway that starts could simply wait until it is ready, since one that serves goes out of date as well; to ask control at each such request, which makes a flood of anybody's. Change: a report asks a question; the replica that holds the lease sends it back in its notice, and so proves that nothing newer than what it holds is accepted. The proof is good for 1.6 s from when it was asked for, and only in the life of the process that asked. Without it the answer is 503 (1211) with a time to come back. The line of what is turned away and a gauge show the proof.

--- a/crates/filberthead/src/control/fleet.rs
+++ b/crates/filberthead/src/control/fleet.rs
@@ -119,7 +119,9 @@
             }
             Message::NewestIs { token, result } => self.asked_done(now, token, result),
             other => {
-                let out = self.fleet.registry.receive(now, origin.addr, other);
+                let proven = self.replica.lease_until(now).is_some();
+                let registry = &mut self.fleet.registry;
+                let out = registry.receive(now, origin.addr, other, proven);
                 self.tell(out);
             }
         }
--- a/crates/filberthead/src/gateway/arrival.rs
+++ b/crates/filberthead/src/gateway/arrival.rs
@@ -13,6 +13,7 @@
 
 use super::answer::{AnswerBody, own};
 use super::attempt::text;
+use super::carry::STARTING;
 use super::core::{Core, InForce};
 
 /// What a line shows at most of each text that a caller has sent, in bytes: the longest host
@@ -60,6 +61,16 @@
         answer
     }
 
+    /// Turns a request away that the routes held here don't allow: for good if they are the
+    /// newest. A caller who is told so doesn't come back, so what a later change may have
+    /// allowed is refused for the moment only.
+    pub(crate) fn deny(&self, code: ResultCode) -> Response<AnswerBody> {
+        match self.core.is_proven() {
+            true => self.turn_away(code, None),
+            false => self.turn_away(ResultCode::RoutesUnproven, Some(STARTING)),
+        }
+    }
+
     fn tell(&self, code: ResultCode, status: u16, omitted: u64) {
         let id = text(&self.head.headers, &self.core.dialect.request_id);
         let held = self.held;
@@ -73,7 +84,7 @@
             version = held.map(|held| held.version),
             revision = held.map(|held| held.revision),
             routes = held.map_or(0, |held| held.routes),
-            routes_ms = held.map(since),
+            routes_ms = held.map(since), proven_ms = self.core.proven_age().map(|age| age.as_millis()),
             from = held.map(|held| held.from.to_string()),
             control_ms, phase = phase.as_str(), informed, omitted; "turned away");
     }
--- a/crates/filberthead/src/gateway/carry.rs
+++ b/crates/filberthead/src/gateway/carry.rs
@@ -32,8 +32,9 @@
 /// When a caller may come back whose request an endpoint has sent back: another try is as
 /// likely to find room at once as later.
 const SOON: Duration = Duration::from_millis(50);
-/// When a caller may come back to a gateway that doesn't know any routes yet.
-const STARTING: Duration = Duration::from_millis(300);
+/// When a caller may come back to a gateway that doesn't know any routes yet, or not whether
+/// they are the newest: a report and its answer are on their way by then.
+pub(super) const STARTING: Duration = Duration::from_millis(300);
 
 /// What to do after an attempt.
 enum Next {
@@ -86,7 +87,7 @@
     };
     arrival.held = Some(&in_force);
     let Some(matched) = find(&in_force, &head) else {
-        return arrival.turn_away(ResultCode::UnknownService, None);
+        return arrival.deny(ResultCode::UnknownService);
     };
     let route = &matched.route;
     arrival.route = Some(route);
@@ -95,7 +96,7 @@
         return arrival.turn_away(ResultCode::NoEndpoint, Some(STARTING));
     };
     if body.size_hint().lower() > in_force.bounds.body_bytes {
-        return arrival.turn_away(ResultCode::BodyTooLarge, None);
+        return arrival.deny(ResultCode::BodyTooLarge);
     }
     let body = match take_body(body, &deadline).await {
         Ok(body) => body,
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -172,6 +172,19 @@
         self.in_force.borrow().clone()
     }
 
+    /// Whether the routes in force were lately proved to be the newest, so that a caller may
+    /// be told for good what they don't allow.
+    pub(crate) fn is_proven(&self) -> bool {
+        self.member.borrow().is_proven(self.now())
+    }
+
+    /// How long ago the question was asked whose answer proved that the routes held here were
+    /// the newest.
+    pub(crate) fn proven_age(&self) -> Option<Duration> {
+        let asked = self.member.borrow().proven_at()?;
+        Some(self.now().saturating_sub(asked))
+    }
+
     /// Ages of what decisions are made from, in milliseconds: since the list of endpoints
     /// changed, and since control was last heard.
     pub(crate) fn ages(&self) -> (u128, u128) {
@@ -301,6 +314,7 @@
         let ready = *self.phase.borrow() == Phase::Serving;
         member.set_ready(ready);
         self.metrics.ready(ready);
+        self.metrics.routes_proven(member.is_proven(now));
         self.metrics.running(self.running.get());
         let placer = &self.placer;
         let out = member.tick(now, || {
--- a/crates/filberthead/src/gateway/mod.rs
+++ b/crates/filberthead/src/gateway/mod.rs
@@ -234,7 +234,7 @@
         clock: Clock::start(),
         dialect: Arc::new(dialect),
         placer: Placer::new(placing(cfg)),
-        member: Member::new(info, cfg.seeds.clone()),
+        member: Member::new(info, cfg.seeds.clone(), rand::random()),
         out,
         phase,
         connections,
--- a/crates/fleet/src/api.rs
+++ b/crates/fleet/src/api.rs
@@ -132,6 +132,8 @@
     pub demand: Vec<Demand>,
     /// Thousandths of its link that are in use.
     pub link_milli: u32,
+    /// Comes back in the notice that answers it, if the replica can prove what that says.
+    pub question: u64,
 }
 
 /// What an operator wants.
@@ -178,6 +180,9 @@
         /// Thousandths of their links that gateways of the receiver's failure domain use on
         /// average, of those that callers are sent to.
         link_milli: Option<u32>,
+        /// The question of the report that this answers, if its sender could prove at that
+        /// moment that nothing newer than what it holds is accepted.
+        proves: Option<u64>,
     },
     /// Asks for all that is newer than what the sender holds.
     Ask(Have),
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -1,6 +1,6 @@
 //! The gateway side: reports, and asks for what it lacks.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,6 +22,13 @@
 /// How long a gateway that starts waits to hear from most replicas.
 const UNHEARD_OF: Duration = Duration::from_millis(1500);
 
+/// How long a proof that routes are the newest is good for, from when it was asked for: three
+/// reports, so that one that is lost or late doesn't end it; and much less than the time
+/// within which a change is to be in force everywhere.
+const PROVEN_FOR: Duration = Duration::from_millis(1600);
+/// Questions that are remembered: as many reports as go out while a proof is good.
+const QUESTIONS: usize = 4;
+
 /// What a gateway learns.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Update {
@@ -74,11 +81,23 @@
     have: Have,
     asked: Option<(Have, Moment)>,
     next_report: Moment,
+    /// The questions of the last reports, and when they were asked.
+    questions: VecDeque<(u64, Moment)>,
+    next_question: u64,
+    /// The revision of the routes that was last proved to be the newest, and when that was
+    /// asked.
+    proven: Option<(u64, Moment)>,
 }
 
 impl Member {
-    /// Starts with the replicas of the settings.
-    pub fn new(info: GatewayInfo, seeds: impl IntoIterator<Item = SocketAddr>) -> Self {
+    /// Starts with the replicas of the settings. Questions are numbered from
+    /// `first_question`, which is to be drawn anew for each life of the process, so that an
+    /// answer to an earlier life answers nothing.
+    pub fn new(
+        info: GatewayInfo,
+        seeds: impl IntoIterator<Item = SocketAddr>,
+        first_question: u64,
+    ) -> Self {
         Self {
             info,
             ready: false,
@@ -91,6 +110,9 @@
             have: Have::default(),
             asked: None,
             next_report: Moment::ZERO,
+            questions: VecDeque::new(),
+            next_question: first_question,
+            proven: None,
         }
     }
 
@@ -110,6 +132,25 @@
         has_all && ((most && !self.have.lacks(&self.newest)) || waited)
     }
 
+    /// Whether the routes held here were lately proved to be the newest that are accepted.
+    ///
+    /// Only then may it be said that something is *not* in them. A gateway that is cut off,
+    /// or has started beside replicas that are behind, goes on by what it has, which may
+    /// lack what was added since.
+    ///
+    /// A proof counts from when it was asked for and not from when it came: held up on its
+    /// way, it says nothing about the present.
+    pub fn is_proven(&self, now: Moment) -> bool {
+        self.proven_at()
+            .is_some_and(|asked| now < asked + PROVEN_FOR)
+    }
+
+    /// When that was last asked which proved the routes held here, if anything did.
+    pub fn proven_at(&self) -> Option<Moment> {
+        let (revision, asked) = self.proven?;
+        (self.have.routes >= revision).then_some(asked)
+    }
+
     /// When a control replica was last heard.
     pub fn heard(&self) -> Option<Moment> {
         self.heard
@@ -141,17 +182,38 @@
         self.contacts
             .retain(|_, named| now < *named + CONTACT_FORGOTTEN);
         let Load { demand, link_milli } = load();
+        let question = self.question(now);
         let report = Message::Report(Report {
             gateway: self.info.clone(),
             ready: self.ready,
             have: self.have,
             demand,
             link_milli,
+            question,
         });
         let known: BTreeSet<_> = self.contacts.keys().chain(&self.seeds).copied().collect();
         known.into_iter().map(|to| (to, report.clone())).collect()
     }
 
+    fn question(&mut self, now: Moment) -> u64 {
+        let question = self.next_question;
+        self.next_question = question.wrapping_add(1);
+        self.questions.truncate(QUESTIONS - 1);
+        self.questions.push_front((question, now));
+        question
+    }
+
+    /// Takes in that routes of `revision` were the newest when this question was answered.
+    fn prove(&mut self, question: u64, revision: u64) {
+        let asked = self.questions.iter().find(|(asked, _)| *asked == question);
+        let Some(&(_, at)) = asked else {
+            return;
+        };
+        if self.proven.is_none_or(|(_, proven)| proven <= at) {
+            self.proven = Some((revision, at));
+        }
+    }
+
     /// Takes in a message of a control replica.
     pub fn receive(
         &mut self,
@@ -167,10 +229,14 @@
                 gateways,
                 demand,
                 link_milli,
+                proves,
             } => {
                 self.told.insert(from);
                 self.first_told.get_or_insert(now);
                 self.newest.raise(&have);
+                if let Some(question) = proves {
+                    self.prove(question, have.routes);
+                }
                 for replica in replicas.into_iter().chain([from]) {
                     self.contacts.insert(replica, now);
                 }
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -119,10 +119,17 @@
         self.after(now, taken)
     }
 
-    /// Takes in a message of a gateway or of another replica.
-    pub fn receive(&mut self, now: Moment, from: SocketAddr, message: Message) -> Vec<Outbound> {
+    /// Takes in a message of a gateway or of another replica. `proven` says whether this
+    /// replica can prove at this moment that nothing newer than what it holds is accepted.
+    pub fn receive(
+        &mut self,
+        now: Moment,
+        from: SocketAddr,
+        message: Message,
+        proven: bool,
+    ) -> Vec<Outbound> {
         match message {
-            Message::Report(report) => self.reported(now, from, report),
+            Message::Report(report) => self.reported(now, from, report, proven),
             Message::Ask(have) => self.newer_than(now, &have, from),
             Message::Endpoints { stamp, list } => {
                 let taken = self.endpoints.replace(now, stamp, list);
@@ -133,7 +140,13 @@
         }
     }
 
-    fn reported(&mut self, now: Moment, from: SocketAddr, report: Report) -> Vec<Outbound> {
+    fn reported(
+        &mut self,
+        now: Moment,
+        from: SocketAddr,
+        report: Report,
+        proven: bool,
+    ) -> Vec<Outbound> {
         let seen = Seen {
             info: report.gateway,
             addr: from,
@@ -144,7 +157,8 @@
         };
         let domain = seen.info.domain.clone();
         self.gateways.insert(seen.info.name.clone(), seen);
-        vec![(from, self.notice(now, &domain))]
+        let proves = proven.then_some(report.question);
+        vec![(from, self.notice(now, &domain, proves))]
     }
 
     fn newer_than(&self, now: Moment, have: &Have, to: SocketAddr) -> Vec<Outbound> {
@@ -179,20 +193,21 @@
         live.map(|seen| {
             let domain = &seen.info.domain;
             let notice = notices.entry(domain);
-            let notice = notice.or_insert_with(|| self.notice(now, domain));
+            let notice = notice.or_insert_with(|| self.notice(now, domain, None));
             (seen.addr, notice.clone())
         })
         .collect()
     }
 
-    /// A notice for gateways of a failure domain.
-    fn notice(&self, now: Moment, domain: &FailureDomain) -> Message {
+    /// A notice for gateways of a failure domain, which may prove what it says.
+    fn notice(&self, now: Moment, domain: &FailureDomain, proves: Option<u64>) -> Message {
         Message::Notice {
             have: self.have,
             replicas: self.replicas.clone(),
             gateways: self.counts(),
             demand: self.demand(now),
             link_milli: self.link_milli(now, domain),
+            proves,
         }
     }
 
--- a/crates/observe/src/metrics/gateway.rs
+++ b/crates/observe/src/metrics/gateway.rs
@@ -40,6 +40,7 @@
     attempts: Family<ReasonLabels, Counter>,
     running: Gauge,
     routes_version: Gauge,
+    routes_proven: Gauge,
     endpoints: Gauge,
     ready: Gauge,
 }
@@ -60,6 +61,7 @@
             attempts: Family::default(),
             running: Gauge::default(),
             routes_version: Gauge::default(),
+            routes_proven: Gauge::default(),
             endpoints: Gauge::default(),
             ready: Gauge::default(),
         };
@@ -86,6 +88,8 @@
             version,
             self.routes_version.clone(),
         );
+        let proven = "1 while control has lately proved that the routes in force are the newest";
+        registry.register("gateway_routes_proven", proven, self.routes_proven.clone());
         let endpoints = "Endpoints on the platform's list as known here";
         registry.register("gateway_endpoints", endpoints, self.endpoints.clone());
         let ready = "1 while callers may be sent here";
@@ -122,6 +126,11 @@
         set(&self.routes_version, version);
     }
 
+    /// Sets whether the routes in force are proved to be the newest.
+    pub fn routes_proven(&self, proven: bool) {
+        self.routes_proven.set(proven.into());
+    }
+
     /// Sets how many endpoints are known.
     pub fn endpoints(&self, endpoints: usize) {
         set(&self.endpoints, endpoints as u64);
--- a/crates/peer/examples/cost.rs
+++ b/crates/peer/examples/cost.rs
@@ -56,6 +56,7 @@
         have: have(),
         demand: (0..3).map(demand).collect(),
         link_milli: 456,
+        question: u64::MAX,
     })
 }
 
@@ -80,6 +81,7 @@
         gateways: (0..domains).map(|n| (domain(n), 28)).collect(),
         demand: demand.collect(),
         link_milli: Some(456),
+        proves: Some(u64::MAX),
     }
 }
 
--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -133,6 +133,9 @@
     Stopping = 1209, 503, NotRun, "stopping";
     /// The key's home no longer starts keys of this prefix; this key is closed for good.
     KeyClosed = 1210, 409, NotRun, "key-closed";
+    /// The routes held here don't allow the request, and control hasn't proved lately that
+    /// there are no newer ones.
+    RoutesUnproven = 1211, 503, NotRun, "routes-unproven";
     /// The deadline passed while an endpoint had the request.
     DeadlineWhileRunning = 1300, 504, MayHaveRun, "deadline-while-running";
     /// The endpoint's connection ended before its whole answer came.
--- a/tests/all/outdated.rs
+++ b/tests/all/outdated.rs
@@ -5,7 +5,7 @@
 use filberthead_testing::client::Answer;
 use filberthead_testing::cluster::Node;
 use filberthead_testing::site::{Site, config, order_at, proven, request};
-use filberthead_testing::wait_until;
+use filberthead_testing::{eventually, wait_until};
 
 use crate::groups::site;
 
@@ -50,6 +50,34 @@
     });
 }
 
+/// A gateway is cut off from control, and operators add a route. To the gateway the route
+/// doesn't exist, and it answered 404, which tells a caller never to come back. Its routes had
+/// not been said to be the newest for as long as it was cut off:
+/// `"msg":"no route","path":"/lessons/1","version":1` while version 2 was accepted.
+#[test]
+fn a_gateway_that_is_cut_off_denies_no_route() {
+    let site = start();
+    wait_until("it vouches for its routes", BOUND, || {
+        ask(&site, "nowhere").status == 404
+    });
+    site.network.partition(&[&[GATEWAY], &CONTROLS]);
+    site.put_routes(2, SECOND);
+    eventually("it no longer vouches for its routes", BOUND, || {
+        (ask(&site, "lessons").status != 404).then_some(())
+    });
+    assert_may_come_back(&ask(&site, "lessons"));
+    assert_eq!(
+        ask(&site, "catalogue").status,
+        200,
+        "what it knows it serves"
+    );
+    site.network.heal();
+    wait_served(&site, "lessons");
+    wait_until("it vouches again", BOUND, || {
+        ask(&site, "nowhere").status == 404
+    });
+}
+
 /// A gateway starts while one control VM is cut off from the others with older routes, and
 /// that one is all that the gateway reaches. Callers who have its address from before come at
 /// once. It took the first routes that anybody gave it, and answered 404 on the route that was
@@ -72,6 +100,35 @@
     wait_served(&site, "lessons");
 }
 
+/// All VMs lose power, and only one of control comes back: the one whose note of what was in
+/// force is older than the last change, which it had missed. Nobody leads, so nobody knows
+/// what is the newest. The gateway served by the old note, and answered 404 on the new route.
+#[test]
+fn a_gateway_that_starts_by_an_old_note_denies_no_route() {
+    let mut site = start();
+    wait_until("the first routes are noted", BOUND, || {
+        site.controls[2].data().join("note").exists()
+    });
+    site.controls[2].kill();
+    put_at_any(&site, &[0, 1]);
+    site.gateways[0].kill();
+    site.controls[0].kill();
+    site.controls[1].kill();
+    let own = site.controls[2].addr("peer").to_string();
+    site.controls[2].settings().set("group", "seeds", &own);
+    site.gateways[0].settings().set("group", "seeds", &own);
+    site.controls[2].start();
+    site.gateways[0].start();
+    wait_until("it has the old routes", BOUND, || {
+        site.gateways[0].metric("routes_version") == 1.0
+    });
+    assert_may_come_back(&ask(&site, "lessons"));
+    wait_served(&site, "catalogue");
+    site.controls[0].start();
+    site.controls[1].start();
+    wait_served(&site, "lessons");
+}
+
 /// Puts the second routes in force at one of these replicas.
 #[track_caller]
 fn put_at_any(site: &Site, replicas: &[usize]) {
