Tests: which replicas a gateway keeps in mind, one while it fails

Cause: a gateway that is cut off for 30 s forgets the replicas that it learned of. If those that its settings name have been replaced, it never hears control again and goes on by overtaken routes. Measured: a_gateway_that_is_cut_off_for_long_forgets_nobody fails; the other one, that replicas which the others no longer name are forgotten, passes.

--- a/crates/fleet/tests/spreading.rs
+++ b/crates/fleet/tests/spreading.rs
@@ -441,3 +441,32 @@
     }
     assert!(!after.is_proven(ms(20)));
 }
+
+/// A gateway is cut off from everybody for a minute, and the replicas that its settings name
+/// have been replaced since it started. It must go on reporting to those that it learned of:
+/// it had forgotten them by the end of the cut, and nobody could reach it ever again.
+#[test]
+fn a_gateway_that_is_cut_off_for_long_forgets_nobody() {
+    let mut registry = Registry::default();
+    registry.set_replicas(vec![addr(3), addr(4)]);
+    let mut member = gateway();
+    settle(ms(0), &mut member, &mut registry);
+    let reached = member.tick(ms(60_000), Load::default);
+    let reached: BTreeSet<_> = reached.into_iter().map(|(to, _)| to).collect();
+    assert!(reached.contains(&addr(3)) && reached.contains(&addr(4)));
+}
+
+/// A replica is taken out of the group while the gateway hears the others. It is no longer
+/// reported to after a while.
+#[test]
+fn a_gateway_forgets_replicas_that_the_others_no_longer_name() {
+    let mut registry = Registry::default();
+    registry.set_replicas(vec![addr(CONTROL), addr(3)]);
+    let mut member = gateway();
+    settle(ms(0), &mut member, &mut registry);
+    registry.set_replicas(vec![addr(CONTROL)]);
+    settle(ms(20_000), &mut member, &mut registry);
+    settle(ms(40_000), &mut member, &mut registry);
+    let reached = member.tick(ms(60_000), Load::default);
+    assert!(reached.iter().all(|(to, _)| *to == addr(CONTROL)));
+}
