--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -16,7 +16,8 @@
 /// An answer to a question takes two ways between regions; asked sooner again, each
 /// change would come twice.
 const ASK_AGAIN: Duration = Duration::from_millis(250);
-/// A replica that no notice has named for this long is no longer reported to.
+/// A replica that no notice has named for this long, while others came, is no longer reported
+/// to.
 const CONTACT_FORGOTTEN: Duration = Duration::from_secs(30);
 
 /// How long a gateway that starts waits to hear from most replicas.
@@ -179,8 +180,11 @@
             return Vec::new();
         }
         self.next_report = now + REPORT_PERIOD;
+        // Counted up to the last notice: while none comes nobody is left out of any, and who
+        // is forgotten then may be the only one that can still be reached.
+        let heard = self.heard.unwrap_or_default();
         self.contacts
-            .retain(|_, named| now < *named + CONTACT_FORGOTTEN);
+            .retain(|_, named| heard < *named + CONTACT_FORGOTTEN);
         let Load { demand, link_milli } = load();
         let question = self.question(now);
         let report = Message::Report(Report {
