Test: an entry that is cut off denies no service, while it fails

An entry that hears no leader answers look-ups and requests for a service that its table lacks with 404, code 1100, which callers take as final, for as long as it is cut off. The test waits 20 s for anything else, several times the 3 s after which an entry takes its leader for silent, and fails there:

test spreading::an_entry_that_is_cut_off_denies_no_service ... FAILED panicked at tests/all/spreading.rs:187:5

which is the wait for "callers are asked to come back".

--- a/tests/all/spreading.rs
+++ b/tests/all/spreading.rs
@@ -12,6 +12,9 @@
 use crate::support::programs;
 
 const BOUND: Duration = Duration::from_secs(90);
+/// Time within which an entry notices that it is cut off, several times over: it takes a
+/// leader for silent after 3 s.
+const CUT_OFF: Duration = Duration::from_secs(20);
 /// Longer than a process may be away without starting over.
 const SUSPENSION: Duration = Duration::from_secs(7);
 
@@ -153,6 +156,45 @@
     });
 }
 
+/// Zagreb is cut off while operators elsewhere may add services. Its entry goes on with what it
+/// knows, as it should; but it answered 404 to callers of a service that its table lacks, who
+/// take that as final, although only somebody who knows the newest table can say that there is
+/// no such service. It must ask them to come back until it hears the leader again.
+#[test]
+fn an_entry_that_is_cut_off_denies_no_service() {
+    let mut system = System::start(two_domains().entries_each(1));
+    let version = system.set_weights(1, 10);
+    system.wait_in_force(version);
+    let addr = system
+        .cluster
+        .entry("entry-zagreb-a-1")
+        .direct_addr("caller");
+    let unknown = |path: &str| {
+        let answer = Call::get(path).send(addr).expect("the entry answers");
+        (answer.status.as_u16(), answer.result())
+    };
+    let paths = ["/v1/lookup?service=lessons", "/v1/services/lessons/first"];
+    let denied = |path: &&str| unknown(path) == (404, Some(1100));
+    wait_until("the newest table denies it", BOUND, || {
+        paths.iter().all(denied)
+    });
+    let inside = system.cluster.names_in("zagreb-a");
+    let outside = system.cluster.names_in("split-a");
+    let groups = [&inside, &outside].map(|names| names.iter().map(String::as_str).collect());
+    let [inside, outside]: [Vec<_>; 2] = groups;
+    system.cluster.network.partition(&[&inside, &outside]);
+    let asked_back = |path: &&str| unknown(path) == (503, Some(1206));
+    wait_until("callers are asked to come back", CUT_OFF, || {
+        paths.iter().all(asked_back)
+    });
+    let known = Call::get("/v1/services/catalogue/tricks").send(addr);
+    assert_eq!(known.expect("an answer").status, 200);
+    system.cluster.network.heal();
+    wait_until("the newest table denies it", BOUND, || {
+        paths.iter().all(denied)
+    });
+}
+
 /// An entry of Zagreb is down while operators make 300 changes, the last of which
 /// drains the region. From the moment it is back, no caller may be sent to Zagreb by
 /// the weights from before, not even by the first look-up that it answers.
