Test: one host is found however it is written, while it fails

one_host_is_found_however_it_is_written ... FAILED panicked at crates/route/tests/table.rs:98

A host with a dot at its end, an address in brackets without a port, and a table's host in upper case or with a port are not found.

--- a/crates/route/tests/table.rs
+++ b/crates/route/tests/table.rs
@@ -70,6 +70,38 @@
     assert_eq!(prefix("nowhere.example", "/a/"), None);
 }
 
+/// One host can be written in several ways, in a request as in a table. A route whose host was
+/// written in another way than its requests' was never found, as if it weren't there.
+#[test]
+fn one_host_is_found_however_it_is_written() {
+    let to = || vec![target("one", 1)];
+    let written = [
+        "Shop.Example",
+        "cards.example.",
+        "books.example:8080",
+        "[::1]",
+    ];
+    let routes = written.iter().map(|host| route(host, "/", to()));
+    let matcher = Matcher::new(&table(routes.collect()));
+    for host in [
+        "shop.example",
+        "SHOP.example.",
+        "shop.example:80",
+        "shop.example.:80",
+        "cards.example",
+        "cards.example.",
+        "books.example",
+        "books.example:80",
+        "[::1]",
+        "[::1]:8080",
+    ] {
+        assert!(matcher.find(host, "/").is_some(), "{host}");
+    }
+    for host in ["", ".", ":80", "example", "[::2]", "shop.example.org"] {
+        assert!(matcher.find(host, "/").is_none(), "{host}");
+    }
+}
+
 /// Two operators draw the same number, and an older change comes late: the table in force
 /// must stay what the first holder of the highest number made it.
 #[test]
