Callers keep to the bounds in force now, also on kept connections

Cause: hyper takes its bounds once, when a connection is accepted: the longest head (431 beyond it) and the time for the next one (closed after it). A gateway gave it those of the routes that it held then, or its own before it held any. So a kept connection was measured by bounds that had been replaced, and a head that operators allow was refused with 431, which callers take as final. Besides, hyper refuses more than 100 lines of a head with 431, a bound that operators have never set.

Ruled out: a high bound for everybody (64 KiB of each of 4,100 connections is as much as the VM has), and to rebuild a connection around its socket (what has been read of a head would have to be carried over).

Change: the timer that hyper asks at each wait looks the time up, and once more before it ends the wait. The longest head is given at the start as before, 64 KiB while none is known; a connection that has been outgrown is ended after the request that it is answering, so that the caller's next one comes over a new one. 2,048 lines are taken.

Conclusion: what is left is a head that is half read at the moment at which the bound is raised, and the bounds of a gateway that is cut off from control.

--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -19,6 +19,7 @@
 use log::{Level, debug, info, log_enabled, warn};
 use tokio::sync::watch;
 
+use super::bounds::Bounds;
 use super::stop::Phase;
 use super::{Dialect, Heard};
 use crate::Clock;
@@ -67,6 +68,7 @@
     balance: RefCell<Balance>,
     member: RefCell<Member>,
     in_force: RefCell<Option<Rc<InForce>>>,
+    bounds: watch::Sender<Option<CallerBounds>>,
     out: Sender<Outgoing>,
     phase: watch::Sender<Phase>,
     connections: watch::Sender<usize>,
@@ -107,6 +109,7 @@
             balance: RefCell::default(),
             member: RefCell::new(parts.member),
             in_force: RefCell::new(None),
+            bounds: watch::Sender::new(None),
             out: parts.out,
             phase: parts.phase,
             connections: parts.connections,
@@ -159,6 +162,11 @@
         self.in_force.borrow().clone()
     }
 
+    /// The bounds of the routes in force, now and later.
+    pub(crate) fn bounds(&self) -> Bounds {
+        self.bounds.subscribe()
+    }
+
     /// Ages of what decisions are made from, in milliseconds: since the list of endpoints
     /// changed, and since control was last heard.
     pub(crate) fn ages(&self) -> (u128, u128) {
@@ -233,6 +241,9 @@
                     bounds: table.bounds,
                 };
                 self.in_force.replace(Some(Rc::new(in_force)));
+                let bounds = Some(table.bounds);
+                self.bounds
+                    .send_if_modified(|known| std::mem::replace(known, bounds) != bounds);
             }
             Update::Evacuated(domains) => {
                 info!(domains:? = domains; "evacuated failure domains");
--- a/crates/filberthead/src/gateway/mod.rs
+++ b/crates/filberthead/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 
 mod answer;
 mod attempt;
+mod bounds;
 mod carry;
 mod core;
 mod deadline;
--- a/crates/filberthead/src/gateway/serve.rs
+++ b/crates/filberthead/src/gateway/serve.rs
@@ -11,7 +11,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use log::{debug, warn};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -20,6 +20,7 @@
 use super::Heard;
 use super::answer::AnswerBody;
 use super::attempt::HEAD_BYTES;
+use super::bounds::{IdleTimer, MAX_LINES, head_bytes, outgrown};
 use super::carry::carry;
 use super::core::Core;
 use super::stop::Phase;
@@ -29,8 +30,6 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Pause after a connection couldn't be accepted, for want of descriptors as a rule.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// Smallest buffer that hyper works with.
-const MIN_BUF: usize = 8 * 1024;
 
 /// Runs until the process stops.
 pub(crate) async fn run(
@@ -89,23 +88,30 @@
         debug!(caller:%, error:% = e; "a connection broke at its start");
         return;
     }
-    let bounds = core.in_force().map(|in_force| in_force.bounds);
-    let bounds = bounds.unwrap_or_default();
+    let mut bounds = core.bounds();
+    let head_bytes = head_bytes(&bounds);
     let mut phase = core.phase();
     let service = service_fn(move |req| {
         let core = Rc::clone(&core);
         async move { Ok::<_, Infallible>(answer(&core, caller, req).await) }
     });
     let serving = http1::Builder::new()
-        .timer(TokioTimer::new())
-        // Counts from the end of the request before, so it bounds idle connections too.
-        .header_read_timeout(bounds.idle_timeout)
-        .max_buf_size(bounds.header_bytes.max(MIN_BUF))
+        .timer(IdleTimer(bounds.clone()))
+        // Counts from the end of the request before, so it bounds idle connections too. The
+        // timer has the time itself.
+        .header_read_timeout(Duration::ZERO)
+        .max_buf_size(head_bytes)
+        .max_headers(MAX_LINES)
         .serve_connection(TokioIo::new(stream), service);
     let mut serving = std::pin::pin!(serving);
     let result = tokio::select! {
-        result = serving.as_mut() => result,
-        () = ending(&mut phase) => {
+        result = serving.as_mut() => Some(result),
+        () = ending(&mut phase) => None,
+        () = outgrown(&mut bounds, head_bytes) => None,
+    };
+    let result = match result {
+        Some(result) => result,
+        None => {
             // Ends the connection after the request that it is answering.
             serving.as_mut().graceful_shutdown();
             serving.await
