One host is found however it is written

Cause: the port was cut off at the last colon, also within an address in brackets; the dot of an absolute name counted; and the table's own hosts were taken as they stood. Such a route was answered 404 as if it were not there.

Change: request and table go through the same function.

Ruled out as a cause of 404: letters in upper case and ports in a request, and prefixes within each other, which the tests of the table hold; a path that equals its prefix and a target in absolute form, by reading only.

--- a/crates/route/src/matcher.rs
+++ b/crates/route/src/matcher.rs
@@ -32,7 +32,7 @@
                 route: route.clone(),
             };
             hosts
-                .entry(route.host.clone())
+                .entry(name(&route.host).to_ascii_lowercase())
                 .or_default()
                 .push(Arc::new(matched));
         }
@@ -42,10 +42,10 @@
         Self { hosts }
     }
 
-    /// The route of that host with the longest prefix that begins `path`. A port in
-    /// `host` and the case of its letters don't count.
+    /// The route of that host with the longest prefix that begins `path`. A port, a dot at
+    /// the end and the case of letters don't count, in `host` as in the table.
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Matched>> {
-        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let name = name(host);
         let routes = match self.hosts.get(name) {
             Some(routes) => routes,
             None => self.hosts.get(&name.to_ascii_lowercase())?,
@@ -55,3 +55,11 @@
             .find(|matched| path.starts_with(&matched.route.prefix))
     }
 }
+
+/// A host without its port and without the dot that makes it absolute.
+fn name(host: &str) -> &str {
+    // An address in brackets has colons of its own.
+    let port = host.rfind(':').filter(|at| !host[*at..].contains(']'));
+    let name = &host[..port.unwrap_or(host.len())];
+    name.strip_suffix('.').unwrap_or(name)
+}
