An entry that may have been overtaken denies no service

Cause: an entry answers look-ups and requests for a service that its table lacks with 404, code 1100, by whatever table it holds. It is checked that the process was not suspended and that its table was proven once; but a proven entry stays so for as long as it is cut off, and one that nobody has proven anything to answers as well. Operators may add services meanwhile, whose callers take 404 as final.

Change: Node::is_current says whether the view is proven and the leader, which says in each message what it holds itself, has been heard within the 3 s after which it counts as silent. It goes with what the other duties read, and is logged when it changes. Where it is false, an unknown service is 503, code 1206, with Retry-After: at look-ups, at requests and where steering denies the service. Requests under a key ask their ledger first, as before.

--- a/crates/caller/src/directory.rs
+++ b/crates/caller/src/directory.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use filberthead_types::{FailureDomain, Incarnation, NodeName, Region, ServiceName};
+use filberthead_types::{FailureDomain, Incarnation, NodeName, Region, ResultCode, ServiceName};
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -36,6 +36,7 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     start: Option<StartNumber>,
+    current: bool,
     key_prefix: String,
     answers: HashMap<Box<str>, Vec<Bytes>>,
     forwarders: HashMap<NodeName, Incarnation>,
@@ -47,6 +48,7 @@
     failure_domain: FailureDomain,
     ttl: Duration,
     start: Option<StartNumber>,
+    current: bool,
     key_prefix: String,
     entries: BTreeMap<NodeName, Entry>,
     services: BTreeMap<ServiceName, Vec<Vec<NodeName>>>,
@@ -107,6 +109,7 @@
         DirectoryBuilder {
             failure_domain,
             start: None,
+            current: false,
             ttl: Duration::from_secs(10),
             key_prefix: String::new(),
             entries: BTreeMap::new(),
@@ -119,6 +122,15 @@
         self.start
     }
 
+    /// Why a service isn't known: it doesn't exist, or that can't be told here. A table that
+    /// may have been overtaken names services, but can't deny any: callers take that as final.
+    pub fn unknown(&self) -> ResultCode {
+        match self.current {
+            true => ResultCode::UnknownService,
+            false => ResultCode::NotReady,
+        }
+    }
+
     /// What callers put before their idempotency keys; empty if no keys are taken.
     pub fn key_prefix(&self) -> &str {
         &self.key_prefix
@@ -161,6 +173,13 @@
         self
     }
 
+    /// Whether services that aren't added don't exist. Default false.
+    #[must_use]
+    pub fn current(mut self, current: bool) -> Self {
+        self.current = current;
+        self
+    }
+
     /// What callers put before their idempotency keys. Default nothing.
     #[must_use]
     pub fn key_prefix(mut self, prefix: impl Into<String>) -> Self {
@@ -197,6 +216,7 @@
             .collect();
         Directory {
             start: self.start,
+            current: self.current,
             key_prefix: self.key_prefix.clone(),
             answers,
             forwarders,
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -259,8 +259,10 @@
         if !self.is_up_to_date() {
             return Err(refusal(ResultCode::NotReady, false));
         }
-        let answer = self.parts.directory.borrow().answer(service, from.group);
-        let body = answer.ok_or_else(|| Refusal::new(ResultCode::UnknownService))?;
+        let directory = self.parts.directory.borrow();
+        let answer = directory.answer(service, from.group);
+        let body = answer.ok_or_else(|| refusal(directory.unknown(), false))?;
+        drop(directory);
         if body.is_empty() {
             return Err(Refusal::new(ResultCode::NoEntry).retry_after(RETRY_AFTER));
         }
@@ -382,9 +384,11 @@
         // What became of a key is asked first; a service that is gone was there when an
         // earlier send may have run.
         let keyed = matches!(execution, Execution::Keyed(_));
-        if !keyed && !self.parts.directory.borrow().knows(&service) {
-            return Err(ResultCode::UnknownService);
+        let directory = self.parts.directory.borrow();
+        if !keyed && !directory.knows(&service) {
+            return Err(directory.unknown());
         }
+        drop(directory);
         let timeout = route::timeout(request.headers())?;
         let timeout = timeout.unwrap_or(self.parts.bounds.request_timeout);
         Ok(Call {
--- a/crates/filberthead/src/entry/carry/attempt.rs
+++ b/crates/filberthead/src/entry/carry/attempt.rs
@@ -109,6 +109,11 @@
             return Attempt::Refused(refusal);
         }
         Placement::Refused(code, after) => {
+            // A table that may have been overtaken can't deny a service.
+            let code = match code {
+                ResultCode::UnknownService if !core.is_current() => ResultCode::NotReady,
+                code => code,
+            };
             return Attempt::Refused(Refusal::new(code).retry_after(after));
         }
         Placement::Abandoned => return Attempt::Abandoned,
--- a/crates/filberthead/src/entry/carry/core.rs
+++ b/crates/filberthead/src/entry/carry/core.rs
@@ -410,6 +410,11 @@
         }
     }
 
+    /// Whether what the table lacks doesn't exist.
+    pub(super) fn is_current(&self) -> bool {
+        self.cluster.borrow().current
+    }
+
     fn attempt_id(&self) -> RequestId {
         let next = self.next_attempt.get();
         self.next_attempt.set(next.wrapping_add(1));
--- a/crates/filberthead/src/entry/cluster.rs
+++ b/crates/filberthead/src/entry/cluster.rs
@@ -19,6 +19,8 @@
     pub(crate) view: Arc<View>,
     /// Whether it is.
     pub(crate) readiness: Readiness,
+    /// Whether what the table lacks doesn't exist. Not so while this entry is cut off.
+    pub(crate) current: bool,
     /// Start of the process that all of this belongs to, once callers may be answered.
     pub(crate) start: Option<StartNumber>,
     /// The live entries, this one included, those that are leaving too.
--- a/crates/filberthead/src/entry/state.rs
+++ b/crates/filberthead/src/entry/state.rs
@@ -110,7 +110,8 @@
     fn step(&mut self, event: Event) {
         let mut cluster = Cluster::clone(&self.duty.cluster.borrow());
         let mut changed = false;
-        for action in self.node.step(self.duty.clock.now(), event) {
+        let now = self.duty.clock.now();
+        for action in self.node.step(now, event) {
             match action {
                 Action::Send { to, message } => self.send(to, message),
                 Action::InForce(view) => {
@@ -135,6 +136,16 @@
         let control = self.node.leader().map(|leader| leader.addr);
         changed |= cluster.control != control;
         cluster.control = control;
+        let current = self.node.is_current(now);
+        if cluster.current != current {
+            cluster.current = current;
+            changed = true;
+            match current {
+                true => info!(version:% = cluster.view.version; "the table is the newest"),
+                false => warn!(version:% = cluster.view.version;
+                    "the table may have been overtaken: no service is denied"),
+            }
+        }
         if changed {
             self.duty.cluster.send_replace(Arc::new(cluster));
         }
--- a/crates/spread/src/node/mod.rs
+++ b/crates/spread/src/node/mod.rs
@@ -216,6 +216,15 @@
         self.leader
     }
 
+    /// Whether nothing newer than the view held can have been in force for longer than a
+    /// leader takes to be missed: the view is proven, and the leader, which says what it
+    /// holds itself, is heard. Only then does what the view lacks not exist.
+    ///
+    /// A node that is cut off stays [`Readiness::Proven`]: it may act on what it knows.
+    pub fn is_current(&self, now: Moment) -> bool {
+        self.readiness() == Readiness::Proven && !self.leader_is_silent(now)
+    }
+
     /// State for operators.
     pub fn status(&self) -> Status {
         Status {
