--- a/crates/filberthead/src/gateway/mod.rs
+++ b/crates/filberthead/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod answer;
 mod arrival;
 mod attempt;
+mod bounds;
 mod carry;
 mod core;
 mod deadline;
