Measure heads by the bound in force, and for good only while it is proved

Cause: hyper refuses a head over its room with 431 before anything of ours is asked, by the bound that the gateway held when the connection was accepted. Change: a connection has room for 64 kB or the bound in force, whichever is more; a request's head is measured by the bound when it comes, and refused with 431 (1106) only while the routes are proved to be the newest, else with 503 (1211).

--- a/crates/filberthead/src/gateway/bounds.rs
+++ b/crates/filberthead/src/gateway/bounds.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use filberthead_route::CallerBounds;
+use http::request::Parts;
 use hyper::rt::{Sleep, Timer};
 use hyper_util::rt::TokioTimer;
 use tokio::sync::watch;
@@ -16,16 +17,31 @@
 /// itself hyper refuses more than 100 for good. It makes room for all of them with each head,
 /// which costs 0.06 µs for 2,048 as for 100, and 7.5 µs for 3,000.
 pub(super) const MAX_LINES: usize = 2048;
-/// Smallest buffer that hyper works with.
-const MIN_BUF: usize = 8 * 1024;
-/// Bytes of a head that are taken while no bounds are known: four times what is usual. Less
-/// may be refused for good although operators allow it.
-const UNTOLD_HEAD: usize = 64 * 1024;
+/// Bytes of a head that are taken in any case: four times what is usual. What is over a
+/// connection's room is refused for good, which must not happen by a bound that isn't known yet
+/// or may have been raised since.
+const LEAST_ROOM: usize = 64 * 1024;
 
 /// Bytes of a head that a connection is to take which is accepted now.
-pub(super) fn head_bytes(bounds: &Bounds) -> usize {
+pub(super) fn room(bounds: &Bounds) -> usize {
     let told = bounds.borrow().map(|bounds| bounds.header_bytes);
-    told.unwrap_or(UNTOLD_HEAD).max(MIN_BUF)
+    told.unwrap_or_default().max(LEAST_ROOM)
+}
+
+/// Bytes of a request's head, as it was sent.
+pub(super) fn head_bytes(head: &Parts) -> usize {
+    // The colon and space of a line, or the spaces of the first, and what ends it.
+    const LINE: usize = 4;
+    let target = head
+        .uri
+        .path_and_query()
+        .map_or(0, |text| text.as_str().len());
+    let version = "HTTP/1.1".len();
+    let first = head.method.as_str().len() + target + version + LINE;
+    let lines = head.headers.iter();
+    let lines = lines.map(|(name, value)| name.as_str().len() + value.len() + LINE);
+    // An empty line ends it.
+    first + lines.sum::<usize>() + LINE / 2
 }
 
 /// Waits until more bytes of a head are allowed than a connection takes: hyper can't be told
--- a/crates/filberthead/src/gateway/carry.rs
+++ b/crates/filberthead/src/gateway/carry.rs
@@ -19,6 +19,7 @@
 use super::answer::{AnswerBody, own};
 use super::arrival::{Arrival, host};
 use super::attempt::{Attempt, Job, attempt, text};
+use super::bounds::head_bytes;
 use super::core::{Core, InForce};
 use super::deadline::Deadline;
 
@@ -86,6 +87,9 @@
         return arrival.turn_away(ResultCode::NotReady, Some(STARTING));
     };
     arrival.held = Some(&in_force);
+    if head_bytes(&head) > in_force.bounds.header_bytes {
+        return arrival.deny(ResultCode::HeadTooLarge);
+    }
     let Some(matched) = find(&in_force, &head) else {
         return arrival.deny(ResultCode::UnknownService);
     };
--- a/crates/filberthead/src/gateway/serve.rs
+++ b/crates/filberthead/src/gateway/serve.rs
@@ -20,7 +20,7 @@
 use super::Heard;
 use super::answer::AnswerBody;
 use super::attempt::HEAD_BYTES;
-use super::bounds::{IdleTimer, MAX_LINES, head_bytes, outgrown};
+use super::bounds::{IdleTimer, MAX_LINES, outgrown, room};
 use super::carry::carry;
 use super::core::Core;
 use super::stop::Phase;
@@ -89,7 +89,7 @@
         return;
     }
     let mut bounds = core.bounds();
-    let head_bytes = head_bytes(&bounds);
+    let room = room(&bounds);
     let mut phase = core.phase();
     let service = service_fn(move |req| {
         let core = Rc::clone(&core);
@@ -100,14 +100,14 @@
         // Counts from the end of the request before, so it bounds idle connections too. The
         // timer has the time itself.
         .header_read_timeout(Duration::ZERO)
-        .max_buf_size(head_bytes)
+        .max_buf_size(room)
         .max_headers(MAX_LINES)
         .serve_connection(TokioIo::new(stream), service);
     let mut serving = std::pin::pin!(serving);
     let result = tokio::select! {
         result = serving.as_mut() => Some(result),
         () = ending(&mut phase) => None,
-        () = outgrown(&mut bounds, head_bytes) => None,
+        () = outgrown(&mut bounds, room) => None,
     };
     let result = match result {
         Some(result) => result,
--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -110,6 +110,8 @@
     /// The idempotency key doesn't begin with a prefix from a look-up, so no ledger is
     /// its home; such a key never runs.
     KeyWithoutHome = 1105, 400, NotRun, "key-without-home";
+    /// A head over the bound of the routes in force.
+    HeadTooLarge = 1106, 431, NotRun, "head-too-large";
     /// Every slot that this entry may use is taken and the queue is full.
     Overloaded = 1200, 503, NotRun, "overloaded";
     /// The limit of the row would be exceeded.
