Tests: endpoints that start again under the identity that they had

Cause: an endpoint's identity may outlive its start, and all that is known of it is kept by identity alone. A restarted one inherits stalls, pauses, objects and coldness, and ends of the earlier start's requests are booked on it. Change: tests of place and fleet that tell starts apart; the field Endpoint::incarnation, carried but not looked at, and signatures that the tests need.

--- a/crates/filberthead/src/gateway/attempt.rs
+++ b/crates/filberthead/src/gateway/attempt.rs
@@ -253,11 +253,11 @@
     let now = core.now();
     let mut placer = core.placer.borrow_mut();
     if let Some(load) = load(text(headers, &core.dialect.load)) {
-        placer.reported(now, &target.id, load);
+        placer.reported(now, target, load);
     }
     let cold = text(headers, &core.dialect.cold_ms).parse::<u64>();
     if let Some(ms) = cold.ok().filter(|ms| *ms > 0) {
-        placer.is_cold(now, &target.id, Duration::from_millis(ms));
+        placer.is_cold(now, target, Duration::from_millis(ms));
     }
 }
 
--- a/crates/fleet/src/api.rs
+++ b/crates/fleet/src/api.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use filberthead_route::{Change, Table};
-use filberthead_types::{FailureDomain, NodeName, Region, ServiceName};
+use filberthead_types::{FailureDomain, Incarnation, NodeName, Region, ServiceName};
 use serde::{Deserialize, Serialize};
 
 /// A message and where it goes.
@@ -26,8 +26,11 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 pub struct Endpoint {
-    /// Identity of this start of the endpoint. One that restarts has another.
+    /// Its identity. One that restarts may have another, or keep it.
     pub id: String,
+    /// The Unix millisecond of its start, which tells it from an earlier start under the
+    /// same identity; `None` if the platform doesn't tell.
+    pub incarnation: Option<Incarnation>,
     /// Service that it runs.
     pub service: ServiceName,
     /// Where it listens. Another endpoint may have the address after it.
--- a/crates/peer/examples/cost.rs
+++ b/crates/peer/examples/cost.rs
@@ -86,6 +86,7 @@
 fn endpoints(count: usize) -> Message {
     let endpoint = |number: usize| Endpoint {
         id: format!("i-{number:010x}"),
+        incarnation: Some(Incarnation(1_790_000_000_000 + number as u64)),
         service: service(number % 3),
         addr: addr(8080),
         domain: domain(number % 22),
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -1,6 +1,7 @@
 //! The placer: what a gateway knows of all endpoints, and what it is told.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use filberthead_fleet::{Endpoint, EndpointChange};
@@ -85,7 +86,7 @@
     }
 
     /// Takes in the platform's list. What is known of endpoints that are still on it stays.
-    pub fn set_endpoints(&mut self, now: Moment, list: Vec<Endpoint>) {
+    pub fn set_endpoints(&mut self, now: Moment, list: Vec<Endpoint>) -> Vec<SocketAddr> {
         self.informed.get_or_insert(now);
         let held = std::mem::take(&mut self.endpoints);
         let mut held: HashMap<_, _> = held.into_iter().map(|e| (e.id.clone(), e)).collect();
@@ -101,10 +102,11 @@
         }
         // A request may still be at an endpoint that has left the list; it isn't counted
         // for anything any more.
+        Vec::new()
     }
 
     /// Takes in what has changed on the platform's list.
-    pub fn change_endpoints(&mut self, now: Moment, change: EndpointChange) {
+    pub fn change_endpoints(&mut self, now: Moment, change: EndpointChange) -> Vec<SocketAddr> {
         self.informed.get_or_insert(now);
         let gone: BTreeSet<&str> = change.gone.iter().map(String::as_str).collect();
         self.endpoints.retain(|e| !gone.contains(&*e.id));
@@ -117,6 +119,7 @@
                 }
             }
         }
+        Vec::new()
     }
 
     /// What is known of an endpoint that is listed for the first time.
@@ -183,15 +186,15 @@
     }
 
     /// Notes the load that an endpoint has reported with an answer.
-    pub fn reported(&mut self, now: Moment, id: &EndpointId, load: Load) {
-        if let Some(state) = self.state(id) {
+    pub fn reported(&mut self, now: Moment, target: &Target, load: Load) {
+        if let Some(state) = self.state(&target.id) {
             state.reported(now, load);
         }
     }
 
     /// Notes that an endpoint says that it is cold for so much longer.
-    pub fn is_cold(&mut self, now: Moment, id: &EndpointId, left: Duration) {
-        if let Some(state) = self.state(id) {
+    pub fn is_cold(&mut self, now: Moment, target: &Target, left: Duration) {
+        if let Some(state) = self.state(&target.id) {
             state.cold.cold_until(now, now + left);
         }
     }
--- a/crates/place/tests/all/main.rs
+++ b/crates/place/tests/all/main.rs
@@ -5,5 +5,6 @@
 mod link;
 mod objects;
 mod regions;
+mod restarts;
 mod support;
 mod surge;
--- /dev/null
+++ b/crates/place/tests/all/restarts.rs
@@ -0,0 +1,203 @@
+//! Endpoints that start again under the identity that they had.
+
+use filberthead_fleet::{Endpoint, EndpointChange, EndpointState};
+use filberthead_place::{Load, Outcome, Placer, Refusal, Target};
+use filberthead_types::{Incarnation, Moment};
+
+use crate::support::{COLD_PER_S, endpoint, ms, place, placer, refusal, request, served, service};
+
+/// An endpoint of the gateway's failure domain, as of its start at this moment.
+fn started(id: &str, at: u64) -> Endpoint {
+    Endpoint {
+        incarnation: Some(Incarnation(at)),
+        ..endpoint(id, "north-1")
+    }
+}
+
+/// Tells a placer of one entry that isn't as it was.
+fn tell(placer: &mut Placer, now: Moment, endpoint: Endpoint) {
+    let change = EndpointChange {
+        changed: vec![endpoint],
+        ..EndpointChange::default()
+    };
+    placer.change_endpoints(now, change);
+}
+
+fn refused(placer: &mut Placer, now: Moment) -> Option<Refusal> {
+    let service = service();
+    refusal(placer, now, request(&service, b"o"))
+}
+
+fn ended(placer: &mut Placer, now: Moment, target: &Target, outcome: Outcome) {
+    placer.ended(now, &service(), target, outcome);
+}
+
+/// A gateway whose one endpoint holds a request, and the request's place.
+fn with_a_request() -> (Placer, Target) {
+    let mut placer = placer("north-1", vec![started("a", 100)]);
+    let target = place(&mut placer, ms(0), "o").expect("a place");
+    (placer, target)
+}
+
+/// An endpoint with a request says nothing for long, so it counts as stalled, and its VM is
+/// found to have lost power. It starts again under its identity. The request is gone with
+/// the earlier start, and the new one must get requests at once.
+#[test]
+fn a_stall_of_the_earlier_start_is_forgotten() {
+    let (mut placer, _) = with_a_request();
+    assert_eq!(refused(&mut placer, ms(5000)), Some(Refusal::NoEndpoint));
+    tell(&mut placer, ms(5000), started("a", 4900));
+    assert!(place(&mut placer, ms(5001), "o").is_some());
+}
+
+/// Another endpoint had the address for a while and said so, upon which nothing more is
+/// sent to the one that was there. That one comes back, at an address of its own.
+#[test]
+fn an_endpoint_that_was_gone_is_used_when_it_starts_again() {
+    let (mut placer, target) = with_a_request();
+    ended(&mut placer, ms(1), &target, Outcome::Gone);
+    assert_eq!(refused(&mut placer, ms(2)), Some(Refusal::NoEndpoint));
+    let mut back = started("a", 200);
+    back.addr.set_port(81);
+    tell(&mut placer, ms(3), back.clone());
+    let target = place(&mut placer, ms(4), "o").expect("a place");
+    assert_eq!(target.addr, back.addr);
+}
+
+/// Two endpoints are alike but that one broke off its requests lately and is left alone. It
+/// starts again. It must be chosen for its objects as if it had never failed.
+#[test]
+fn a_pause_of_the_earlier_start_is_forgotten() {
+    let mut placer = placer("north-1", vec![started("a", 100), started("b", 100)]);
+    let first = place(&mut placer, ms(0), "o").expect("a place");
+    ended(&mut placer, ms(1), &first, Outcome::Broken);
+    let second = place(&mut placer, ms(2), "o").expect("a place");
+    assert_ne!(second.id, first.id);
+    ended(&mut placer, ms(2), &second, Outcome::Abandoned(ms(0)));
+    tell(&mut placer, ms(3), started(&first.id, 200));
+    let third = place(&mut placer, ms(4), "o").expect("a place");
+    assert_eq!(third.id, first.id);
+}
+
+/// An endpoint that has handled an object is fast with it. Its next start has never seen
+/// it, and a gateway that goes on counting on it promises answers that come too late.
+#[test]
+fn objects_of_the_earlier_start_are_forgotten() {
+    let (mut placer, target) = with_a_request();
+    served(&mut placer, ms(50), &target, ms(50));
+    let known = place(&mut placer, ms(60), "o").expect("a place");
+    assert_ne!(known.known, target.known);
+    tell(&mut placer, ms(100), started("a", 200));
+    let anew = place(&mut placer, ms(101), "o").expect("a place");
+    assert_eq!(anew.known, target.known);
+}
+
+/// A warm endpoint drains, ends, and starts again under its identity, cold. It must get
+/// requests, but no more in a second than it bears.
+#[test]
+fn a_drained_endpoint_comes_back_cold() {
+    let mut placer = placer("north-1", vec![started("a", 100)]);
+    let mut leaving = started("a", 100);
+    leaving.state = EndpointState::Draining;
+    tell(&mut placer, ms(0), leaving);
+    assert_eq!(refused(&mut placer, ms(1)), Some(Refusal::NoEndpoint));
+    let mut back = started("a", 200);
+    back.cold_left = ms(3000);
+    tell(&mut placer, ms(2), back);
+    let mut got = 0;
+    for now in 2..1002 {
+        if let Some(target) = place(&mut placer, ms(now), "o") {
+            served(&mut placer, ms(now), &target, ms(1));
+            got += 1;
+        }
+    }
+    assert!(got > 0, "or it would never warm up");
+    assert!(f64::from(got) <= COLD_PER_S, "{got} in a second");
+}
+
+/// The list says that an endpoint stays cold for seconds, and it starts again as a warm one,
+/// as those do that start before callers come. Nothing of the earlier coldness may hold.
+#[test]
+fn coldness_of_the_earlier_start_is_forgotten() {
+    let mut cold = started("a", 100);
+    cold.cold_left = ms(60_000);
+    let mut placer = placer("north-1", vec![cold]);
+    tell(&mut placer, ms(0), started("a", 200));
+    let places = (1..10).filter_map(|now| place(&mut placer, ms(now), "o"));
+    assert_eq!(places.count(), 9);
+}
+
+/// Requests of an earlier start end late: connections break, answers that were on their
+/// way come, another endpoint's word that it has the address. None of it tells anything
+/// about the start that is there now, whose own request it must not end either.
+#[test]
+fn what_comes_late_of_an_earlier_start_changes_nothing() {
+    let outcomes = [
+        Outcome::Served(ms(10)),
+        Outcome::Failed,
+        Outcome::Full,
+        Outcome::Gone,
+        Outcome::Broken,
+        Outcome::Abandoned(ms(4000)),
+    ];
+    for outcome in outcomes {
+        let (mut placer, earlier) = with_a_request();
+        tell(&mut placer, ms(100), started("a", 200));
+        let load = Load {
+            running: 30,
+            waiting: 30,
+        };
+        placer.reported(ms(110), &earlier, load);
+        placer.is_cold(ms(110), &earlier, ms(60_000));
+        ended(&mut placer, ms(110), &earlier, outcome);
+        let own = place(&mut placer, ms(111), "o").expect("a place");
+        // Its own request is silent for too long now, also if another's end came meanwhile.
+        ended(&mut placer, ms(4000), &earlier, outcome);
+        let stalled = refused(&mut placer, ms(4001));
+        assert_eq!(stalled, Some(Refusal::NoEndpoint), "{outcome:?}");
+        served(&mut placer, ms(4002), &own, ms(3891));
+        assert!(place(&mut placer, ms(4003), "o").is_some(), "{outcome:?}");
+    }
+}
+
+/// The whole list is told anew instead of what has changed, as to a gateway that was away
+/// for long. Starts must be told apart there as well.
+#[test]
+fn starts_are_told_apart_in_a_whole_list() {
+    let (mut placer, target) = with_a_request();
+    ended(&mut placer, ms(1), &target, Outcome::Gone);
+    placer.set_endpoints(ms(2), vec![started("a", 100)]);
+    assert_eq!(refused(&mut placer, ms(3)), Some(Refusal::NoEndpoint));
+    placer.set_endpoints(ms(4), vec![started("a", 200)]);
+    assert!(place(&mut placer, ms(5), "o").is_some());
+}
+
+/// On a platform that doesn't tell starts, each has another identity. An entry that is told
+/// again changes nothing of what is known.
+#[test]
+fn untold_starts_are_one() {
+    let mut placer = placer("north-1", vec![endpoint("a", "north-1")]);
+    let target = place(&mut placer, ms(0), "o").expect("a place");
+    ended(&mut placer, ms(1), &target, Outcome::Gone);
+    tell(&mut placer, ms(2), endpoint("a", "north-1"));
+    assert_eq!(refused(&mut placer, ms(3)), Some(Refusal::NoEndpoint));
+}
+
+/// Connections to the earlier start are of no use: a request that is sent on one of them is
+/// lost, and one that may run only once can't be sent again. The gateway is told where to
+/// close them.
+#[test]
+fn the_address_of_an_earlier_start_is_given_back() {
+    let mut placer = placer("north-1", vec![started("a", 100), started("b", 100)]);
+    let mut back = started("a", 200);
+    back.addr.set_port(81);
+    let change = EndpointChange {
+        changed: vec![back.clone()],
+        ..EndpointChange::default()
+    };
+    let earlier = started("a", 100).addr;
+    assert_eq!(placer.change_endpoints(ms(1), change), [earlier]);
+    let list = vec![back, started("b", 200)];
+    assert_eq!(placer.set_endpoints(ms(2), list.clone()), [earlier]);
+    assert_eq!(placer.set_endpoints(ms(3), list), []);
+}
--- a/crates/place/tests/all/support.rs
+++ b/crates/place/tests/all/support.rs
@@ -42,6 +42,7 @@
 pub(crate) fn endpoint(id: &str, at: &str) -> Endpoint {
     Endpoint {
         id: id.to_owned(),
+        incarnation: None,
         service: service(),
         addr: SocketAddr::from(([127, 0, 0, 1], 80)),
         domain: domain(at),
--- a/crates/place/tests/all/surge.rs
+++ b/crates/place/tests/all/surge.rs
@@ -86,7 +86,7 @@
                 });
             }
         }
-        for (id, server) in &mut servers {
+        for server in servers.values_mut() {
             for work in server.step(now) {
                 let took = now - work.came;
                 let load = Load {
@@ -95,7 +95,7 @@
                 };
                 let placer = &mut gateways[work.gateway];
                 placer.ended(ms(now), &service, &work.target, Outcome::Served(ms(took)));
-                placer.reported(ms(now), id, load);
+                placer.reported(ms(now), &work.target, load);
                 let came = (work.came / 1000) as usize;
                 counts[came].1 += u32::from(took <= OBJECTIVE);
             }
--- a/crates/types/src/id.rs
+++ b/crates/types/src/id.rs
@@ -106,8 +106,9 @@
     Epoch
 }
 counter! {
-    /// Random number drawn at each process start: tells a restarted process from
-    /// its predecessor of the same name.
+    /// Tells a restarted process from its predecessor of the same name. Processes of ours
+    /// draw a random number at their start; of an endpoint it is the moment of its start,
+    /// so a later one is higher.
     Incarnation
 }
 
