Tell starts of an endpoint apart that have one identity

Cause: place, the list's changes and the gateway kept everything by identity. A restarted endpoint went on as stalled, paused, gone, known to objects or warm, and late ends of the earlier start's requests counted for the new one. Ruled out: a guard against earlier starts in each gateway as well, since lists come to it in one order and two guards may differ; dropping requests' tried endpoints by start, since a request may be what crashed the earlier one; remembering starts of identities that left the list, which would have no bound. Change: place takes an entry of another start, or at another place, for a new endpoint, and looks for the start that a request was placed at when it ends or reports. Control holds the later start under an identity, for 3 s against readings that have just an earlier one, and of two entries with one identity the one that ranks higher. Gateways close kept connections to the earlier start. Conclusion: without told starts only an entry at another place begins anew.

--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -242,13 +242,15 @@
                 self.listed_at.set(now);
                 self.metrics.endpoints(list.len());
                 info!(endpoints = list.len(); "list of endpoints");
-                placer.set_endpoints(now, list);
+                let left = placer.set_endpoints(now, list);
+                self.leave(&left);
             }
             Update::EndpointsChanged(change) => {
                 self.listed_at.set(now);
                 info!(changed = change.changed.len(), gone = change.gone.len();
                     "list of endpoints changed");
-                placer.change_endpoints(now, change);
+                let left = placer.change_endpoints(now, change);
+                self.leave(&left);
                 self.metrics.endpoints(placer.endpoints());
             }
             Update::Gateways(counts) => placer.set_gateways(&counts),
@@ -260,6 +262,15 @@
         }
     }
 
+    /// Closes kept connections to starts of endpoints that others have followed. A request
+    /// that may run only once would be lost on one, without a way to tell whether it ran.
+    fn leave(&self, starts: &[SocketAddr]) {
+        for addr in starts {
+            info!(addr:%; "an endpoint has started anew");
+            self.client.forget(*addr);
+        }
+    }
+
     /// Reports to control if it is time.
     pub(crate) fn tick(&self) {
         let now = self.now();
--- a/crates/fleet/src/list.rs
+++ b/crates/fleet/src/list.rs
@@ -10,12 +10,13 @@
 //! read without a leader have no term, and replicas number them each on its own: nothing is
 //! ever told as a change of one of those.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use filberthead_types::Moment;
+use filberthead_types::{Moment, ServiceName};
 
-use crate::{Endpoint, EndpointChange, Message, Stamp};
+use crate::{Endpoint, EndpointChange, EndpointState, Message, Stamp};
 
 /// A change of an endpoint's cold time by less than this is the passing of time seen
 /// through a clock of another machine, not news.
@@ -24,6 +25,11 @@
 /// was away for longer gets the whole list.
 const KEPT_CHANGES: usize = 48;
 
+/// How long just an earlier start must have been read under an identity before it is
+/// believed again: several times what a platform's list lags. An endpoint's clock may have
+/// been ahead at the start that is held.
+const EARLIER_BELIEVED_AFTER: Duration = Duration::from_secs(3);
+
 /// What became of news about the list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Taken {
@@ -44,6 +50,8 @@
     at: Moment,
     /// From an older stamp to a newer one, without a gap, up to what is held.
     changes: VecDeque<(Stamp, EndpointChange)>,
+    /// Since when readings have had only earlier starts of these.
+    earlier: BTreeMap<String, Moment>,
 }
 
 impl List {
@@ -51,6 +59,34 @@
         self.stamp
     }
 
+    /// What holds of a list that was read just now: one entry for each identity, and none of
+    /// a start that is earlier than the one held. Replicas that show a restart may be behind,
+    /// and entries of other writers may have an endpoint's identity.
+    pub(crate) fn settled(
+        &mut self,
+        now: Moment,
+        list: Vec<Endpoint>,
+        is_served: impl Fn(&ServiceName) -> bool,
+    ) -> Vec<Endpoint> {
+        let mut best = one_for_each(list, &is_served);
+        let passed = now.saturating_sub(self.at);
+        let mut since = std::mem::take(&mut self.earlier);
+        for read in best.values_mut() {
+            let Some(held) = self.by_id.get(&read.id) else {
+                continue;
+            };
+            if read.incarnation >= held.incarnation || !is_served(&held.service) {
+                continue;
+            }
+            let since = since.remove(&read.id).unwrap_or(now);
+            if now < since + EARLIER_BELIEVED_AFTER {
+                self.earlier.insert(read.id.clone(), since);
+                *read = aged(held, passed);
+            }
+        }
+        best.into_values().collect()
+    }
+
     /// Whether a list that was read just now differs from this one by no more than the
     /// passing of time.
     pub(crate) fn tells_nothing_new(&self, now: Moment, list: &[Endpoint]) -> bool {
@@ -168,6 +204,37 @@
     }
 }
 
+fn one_for_each(
+    list: Vec<Endpoint>,
+    is_served: impl Fn(&ServiceName) -> bool,
+) -> BTreeMap<String, Endpoint> {
+    let outranks = |a: &Endpoint, b: &Endpoint| {
+        rank(a, is_served(&a.service)) > rank(b, is_served(&b.service))
+    };
+    let mut best: BTreeMap<String, Endpoint> = BTreeMap::new();
+    for read in list {
+        let held = best.get(&read.id);
+        if held.is_none_or(|held| outranks(&read, held)) {
+            best.insert(read.id.clone(), read);
+        }
+    }
+    best
+}
+
+/// Of two entries with one identity the one that ranks higher holds. In this order: one of a
+/// service that routes name, since the other gets no request in any case; the later start;
+/// one that drains, since nothing is sent where that may be true. The rest only makes the
+/// choice the same on every replica.
+fn rank(e: &Endpoint, is_served: bool) -> impl Ord + '_ {
+    (
+        is_served,
+        e.incarnation,
+        e.state == EndpointState::Draining,
+        Reverse((e.addr, &e.service, &e.domain, e.slots)),
+        e.cold_left,
+    )
+}
+
 fn aged(e: &Endpoint, passed: Duration) -> Endpoint {
     Endpoint {
         cold_left: e.cold_left.saturating_sub(passed),
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -88,6 +88,12 @@
     /// Takes in a list of endpoints that this replica, the leader of `term`, has read
     /// just now. A list that tells nothing new keeps its stamp.
     pub fn listed(&mut self, now: Moment, term: u64, list: Vec<Endpoint>) -> Vec<Outbound> {
+        let table = self.table.as_deref();
+        let is_served = |service: &ServiceName| {
+            // Before there are routes any service may come to be named.
+            table.is_none_or(|table| table.services.iter().any(|s| s.name == *service))
+        };
+        let list = self.endpoints.settled(now, list, is_served);
         let held = self.endpoints.stamp();
         if held.term == term && self.endpoints.tells_nothing_new(now, &list) {
             return Vec::new();
--- a/crates/place/src/decide.rs
+++ b/crates/place/src/decide.rs
@@ -124,6 +124,7 @@
         state.cold.sent(now, part);
         let target = Target {
             id: state.id.clone(),
+            incarnation: state.incarnation,
             addr: state.addr,
             expected: Duration::from_secs_f64(chosen.answer),
             known: chosen.known,
--- a/crates/place/src/endpoint.rs
+++ b/crates/place/src/endpoint.rs
@@ -6,11 +6,12 @@
 use std::time::Duration;
 
 use filberthead_fleet::{Endpoint, EndpointState};
-use filberthead_types::{FailureDomain, Moment, Region, ServiceName};
+use filberthead_types::{FailureDomain, Incarnation, Moment, Region, ServiceName};
 
+use crate::Target;
 use crate::cold::ColdGate;
 
-/// Identity of one start of an endpoint.
+/// Identity of an endpoint; several starts may have it.
 pub type EndpointId = Arc<str>;
 
 /// First pause after a failure to reach an endpoint, doubled with each further one.
@@ -65,6 +66,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct State {
     pub(crate) id: EndpointId,
+    pub(crate) incarnation: Option<Incarnation>,
     pub(crate) service: ServiceName,
     pub(crate) addr: SocketAddr,
     pub(crate) domain: FailureDomain,
@@ -100,6 +102,7 @@
     pub(crate) fn new(now: Moment, listed: Endpoint, region: Option<Region>) -> Self {
         let mut state = Self {
             id: listed.id.as_str().into(),
+            incarnation: listed.incarnation,
             service: listed.service.clone(),
             addr: listed.addr,
             domain: listed.domain.clone(),
@@ -126,6 +129,21 @@
         state
     }
 
+    /// Whether an entry of the list is about this start. An endpoint that starts again under
+    /// its identity holds and knows nothing of before. One that is at another place or runs
+    /// another service has started anew, also where the platform doesn't tell starts.
+    pub(crate) fn is_start(&self, listed: &Endpoint) -> bool {
+        self.incarnation == listed.incarnation
+            && self.addr == listed.addr
+            && self.service == listed.service
+            && self.domain == listed.domain
+    }
+
+    /// Whether a request was sent to this start.
+    pub(crate) fn is_at(&self, target: &Target) -> bool {
+        self.id == target.id && self.incarnation == target.incarnation && self.addr == target.addr
+    }
+
     /// Takes in what the platform's list says by now.
     pub(crate) fn listed(&mut self, now: Moment, listed: &Endpoint) {
         self.slots = listed.slots.max(1);
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -13,7 +13,7 @@
 use crate::mix::Mix;
 use crate::plan::{Plan, Slots};
 use crate::planning::OwnDemand;
-use crate::{Budget, Config, EndpointId, Load, Outcome, Target};
+use crate::{Budget, Config, Load, Outcome, Target};
 
 /// Weight of a new observation of a way: about the last fifty count, and half of a change
 /// is learned within as many answers.
@@ -86,40 +86,47 @@
     }
 
     /// Takes in the platform's list. What is known of endpoints that are still on it stays.
+    ///
+    /// Returns the addresses of starts that others have followed: connections to them are
+    /// of no use.
     pub fn set_endpoints(&mut self, now: Moment, list: Vec<Endpoint>) -> Vec<SocketAddr> {
         self.informed.get_or_insert(now);
-        let held = std::mem::take(&mut self.endpoints);
-        let mut held: HashMap<_, _> = held.into_iter().map(|e| (e.id.clone(), e)).collect();
-        for listed in list {
-            let state = match held.remove(listed.id.as_str()) {
-                Some(mut state) => {
-                    state.listed(now, &listed);
-                    state
-                }
-                None => self.begin(now, listed),
-            };
-            self.endpoints.push(state);
-        }
+        let ids: BTreeSet<&str> = list.iter().map(|e| e.id.as_str()).collect();
         // A request may still be at an endpoint that has left the list; it isn't counted
         // for anything any more.
-        Vec::new()
+        self.endpoints.retain(|e| ids.contains(&*e.id));
+        self.take_in(now, list)
     }
 
-    /// Takes in what has changed on the platform's list.
+    /// Takes in what has changed on the platform's list, and returns as
+    /// [`Self::set_endpoints`] does.
     pub fn change_endpoints(&mut self, now: Moment, change: EndpointChange) -> Vec<SocketAddr> {
         self.informed.get_or_insert(now);
         let gone: BTreeSet<&str> = change.gone.iter().map(String::as_str).collect();
         self.endpoints.retain(|e| !gone.contains(&*e.id));
-        for listed in change.changed {
-            match self.endpoints.iter_mut().find(|e| *e.id == *listed.id) {
-                Some(state) => state.listed(now, &listed),
+        self.take_in(now, change.changed)
+    }
+
+    fn take_in(&mut self, now: Moment, list: Vec<Endpoint>) -> Vec<SocketAddr> {
+        let held = self.endpoints.iter().enumerate();
+        let held: HashMap<_, _> = held.map(|(i, e)| (e.id.clone(), i)).collect();
+        let mut left = Vec::new();
+        for listed in list {
+            match held.get(listed.id.as_str()) {
+                Some(index) if self.endpoints[*index].is_start(&listed) => {
+                    self.endpoints[*index].listed(now, &listed);
+                }
+                Some(index) => {
+                    left.push(self.endpoints[*index].addr);
+                    self.endpoints[*index] = self.begin(now, listed);
+                }
                 None => {
                     let state = self.begin(now, listed);
                     self.endpoints.push(state);
                 }
             }
         }
-        Vec::new()
+        left
     }
 
     /// What is known of an endpoint that is listed for the first time.
@@ -187,14 +194,14 @@
 
     /// Notes the load that an endpoint has reported with an answer.
     pub fn reported(&mut self, now: Moment, target: &Target, load: Load) {
-        if let Some(state) = self.state(&target.id) {
+        if let Some(state) = self.state(target) {
             state.reported(now, load);
         }
     }
 
     /// Notes that an endpoint says that it is cold for so much longer.
     pub fn is_cold(&mut self, now: Moment, target: &Target, left: Duration) {
-        if let Some(state) = self.state(&target.id) {
+        if let Some(state) = self.state(target) {
             state.cold.cold_until(now, now + left);
         }
     }
@@ -211,7 +218,7 @@
             }
             other => other,
         };
-        if let Some(state) = self.state(&target.id) {
+        if let Some(state) = self.state(target) {
             state.ended(now, outcome, target.expected);
         }
         if let Outcome::Served(took) = outcome
@@ -231,7 +238,7 @@
         let Some(quick) = self.times.get(service).map(Times::quick) else {
             return;
         };
-        let endpoint = self.endpoints.iter().find(|e| e.id == target.id);
+        let endpoint = self.endpoints.iter().find(|e| e.is_at(target));
         let Some(region) = endpoint.and_then(|e| e.region.clone()) else {
             return;
         };
@@ -244,8 +251,10 @@
         *way += NEW_WAY * (seen.min(2.0 * *way + 0.01) - *way);
     }
 
-    fn state(&mut self, id: &EndpointId) -> Option<&mut State> {
-        self.endpoints.iter_mut().find(|e| e.id == *id)
+    /// What is known of the start that a request was sent to; none if it is there no more.
+    /// What comes late of an earlier start tells nothing about the one that followed.
+    fn state(&mut self, target: &Target) -> Option<&mut State> {
+        self.endpoints.iter_mut().find(|e| e.is_at(target))
     }
 }
 
--- a/crates/place/src/request.rs
+++ b/crates/place/src/request.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use filberthead_types::{FailureDomain, NodeName, Region, ServiceName};
+use filberthead_types::{FailureDomain, Incarnation, NodeName, Region, ServiceName};
 
 use crate::{Acquaintance, BudgetConfig, EndpointId};
 
@@ -42,7 +42,8 @@
     pub returned: bool,
     /// The only regions where it may run; empty allows all.
     pub regions: &'a [Region],
-    /// Endpoints that have had it.
+    /// Endpoints that have had it. A later start of one of them counts as having had it too:
+    /// it is cold, and the request may be what made it start again.
     pub tried: &'a [EndpointId],
 }
 
@@ -51,6 +52,8 @@
 pub struct Target {
     /// Identity that the endpoint must have.
     pub id: EndpointId,
+    /// Which of its starts the request was placed at.
+    pub incarnation: Option<Incarnation>,
     /// Where it listens.
     pub addr: SocketAddr,
     /// Time that its answer should take.
