--- a/crates/filberthead/src/control/fleet.rs
+++ b/crates/filberthead/src/control/fleet.rs
@@ -1,6 +1,7 @@
 //! What spreads to gateways: the fleet's [`Registry`] joined to the replica; and the state
 //! that orders, reads and the keeping of membership share.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,7 +9,7 @@
 use filberthead_consensus::{Members, Role};
 use filberthead_fleet::{Message, Outbound, Registry};
 use filberthead_peer::{Body, Origin};
-use filberthead_types::{Moment, ReplicaId};
+use filberthead_types::{Moment, ReplicaId, ServiceName};
 use log::info;
 use tokio::sync::watch;
 
@@ -25,6 +26,10 @@
 /// How long a replica that starts waits for a leader's list before it reads its own.
 const LISTLESS: Duration = Duration::from_millis(150);
 
+/// Unknown services that the log names: entries of the list that another program writes may
+/// make up as many as they like.
+const UNSERVED: usize = 64;
+
 /// How the group keeps itself.
 #[derive(Clone, Debug)]
 pub(crate) struct SelfKeeping {
@@ -45,6 +50,8 @@
     shown: watch::Sender<Shown>,
     /// What members of the group were last seen as, for the log.
     belief: (Option<ReplicaId>, Members),
+    /// Services of endpoints that the log says no route goes to.
+    unserved: BTreeSet<ServiceName>,
 }
 
 impl Fleet {
@@ -60,6 +67,16 @@
             next_list: Moment::ZERO,
             shown,
             belief: Default::default(),
+            unserved: BTreeSet::new(),
+        }
+    }
+
+    /// One line for each service that the list names and the routes in force don't.
+    fn note_unserved(&mut self) {
+        for (service, endpoints) in self.registry.unserved() {
+            if self.unserved.len() < UNSERVED && self.unserved.insert(service.clone()) {
+                info!(service:%, endpoints; "no request goes to endpoints of an unknown service");
+            }
         }
     }
 
@@ -92,6 +109,7 @@
             return;
         };
         let out = self.fleet.registry.listed(now, term, list);
+        self.fleet.note_unserved();
         self.tell(out);
         if self.fleet.registry.have().endpoints == before {
             return;
--- a/crates/fleet/src/list.rs
+++ b/crates/fleet/src/list.rs
@@ -59,6 +59,11 @@
         self.stamp
     }
 
+    /// The service of each endpoint.
+    pub(crate) fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.by_id.values().map(|e| &e.service)
+    }
+
     /// What holds of a list that was read just now: one entry for each identity, and none of
     /// a start that is earlier than the one held. Replicas that show a restart may be behind,
     /// and entries of other writers may have an endpoint's identity.
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -89,11 +89,7 @@
     /// just now. A list that tells nothing new keeps its stamp.
     pub fn listed(&mut self, now: Moment, term: u64, list: Vec<Endpoint>) -> Vec<Outbound> {
         let table = self.table.as_deref();
-        let is_served = |service: &ServiceName| {
-            // Before there are routes any service may come to be named.
-            table.is_none_or(|table| table.services.iter().any(|s| s.name == *service))
-        };
-        let list = self.endpoints.settled(now, list, is_served);
+        let list = self.endpoints.settled(now, list, |s| is_served(table, s));
         let held = self.endpoints.stamp();
         if held.term == term && self.endpoints.tells_nothing_new(now, &list) {
             return Vec::new();
@@ -103,6 +99,18 @@
         self.after(now, taken)
     }
 
+    /// How many endpoints the list names of each service that the routes in force don't
+    /// know. No request goes to them.
+    pub fn unserved(&self) -> BTreeMap<&ServiceName, usize> {
+        let mut counts = BTreeMap::new();
+        for service in self.endpoints.services() {
+            if !is_served(self.table.as_deref(), service) {
+                *counts.entry(service).or_default() += 1;
+            }
+        }
+        counts
+    }
+
     fn after(&mut self, now: Moment, taken: Taken) -> Vec<Outbound> {
         self.have.endpoints = self.endpoints.stamp();
         match taken {
@@ -245,6 +253,11 @@
     }
 }
 
+/// Before there are routes any service may come to be known.
+fn is_served(table: Option<&Table>, service: &ServiceName) -> bool {
+    table.is_none_or(|table| table.services.iter().any(|s| s.name == *service))
+}
+
 impl Seen {
     fn is_live(&self, now: Moment) -> bool {
         now < self.at + LIVE_FOR
--- a/crates/fleet/tests/spreading.rs
+++ b/crates/fleet/tests/spreading.rs
@@ -455,6 +455,26 @@
     }
 }
 
+/// An entry names a service that isn't known, as one that another program wrote may. It is
+/// told apart, for the log, but stays: the next routes may know the service.
+#[test]
+fn endpoints_of_an_unknown_service_are_counted() {
+    let mut registry = Registry::default();
+    let stranger = Endpoint {
+        service: "lessons".parse().expect("a name"),
+        ..endpoint("b", 0)
+    };
+    registry.listed(ms(0), 1, vec![endpoint("a", 0), stranger.clone()]);
+    assert_eq!(registry.unserved().len(), 0, "there are no routes yet");
+    registry.set_routes(ms(0), 5, 7, Arc::new(orders()));
+    let unserved = registry.unserved();
+    assert_eq!(
+        unserved.into_iter().collect::<Vec<_>>(),
+        [(&stranger.service, 1)]
+    );
+    assert_eq!(listed(ms(1), &mut registry).len(), 2);
+}
+
 /// A table that knows the service of [`endpoint`].
 fn orders() -> Table {
     let service = Service {
--- a/crates/place/tests/all/objects.rs
+++ b/crates/place/tests/all/objects.rs
@@ -27,6 +27,24 @@
     }
 }
 
+/// The list names an endpoint of a service that no route names, with the fewest requests of
+/// all. It is nothing that a request of another service may go to.
+#[test]
+fn an_endpoint_of_an_unknown_service_gets_nothing() {
+    let mut stranger = endpoint("a", "north-1");
+    stranger.service = "nobody-routes-this".parse().expect("a name");
+    let mut alone = placer("north-1", vec![stranger.clone()]);
+    let service = service();
+    let refused = refusal(&mut alone, ms(0), request(&service, b"o"));
+    assert_eq!(refused, Some(Refusal::NoEndpoint));
+    let mut placer = placer("north-1", vec![stranger, endpoint("b", "north-1")]);
+    for number in 0..30 {
+        let target = place(&mut placer, ms(number), &format!("o-{number}")).expect("a place");
+        assert_eq!(&*target.id, "b");
+        served(&mut placer, ms(number), &target, ms(1));
+    }
+}
+
 #[test]
 fn objects_are_spread_over_all_endpoints() {
     let mut placer = placer("north-1", four());
