Whole systems with endpoints that start again and entries of another writer

Cause: the decisions were tried by themselves only. Change: the stand-in of an endpoint tells its start and can begin anew under its identity, cold, with its requests broken off; that of the list puts entries of another writer, any bytes, behind the first line of each page. Two tests of real processes with them. Conclusion: the log has a line for each entry; two unreadable ones side by side count as one, since nothing tells where one of them ends.

--- a/crates/testing/src/site/endpoint.rs
+++ b/crates/testing/src/site/endpoint.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -58,6 +58,8 @@
 #[derive(Debug, Default)]
 struct State {
     id: String,
+    /// Unix millisecond of its start.
+    born: u64,
     shown_at: Option<SocketAddr>,
     manner: Manner,
     takes: Duration,
@@ -79,6 +81,7 @@
     domain: String,
     state: Arc<Mutex<State>>,
     closed: Arc<Notify>,
+    restarted: Arc<Notify>,
 }
 
 impl SiteEndpoint {
@@ -95,9 +98,11 @@
             domain: domain.to_owned(),
             state: Arc::new(Mutex::new(State {
                 id: id.to_owned(),
+                born: next_start(0),
                 ..State::default()
             })),
             closed: Arc::new(Notify::new()),
+            restarted: Arc::new(Notify::new()),
         };
         crate::runtime::handle().spawn(accept(listener, endpoint.clone()));
         endpoint
@@ -108,6 +113,7 @@
         let state = self.lock();
         Line {
             id: state.id.clone(),
+            born: state.born,
             service: self.service.clone(),
             address: state.shown_at.unwrap_or(self.addr),
             zone: self.domain.clone(),
@@ -140,7 +146,22 @@
 
     /// Begins anew under another identity, at the same address.
     pub fn reborn(&self, id: &str) {
-        self.lock().id = id.to_owned();
+        let mut state = self.lock();
+        state.id = id.to_owned();
+        state.born = next_start(state.born);
+    }
+
+    /// Begins anew under the identity that it had: requests break off, it is to stay, and is
+    /// cold for so long.
+    pub fn restart(&self, id: &str, cold_ms: u64) {
+        self.reborn(id);
+        let mut state = self.lock();
+        state.manner = Manner::default();
+        state.draining = false;
+        state.gone = false;
+        state.cold_ms = cold_ms;
+        drop(state);
+        self.restarted.notify_waiters();
     }
 
     /// Leaves the list.
@@ -204,16 +225,26 @@
     }
 }
 
+/// The moment of a start that follows another one.
+fn next_start(before: u64) -> u64 {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let now = now.map_or(0, |now| u64::try_from(now.as_millis()).unwrap_or(u64::MAX));
+    now.max(before + 1)
+}
+
 async fn accept(listener: std::net::TcpListener, endpoint: SiteEndpoint) {
     let listener = TcpListener::from_std(listener).expect("the listener can be registered");
     while let Ok((stream, _)) = listener.accept().await {
         let endpoint = endpoint.clone();
         tokio::spawn(async move {
+            let restarted = Arc::clone(&endpoint.restarted);
             let service = service_fn(move |req| handle(endpoint.clone(), req));
+            let served = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             // An error is how a manner closes the connection.
-            let _ = http1::Builder::new()
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
+            tokio::select! {
+                _ = served => {}
+                () = restarted.notified() => {}
+            }
         });
     }
 }
--- a/crates/testing/src/site/list.rs
+++ b/crates/testing/src/site/list.rs
@@ -22,8 +22,10 @@
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize)]
 pub struct Line {
-    /// Identity of the endpoint's start.
+    /// Identity of the endpoint.
     pub id: String,
+    /// Unix millisecond of its start.
+    pub born: u64,
     /// Its service.
     pub service: String,
     /// Where it listens.
@@ -43,6 +45,8 @@
 #[derive(Debug, Default)]
 struct State {
     lines: Vec<Line>,
+    /// Entries of another writer, which may be no JSON.
+    foreign: Vec<Vec<u8>>,
     calls: u64,
     fails: bool,
     domains_read: BTreeSet<String>,
@@ -83,6 +87,11 @@
         self.lock().lines = lines;
     }
 
+    /// Replaces what another writer has put behind the first line of each page.
+    pub fn set_foreign(&self, entries: Vec<Vec<u8>>) {
+        self.lock().foreign = entries;
+    }
+
     /// Whether it answers with an error.
     pub fn fail(&self, fails: bool) {
         self.lock().fails = fails;
@@ -134,17 +143,27 @@
     state.domains_read.extend(domain.clone());
     let of_domain = |line: &&Line| domain.as_ref().is_none_or(|domain| line.zone == *domain);
     let lines: Vec<_> = state.lines.iter().filter(of_domain).collect();
-    let page: Vec<_> = lines.iter().skip(from).take(PAGE).collect();
+    let page = lines.iter().skip(from).take(PAGE);
+    let mut page: Vec<_> = page.map(json).collect();
+    let behind = page.len().min(1);
+    page.splice(behind..behind, state.foreign.iter().cloned());
     let next = from + PAGE;
-    let more = next < lines.len();
-    let body = serde_json::json!({
-        "instances": page,
-        "next_page_token": more.then(|| next.to_string()),
-    });
-    *answer.body_mut() = Full::new(Bytes::from(body.to_string()));
+    let token = (next < lines.len()).then(|| next.to_string());
+    let body = [
+        b"{\"instances\":[",
+        &page.join(&b',')[..],
+        b"],\"next_page_token\":",
+        &json(&token),
+        b"}",
+    ];
+    *answer.body_mut() = Full::new(Bytes::from(body.concat()));
     answer
 }
 
+fn json(value: &impl Serialize) -> Vec<u8> {
+    serde_json::to_vec(value).expect("plain values can be written")
+}
+
 fn parameter<'a>(req: &'a Request<Incoming>, name: &str) -> Option<&'a str> {
     let pairs = req.uri().query().unwrap_or_default().split('&');
     let mut pairs = pairs.filter_map(|pair| pair.split_once('='));
--- a/tests/all/gateways.rs
+++ b/tests/all/gateways.rs
@@ -1,6 +1,6 @@
 //! Requests through gateways: what may run, how often, and what callers are told.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use filberthead_testing::client::{Answer, Call, CallError};
 use filberthead_testing::cluster::Node;
@@ -383,3 +383,87 @@
     assert_eq!(answer.body.len() as u64, PACE * LASTS_S);
     assert!(site.gateways[0].wait_exit().success());
 }
+
+/// An endpoint hands its address over, drains and ends, with a request running that never
+/// came to its end. It starts again under its identity, cold. It must get requests again,
+/// also from a gateway that has heard that it is gone, and no more than it bears.
+#[test]
+fn an_endpoint_that_starts_again_under_its_identity_is_used_again() {
+    // As `config` of the stand-ins has it.
+    const COLD_PER_S: f64 = 9.4;
+    let site = start("catalogue", 1);
+    send_until(&site, "GET", "/catalogue/warm-up", 200);
+    let endpoint = &site.endpoints[0];
+    let id = endpoint.id();
+    endpoint.manner(Manner::Hangs);
+    let addr = site.gateways[0].addr("caller");
+    let hanging = std::thread::spawn(move || request("GET", "/catalogue/one", "read-1").send(addr));
+    wait_until("the request runs", BOUND, || {
+        endpoint.ran().contains(&"read-1".to_owned())
+    });
+    endpoint.reborn("i-somebody-else");
+    assert_eq!(send(&site, "GET", "/catalogue/two", "read-2").status, 503);
+    endpoint.drain();
+    site.show_endpoints();
+    endpoint.restart(&id, 60_000);
+    site.show_endpoints();
+    hanging.join().expect("the caller").expect("an answer");
+    send_until(&site, "GET", "/catalogue/three", 200);
+    let before = endpoint.ran().len();
+    let begun = Instant::now();
+    let mut number = 0;
+    while begun.elapsed() < Duration::from_secs(2) {
+        number += 1;
+        send(&site, "GET", "/catalogue/four", &format!("press-{number}"));
+    }
+    let got = (endpoint.ran().len() - before) as f64;
+    let bears = COLD_PER_S * begun.elapsed().as_secs_f64();
+    assert!(
+        got >= 1.0 && got <= bears,
+        "{got} of {number} pressed, {bears} are borne"
+    );
+}
+
+/// Another program writes into the platform's list: entries that lack fields or hold odd
+/// ones, one with the identity of an endpoint, and bytes that aren't text. The endpoints
+/// around them serve, one that drains is left alone, and the log has a line for each.
+#[test]
+fn entries_of_another_writer_change_nothing_for_endpoints() {
+    let mut site = start("catalogue", 1);
+    let foreign: [&[u8]; 5] = [
+        br#"{"id":"x-1","service":"catalogue","slots":"many"}"#,
+        br#"{"id":"i-1","service":"catalogue","address":"127.0.0.1:1","zone":"zagreb-a",
+            "version":"v1","slots":3,"state":"booting","warmup_left_ms":0}"#,
+        b"{\"id\":\"x-\xff\xfe\",\"service\":7",
+        br#"{"id":"i-1","service":"nobody-routes-this","address":"127.0.0.1:1","zone":"zagreb-a",
+            "version":"v1","slots":3,"state":"ready","warmup_left_ms":0,"born":9000000000000}"#,
+        b"nul",
+    ];
+    site.list
+        .set_foreign(foreign.iter().map(|entry| entry.to_vec()).collect());
+    site.add_endpoint("catalogue", "zagreb-a");
+    let serves = |site: &Site, number: usize| {
+        let before = site.endpoints[number].ran().len();
+        for n in 0..20 {
+            let path = format!("/catalogue/{n}");
+            let call = request("GET", &path, &format!("r-{n}")).header("x-affinity-key", &path);
+            assert_eq!(site.request(0, &call).expect("an answer").status, 200);
+        }
+        site.endpoints[number].ran().len() > before
+    };
+    send_until(&site, "GET", "/catalogue/warm-up", 200);
+    wait_until("the new one serves", BOUND, || serves(&site, 1));
+    assert!(serves(&site, 0));
+    site.endpoints[0].drain();
+    site.show_endpoints();
+    wait_until("the other one is left alone", BOUND, || !serves(&site, 0));
+    let calls = site.list.calls();
+    wait_until("the list is read some more", BOUND, || {
+        site.list.calls() > calls + 10
+    });
+    let log = std::fs::read_to_string(site.dir().join("control-1.log")).expect("a log");
+    let lines = |text: &str| log.lines().filter(|line| line.contains(text)).count();
+    assert_eq!(lines("an entry of the list names no endpoint"), 4, "{log}");
+    assert!(lines("entries of the list that name no endpoint") <= 2);
+    assert_eq!(lines("list of endpoints is lost"), 0);
+}
