Test: a newcomer is taken in by a leader that is none of its seeds, while it fails

A newcomer greets its seeds, who don't lead and tell nobody; only the leader takes strangers in. Measured: fails, 'not within 60s: the replica proves the version'.

--- a/crates/testing/src/site/mod.rs
+++ b/crates/testing/src/site/mod.rs
@@ -104,6 +104,23 @@
         nodes.find(|n| n.name() == name).expect("a replica")
     }
 
+    /// Starts another control replica, at an address of its own and with an empty disk, that
+    /// is told the same seeds as the others were.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it doesn't start.
+    #[track_caller]
+    pub fn add_control(&mut self) -> &Node {
+        let seeds: Vec<_> = self.controls.iter().map(|n| n.addr("peer")).collect();
+        let mut node = self.new_control(self.controls.len() + 1);
+        write_seeds(node.settings(), &seeds[..self.builder.seeds]);
+        node.settings().set("group", "first_start", "false");
+        node.start();
+        self.controls.push(node);
+        &self.controls[self.controls.len() - 1]
+    }
+
     /// Adds an endpoint to the list.
     pub fn add_endpoint(&mut self, service: &str, domain: &str) -> &SiteEndpoint {
         let number = self.new_endpoint(service, domain);
--- a/tests/all/groups.rs
+++ b/tests/all/groups.rs
@@ -146,6 +146,28 @@
     wait_version(site.control(&name), 8);
 }
 
+/// A VM of control is replaced by another one at another address while the leader is not among
+/// the seeds that the new one is told. Nobody told either of the other: the new replica greeted
+/// its seeds, which weren't leading, and was never taken in. Two lost disks later no majority
+/// was left, nobody led for good, and gateways went on by what had been noted before.
+#[test]
+fn a_newcomer_is_taken_in_by_a_leader_that_is_none_of_its_seeds() {
+    let mut site = site().start();
+    site.put_routes(7, SERVICES);
+    site.controls.iter().for_each(|node| wait_version(node, 7));
+    site.controls[0].kill();
+    let leads = |node: &Node| node.metric("_leader") > 0.0;
+    wait_until("another one leads", BOUND, || {
+        site.controls[1..].iter().any(leads)
+    });
+    site.controls[0].start();
+    wait_version(&site.controls[0], 7);
+    site.add_control();
+    wait_version(&site.controls[3], 7);
+    let voters = |node: &Node| node.metric("voters") >= 4.0;
+    wait_until("it votes", BOUND, || voters(&site.controls[3]));
+}
+
 /// A device between two VMs forgets all connections to one replica: what the others send it
 /// vanishes, nothing is reset, and new connections would pass. It never heard of a leader
 /// again, and took itself for cut off until it was restarted.
