Tell a newcomer where the leader is

Cause: a newcomer greets the seeds of its settings, and only the leader takes strangers in. If it is none of the seeds neither ever hears of the other: the place of a replaced control VM stays empty, the next two lost disks take the majority, nobody leads, and gateways go on by what had been noted. Ruled out: to have everybody pass on all addresses that it knows, which never forgets one that is gone; to have the leader greet who gateways report of, which needs gateways.

--- a/crates/filberthead/src/control/book.rs
+++ b/crates/filberthead/src/control/book.rs
@@ -30,6 +30,8 @@
     own_addr: Option<SocketAddr>,
     configured: BTreeSet<SocketAddr>,
     known: BTreeMap<ReplicaId, Known>,
+    /// Where a leader is that others have told of and that wasn't heard yet.
+    told_leader: Option<SocketAddr>,
 }
 
 impl Book {
@@ -42,6 +44,7 @@
             own_addr: Some(own_addr),
             configured: configured.into_iter().collect(),
             known: BTreeMap::new(),
+            told_leader: None,
         }
     }
 
@@ -62,13 +65,27 @@
         });
         known.addr = origin.addr;
         known.heard = Some(now);
+        if self.told_leader == Some(origin.addr) {
+            self.told_leader = None;
+        }
     }
 
-    /// Takes in what a replica says about itself.
-    pub(crate) fn greeted(&mut self, id: ReplicaId, hello: &HelloInfo) {
+    /// Takes in what a replica says about itself, and of a leader that isn't known here. Says
+    /// whether it told of one.
+    pub(crate) fn greeted(&mut self, id: ReplicaId, hello: &HelloInfo) -> bool {
         if let Some(known) = self.known.get_mut(&id) {
             known.operator_addr = Some(hello.operator_addr);
         }
+        let mut others = self.known.values();
+        let new = hello.leader.filter(|addr| {
+            let heard = others.any(|known| known.addr == *addr && known.heard.is_some());
+            self.own_addr != Some(*addr) && !heard
+        });
+        if new.is_none() || new == self.told_leader {
+            return false;
+        }
+        self.told_leader = new;
+        true
     }
 
     /// Takes in a registration from the replicated table.
@@ -120,10 +137,12 @@
         !self.to_greet().iter().all(heard)
     }
 
-    /// Everybody to greet: configured and known replicas, without this one.
+    /// Everybody to greet: configured and known replicas and a leader that others told of,
+    /// without this one.
     pub(crate) fn to_greet(&self) -> BTreeSet<SocketAddr> {
         let known = self.known.values().map(|known| known.addr);
         let mut addrs: BTreeSet<_> = self.configured.iter().copied().chain(known).collect();
+        addrs.extend(self.told_leader);
         if let Some(own) = self.own_addr {
             addrs.remove(&own);
         }
--- a/crates/filberthead/src/control/mod.rs
+++ b/crates/filberthead/src/control/mod.rs
@@ -193,6 +193,8 @@
         hello: HelloInfo {
             leads: false,
             operator_addr,
+            leader: None,
+            answers: false,
         },
         about: About {
             cluster: cfg.cluster.clone(),
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -46,6 +46,10 @@
     pub leads: bool,
     /// Where its administration API listens.
     pub operator_addr: SocketAddr,
+    /// Where the leader takes messages, if the sender knows of another replica that leads.
+    pub leader: Option<SocketAddr>,
+    /// Whether it answers a greeting. It isn't answered itself then.
+    pub answers: bool,
 }
 
 /// The protocols that share the transport.
--- a/crates/peer/tests/codec.rs
+++ b/crates/peer/tests/codec.rs
@@ -20,6 +20,8 @@
         body: Body::Hello(HelloInfo {
             leads: true,
             operator_addr: addr,
+            leader: None,
+            answers: false,
         }),
     }
 }
--- a/tests/all/control/hostile.rs
+++ b/tests/all/control/hostile.rs
@@ -27,6 +27,8 @@
         body: Body::Hello(HelloInfo {
             leads: false,
             operator_addr: addr,
+            leader: None,
+            answers: false,
         }),
     }
 }
