Tests of readings at an entry that is killed

Cause: a reading that is lost at a killed entry is refused at once if that entry alone admitted to the endpoints left, though its neighbour takes over some seconds later.

Measured: a_reading_whose_entry_is_killed_waits_for_the_next_owner fails in 1 run of 1, as it should by now: "refused ... code=1301 why=1202 touched=true tried=1 budget=49". The two tests of readings that mustn't wait pass, since nothing waits.

--- a/tests/all/entries.rs
+++ b/tests/all/entries.rs
@@ -6,7 +6,7 @@
 
 use filberthead_testing::client::{Answer, Call};
 use filberthead_testing::cluster::Cluster;
-use filberthead_testing::standin::{Payload, Stage};
+use filberthead_testing::standin::{Payload, Script, Stage};
 use filberthead_testing::{eventually, wait_until};
 use serde::Deserialize;
 
@@ -25,19 +25,25 @@
     key_prefix: String,
 }
 
-/// Two failure domains of one region with two entries each.
+/// Two failure domains of one region with two entries and two endpoints each.
 fn start() -> Cluster {
+    start_with(2, 2)
+}
+
+/// Two failure domains of one region with so many entries and endpoints each.
+fn start_with(entries_each: usize, endpoints_each: usize) -> Cluster {
     let builder = Cluster::builder(programs())
         .places(&[("zagreb", "zagreb-a"), ("zagreb", "zagreb-b")])
-        .entries_each(2)
-        .service("catalogue", 2)
+        .entries_each(entries_each)
+        .service("catalogue", endpoints_each)
         .entry_setting("callers", "lookup_ttl", "1s");
     let cluster = start_site(builder);
     // Without a table no request leaves its failure domain.
     set_row(&cluster, "catalogue", "zagreb");
+    let named = 2 * entries_each - 1;
     for entry in cluster.caller_addrs() {
         wait_until("the entries know each other", BOUND, || {
-            look_up(entry).is_some_and(|l| l.entries.len() >= 3 && !l.key_prefix.is_empty())
+            look_up(entry).is_some_and(|l| l.entries.len() >= named && !l.key_prefix.is_empty())
         });
     }
     cluster
@@ -128,6 +134,72 @@
     assert!(cluster.record().count(Stage::Executed, carried) > 1);
 }
 
+/// Sends a reading to the near failure domain, which passes it on, and kills the entry that
+/// has passed it to its endpoint before a byte of the answer has come.
+fn lose_its_carrier(cluster: &mut Cluster, call: Call) -> Answer {
+    let entry = cluster.caller_addrs()[NEAR];
+    warm_up(cluster, "catalogue");
+    empty_near_domain(cluster);
+    for endpoint in &cluster.endpoints {
+        let slow = |script: &mut Script| script.service_time = Duration::from_secs(1);
+        endpoint.standin.script(slow);
+    }
+    let reading = std::thread::spawn(move || call.bound(BOUND).send(entry));
+    wait_until("the reading runs", BOUND, || {
+        let record = cluster.record();
+        record.count(Stage::Executed, |seen| seen.path == "/slow") > 0
+    });
+    let carrier = carrier(cluster);
+    cluster.entry(&carrier).kill();
+    let answer = reading.join().expect("no panic");
+    answer.unwrap_or_else(|e| panic!("{e}"))
+}
+
+fn has_waited(cluster: &Cluster) -> bool {
+    let log = cluster.entries[NEAR].process_ref().log();
+    log.contains("waits for the next owner of its endpoints")
+}
+
+/// A reading is at the entry that alone admits to the only endpoint left, and that entry is
+/// killed before the answer begins. Nobody admits to the endpoint until the entry's
+/// neighbour has taken over, some seconds later. The caller was told 502 at once:
+/// "refused ... code=1301 why=1202 touched=true tried=1". The reading can simply run again,
+/// so it waits for the neighbour.
+#[test]
+fn a_reading_whose_entry_is_killed_waits_for_the_next_owner() {
+    let mut cluster = start_with(2, 1);
+    let answer = lose_its_carrier(&mut cluster, read("/slow"));
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    let own = Payload::of_answer("GET", "/slow", b"").slice(0, ANSWER_BYTES);
+    assert_eq!(answer.body, own);
+    assert!(has_waited(&cluster));
+}
+
+/// The same, but the killed entry was alone in its failure domain: nobody takes over. The
+/// caller is told at once that the reading may have run, and can turn elsewhere.
+#[test]
+fn a_reading_that_nobody_takes_over_does_not_wait() {
+    let mut cluster = start_with(1, 1);
+    let answer = lose_its_carrier(&mut cluster, read("/slow"));
+    assert_eq!(answer.result(), Some(1301), "{}", answer.text());
+    assert!(!has_waited(&cluster));
+}
+
+/// The same, with a caller that gives up before any lease can have lapsed. Waiting would
+/// only keep it from turning elsewhere.
+#[test]
+fn a_reading_that_ends_before_the_next_owner_comes_does_not_wait() {
+    let mut cluster = start_with(2, 1);
+    let call = read("/slow").header("filberthead-timeout-ms", "2400");
+    let answer = lose_its_carrier(&mut cluster, call);
+    assert!(
+        matches!(answer.result(), Some(1300 | 1301)),
+        "{}",
+        answer.text()
+    );
+    assert!(!has_waited(&cluster));
+}
+
 /// The entry of the far failure domain that has a request in progress.
 fn carrier(cluster: &mut Cluster) -> String {
     let near = cluster.entries[NEAR].place().clone();
