Let a reading lost at a killed entry wait for the next owner

Cause: entries::a_download_goes_on_when_the_entry_that_passes_it_on_is_killed fails beside load with 502. Each of the 3 failures of 42 runs left "refused ... code=1301 why=1202 touched=true tried=1 budget=49": the head of the answer hadn't come, the killed entry alone admitted to the endpoints left, and nobody else may until its lease has lapsed. entries::a_reading_whose_entry_is_killed_... has one endpoint, and so fails each time.

Ruled out: the retry budget (49 left).

Change: a repeatable request that was lost at an entry and finds no endpoint looks again each 0.2 s, if another entry of that failure domain is there to take over and its deadline leaves the time that taking over needs at least (2.5 s). It looks for 5.5 s after the loss at most: the lease, its margin and four renewals. Otherwise it is answered at once, as before. Looks cost no retry unless a request is sent. A look that ends in a queue waits there for 1 s at most, as any further attempt does.

--- a/crates/filberthead/src/entry/carry/job.rs
+++ b/crates/filberthead/src/entry/carry/job.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use super::core::{Core, Target};
+use super::takeover::Takeover;
 
 /// Longest wait for a place of an attempt after the first.
 const RETRY_WAIT: Duration = Duration::from_secs(1);
@@ -34,6 +35,8 @@
     pub(crate) tried: Vec<NodeName>,
     /// Whether an attempt may have run it. From then on no refusal may say otherwise.
     pub(crate) touched: bool,
+    /// The first entry that was lost with it, whose endpoints another entry takes over.
+    pub(crate) takeover: Option<Takeover>,
     /// Whether its caller has a part of the answer already and gets the rest from the
     /// next attempt.
     pub(crate) resuming: bool,
@@ -59,6 +62,7 @@
             parts,
             tried: Vec::new(),
             touched: false,
+            takeover: None,
             resuming: false,
             hops: call.key_hops,
             started: false,
@@ -81,6 +85,23 @@
         Refusal { code, ..refusal }
     }
 
+    /// The place that it was sent to last has lost it, and may have run it.
+    pub(crate) fn lost(&mut self, core: &Core) {
+        self.touched = true;
+        if self.takeover.is_none() {
+            let cluster = core.cluster.borrow();
+            let place = self.tried.last();
+            self.takeover = place.and_then(|place| Takeover::of(place, &cluster));
+        }
+    }
+
+    /// Whether it may run again and the next owner of endpoints may still come for it.
+    pub(crate) fn awaits_owner(&self, core: &Core) -> bool {
+        let cluster = core.cluster.borrow();
+        let mut takeover = self.takeover.iter();
+        self.is_repeatable() && takeover.any(|t| t.may_come(self.deadline, &cluster))
+    }
+
     /// Whether another entry sent it here for an endpoint of this one.
     pub(crate) fn is_forwarded(&self) -> bool {
         self.forwarded_by.is_some()
@@ -126,7 +147,7 @@
     /// that have a slot may all have been tried already, and then no slot that becomes
     /// free would help, while the caller could have its answer now.
     pub(crate) fn info(&self, core: &Core) -> RequestInfo {
-        let wait = if self.tried.is_empty() {
+        let wait = if self.tried.is_empty() && self.takeover.is_none() {
             self.left()
         } else {
             self.left().min(RETRY_WAIT)
--- a/crates/filberthead/src/entry/carry/mod.rs
+++ b/crates/filberthead/src/entry/carry/mod.rs
@@ -19,6 +19,7 @@
 mod keyed;
 mod stream;
 mod suspicion;
+mod takeover;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -60,6 +61,8 @@
 #[derive(Debug)]
 enum Next {
     Again(RequestBody),
+    /// It has no place until endpoints have their next owner.
+    Later(RequestBody),
     Done(Outcome),
 }
 
@@ -123,6 +126,7 @@
     reply: &mut Reply,
 ) -> Outcome {
     let mut fallback = None;
+    let mut waits = false;
     loop {
         let spare = body.again();
         let cancellable = job.is_repeatable();
@@ -136,6 +140,19 @@
         let attempt = attempt(core, job, body, gone).await;
         match next(core, job, attempt, spare, &mut fallback) {
             Next::Again(again) => body = again,
+            Next::Later(again) => {
+                if !std::mem::replace(&mut waits, true) {
+                    info!(request:% = job.id; "waits for the next owner of its endpoints");
+                }
+                tokio::select! {
+                    () = tokio::time::sleep(takeover::PAUSE) => {}
+                    () = reply.closed() => return Outcome::Abandoned,
+                }
+                // Whoever refused it may have the endpoints by then, and whoever lost it
+                // may be back.
+                job.tried.clear();
+                body = again;
+            }
             Next::Done(outcome) => return outcome,
         }
     }
@@ -171,11 +188,12 @@
         }
         Attempt::Whole(head, body) => Next::Done(Outcome::Answer(head, body)),
         Attempt::Streaming(upstream) => Next::Done(Outcome::Streaming(upstream, None)),
-        Attempt::Refused(refusal) => Next::Done(match fallback.take() {
+        Attempt::Refused(refusal) => match (fallback.take(), spare) {
             // What the last endpoint said tells more than that no other has room.
-            Some((head, body)) => Outcome::Answer(head, body),
-            None => Outcome::Refused(refusal),
-        }),
+            (Some((head, body)), _) => Next::Done(Outcome::Answer(head, body)),
+            (None, Some(body)) if has_no_owner(core, job, &refusal) => Next::Later(body),
+            (None, _) => Next::Done(Outcome::Refused(refusal)),
+        },
         Attempt::NotRun(refusal) if refusal.code == ResultCode::Quarantined => {
             Next::Done(Outcome::Refused(refusal))
         }
@@ -185,7 +203,7 @@
             again(core, job, Some(body), spent)
         }
         Attempt::Lost => {
-            job.touched = true;
+            job.lost(core);
             let spare = spare.filter(|_| job.is_repeatable());
             again(core, job, spare, Refusal::new(ResultCode::EndpointLost))
         }
@@ -202,6 +220,11 @@
     }
 }
 
+/// Whether there is no place because of an entry that was lost with the request.
+fn has_no_owner(core: &Core, job: &Job, refusal: &Refusal) -> bool {
+    refusal.code == ResultCode::NoEndpoint && job.awaits_owner(core)
+}
+
 /// Another attempt if there is a body for it and budget, or else the refusal.
 fn again(core: &Core, job: &Job, body: Option<RequestBody>, refusal: Refusal) -> Next {
     match body {
