A test of the stand-in: a crossed answer is another request's

Told to cross its answers, the stand-in gives the last answer that it made. To a request that comes again that is the request's own, with its own id and body: nothing is crossed.

--- a/crates/testing/tests/standin.rs
+++ b/crates/testing/tests/standin.rs
@@ -48,6 +48,22 @@
     assert_eq!(standin.record().count(Stage::Executed, |_| true), 4);
 }
 
+/// A crossed answer is another request's. A request that comes again finds its own earlier
+/// answer to be the last one given, which is no other: an entry would be right to pass it
+/// on to its caller, and a test of crossed answers would fail by how often it asked.
+#[test]
+fn a_crossed_answer_is_never_the_requests_own() {
+    const ID: &str = "000000000000000000000000000000aa";
+    let standin = Standin::start("a");
+    standin.rule(Rule::always(When::Any, Fault::Crossed));
+    let call = Call::get("/x").header("filberthead-request-id", ID);
+    for _ in 0..3 {
+        let answer = call.send(standin.addr()).expect("an answer");
+        assert_ne!(answer.header("filberthead-request-id"), ID);
+        assert!(!Payload::of_answer("GET", "/x", b"").matches(0, &answer.body));
+    }
+}
+
 #[test]
 fn crashes_and_comes_back_as_another_incarnation() {
     let standin = Standin::start("a");
