Cut the log by bytes too

Configurations of hundreds of kilobytes stay in log, memory and on a disk of 256 MB until then, and a newcomer takes them in one by one. Counted from the log, so that no state is added.

--- a/crates/consensus/src/config.rs
+++ b/crates/consensus/src/config.rs
@@ -12,6 +12,7 @@
     pub(crate) max_batch_bytes: usize,
     pub(crate) max_uncommitted_bytes: usize,
     pub(crate) snapshot_after: u64,
+    pub(crate) snapshot_after_bytes: usize,
     pub(crate) seed: u64,
     pub(crate) guards: Guards,
 }
@@ -35,6 +36,7 @@
                 max_batch_bytes: 256 * 1024,
                 max_uncommitted_bytes: 8 * 1024 * 1024,
                 snapshot_after: 1024,
+                snapshot_after_bytes: 4 * 1024 * 1024,
                 seed: 0,
                 guards: Guards::default(),
             },
@@ -102,6 +104,15 @@
         self
     }
 
+    /// Bytes of applied entries after which a snapshot is asked for, if they are twice what
+    /// the last one takes. A newcomer has to take in the snapshot and what follows before it
+    /// votes, and disks and memory are small. Default 4 MiB.
+    #[must_use]
+    pub fn snapshot_after_bytes(mut self, bytes: usize) -> Self {
+        self.cfg.snapshot_after_bytes = bytes;
+        self
+    }
+
     /// Seed of the random part of election timeouts. Default 0; daemons draw one.
     #[must_use]
     pub fn seed(mut self, seed: u64) -> Self {
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -100,6 +100,12 @@
         &self.entries[start.min(end)..end]
     }
 
+    /// What entries from `from` to `to` take.
+    pub(crate) fn bytes(&self, from: u64, to: u64) -> usize {
+        let entries = self.range(from, to).iter();
+        entries.map(|entry| entry.payload.size()).sum()
+    }
+
     /// Entries from `from` on, up to `max_bytes`, but at least one.
     pub(crate) fn batch(&self, from: u64, max_bytes: usize) -> &[Entry] {
         let rest = self.range(from, self.last_index());
@@ -122,12 +128,20 @@
         first
     }
 
-    /// Forgets entries up to `index` but for the last `margin`, after a snapshot there.
-    pub(crate) fn compact(&mut self, index: u64, margin: u64) {
+    /// Forgets entries up to `index`, after a snapshot there, but for the last `margin` as far
+    /// as they take no more than `margin_bytes`.
+    pub(crate) fn compact(&mut self, index: u64, margin: u64, margin_bytes: usize) {
         let members = self.members_at(index).clone();
         self.members.retain(|(at, _)| *at > index);
         self.members.insert(0, (index, members));
-        let base = index.saturating_sub(margin);
+        let oldest = index.saturating_sub(margin);
+        let mut bytes = 0;
+        let fits = |entry: &&Entry| {
+            bytes += entry.payload.size();
+            bytes <= margin_bytes
+        };
+        let kept = self.range(oldest + 1, index).iter().rev();
+        let base = index - kept.take_while(fits).count() as u64;
         let Some(at) = self.position(base) else {
             return;
         };
@@ -140,7 +154,7 @@
     /// Returns whether the log continued through the snapshot.
     pub(crate) fn install(&mut self, snapshot: &Snapshot) -> bool {
         if self.term_at(snapshot.index) == Some(snapshot.term) {
-            self.compact(snapshot.index, 0);
+            self.compact(snapshot.index, 0, 0);
             return true;
         }
         *self = Self::new(snapshot, Vec::new());
--- a/crates/consensus/src/replica.rs
+++ b/crates/consensus/src/replica.rs
@@ -238,7 +238,9 @@
             members: self.log.members_at(index).clone(),
             data,
         };
-        self.log.compact(index, self.cfg.snapshot_after / KEPT_PART);
+        let margin = self.cfg.snapshot_after / KEPT_PART;
+        self.log
+            .compact(index, margin, self.cfg.snapshot_after_bytes);
         self.sync.snapshot_changed();
     }
 
@@ -250,12 +252,24 @@
         let entries = self.log.range(self.commit + 1, index).to_vec();
         self.commit = index;
         self.out.push(Action::Apply(entries));
-        if !self.snapshot_asked && index - self.snapshot.index >= self.cfg.snapshot_after {
+        if !self.snapshot_asked && self.is_snapshot_due() {
             self.snapshot_asked = true;
             self.out.push(Action::TakeSnapshot);
         }
     }
 
+    /// Whether so much was applied since the snapshot that a replica which begins with it
+    /// would be behind for long. Counted by bytes too: a few large commands take as long as
+    /// a thousand small ones.
+    fn is_snapshot_due(&self) -> bool {
+        let begin = self.snapshot.index;
+        if self.commit - begin >= self.cfg.snapshot_after {
+            return true;
+        }
+        let worth = (2 * self.snapshot.data.len()).max(self.cfg.snapshot_after_bytes);
+        self.log.bytes(begin + 1, self.commit) >= worth
+    }
+
     /// Enters a newer term, in which this replica has not voted.
     pub(crate) fn set_term(&mut self, term: Epoch) {
         self.term = term;
