Trust no answer without the request's id; no proof beside newer routes; count unreadable heads

An answer that doesn't repeat the request's id was passed on as the endpoint's, so that whatever answers 404 at an endpoint's address was a second source of 404, and looked fast. A gateway that was told of newer routes went on denying by the older ones while their proof lasted. What hyper refuses by itself had no line and no count. A leader that a newcomer was told of and never heard was named to gateways as a replica, and greeted for ever. Room for heads of 64 kB lets callers who never end them fill a small VM. Change: such an answer counts as lost, but for the endpoint's word that it has not run; a proof needs that nobody was heard to hold newer routes; a line and a count for unreadable heads; the told leader isn't named to gateways and is forgotten once this replica is a member; room of 32 kB.

--- a/crates/filberthead/src/control/book.rs
+++ b/crates/filberthead/src/control/book.rs
@@ -137,12 +137,22 @@
         !self.to_greet().iter().all(heard)
     }
 
-    /// Everybody to greet: configured and known replicas and a leader that others told of,
-    /// without this one.
+    /// Forgets a leader that others told of and that was never heard.
+    pub(crate) fn forget_told(&mut self) {
+        self.told_leader = None;
+    }
+
+    /// Everybody to greet: all replicas that there may be, and a leader that others told of.
     pub(crate) fn to_greet(&self) -> BTreeSet<SocketAddr> {
+        let mut addrs = self.replicas();
+        addrs.extend(self.told_leader);
+        addrs
+    }
+
+    /// Configured and known replicas, without this one.
+    pub(crate) fn replicas(&self) -> BTreeSet<SocketAddr> {
         let known = self.known.values().map(|known| known.addr);
         let mut addrs: BTreeSet<_> = self.configured.iter().copied().chain(known).collect();
-        addrs.extend(self.told_leader);
         if let Some(own) = self.own_addr {
             addrs.remove(&own);
         }
--- a/crates/filberthead/src/control/fleet.rs
+++ b/crates/filberthead/src/control/fleet.rs
@@ -197,6 +197,12 @@
         } else if self.fleet.led_since.is_none() {
             self.fleet.led_since = Some(now);
         }
+        let is_member = replica.members.voters.contains(&self.id)
+            || replica.members.learners.contains(&self.id);
+        if is_member {
+            // Whoever leads has taken this replica in and knows where it is.
+            self.book.forget_told();
+        }
         let belief = (replica.leader, replica.members);
         if self.fleet.belief != belief {
             info!(leader:? = belief.0, term = replica.term.0, voters:? = belief.1.voters,
--- a/crates/filberthead/src/control/membership.rs
+++ b/crates/filberthead/src/control/membership.rs
@@ -17,7 +17,7 @@
         for (id, addr) in &self.machine.located {
             self.book.located(*id, *addr);
         }
-        let mut replicas: Vec<_> = self.book.to_greet().into_iter().collect();
+        let mut replicas: Vec<_> = self.book.replicas().into_iter().collect();
         replicas.push(self.about.peer_addr);
         self.fleet.registry.set_replicas(replicas);
     }
--- a/crates/filberthead/src/gateway/attempt.rs
+++ b/crates/filberthead/src/gateway/attempt.rs
@@ -12,7 +12,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Version};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Body;
-use log::{Level, debug, log};
+use log::{Level, debug, info, log};
 use tokio::time::timeout_at;
 
 use super::answer::AnswerBody;
@@ -188,6 +188,12 @@
         connection.release_after(body);
         return Attempt::NotRun;
     }
+    if !echoes(core, job, &head.headers) {
+        info!(request = place.request, endpoint:% = place.target.id, status:% = head.status;
+            "an answer without the request's id");
+        place.outcome = Outcome::Broken;
+        return Attempt::Lost;
+    }
     remove_hop_by_hop(&mut head.headers);
     if !passes(job.kind, head.status, body.size_hint().exact()) {
         let limited = Limited::new(body, WHOLE as usize).collect();
@@ -238,6 +244,15 @@
     }
 }
 
+/// Whether an answer is to this request. Endpoints repeat its id; what doesn't is something
+/// else behind the endpoint's address, whose word on the request, a 404 say, isn't worth
+/// anything.
+fn echoes(core: &Core, job: &Job<'_>, headers: &HeaderMap) -> bool {
+    let name = &core.dialect.request_id;
+    let id = job.head.headers.get(name);
+    id.is_none_or(|id| headers.get(name) == Some(id))
+}
+
 /// Whether the endpoint says that nothing ran, and what that tells about it.
 fn not_run(core: &Core, status: StatusCode, headers: &HeaderMap) -> Option<Outcome> {
     if status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/filberthead/src/gateway/bounds.rs
+++ b/crates/filberthead/src/gateway/bounds.rs
@@ -17,10 +17,10 @@
 /// itself hyper refuses more than 100 for good. It makes room for all of them with each head,
 /// which costs 0.06 µs for 2,048 as for 100, and 7.5 µs for 3,000.
 pub(super) const MAX_LINES: usize = 2048;
-/// Bytes of a head that are taken in any case: four times what is usual. What is over a
-/// connection's room is refused for good, which must not happen by a bound that isn't known yet
-/// or may have been raised since.
-const LEAST_ROOM: usize = 64 * 1024;
+/// Bytes of a head that are taken in any case: twice what is usual. What is over a connection's
+/// room is refused for good, which must not happen by a bound that isn't known yet or may have
+/// been raised since. More would let callers who never end their heads fill a small VM.
+const LEAST_ROOM: usize = 32 * 1024;
 
 /// Bytes of a head that a connection is to take which is accepted now.
 pub(super) fn room(bounds: &Bounds) -> usize {
--- a/crates/filberthead/src/gateway/serve.rs
+++ b/crates/filberthead/src/gateway/serve.rs
@@ -6,13 +6,14 @@
 use std::time::Duration;
 
 use filberthead_ring::Receiver;
+use filberthead_types::ResultCode;
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use log::{debug, warn};
+use log::{debug, info, warn};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::{MissedTickBehavior, interval, sleep};
@@ -91,8 +92,9 @@
     let mut bounds = core.bounds();
     let room = room(&bounds);
     let mut phase = core.phase();
+    let shared = Rc::clone(&core);
     let service = service_fn(move |req| {
-        let core = Rc::clone(&core);
+        let core = Rc::clone(&shared);
         async move { Ok::<_, Infallible>(answer(&core, caller, req).await) }
     });
     let serving = http1::Builder::new()
@@ -118,7 +120,24 @@
         }
     };
     if let Err(e) = result {
-        debug!(caller:%, error:% = e; "a caller's connection ended");
+        ended(&core, caller, &e);
+    }
+}
+
+/// Notes how a connection broke. hyper answers a head that it can't read itself, before there
+/// is a request: that, too, is an answer of ours, and counted.
+fn ended(core: &Core, caller: SocketAddr, error: &hyper::Error) {
+    if !error.is_parse() {
+        debug!(caller:%, error:%; "a caller's connection ended");
+        return;
+    }
+    let code = match error.is_parse_too_large() {
+        true => ResultCode::HeadTooLarge,
+        false => ResultCode::BadRequest,
+    };
+    core.metrics.finished(None, code, Duration::ZERO);
+    if let Some(omitted) = core.may_tell(code) {
+        info!(caller:%, error:%, code:%, omitted; "a head that can't be read");
     }
 }
 
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -146,10 +146,12 @@
             .is_some_and(|asked| now < asked + PROVEN_FOR)
     }
 
-    /// When that was last asked which proved the routes held here, if anything did.
+    /// When that was last asked which proved the routes held here, if anything did and nobody
+    /// was heard to hold newer ones.
     pub fn proven_at(&self) -> Option<Moment> {
         let (revision, asked) = self.proven?;
-        (self.have.routes >= revision).then_some(asked)
+        let newest = revision.max(self.newest.routes);
+        (self.have.routes >= newest).then_some(asked)
     }
 
     /// When a control replica was last heard.
--- a/tests/all/turned_away.rs
+++ b/tests/all/turned_away.rs
@@ -297,3 +297,24 @@
     assert!(field(&line, "path").starts_with("/nowhere/%C5%BE"));
     assert_eq!(field(&line, "path").len(), 256);
 }
+
+/// Somebody sends what is no request, and a head longer than any that is taken in. Both are
+/// answered before there is a request, and neither had a line or was counted.
+#[test]
+fn heads_that_can_not_be_read_are_counted() {
+    let site = start();
+    let gateway = site.gateways[0].direct_addr("caller");
+    let refused = |head: &str| {
+        let mut till = TcpStream::connect(gateway).expect("a connection");
+        till.write_all(head.as_bytes()).expect("the head is sent");
+        status_line(&mut till)
+    };
+    assert_eq!(refused("what is this\r\n\r\n"), "HTTP/1.1 400");
+    let long = format!("GET /{} HTTP/1.1\r\n", "x".repeat(40_000));
+    assert_eq!(refused(&long), "HTTP/1.1 431");
+    let counted = |code: &str| site.gateways[0].metric(&format!("kind=\"none\",code=\"{code}\""));
+    wait_until("both are counted", BOUND, || {
+        counted("1103") > 0.0 && counted("1106") > 0.0
+    });
+    assert_eq!(log(&site).matches("a head that can't be read").count(), 2);
+}
