Let a successor take the vote of the one that it replaces

Cause: a learner was promoted as soon as it had caught up, 0.2 s after the VM that it replaces had gone, before that one counted as gone (2.5 s of silence). Nobody was left to stand in, and it kept its vote. Change: a learner is promoted once each voter was heard after it was taken in, or is gone. A voter that answers is heard within a heartbeat. In one of the runs on the way a_replica_with_an_empty_disk... failed: it read the identity in the log before the new one stood there, and so waited for the old one's vote. It waits for another one now.

--- a/crates/filberthead/src/control/fleet.rs
+++ b/crates/filberthead/src/control/fleet.rs
@@ -1,6 +1,7 @@
 //! What spreads to gateways: the fleet's [`Registry`] joined to the replica; and the state
 //! that orders, reads and the keeping of membership share.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -46,6 +47,8 @@
     pub(super) waiting: Vec<(Moment, Waiting)>,
     pub(super) next_token: u64,
     pub(super) led_since: Option<Moment>,
+    /// When learners were first seen in this leadership.
+    pub(super) joined: BTreeMap<ReplicaId, Moment>,
     next_list: Moment,
     shown: watch::Sender<Shown>,
     /// What members of the group were last seen as, for the log.
@@ -64,6 +67,7 @@
             // and must not be taken for the word on something else.
             next_token: rand::random(),
             led_since: None,
+            joined: BTreeMap::new(),
             next_list: Moment::ZERO,
             shown,
             belief: Default::default(),
@@ -194,6 +198,7 @@
         let replica = self.replica.status(now);
         if replica.role != Role::Leader {
             self.fleet.led_since = None;
+            self.fleet.joined.clear();
         } else if self.fleet.led_since.is_none() {
             self.fleet.led_since = Some(now);
         }
--- a/crates/filberthead/src/control/membership.rs
+++ b/crates/filberthead/src/control/membership.rs
@@ -34,6 +34,11 @@
         };
         seen.insert(self.id, own);
         let progress: HashMap<_, _> = replica.progress.iter().copied().collect();
+        let joined = &mut self.fleet.joined;
+        joined.retain(|id, _| replica.members.learners.contains(id));
+        for id in &replica.members.learners {
+            joined.entry(*id).or_insert(now);
+        }
         let learners = replica.members.learners.iter().copied();
         let held = |id: &ReplicaId| progress.get(id).copied().unwrap_or(0) >= replica.commit;
         let caught_up: Vec<_> = learners.filter(held).collect();
@@ -44,6 +49,7 @@
             members: &replica.members,
             seen: &seen,
             located: &self.machine.located,
+            joined: &self.fleet.joined,
             caught_up: &caught_up,
         };
         match roster::next(view) {
--- a/crates/filberthead/src/control/roster.rs
+++ b/crates/filberthead/src/control/roster.rs
@@ -59,6 +59,8 @@
     /// Other replicas that were heard of.
     pub(crate) seen: &'a BTreeMap<ReplicaId, Seen>,
     pub(crate) located: &'a BTreeMap<ReplicaId, SocketAddr>,
+    /// When each learner was first seen among the members, in this leadership.
+    pub(crate) joined: &'a BTreeMap<ReplicaId, Moment>,
     /// Learners that hold all that is committed.
     pub(crate) caught_up: &'a [ReplicaId],
 }
@@ -143,11 +145,25 @@
         ready.any(|other| self.is_heard(*other))
     }
 
+    /// Whether a voter hasn't been heard since this learner was taken in, and doesn't count as
+    /// gone yet. The learner waits for either: made a further voter before, as the successor of
+    /// a VM that is gone for good comes within a second, it leaves nobody to stand in for that
+    /// one, and the group counts a voter more that never answers.
+    fn may_stand_in(&self, learner: ReplicaId) -> bool {
+        let Some(joined) = self.joined.get(&learner) else {
+            return true;
+        };
+        let heard = |id: &ReplicaId| self.seen.get(id).and_then(|seen| seen.heard);
+        let mut voters = self.members.voters.iter().filter(|id| **id != self.own);
+        voters.any(|id| heard(id).is_none_or(|at| at <= *joined) && !self.is_gone(*id))
+    }
+
     fn promote(&self) -> Option<Next> {
         if self.members.voters.len() >= MAX_VOTERS {
             return None;
         }
-        let mut ready = self.caught_up.iter().filter(|id| self.is_heard(**id));
+        let is_ready = |id: &&ReplicaId| self.is_heard(**id) && !self.may_stand_in(**id);
+        let mut ready = self.caught_up.iter().filter(is_ready);
         let learner = ready.next()?;
         Some(Next::Change(Proposal::Promote(*learner)))
     }
--- a/tests/all/groups.rs
+++ b/tests/all/groups.rs
@@ -58,11 +58,15 @@
 fn a_replica_with_an_empty_disk_takes_the_place_of_the_old_one() {
     let mut site = site().start();
     site.put_routes(7, SERVICES);
+    let lost = replica_id(&site.controls[1]);
     site.controls[1].kill();
     site.controls[1].wipe();
     site.controls[1].start();
     // Three voters there are from the beginning, and whoever only learns proves versions too.
-    let id = replica_id(&site.controls[1]);
+    let id = eventually("another identity", BOUND, || {
+        let id = replica_id(&site.controls[1]);
+        (id != lost).then_some(id)
+    });
     wait_until("it votes", BOUND, || {
         let known = site.controls[..2].iter().all(|node| votes(node, &id));
         known && wait_version_once(&site.controls[1], 7)
@@ -73,12 +77,15 @@
     wait_version(&site.controls[1], 8);
 }
 
-/// Identity of a replica in its present life, from its log.
+/// Identity that a replica last said that it starts with, in its log.
+#[track_caller]
 fn replica_id(node: &Node) -> String {
-    let log = node.process_ref().log();
-    let (_, rest) = log.rsplit_once(" replica=").expect("it has started");
-    let end = rest.find(char::is_whitespace).unwrap_or(rest.len());
-    rest[..end].to_owned()
+    eventually("an identity", BOUND, || {
+        let log = node.process_ref().log();
+        let (_, rest) = log.rsplit_once(" replica=")?;
+        let end = rest.find(char::is_whitespace)?;
+        Some(rest[..end].to_owned())
+    })
 }
 
 /// Whether a replica last knew another one as a voter.
