Soak: an answer that tells nothing of routes is no word on a version

A gateway without proved routes answers 503 (1211) now, and one without any answered 503 (1206) before, which counted as knowing the route as well. Change: these two codes tell nothing; every other answer tells as before. As strict: a gateway that does know an older version's route after a newer one's is found as before.

--- a/crates/testing/src/soak/callers.rs
+++ b/crates/testing/src/soak/callers.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use filberthead_types::ResultCode;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde::Deserialize;
@@ -131,14 +132,15 @@
     let unknown = matches!(ended, Ended::Answered { status: 404, .. });
     let mut history = world.history();
     if let Some(version) = ask.probes
-        && let Ended::Answered { .. } = ended
+        && let Ok(answer) = &result
+        && let Some(known) = knows_route(answer)
         && same_life
     {
         history.probed.push(Probed {
             gateway: line.gateway,
             life,
             version,
-            known: !unknown,
+            known,
             sent,
             ended: Instant::now(),
         });
@@ -156,6 +158,16 @@
     keeps.then_some(line)
 }
 
+/// Whether an answer shows that its gateway has the request's route. `None` if it tells
+/// neither: a gateway that hasn't any routes, or whose routes lack this one and aren't proved
+/// to be the newest, says so with codes of their own.
+fn knows_route(answer: &Answer) -> Option<bool> {
+    match answer.result().and_then(ResultCode::from_number) {
+        Some(ResultCode::NotReady | ResultCode::RoutesUnproven) => None,
+        code => Some(code != Some(ResultCode::UnknownService)),
+    }
+}
+
 fn end_of(result: &Result<Answer, CallError>, ask: &Ask) -> Ended {
     match result {
         Ok(answer) => Ended::Answered {
