Let a refused request go to the same endpoint again

Change: who refuses and tells its load is as full as that, and may be tried again; an endpoint's failures count only as far as they exceed its region's. What a request's attempts allow is decided in the placement crate, apart from input and output.

--- a/crates/filberthead/src/gateway/attempt.rs
+++ b/crates/filberthead/src/gateway/attempt.rs
@@ -47,8 +47,8 @@
     Failed(Response<AnswerBody>),
     /// It was never sent; here is its body.
     NotSent(RequestBody),
-    /// The endpoint says that it did not run.
-    NotRun,
+    /// The endpoint says that it did not run, and may have told its load.
+    NotRun { load_told: bool },
     /// It may have run.
     Lost,
     /// The time was up while it may have been running.
@@ -98,6 +98,7 @@
             Outcome::Served(_) => (Level::Debug, "served"),
             Outcome::Failed => (Level::Info, "failed"),
             Outcome::Full => (Level::Info, "full"),
+            Outcome::Shed => (Level::Info, "shed"),
             Outcome::Gone => (Level::Info, "gone"),
             Outcome::Broken => (Level::Info, "broken"),
             Outcome::Abandoned(_) => (Level::Info, "abandoned"),
@@ -190,7 +191,8 @@
         place.outcome = outcome;
         debug!(endpoint:% = place.target.id, status:% = head.status; "not run there");
         connection.release_after(body);
-        return Attempt::NotRun;
+        let load_told = outcome == Outcome::Shed;
+        return Attempt::NotRun { load_told };
     }
     if !echoes(core, job, &head.headers) {
         info!(request = place.request, endpoint:% = place.target.id, status:% = head.status;
@@ -262,9 +264,13 @@
     if status == StatusCode::MISDIRECTED_REQUEST {
         return Some(Outcome::Gone);
     }
-    headers
-        .contains_key(&core.dialect.not_run)
-        .then_some(Outcome::Full)
+    if !headers.contains_key(&core.dialect.not_run) {
+        return None;
+    }
+    Some(match load(text(headers, &core.dialect.load)) {
+        Some(_) => Outcome::Shed,
+        None => Outcome::Full,
+    })
 }
 
 /// Takes in what the answer's headers tell about the endpoint.
--- a/crates/filberthead/src/gateway/carry.rs
+++ b/crates/filberthead/src/gateway/carry.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use filberthead_endpoint::RequestBody;
-use filberthead_place::{Decision, EndpointId, Object, Refusal, Request as Wanted};
+use filberthead_place::{Decision, EndpointId, Further, Object, Refusal, Request as Wanted, Tries};
 use filberthead_route::{Kind, Matched, Route};
 use filberthead_types::{ResultCode, ServiceName, header};
 use http::request::Parts;
@@ -26,8 +26,6 @@
 /// Bodies up to this long are read before the request is sent, so that it can be sent
 /// again. Longer ones go on as they come, once.
 const WHOLE_BODY: u64 = 256 * 1024;
-/// Endpoints that may turn out to be out of reach before the caller is told to come back.
-const MAX_UNREACHED: u32 = 3;
 /// Time below which no endpoint could answer any more.
 const TOO_LATE: Duration = Duration::from_millis(5);
 /// When a caller may come back whose request an endpoint has sent back: another try is as
@@ -61,14 +59,7 @@
     returned: bool,
     /// Number of the routes that it was matched by.
     version: u64,
-    /// Endpoints that have had it, or were out of reach.
-    tried: Vec<EndpointId>,
-    /// Attempts that may have run.
-    ran: u32,
-    /// Endpoints that were out of reach.
-    unreached: u32,
-    /// Endpoints that said that they have not run it.
-    sent_back: u32,
+    tries: Tries,
     /// An endpoint's answer to a run with a bad end: what the caller gets if no further
     /// attempt can be made.
     failure: Option<Response<AnswerBody>>,
@@ -118,10 +109,7 @@
         deadline,
         returned: has_returned(core, &head, route),
         version: in_force.version,
-        tried: Vec::new(),
-        ran: 0,
-        unreached: 0,
-        sent_back: 0,
+        tries: Tries::new(route.max_attempts),
         failure: None,
     };
     let answer = carried.run(body).await;
@@ -188,7 +176,7 @@
             Decision::Refuse { why, retry_after } => {
                 return match why {
                     // Those that there are have sent it back.
-                    Refusal::NoEndpoint if self.sent_back > 0 => {
+                    Refusal::NoEndpoint if self.tries.was_refused() => {
                         self.refused(ResultCode::Overloaded, SOON)
                     }
                     Refusal::NoEndpoint => self.refused(ResultCode::NoEndpoint, retry_after),
@@ -196,7 +184,7 @@
                 };
             }
         };
-        self.tried.push(target.id.clone());
+        self.tries.sent(target.id.clone());
         let again = body.again();
         let job = Job {
             route: &self.route.name,
@@ -208,11 +196,11 @@
         match attempt(self.core, &job, body, &target).await {
             Attempt::Answered(answer) => Next::end(answer),
             Attempt::NotSent(body) => self.unreached(body),
-            Attempt::NotRun => self.not_run(again),
+            Attempt::NotRun { load_told } => self.not_run(load_told, again),
             Attempt::Failed(answer) => self.failed(answer, again),
             Attempt::Lost => self.lost(&target.id, again),
             Attempt::Late => {
-                self.ran += 1;
+                self.tries.ran();
                 self.note("no answer when the time was up", &target.id);
                 Next::end(own(ResultCode::DeadlineWhileRunning, None))
             }
@@ -233,24 +221,23 @@
             left: self.deadline.left(),
             returned: self.returned,
             regions: &self.route.regions,
-            tried: &self.tried,
+            tried: self.tries.avoided(),
         };
         let now = self.core.now();
         self.core.placer.borrow_mut().place(now, wanted)
     }
 
     fn unreached(&mut self, body: RequestBody) -> Next {
-        self.unreached += 1;
-        if self.unreached >= MAX_UNREACHED {
-            return self.refused(ResultCode::NoEndpoint, STARTING);
+        match self.tries.unreached() {
+            Further::Allowed => Next::Again(body),
+            Further::Over => self.refused(ResultCode::NoEndpoint, STARTING),
         }
-        Next::Again(body)
     }
 
     /// Sent back by an endpoint that has not run it.
-    fn not_run(&mut self, again: Option<RequestBody>) -> Next {
-        self.sent_back += 1;
-        match again.filter(|_| self.may_repeat()) {
+    fn not_run(&mut self, load_told: bool, again: Option<RequestBody>) -> Next {
+        let further = self.tries.refused(load_told);
+        match again.filter(|_| self.may_repeat(further)) {
             Some(body) => Next::Again(body),
             None => self.refused(ResultCode::Overloaded, SOON),
         }
@@ -258,9 +245,9 @@
 
     /// Run, with a bad end.
     fn failed(&mut self, answer: Response<AnswerBody>, again: Option<RequestBody>) -> Next {
-        self.ran += 1;
+        let further = self.tries.ran();
         let repeat = self.route.kind.is_idempotent();
-        match again.filter(|_| repeat && self.may_repeat()) {
+        match again.filter(|_| repeat && self.may_repeat(further)) {
             Some(body) => {
                 self.failure = Some(answer);
                 Next::Again(body)
@@ -270,19 +257,19 @@
     }
 
     fn lost(&mut self, endpoint: &EndpointId, again: Option<RequestBody>) -> Next {
-        self.ran += 1;
+        let further = self.tries.ran();
         self.note("lost with the request at it", endpoint);
         let repeat = self.route.kind.is_idempotent();
-        match again.filter(|_| repeat && self.may_repeat()) {
+        match again.filter(|_| repeat && self.may_repeat(further)) {
             Some(body) => Next::Again(body),
             None => Next::end(own(ResultCode::EndpointLost, None)),
         }
     }
 
-    fn may_repeat(&self) -> bool {
-        let attempts = self.tried.len() as u32 - self.unreached;
+    /// Whether another attempt is allowed, leaves enough time and is in the budget.
+    fn may_repeat(&self, further: Further) -> bool {
         let expected = self.route.objective / 4;
-        attempts < self.route.max_attempts
+        further == Further::Allowed
             && self.deadline.left() > expected
             && self
                 .core
@@ -297,12 +284,12 @@
         let left = self.deadline.left().as_millis();
         let (list_ms, control_ms) = self.core.ages();
         info!(request = self.id(), route = self.route.name.as_str(), code:%, left,
-            tried = self.tried.len(), returned = self.returned, version = self.version,
+            tried = self.tries.made(), returned = self.returned, version = self.version,
             list_ms, control_ms, retry_after_ms = retry_after.as_millis(); "refused");
         if let Some(failure) = self.failure.take() {
             return Next::end(failure);
         }
-        if self.ran > 0 {
+        if self.tries.may_have_run() > 0 {
             return Next::end(own(ResultCode::EndpointLost, None));
         }
         Next::end(own(code, Some(retry_after)))
@@ -311,8 +298,8 @@
     fn note(&self, what: &'static str, endpoint: &EndpointId) {
         let left = self.deadline.left().as_millis();
         let route = self.route.name.as_str();
-        info!(request = self.id(), route, endpoint:%, left, ran = self.ran,
-            tried = self.tried.len(), version = self.version; "{what}");
+        info!(request = self.id(), route, endpoint:%, left, ran = self.tries.may_have_run(),
+            tried = self.tries.made(), version = self.version; "{what}");
     }
 
     fn id(&self) -> &str {
--- a/crates/place/src/decide.rs
+++ b/crates/place/src/decide.rs
@@ -47,6 +47,17 @@
     known: Acquaintance,
 }
 
+/// How the endpoints of a region are on the whole.
+#[derive(Clone, Copy)]
+struct Around {
+    /// What a second of a slot is worth to others.
+    pressure: f64,
+    /// Part of requests that end badly. Only what an endpoint fails beyond it speaks against
+    /// it: where all refuse a part of their requests, leaving one for another gains nothing,
+    /// and the object has to be learned there.
+    failing: f64,
+}
+
 impl Placer {
     /// Decides where a request goes, and counts it as sent there.
     pub fn place(&mut self, now: Moment, req: Request<'_>) -> Decision {
@@ -158,7 +169,10 @@
         for (region, indices) in by_region(&self.endpoints, &open) {
             // Where all gateways of this region send the object.
             let shared = region == self.cfg.region || Some(&region) == planned;
-            let pressure = self.pressure(now, &indices);
+            let state = Around {
+                pressure: self.pressure(now, &indices),
+                failing: self.failing(now, &indices),
+            };
             for (place, index) in self.in_order(&indices, object).into_iter().enumerate() {
                 let candidate = self.price(
                     now,
@@ -166,7 +180,7 @@
                     object,
                     &times,
                     shared.then_some(place),
-                    (index, pressure),
+                    (index, state),
                 );
                 let held = best.get(&region);
                 if held.is_none_or(|held| candidate.total < held.total) {
@@ -193,6 +207,13 @@
         ((busy - HALF).max(0.0) / (FULL - busy)).min(MAX_PRESSURE)
     }
 
+    fn failing(&self, now: Moment, indices: &[usize]) -> f64 {
+        let all = indices
+            .iter()
+            .map(|index| self.endpoints[*index].failing(now));
+        all.sum::<f64>() / indices.len().max(1) as f64
+    }
+
     fn open(&self, now: Moment, req: &Request<'_>, paused_too: bool) -> Vec<usize> {
         let open = |e: &State| {
             e.service == *req.service
@@ -249,7 +270,7 @@
         object: Option<u64>,
         times: &Times,
         place: Option<usize>,
-        (index, pressure): (usize, f64),
+        (index, around): (usize, Around),
     ) -> Candidate {
         let e = &self.endpoints[index];
         let known = match (object, place) {
@@ -267,10 +288,10 @@
         let settled = if settles { quick } else { answer };
         // What others wait longer for, if this one keeps a slot busy to learn the object.
         let learning = (answer - quick).max(0.0);
-        let weighed = settled + pressure * learning;
+        let weighed = settled + around.pressure * learning;
         let each = times.expected(Acquaintance::Perhaps(0)) * slowness;
         let wait = cost::wait(load, e.slots, each);
-        let failing = e.failing(now) * req.objective.as_secs_f64();
+        let failing = (e.failing(now) - around.failing).max(0.0) * req.objective.as_secs_f64();
         let way = self.way(e);
         let crossing = self.crossing(e, req.large);
         let preference = match object {
--- a/crates/place/src/endpoint.rs
+++ b/crates/place/src/endpoint.rs
@@ -53,8 +53,11 @@
     Served(Duration),
     /// It ran to a bad end.
     Failed,
-    /// The endpoint refused it for want of room.
+    /// The endpoint refused it, and nothing else is known of its load.
     Full,
+    /// The endpoint refused it and told its load, which says how full it is: one that has
+    /// slots free refuses some requests for reasons of its own, and may take the next.
+    Shed,
     /// Another start of the endpoint, or another endpoint, has the address.
     Gone,
     /// It couldn't be reached, or broke off.
@@ -256,13 +259,9 @@
             Outcome::Failed => self.failing += NEW * (1.0 - self.failing),
             Outcome::Full => {
                 self.failing += NEW * (1.0 - self.failing);
-                // One that refuses with slots free, as its own count says, isn't full: it
-                // refuses some requests for reasons of its own, and may take the next.
-                let has_room = self.others_at == now && self.load(now) < f64::from(self.slots);
-                if !has_room {
-                    self.full_until = now + FULL_FOR;
-                }
+                self.full_until = now + FULL_FOR;
             }
+            Outcome::Shed => self.failing += NEW * (1.0 - self.failing),
             Outcome::Gone => self.gone = true,
             Outcome::Broken => {
                 self.failing += NEW * (1.0 - self.failing);
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -20,6 +20,8 @@
 //! - *Large answers* (`link`): they give way to short messages on a VM's own link.
 //! - *Connections* (`balance`): a gateway with more of them than its neighbours ends some,
 //!   so that their callers choose anew.
+//! - *Refusals* (`tries`): a request that was refused by an endpoint with room may go there
+//!   again, where its object is known.
 //! - *Retries* (`budget`): further attempts stay within a part of first ones, over all
 //!   gateways, without their talking.
 
@@ -36,6 +38,7 @@
 mod planning;
 mod rank;
 mod request;
+mod tries;
 
 pub use balance::Balance;
 pub use budget::{Budget, BudgetConfig};
@@ -45,3 +48,4 @@
 pub use placer::Placer;
 pub use planning::Belief;
 pub use request::{Config, Decision, Object, Refusal, Request, Target};
+pub use tries::{Further, Tries};
--- /dev/null
+++ b/crates/place/src/tries.rs
@@ -0,0 +1,105 @@
+//! The attempts of one request: how many there were, and which endpoints not to try again.
+//!
+//! The load it answers: endpoints refuse a part of what they get, though they have slots
+//! free. A request that goes to another endpoint for it meets one that doesn't know its
+//! object; with all endpoints of a service refusing half, each object ends up with many of
+//! them, and is as good as unknown everywhere. So a request that was refused may go to the
+//! same endpoint again, if that has told how full it is: its price says whether it should.
+
+use crate::EndpointId;
+
+/// Endpoints that may turn out to be out of reach before the caller is told to come back.
+const MAX_UNREACHED: u32 = 3;
+
+/// What has become of a request's attempts.
+#[derive(Clone, Debug)]
+pub struct Tries {
+    most: u32,
+    made: u32,
+    ran: u32,
+    unreached: u32,
+    refused: u32,
+    avoided: Vec<EndpointId>,
+}
+
+/// What may follow an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Further {
+    /// Another attempt, if the budget has one.
+    Allowed,
+    /// None: the request has had as many as it may, or found nobody.
+    Over,
+}
+
+impl Tries {
+    /// None yet, of `most` that may reach an endpoint.
+    pub fn new(most: u32) -> Self {
+        Self {
+            most,
+            made: 0,
+            ran: 0,
+            unreached: 0,
+            refused: 0,
+            avoided: Vec::new(),
+        }
+    }
+
+    /// Notes that the request goes to an endpoint.
+    pub fn sent(&mut self, id: EndpointId) {
+        self.made += 1;
+        self.avoided.push(id);
+    }
+
+    /// The last one was out of reach and has got nothing.
+    pub fn unreached(&mut self) -> Further {
+        self.unreached += 1;
+        if self.unreached < MAX_UNREACHED {
+            Further::Allowed
+        } else {
+            Further::Over
+        }
+    }
+
+    /// The last one refused it, and has told how full it is, or not.
+    pub fn refused(&mut self, load_told: bool) -> Further {
+        self.refused += 1;
+        if load_told {
+            self.avoided.pop();
+        }
+        self.further()
+    }
+
+    /// The last one may have run it.
+    pub fn ran(&mut self) -> Further {
+        self.ran += 1;
+        self.further()
+    }
+
+    fn further(&self) -> Further {
+        if self.made - self.unreached < self.most {
+            Further::Allowed
+        } else {
+            Further::Over
+        }
+    }
+
+    /// Endpoints that it isn't sent to again.
+    pub fn avoided(&self) -> &[EndpointId] {
+        &self.avoided
+    }
+
+    /// Attempts so far.
+    pub fn made(&self) -> u32 {
+        self.made
+    }
+
+    /// Attempts that may have run.
+    pub fn may_have_run(&self) -> u32 {
+        self.ran
+    }
+
+    /// Whether an endpoint has refused it.
+    pub fn was_refused(&self) -> bool {
+        self.refused > 0
+    }
+}
--- /dev/null
+++ b/crates/place/tests/all/refusals.rs
@@ -0,0 +1,128 @@
+//! Endpoints that refuse.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use filberthead_place::{Decision, EndpointId, Further, Load, Outcome, Placer, Tries};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::support::{endpoint, id, ms, place, placer, request, served, service};
+
+const OBJECTS: usize = 40;
+const SEED: u64 = 3;
+
+fn idle() -> Load {
+    Load {
+        running: 1,
+        waiting: 0,
+    }
+}
+
+/// For each object the endpoints that have run requests for it, after `requests` of which
+/// each endpoint refuses a part, although it has slots free.
+fn homes(refuses: f64, load_told: bool, requests: u64) -> BTreeMap<String, BTreeSet<EndpointId>> {
+    let list = ["a", "b", "c", "d"].map(|name| endpoint(name, "north-1"));
+    let mut placer = placer("north-1", list.into());
+    let mut rng = StdRng::seed_from_u64(SEED);
+    let mut homes: BTreeMap<String, BTreeSet<EndpointId>> = BTreeMap::new();
+    for number in 0..requests {
+        let name = format!("o-{}", rng.random_range(0..OBJECTS));
+        let refuse = |rng: &mut StdRng| rng.random::<f64>() < refuses;
+        let ran = run(&mut placer, number * 20, &name, load_told, || {
+            refuse(&mut rng)
+        });
+        homes.entry(name).or_default().extend(ran);
+    }
+    homes
+}
+
+/// Carries one request as far as its tries go, and returns the endpoint that ran it.
+fn run(
+    placer: &mut Placer,
+    at: u64,
+    name: &str,
+    load_told: bool,
+    mut refuse: impl FnMut() -> bool,
+) -> Option<EndpointId> {
+    let service = service();
+    let mut tries = Tries::new(3);
+    loop {
+        let mut req = request(&service, name.as_bytes());
+        req.tried = tries.avoided();
+        let Decision::Send(target) = placer.place(ms(at), req) else {
+            return None;
+        };
+        tries.sent(target.id.clone());
+        if !refuse() {
+            served(placer, ms(at), &target, ms(90));
+            return Some(target.id);
+        }
+        let outcome = if load_told {
+            placer.reported(ms(at), &target, idle());
+            Outcome::Shed
+        } else {
+            Outcome::Full
+        };
+        placer.ended(ms(at), &service, &target, outcome);
+        if tries.refused(load_told) == Further::Over {
+            return None;
+        }
+    }
+}
+
+/// All endpoints of a service refuse half of what they get, with slots free, and say so.
+/// Requests that go on to another endpoint each time teach every object to every endpoint,
+/// three times the work, and callers of all objects wait. Each object must stay where it is
+/// known; the seed of the refusals is fixed.
+#[test]
+fn objects_stay_where_they_are_while_endpoints_refuse_requests() {
+    let homes = homes(0.5, true, 2000);
+    let spread = homes.values().filter(|ends| ends.len() > 1).count();
+    assert!(spread <= OBJECTS / 10, "{spread} of {OBJECTS}: {homes:?}");
+}
+
+/// The same by endpoints that don't say how full they are. They may have no room at all, so
+/// another one is tried.
+#[test]
+fn an_endpoint_that_refuses_without_a_word_is_not_tried_again() {
+    let homes = homes(0.5, false, 2000);
+    let spread = homes.values().filter(|ends| ends.len() > 1).count();
+    assert!(spread > OBJECTS / 2, "{spread} of {OBJECTS}");
+}
+
+/// One of four endpoints refuses nearly all that it gets, the others nothing. Its objects
+/// must go to the others, told load or not: what counts is how much worse it is than they.
+#[test]
+fn an_endpoint_that_alone_refuses_is_left() {
+    let list = ["a", "b", "c", "d"].map(|name| endpoint(name, "north-1"));
+    let mut placer = placer("north-1", list.into());
+    let service = service();
+    let mut late = 0;
+    for number in 0..400_u64 {
+        let now = ms(number * 20);
+        let name = format!("o-{}", number % OBJECTS as u64);
+        let Some(target) = place(&mut placer, now, &name) else {
+            continue;
+        };
+        if target.id == id("a") {
+            late += u32::from(number >= 200);
+            placer.reported(now, &target, idle());
+            placer.ended(now, &service, &target, Outcome::Shed);
+        } else {
+            served(&mut placer, now, &target, ms(90));
+        }
+    }
+    // A quarter of the objects have it first; it is tried again now and then.
+    assert!(late <= 20, "{late} of 200");
+}
+
+/// An endpoint refuses a request and tells that two of its three slots are free. It must not
+/// count as full: its objects' next requests would be refused here, or learned elsewhere.
+#[test]
+fn an_endpoint_that_refuses_with_slots_free_is_not_full() {
+    let mut placer = placer("north-1", vec![endpoint("a", "north-1")]);
+    let target = place(&mut placer, ms(0), "o").expect("a place");
+    placer.reported(ms(10), &target, idle());
+    placer.ended(ms(10), &service(), &target, Outcome::Shed);
+    assert!(place(&mut placer, ms(11), "o").is_some());
+}
