--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,3 +1,4 @@
 //! Load tools and experiments.
 
 pub mod experiment;
+pub mod placement;
--- /dev/null
+++ b/crates/bench/src/placement/callers.rs
@@ -0,0 +1,105 @@
+//! Callers of the model: when requests come, for which objects, and at which gateway.
+
+use filberthead_types::{FailureDomain, Region};
+use rand::Rng;
+use rand::rngs::StdRng;
+
+use super::site::{GATEWAYS, KINDS, KindOfRequest, domains, regions};
+
+/// Seconds of a wave of demand.
+const PERIOD_S: f64 = 36.0;
+
+/// A request as its caller has it.
+#[derive(Clone, Debug)]
+pub(super) struct Wish {
+    pub(super) kind: &'static KindOfRequest,
+    pub(super) region: Region,
+    /// Number that endpoints know the object by.
+    pub(super) object: u64,
+    /// Name that callers give it: the same for different objects on different routes.
+    pub(super) name: String,
+    /// The gateway that it comes to.
+    pub(super) gateway: usize,
+    pub(super) work_ms: f64,
+}
+
+#[derive(Debug)]
+pub(super) struct Callers {
+    domains: Vec<FailureDomain>,
+    homes: Vec<Region>,
+    per_s: f64,
+    swing: f64,
+    pub(super) rate: f64,
+    /// Where a part of a region's callers connects instead.
+    pub(super) moved: Option<(Region, Region, f64)>,
+}
+
+impl Callers {
+    pub(super) fn new(per_s: f64, swing: f64) -> Self {
+        let domains = domains();
+        let regions = regions();
+        let homes = domains.iter().map(|domain| regions[domain].clone());
+        Self {
+            homes: homes.collect(),
+            domains,
+            per_s,
+            swing,
+            rate: 1.0,
+            moved: None,
+        }
+    }
+
+    /// Failure domains, by number.
+    pub(super) fn domains(&self) -> &[FailureDomain] {
+        &self.domains
+    }
+
+    /// Milliseconds until the next request of a failure domain comes.
+    pub(super) fn gap(&self, rng: &mut StdRng, now: u64, domain: usize) -> f64 {
+        let third = (domain / 2) as f64 / 3.0;
+        let turn = now as f64 / 1000.0 / PERIOD_S + third;
+        let wave = 1.0 + self.swing * (turn * std::f64::consts::TAU).sin();
+        let per_ms = self.per_s * self.rate * wave / 1000.0;
+        -(1.0 - rng.random::<f64>()).ln() / per_ms
+    }
+
+    /// What the next caller of a failure domain wants.
+    pub(super) fn wish(&self, rng: &mut StdRng, domain: usize) -> Wish {
+        let kind = draw(rng);
+        let number = rng.random_range(0..kind.objects);
+        let home = domain / 2;
+        let place = KINDS.iter().position(|each| each.name == kind.name);
+        let spread = super::site::SPREAD * (2.0 * rng.random::<f64>() - 1.0);
+        Wish {
+            kind,
+            region: self.homes[domain].clone(),
+            object: (place.unwrap_or(0) as u64) << 40 | (home as u64) << 32 | u64::from(number),
+            name: format!("{home}-{number}"),
+            gateway: self.gateway(rng, domain),
+            work_ms: kind.work_ms * (1.0 + spread),
+        }
+    }
+
+    fn gateway(&self, rng: &mut StdRng, domain: usize) -> usize {
+        let mut domain = domain;
+        if let Some((from, to, part)) = &self.moved
+            && self.homes[domain] == *from
+            && rng.random::<f64>() < *part
+        {
+            let there = self.homes.iter().position(|region| region == to);
+            domain = there.unwrap_or(domain) + rng.random_range(0..2);
+        }
+        domain * GATEWAYS + rng.random_range(0..GATEWAYS)
+    }
+}
+
+fn draw(rng: &mut StdRng) -> &'static KindOfRequest {
+    let mut at = rng.random::<f64>();
+    for kind in &KINDS {
+        at -= kind.part;
+        if at < 0.0 {
+            return kind;
+        }
+    }
+    &KINDS[0]
+}
--- /dev/null
+++ b/crates/bench/src/placement/figures.rs
@@ -0,0 +1,94 @@
+//! What callers got.
+
+use std::collections::BTreeMap;
+
+use filberthead_types::Region;
+
+/// Credit of an answer that comes after its objective.
+const LATE: f64 = 0.2;
+
+/// Requests and how they ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Count {
+    /// All that came.
+    pub asked: u32,
+    /// Answered within their objective.
+    pub in_time: u32,
+    /// Answered later.
+    pub late: u32,
+    /// Refused for good.
+    pub refused: u32,
+}
+
+impl Count {
+    /// Credit earned, as a part of what was asked for: all of it for an answer in time, a
+    /// fifth for a late one.
+    pub fn credit(&self) -> f64 {
+        let earned = f64::from(self.in_time) + LATE * f64::from(self.late);
+        earned / f64::from(self.asked.max(1))
+    }
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum End {
+    InTime,
+    Late,
+    Refused,
+    Lost,
+}
+
+/// Figures of one play.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// All requests.
+    pub all: Count,
+    /// By the callers' region.
+    pub regions: BTreeMap<Region, Count>,
+    /// By kind of request.
+    pub kinds: BTreeMap<&'static str, Count>,
+    /// By the second in which they came.
+    pub seconds: Vec<Count>,
+}
+
+impl Figures {
+    pub(super) fn note(&mut self, region: &Region, kind: &'static str, second: usize, end: End) {
+        if self.seconds.len() <= second {
+            self.seconds.resize(second + 1, Count::default());
+        }
+        let region = self.regions.entry(region.clone()).or_default();
+        let kind = self.kinds.entry(kind).or_default();
+        for count in [&mut self.all, region, kind, &mut self.seconds[second]] {
+            count.asked += 1;
+            match end {
+                End::InTime => count.in_time += 1,
+                End::Late => count.late += 1,
+                End::Refused => count.refused += 1,
+                End::Lost => {}
+            }
+        }
+    }
+
+    /// Credit of the region that got least.
+    pub fn worst_region(&self) -> f64 {
+        let credits = self.regions.values().map(Count::credit);
+        credits.fold(1.0, f64::min)
+    }
+
+    /// Credit of the kind that got least.
+    pub fn worst_kind(&self) -> f64 {
+        let credits = self.kinds.values().map(Count::credit);
+        credits.fold(1.0, f64::min)
+    }
+
+    /// Credit over some seconds.
+    pub fn credit_between(&self, from: usize, to: usize) -> f64 {
+        let mut sum = Count::default();
+        for count in self.seconds.iter().take(to).skip(from) {
+            sum.asked += count.asked;
+            sum.in_time += count.in_time;
+            sum.late += count.late;
+        }
+        sum.credit()
+    }
+}
--- /dev/null
+++ b/crates/bench/src/placement/pattern.rs
@@ -0,0 +1,128 @@
+//! The load patterns.
+
+/// Something that changes while a pattern is played.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Change {
+    /// Requests a second, as a multiple of the usual.
+    Rate(f64),
+    /// A part of the callers of a region connects to gateways of another one.
+    Move(&'static str, &'static str, f64),
+    /// All callers are back at their own gateways.
+    MoveBack,
+    /// Work at each n-th endpoint takes so much longer.
+    Slow(usize, f64),
+    /// Each n-th endpoint of a service refuses a part of what it gets, with slots free.
+    Shed(&'static str, usize, f64),
+    /// Each n-th endpoint falls silent, and has forgotten everything when it is back.
+    Down(usize),
+    /// The endpoints of a failure domain fall silent.
+    DomainDown(&'static str),
+    /// All that are silent answer again.
+    Up,
+    /// Nothing is to be sent to the endpoints of a failure domain.
+    Evacuate(&'static str),
+    /// It may be sent again.
+    TakeBack,
+    /// All gateways start anew, and have forgotten everything.
+    Restart,
+}
+
+/// A load pattern.
+#[derive(Clone, Debug)]
+pub struct Pattern {
+    /// Its name in reports and options.
+    pub name: &'static str,
+    /// Requests a second of each failure domain's callers.
+    pub(super) per_s: f64,
+    /// How far demand of a region swings around its mean, a third of a period apart from
+    /// one region to the next.
+    pub(super) swing: f64,
+    pub(super) seconds: u64,
+    /// Changes, by the millisecond in which they come.
+    pub(super) changes: Vec<(u64, Change)>,
+}
+
+impl Pattern {
+    fn new(name: &'static str, per_s: f64, changes: &[(u64, Change)]) -> Self {
+        Self {
+            name,
+            per_s,
+            swing: 0.3,
+            seconds: 30,
+            changes: changes.to_vec(),
+        }
+    }
+
+    fn swinging(mut self, swing: f64) -> Self {
+        self.swing = swing;
+        self
+    }
+
+    /// How long it is played.
+    pub fn seconds(&self) -> usize {
+        self.seconds as usize
+    }
+}
+
+/// Requests a second of a failure domain on a usual day, in the busiest hour, and when more
+/// is asked for than there are slots.
+const USUAL: f64 = 29.0;
+const BUSY: f64 = 45.0;
+const TOO_MUCH: f64 = 90.0;
+
+/// All patterns.
+pub fn patterns() -> Vec<Pattern> {
+    use Change::{
+        DomainDown, Down, Evacuate, Move, MoveBack, Rate, Restart, Shed, Slow, TakeBack, Up,
+    };
+    vec![
+        Pattern::new("usual", USUAL, &[]),
+        Pattern::new("busy", BUSY, &[]),
+        Pattern::new("waves", USUAL, &[]).swinging(0.55),
+        Pattern::new("overload", TOO_MUCH, &[]),
+        Pattern::new("burst", BUSY, &[(10_000, Rate(1.7)), (15_000, Rate(1.0))]),
+        Pattern::new(
+            "callers-come-back",
+            USUAL,
+            &[
+                (5000, Move("middle", "south", 0.8)),
+                (12_000, MoveBack),
+                (18_000, Move("middle", "south", 0.8)),
+                (25_000, MoveBack),
+            ],
+        ),
+        Pattern::new(
+            "slow-endpoints",
+            BUSY,
+            &[(10_000, Slow(6, 5.0)), (17_000, Slow(1, 1.0))],
+        ),
+        Pattern::new(
+            "all-refuse",
+            BUSY,
+            &[
+                (10_000, Shed("desk", 1, 0.5)),
+                (18_000, Shed("desk", 1, 0.0)),
+            ],
+        ),
+        Pattern::new(
+            "some-refuse",
+            BUSY,
+            &[
+                (10_000, Shed("desk", 6, 0.5)),
+                (18_000, Shed("desk", 6, 0.0)),
+            ],
+        ),
+        Pattern::new("silent-endpoints", BUSY, &[(10_000, Down(6)), (15_000, Up)]),
+        Pattern::new(
+            "domain-lost",
+            BUSY,
+            &[(10_000, DomainDown("south-2")), (16_000, Up)],
+        ),
+        Pattern::new(
+            "evacuation",
+            BUSY,
+            &[(8000, Evacuate("north-2")), (18_000, TakeBack)],
+        ),
+        Pattern::new("gateways-restart", BUSY, &[(12_000, Restart)]),
+    ]
+}
--- /dev/null
+++ b/crates/bench/src/placement/site.rs
@@ -0,0 +1,177 @@
+//! The deployment that patterns are played on: three regions, one of them with a third of
+//! the callers and a twelfth of the slots.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use filberthead_fleet::{Endpoint, EndpointState};
+use filberthead_place::{BudgetConfig, Config};
+use filberthead_route::{CallerBounds, Kind, Route, Service, Table, Target};
+use filberthead_types::{FailureDomain, Region, ServiceName};
+
+/// A kind of request.
+#[derive(Clone, Copy, Debug)]
+pub struct KindOfRequest {
+    /// Its name, also of its route.
+    pub name: &'static str,
+    pub(super) service: &'static str,
+    /// Part of all requests.
+    pub(super) part: f64,
+    /// Milliseconds that work takes where the object is unknown.
+    pub(super) work_ms: f64,
+    pub(super) objective_ms: u64,
+    pub(super) timeout_ms: u64,
+    /// Objects of each region.
+    pub(super) objects: u32,
+}
+
+/// The kinds of request, with two services of two kinds each.
+pub const KINDS: [KindOfRequest; 4] = [
+    kind("view", "desk", 0.55, 880.0, (600, 2000), 35),
+    kind("upload", "desk", 0.20, 1160.0, (800, 2500), 24),
+    kind("sign", "lock", 0.18, 600.0, (400, 1500), 24),
+    kind("close", "lock", 0.07, 720.0, (500, 2000), 24),
+];
+
+/// Part of its work that a request takes where its object is known.
+pub(super) const KNOWN: f64 = 0.3;
+/// Spread of work around its mean.
+pub(super) const SPREAD: f64 = 0.15;
+/// Gateways of each failure domain.
+pub(super) const GATEWAYS: usize = 2;
+/// Milliseconds to another region and back.
+pub(super) const FAR_MS: u64 = 24;
+
+/// Failure domains, with their region and endpoints of each service.
+const DOMAINS: [(&str, &str, u32, u32); 6] = [
+    ("north-1", "north", 6, 3),
+    ("north-2", "north", 6, 3),
+    ("middle-1", "middle", 1, 1),
+    ("middle-2", "middle", 1, 1),
+    ("south-1", "south", 5, 2),
+    ("south-2", "south", 5, 2),
+];
+
+const fn kind(
+    name: &'static str,
+    service: &'static str,
+    part: f64,
+    work_ms: f64,
+    (objective_ms, timeout_ms): (u64, u64),
+    objects: u32,
+) -> KindOfRequest {
+    KindOfRequest {
+        name,
+        service,
+        part,
+        work_ms,
+        objective_ms,
+        timeout_ms,
+        objects,
+    }
+}
+
+impl KindOfRequest {
+    pub(super) fn service(&self) -> ServiceName {
+        self.service.parse().expect("a name")
+    }
+
+    pub(super) fn prefix(&self) -> String {
+        format!("/{}/", self.name)
+    }
+}
+
+pub(super) fn domains() -> Vec<FailureDomain> {
+    let name = |(name, ..): &(&str, &str, u32, u32)| name.parse().expect("a name");
+    DOMAINS.iter().map(name).collect()
+}
+
+pub(super) fn regions() -> BTreeMap<FailureDomain, Region> {
+    let of = |(name, region, ..): &(&str, &str, u32, u32)| {
+        let region = region.parse().expect("a name");
+        (name.parse().expect("a name"), region)
+    };
+    DOMAINS.iter().map(of).collect()
+}
+
+pub(super) fn slots(service: &str) -> u32 {
+    if service == "desk" { 6 } else { 3 }
+}
+
+/// Objects that an endpoint remembers.
+pub(super) fn remembers(service: &str) -> usize {
+    if service == "desk" { 30 } else { 50 }
+}
+
+/// The endpoints of all services.
+pub(super) fn endpoints() -> Vec<Endpoint> {
+    let mut all = Vec::new();
+    for (domain, _, desks, locks) in DOMAINS {
+        for (service, count) in [("desk", desks), ("lock", locks)] {
+            for number in 0..count {
+                all.push(Endpoint {
+                    id: format!("{service}-{domain}-{number}"),
+                    incarnation: None,
+                    service: service.parse().expect("a name"),
+                    addr: SocketAddr::from(([127, 0, 0, 1], 80)),
+                    domain: domain.parse().expect("a name"),
+                    slots: slots(service),
+                    state: EndpointState::Ready,
+                    cold_left: Duration::ZERO,
+                });
+            }
+        }
+    }
+    all
+}
+
+/// The routes, one for each kind of request.
+pub(super) fn table() -> Table {
+    let route = |kind: &KindOfRequest| Route {
+        name: kind.name.to_owned(),
+        host: "h".to_owned(),
+        prefix: kind.prefix(),
+        kind: Kind::Safe,
+        timeout: Duration::from_millis(kind.timeout_ms),
+        objective: Duration::from_millis(kind.objective_ms),
+        priority: 1,
+        targets: vec![Target {
+            service: kind.service(),
+            weight: 1,
+        }],
+        max_attempts: 2,
+        sticky: true,
+        regions: Vec::new(),
+    };
+    let service = |name: &str| Service {
+        name: name.parse().expect("a name"),
+        health_path: "/health".to_owned(),
+        max_connections: 360,
+        cold_for: Duration::from_secs(3),
+        cold_per_s: 5.5,
+    };
+    Table {
+        routes: KINDS.iter().map(route).collect(),
+        services: ["desk", "lock"].map(service).into(),
+        bounds: CallerBounds::default(),
+    }
+}
+
+/// What a gateway of a failure domain starts with.
+pub(super) fn config(number: usize, domain: &FailureDomain) -> Config {
+    let regions = regions();
+    Config {
+        gateway: format!("gateway-{number}").parse().expect("a name"),
+        region: regions[domain].clone(),
+        domain: domain.clone(),
+        regions,
+        budget: BudgetConfig {
+            ratio: 0.2,
+            floor: 60,
+            window: Duration::from_secs(10),
+        },
+        max_shift: 0.15,
+        without: Default::default(),
+    }
+}
--- a/crates/bench/tests/all/main.rs
+++ b/crates/bench/tests/all/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the bench.
 
 mod experiment;
+mod placement;
--- /dev/null
+++ b/crates/bench/tests/all/placement.rs
@@ -0,0 +1,91 @@
+//! What the decisions of gateways are worth to callers, under load patterns that were met.
+
+use std::collections::BTreeSet;
+use std::process::Command;
+
+use filberthead_bench::placement::{Figures, Pattern, patterns, play};
+use filberthead_place::Mechanism;
+
+const SEEDS: u64 = 3;
+
+fn pattern(name: &str) -> Pattern {
+    let all = patterns();
+    all.into_iter().find(|p| p.name == name).expect("a pattern")
+}
+
+/// Mean of a figure over some seeds, with everything and without one mechanism.
+fn with_and_without(
+    name: &str,
+    mechanism: Mechanism,
+    figure: impl Fn(&Figures) -> f64,
+) -> (f64, f64) {
+    let pattern = pattern(name);
+    let mean = |without: &BTreeSet<Mechanism>| {
+        let plays = (1..=SEEDS).map(|seed| figure(&play(&pattern, without, seed)));
+        plays.sum::<f64>() / SEEDS as f64
+    };
+    (mean(&BTreeSet::new()), mean(&[mechanism].into()))
+}
+
+#[test]
+fn a_seed_gives_the_same_figures_every_time() {
+    let figures = || play(&pattern("burst"), &BTreeSet::new(), 7);
+    assert_eq!(figures(), figures());
+    assert_ne!(figures(), play(&pattern("burst"), &BTreeSet::new(), 8));
+}
+
+/// Demand comes in waves, and one region has a third of the callers and a twelfth of the
+/// slots. Its callers must be served nearly as well as others', and not as they are if it
+/// keeps them all.
+#[test]
+fn a_region_short_of_slots_is_served_like_others() {
+    let (with, without) = with_and_without("waves", Mechanism::Plan, Figures::worst_region);
+    assert!(with > 0.85, "{with}");
+    assert!(with > without + 0.2, "{with}, without a plan {without}");
+}
+
+/// Most callers of the region short of slots connect elsewhere for some seconds and come back
+/// at once. If their requests have come home meanwhile, the region's endpoints are full.
+#[test]
+fn callers_that_come_back_find_room() {
+    let name = "callers-come-back";
+    let (with, without) = with_and_without(name, Mechanism::SlowReturn, Figures::worst_region);
+    assert!(with > without, "{with}, at the same pace {without}");
+}
+
+/// All endpoints of a service refuse half of what they get for eight seconds. Requests that
+/// go on to endpoints that don't know their objects make it worse for everybody.
+#[test]
+fn callers_are_served_while_all_endpoints_refuse_half() {
+    let during = |figures: &Figures| figures.credit_between(10, 18);
+    let (with, without) = with_and_without("all-refuse", Mechanism::SameAgain, during);
+    assert!(with > without, "{with}, at another endpoint {without}");
+}
+
+/// More is asked for than there are slots. Objects that move to wherever a slot is free have
+/// to be learned there, which takes three times as long, and the overload feeds itself.
+#[test]
+fn an_overload_does_not_feed_itself() {
+    let all = |figures: &Figures| figures.all.credit();
+    let (with, without) = with_and_without("overload", Mechanism::Pressure, all);
+    assert!(with > without + 0.2, "{with}, without pressure {without}");
+}
+
+/// An operator misspells a pattern or a mechanism, or asks for no plays at all. The program
+/// must say what is wrong, and measure nothing.
+#[test]
+fn bad_arguments_are_told() {
+    for (args, told) in [
+        (["--pattern", "lunch"], "`lunch` is no pattern"),
+        (["--without", "luck"], "`luck` is no mechanism"),
+        (["--seeds", "0"], "a count from 1 on"),
+        (["--seeds", "few"], "few"),
+        (["--lucky", "x"], "--lucky"),
+    ] {
+        let program = env!("CARGO_BIN_EXE_filberthead-measure-placement");
+        let out = Command::new(program).args(args).output().expect("a run");
+        let err = String::from_utf8_lossy(&out.stderr);
+        assert!(!out.status.success() && out.stdout.is_empty(), "{args:?}");
+        assert!(err.contains(told), "{args:?}: {err}");
+    }
+}
--- a/crates/filberthead/src/gateway/carry.rs
+++ b/crates/filberthead/src/gateway/carry.rs
@@ -236,7 +236,8 @@
 
     /// Sent back by an endpoint that has not run it.
     fn not_run(&mut self, load_told: bool, again: Option<RequestBody>) -> Next {
-        let further = self.tries.refused(load_told);
+        let same = self.core.placer.borrow().may_try_again(load_told);
+        let further = self.tries.refused(same);
         match again.filter(|_| self.may_repeat(further)) {
             Some(body) => Next::Again(body),
             None => self.refused(ResultCode::Overloaded, SOON),
--- a/crates/filberthead/src/gateway/mod.rs
+++ b/crates/filberthead/src/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod serve;
 mod stop;
 
+use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 
@@ -269,5 +270,6 @@
             window: cfg.budgets.retry_window,
         },
         max_shift: cfg.budgets.max_shift,
+        without: BTreeSet::new(),
     }
 }
--- a/crates/place/src/decide.rs
+++ b/crates/place/src/decide.rs
@@ -9,7 +9,7 @@
 use crate::cost::{self, Acquaintance, Times};
 use crate::endpoint::State;
 use crate::mix::Leave;
-use crate::{Decision, Placer, Refusal, Request, Target, rank};
+use crate::{Decision, Mechanism, Placer, Refusal, Request, Target, rank};
 
 /// Cost in seconds of each further place in the order, between endpoints that are alike
 /// otherwise: less than any difference that a caller would notice.
@@ -61,7 +61,7 @@
 impl Placer {
     /// Decides where a request goes, and counts it as sent there.
     pub fn place(&mut self, now: Moment, req: Request<'_>) -> Decision {
-        let object = req.object.map(rank::object);
+        let object = self.object(&req);
         let planned = self.planned(&req, object);
         let best = self.best_by_region(now, &req, object, planned.as_ref());
         let Some(chosen) = self.choose(now, &req, planned.as_ref(), &best) else {
@@ -80,10 +80,19 @@
         self.send(now, &req, object, &chosen)
     }
 
+    fn object(&self, req: &Request<'_>) -> Option<u64> {
+        let object = req.object.filter(|_| self.cfg.uses(Mechanism::Objects))?;
+        if self.cfg.uses(Mechanism::Routes) {
+            Some(rank::object(object))
+        } else {
+            Some(rank::name(object.name))
+        }
+    }
+
     /// The region where the object lives, or whose turn it is.
     fn planned(&mut self, req: &Request<'_>, object: Option<u64>) -> Option<Region> {
         // A large answer takes many round trips and many bytes between regions.
-        if req.large {
+        if req.large || !self.cfg.uses(Mechanism::Plan) {
             return None;
         }
         let plan = self.plans.get(req.service)?;
@@ -106,10 +115,10 @@
     /// in any case; otherwise a first try must still meet its objective, and one that has
     /// come back its caller's deadline.
     fn is_hopeless(&self, req: &Request<'_>, chosen: &Candidate) -> bool {
-        if chosen.wait <= 0.0 {
+        if chosen.wait <= 0.0 || !self.cfg.uses(Mechanism::Refusing) {
             return false;
         }
-        let patience = if req.returned {
+        let patience = if req.returned && self.cfg.uses(Mechanism::Patience) {
             req.left
         } else {
             req.objective.min(req.left)
@@ -196,6 +205,9 @@
     /// where they are known; if they moved to wherever a slot is free, each would cost
     /// several times the work, and a short surge would become a lasting overload.
     fn pressure(&self, now: Moment, indices: &[usize]) -> f64 {
+        if !self.cfg.uses(Mechanism::Pressure) {
+            return 0.0;
+        }
         let endpoints = indices.iter().map(|index| &self.endpoints[*index]);
         let (load, slots) = endpoints.fold((0.0, 0.0), |(load, slots), e| {
             (load + e.load(now), slots + f64::from(e.slots))
@@ -208,6 +220,9 @@
     }
 
     fn failing(&self, now: Moment, indices: &[usize]) -> f64 {
+        if !self.cfg.uses(Mechanism::SharedFailing) {
+            return 0.0;
+        }
         let all = indices
             .iter()
             .map(|index| self.endpoints[*index].failing(now));
@@ -278,20 +293,28 @@
             (Some(_), Some(place)) => Acquaintance::Perhaps(place),
             _ => Acquaintance::Stranger,
         };
-        let (slowness, load) = (e.slowness(now), e.load(now));
+        let load = e.load(now);
+        let slowness = match self.cfg.uses(Mechanism::Slowness) {
+            true => e.slowness(now),
+            false => 1.0,
+        };
         let answer = times.expected(known) * slowness;
         let quick = times.quick() * slowness;
         // An object settles where all gateways will send it: its first request there is
         // slow, and all later ones are quick. Without this an endpoint that has just come
         // would get nothing as long as the others have room.
-        let settles = place == Some(0) && load < f64::from(e.slots);
+        let settles =
+            place == Some(0) && load < f64::from(e.slots) && self.cfg.uses(Mechanism::Settling);
         let settled = if settles { quick } else { answer };
         // What others wait longer for, if this one keeps a slot busy to learn the object.
         let learning = (answer - quick).max(0.0);
         let weighed = settled + around.pressure * learning;
         let each = times.expected(Acquaintance::Perhaps(0)) * slowness;
         let wait = cost::wait(load, e.slots, each);
-        let failing = (e.failing(now) - around.failing).max(0.0) * req.objective.as_secs_f64();
+        let failing = match self.cfg.uses(Mechanism::Failing) {
+            true => (e.failing(now) - around.failing).max(0.0) * req.objective.as_secs_f64(),
+            false => 0.0,
+        };
         let way = self.way(e);
         let crossing = self.crossing(e, req.large);
         let preference = match object {
@@ -348,6 +371,9 @@
             // Nothing of this region may run it: the step protects nobody any more.
             return cheapest(best.values());
         };
+        if !self.cfg.uses(Mechanism::Spill) {
+            return Some(here);
+        }
         let allowed = |region: &Region| self.mix.leave(now, region) == Leave::Allowed;
         let others = best
             .iter()
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -13,7 +13,7 @@
 use crate::mix::Mix;
 use crate::plan::{Plan, Slots};
 use crate::planning::OwnDemand;
-use crate::{Budget, Config, Load, Outcome, Target};
+use crate::{Budget, Config, Load, Mechanism, Outcome, Target};
 
 /// Weight of a new observation of a way: about the last fifty count, and half of a change
 /// is learned within as many answers.
@@ -207,6 +207,11 @@
         self.budget.spend(now, service, gateways)
     }
 
+    /// Whether an endpoint that has refused a request may be sent it again.
+    pub fn may_try_again(&self, load_told: bool) -> bool {
+        load_told && self.cfg.uses(Mechanism::SameAgain)
+    }
+
     /// Notes the load that an endpoint has reported with an answer.
     pub fn reported(&mut self, now: Moment, target: &Target, load: Load) {
         if let Some(state) = self.state(target) {
--- a/crates/place/src/plan.rs
+++ b/crates/place/src/plan.rs
@@ -44,6 +44,15 @@
 /// Slots that requests of a region keep busy, or that a region has.
 pub(crate) type Slots = BTreeMap<Region, f64>;
 
+/// How fast requests come home.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Pace {
+    /// More slowly than they leave.
+    SlowReturn,
+    /// As they leave.
+    Even,
+}
+
 /// Parts of one service's requests, from one region.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Plan {
@@ -65,11 +74,21 @@
     }
 
     /// Moves towards what demand and capacity ask for.
-    pub(crate) fn update(&mut self, now: Moment, max_shift: f64, own: &Region, aim: &Slots) {
+    pub(crate) fn update(
+        &mut self,
+        now: Moment,
+        max_shift: f64,
+        pace: Pace,
+        own: &Region,
+        aim: &Slots,
+    ) {
         let before = self.updated.replace(now).unwrap_or(now);
         let windows = now.saturating_sub(before).as_secs_f64() / WINDOW.as_secs_f64();
         let leaves = aim.values().sum::<f64>() >= self.away.values().sum();
-        let pace = if leaves { USED } else { RETURN };
+        let pace = match pace {
+            Pace::SlowReturn if !leaves => RETURN,
+            Pace::SlowReturn | Pace::Even => USED,
+        };
         let step = pace * max_shift * windows.min(1.0);
         let part = |parts: &Slots, region: &Region| parts.get(region).copied().unwrap_or(0.0);
         let regions: Vec<Region> = self.away.keys().chain(aim.keys()).cloned().collect();
--- a/crates/place/src/planning.rs
+++ b/crates/place/src/planning.rs
@@ -9,10 +9,10 @@
 use filberthead_fleet::Demand;
 use filberthead_types::{Moment, Region, ServiceName};
 
-use crate::Placer;
 use crate::cost::Times;
 use crate::decide::FAR;
-use crate::plan::{self, Outlook, Plan, Slots};
+use crate::plan::{self, Outlook, Pace, Plan, Slots};
+use crate::{Mechanism, Placer};
 
 /// Time over which demand is averaged: several reports, and well below the time in which
 /// demand changes by itself.
@@ -138,7 +138,13 @@
                 Step::Stay => {}
                 Step::Hold => plan.hold(now),
                 Step::Begin(parts) => plan.begin(now, parts),
-                Step::Towards(aim) => plan.update(now, self.cfg.max_shift, &self.cfg.region, &aim),
+                Step::Towards(aim) => {
+                    let pace = match self.cfg.uses(Mechanism::SlowReturn) {
+                        true => Pace::SlowReturn,
+                        false => Pace::Even,
+                    };
+                    plan.update(now, self.cfg.max_shift, pace, &self.cfg.region, &aim);
+                }
             }
         }
     }
--- a/crates/place/src/request.rs
+++ b/crates/place/src/request.rs
@@ -1,12 +1,12 @@
 //! What is asked of a placer, and what it answers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use filberthead_types::{FailureDomain, Incarnation, NodeName, Region, ServiceName};
 
-use crate::{Acquaintance, BudgetConfig, EndpointId};
+use crate::{Acquaintance, BudgetConfig, EndpointId, Mechanism};
 
 /// Where a gateway is and what bounds it.
 #[derive(Clone, Debug)]
@@ -23,6 +23,14 @@
     pub budget: BudgetConfig,
     /// Part of a region's requests that may change regions from one window to the next.
     pub max_shift: f64,
+    /// Parts of the decision that are left out, in measurements.
+    pub without: BTreeSet<Mechanism>,
+}
+
+impl Config {
+    pub(crate) fn uses(&self, mechanism: Mechanism) -> bool {
+        !self.without.contains(&mechanism)
+    }
 }
 
 /// What endpoints remember: an endpoint that knows an object by one route is as slow as a
--- a/crates/place/src/tries.rs
+++ b/crates/place/src/tries.rs
@@ -60,10 +60,10 @@
         }
     }
 
-    /// The last one refused it, and has told how full it is, or not.
-    pub fn refused(&mut self, load_told: bool) -> Further {
+    /// The last one refused it, and may be sent it again or not.
+    pub fn refused(&mut self, again: bool) -> Further {
         self.refused += 1;
-        if load_told {
+        if again {
             self.avoided.pop();
         }
         self.further()
--- a/crates/place/tests/all/support.rs
+++ b/crates/place/tests/all/support.rs
@@ -1,6 +1,6 @@
 //! Endpoints and requests of the tests.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -101,6 +101,7 @@
             window: Duration::from_secs(10),
         },
         max_shift: 0.15,
+        without: BTreeSet::new(),
     });
     placer.set_routes(&table());
     placer.set_endpoints(ms(0), endpoints);
