Take nobody for slow who runs the longer kinds; refusals keep their name

Cause: times are learned for a service; its kinds of requests differ by a third, so endpoints seemed slow by turns and their objects moved. And two tests of whole systems failed: refusals of endpoints that tell their load were called otherwise in logs and metrics. Change: an endpoint is slow from half as long again as expected; all refusals are called full.

--- a/crates/bench/src/placement/world.rs
+++ b/crates/bench/src/placement/world.rs
@@ -340,7 +340,7 @@
         let service = asked.wish.kind.service();
         let placer = &mut self.gateways[asked.wish.gateway];
         placer.reported(ms(self.now), &target, load);
-        placer.ended(ms(self.now), &service, &target, Outcome::Shed);
+        placer.ended(ms(self.now), &service, &target, Outcome::Full);
         let further = asked.tries.refused(placer.may_try_again(true));
         if further == Further::Allowed && placer.may_repeat(ms(self.now), &service) {
             self.place(request);
--- a/crates/bench/tests/all/placement.rs
+++ b/crates/bench/tests/all/placement.rs
@@ -71,6 +71,15 @@
     assert!(with > without + 0.2, "{with}, without pressure {without}");
 }
 
+/// Nobody is slow, but the kinds of requests of a service take different times. An endpoint
+/// that has run some of the longer ones must not be taken for slow: its objects would move,
+/// and have to be learned elsewhere.
+#[test]
+fn nobody_is_taken_for_slow_where_nobody_is() {
+    let (with, without) = with_and_without("busy", Mechanism::Slowness, Figures::worst_region);
+    assert!(with >= without - 0.001, "{with}, without opinions {without}");
+}
+
 /// An operator misspells a pattern or a mechanism, or asks for no plays at all. The program
 /// must say what is wrong, and measure nothing.
 #[test]
--- a/crates/filberthead/src/gateway/attempt.rs
+++ b/crates/filberthead/src/gateway/attempt.rs
@@ -98,7 +98,6 @@
             Outcome::Served(_) => (Level::Debug, "served"),
             Outcome::Failed => (Level::Info, "failed"),
             Outcome::Full => (Level::Info, "full"),
-            Outcome::Shed => (Level::Info, "shed"),
             Outcome::Gone => (Level::Info, "gone"),
             Outcome::Broken => (Level::Info, "broken"),
             Outcome::Abandoned(_) => (Level::Info, "abandoned"),
@@ -191,7 +190,7 @@
         place.outcome = outcome;
         debug!(endpoint:% = place.target.id, status:% = head.status; "not run there");
         connection.release_after(body);
-        let load_told = outcome == Outcome::Shed;
+        let load_told = load(text(&head.headers, &core.dialect.load)).is_some();
         return Attempt::NotRun { load_told };
     }
     if !echoes(core, job, &head.headers) {
@@ -264,13 +263,9 @@
     if status == StatusCode::MISDIRECTED_REQUEST {
         return Some(Outcome::Gone);
     }
-    if !headers.contains_key(&core.dialect.not_run) {
-        return None;
-    }
-    Some(match load(text(headers, &core.dialect.load)) {
-        Some(_) => Outcome::Shed,
-        None => Outcome::Full,
-    })
+    headers
+        .contains_key(&core.dialect.not_run)
+        .then_some(Outcome::Full)
 }
 
 /// Takes in what the answer's headers tell about the endpoint.
--- a/crates/place/src/endpoint.rs
+++ b/crates/place/src/endpoint.rs
@@ -22,7 +22,7 @@
 /// what an answer takes, and no less than this, which a lost packet may cost.
 const STALLED_TIMES: u32 = 5;
 const STALLED_MIN: Duration = Duration::from_millis(400);
-/// How long an endpoint that said it was full counts as full.
+/// How long an endpoint counts as full that refused a request and didn't tell its load.
 const FULL_FOR: Duration = Duration::from_millis(120);
 /// Time after which half of what was reported of others' requests is believed still:
 /// about the time that a request runs.
@@ -30,6 +30,11 @@
 /// Time after which half of what was learned about slowness and failures is forgotten:
 /// an endpoint that is avoided for them shows nothing new, and must be tried again.
 const OPINION_HALF_LIFE: Duration = Duration::from_secs(3);
+/// Answers that take less than so many times what is expected are as quick as others: kinds
+/// of requests of one service differ by as much, and objects that leave an endpoint for it
+/// have to be learned elsewhere. Without this bound mean worth of five days with faults is
+/// 0.654, with it 0.661 (three seeds each).
+const SLOW: f64 = 1.5;
 /// Weight of a new observation in running means: about the last ten count.
 const NEW: f64 = 0.1;
 /// Objects remembered for each endpoint, the oldest forgotten first.
@@ -53,11 +58,8 @@
     Served(Duration),
     /// It ran to a bad end.
     Failed,
-    /// The endpoint refused it, and nothing else is known of its load.
+    /// The endpoint refused it.
     Full,
-    /// The endpoint refused it and told its load, which says how full it is: one that has
-    /// slots free refuses some requests for reasons of its own, and may take the next.
-    Shed,
     /// Another start of the endpoint, or another endpoint, has the address.
     Gone,
     /// It couldn't be reached, or broke off.
@@ -183,7 +185,8 @@
 
     /// How much longer than expected its answers take, as far as that is still believed.
     pub(crate) fn slowness(&self, now: Moment) -> f64 {
-        1.0 + (self.slowness - 1.0) * self.belief(now)
+        let believed = 1.0 + (self.slowness - 1.0) * self.belief(now);
+        if believed < SLOW { 1.0 } else { believed }
     }
 
     /// Part of its requests that end badly, as far as that is still believed.
@@ -239,7 +242,7 @@
     /// Notes how a request ended; `expected` is how long it should have taken.
     pub(crate) fn ended(&mut self, now: Moment, outcome: Outcome, expected: Duration) {
         self.own = self.own.saturating_sub(1);
-        self.slowness = self.slowness(now);
+        self.slowness = 1.0 + (self.slowness - 1.0) * self.belief(now);
         self.failing = self.failing(now);
         self.opinion_at = now;
         if !matches!(outcome, Outcome::Abandoned(_) | Outcome::Broken) {
@@ -259,9 +262,13 @@
             Outcome::Failed => self.failing += NEW * (1.0 - self.failing),
             Outcome::Full => {
                 self.failing += NEW * (1.0 - self.failing);
-                self.full_until = now + FULL_FOR;
+                // One that has told its load with the refusal is as full as that: with slots
+                // free it refuses some requests for reasons of its own, and may take the next.
+                let load_told = self.others_at == now;
+                if !load_told {
+                    self.full_until = now + FULL_FOR;
+                }
             }
-            Outcome::Shed => self.failing += NEW * (1.0 - self.failing),
             Outcome::Gone => self.gone = true,
             Outcome::Broken => {
                 self.failing += NEW * (1.0 - self.failing);
