Send nothing to another region but by the plan

Cause: a full region sent what it could to any region that seemed sooner. Nobody there knows the object, so it takes three times the work, and with all regions full each did it to the others. Change: crates/place/mix is gone; a request leaves by the plan, or if nothing here may run it.

--- a/crates/bench/tests/all/placement.rs
+++ b/crates/bench/tests/all/placement.rs
@@ -77,7 +77,10 @@
 #[test]
 fn nobody_is_taken_for_slow_where_nobody_is() {
     let (with, without) = with_and_without("busy", Mechanism::Slowness, Figures::worst_region);
-    assert!(with >= without - 0.001, "{with}, without opinions {without}");
+    assert!(
+        with >= without - 0.001,
+        "{with}, without opinions {without}"
+    );
 }
 
 /// An operator misspells a pattern or a mechanism, or asks for no plays at all. The program
--- a/crates/place/src/decide.rs
+++ b/crates/place/src/decide.rs
@@ -8,7 +8,6 @@
 use crate::cold::Part;
 use crate::cost::{self, Acquaintance, Times};
 use crate::endpoint::State;
-use crate::mix::Leave;
 use crate::{Decision, Mechanism, Placer, Refusal, Request, Target, rank};
 
 /// Cost in seconds of each further place in the order, between endpoints that are alike
@@ -64,7 +63,7 @@
         let object = self.object(&req);
         let planned = self.planned(&req, object);
         let best = self.best_by_region(now, &req, object, planned.as_ref());
-        let Some(chosen) = self.choose(now, &req, planned.as_ref(), &best) else {
+        let Some(chosen) = self.choose(&req, planned.as_ref(), &best) else {
             return Decision::Refuse {
                 why: Refusal::NoEndpoint,
                 retry_after: self.come_back(req.objective),
@@ -77,7 +76,7 @@
                 retry_after: self.come_back(wait),
             };
         }
-        self.send(now, &req, object, &chosen)
+        self.send(now, object, &chosen)
     }
 
     fn object(&self, req: &Request<'_>) -> Option<u64> {
@@ -126,13 +125,7 @@
         chosen.way + chosen.wait + chosen.answer > patience.as_secs_f64()
     }
 
-    fn send(
-        &mut self,
-        now: Moment,
-        req: &Request<'_>,
-        object: Option<u64>,
-        chosen: &Candidate,
-    ) -> Decision {
+    fn send(&mut self, now: Moment, object: Option<u64>, chosen: &Candidate) -> Decision {
         let part = self.part(&self.endpoints[chosen.index]);
         let state = &mut self.endpoints[chosen.index];
         state.sent(
@@ -140,7 +133,6 @@
             object,
             Duration::from_secs_f64(chosen.answer + chosen.wait),
         );
-        let region = state.region.clone();
         state.cold.sent(now, part);
         let target = Target {
             id: state.id.clone(),
@@ -152,10 +144,6 @@
             way: Duration::from_secs_f64(chosen.way),
             overhead: Duration::from_secs_f64(chosen.way + chosen.wait),
         };
-        // A further attempt changes no region's part of callers' requests.
-        if let Some(region) = region.filter(|_| req.tried.is_empty()) {
-            self.mix.note(now, &region);
-        }
         Decision::Send(target)
     }
 
@@ -357,7 +345,6 @@
 
     fn choose(
         &self,
-        now: Moment,
         req: &Request<'_>,
         planned: Option<&Region>,
         best: &BTreeMap<Region, Candidate>,
@@ -367,19 +354,13 @@
         if let Some(planned) = planned.filter(|planned| self.is_worth_it(req, planned)) {
             return Some(planned);
         }
-        let Some(here) = here else {
-            // Nothing of this region may run it: the step protects nobody any more.
-            return cheapest(best.values());
-        };
-        if !self.cfg.uses(Mechanism::Spill) {
-            return Some(here);
-        }
-        let allowed = |region: &Region| self.mix.leave(now, region) == Leave::Allowed;
-        let others = best
-            .iter()
-            .filter(|(region, c)| **region != self.cfg.region && c.total < here.total);
-        let away = cheapest(others.filter(|(region, _)| allowed(region)).map(|(_, c)| c));
-        Some(away.unwrap_or(here))
+        // Whatever the plan leaves here stays here, also where another region seems to have
+        // room: nobody there knows its object, so it takes three times the work, and under an
+        // overload of all regions each would send its own to the others. Letting it go, by
+        // small steps, brought mean worth down from 0.43 to 0.31 on days of overload, and from
+        // 0.41 to 0.37 with 70 gateways; it brought nothing elsewhere. Only if nothing of this
+        // region may run it any other region is better than none.
+        here.or_else(|| cheapest(best.values()))
     }
 
     /// Whether a request goes where its object lives: as soon as the object is known
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -12,7 +12,7 @@
 //! - *By expected time* (`cost`): of the endpoints that may run a request the one goes
 //!   first that should answer soonest, counting what waits there, how far it is, whether it
 //!   knows the object, and how slow it has been.
-//! - *Across regions* (`plan`, `mix`): where a region has too few endpoints, some of its
+//! - *Across regions* (`plan`): where a region has too few endpoints, some of its
 //!   objects live in another one; the part of requests that run elsewhere changes only
 //!   slowly, so that no region is met by a step of load.
 //! - *Cold endpoints* (`cold`): each gets no more requests a second than it bears, from
@@ -33,7 +33,6 @@
 mod endpoint;
 mod link;
 mod mechanism;
-mod mix;
 mod placer;
 mod plan;
 mod planning;
--- a/crates/place/src/mechanism.rs
+++ b/crates/place/src/mechanism.rs
@@ -22,8 +22,6 @@
     Plan,
     /// Requests come home more slowly than they leave.
     SlowReturn,
-    /// What the plan leaves here may go elsewhere when that is sooner.
-    Spill,
     /// Slow endpoints are avoided.
     Slowness,
     /// Failing endpoints are avoided.
@@ -40,14 +38,13 @@
 
 impl Mechanism {
     /// All of them.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 12] = [
         Self::Objects,
         Self::Routes,
         Self::Settling,
         Self::Pressure,
         Self::Plan,
         Self::SlowReturn,
-        Self::Spill,
         Self::Slowness,
         Self::Failing,
         Self::SharedFailing,
@@ -65,7 +62,6 @@
             Self::Pressure => "pressure",
             Self::Plan => "plan",
             Self::SlowReturn => "slow-return",
-            Self::Spill => "spill",
             Self::Slowness => "slowness",
             Self::Failing => "failing",
             Self::SharedFailing => "shared-failing",
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -10,7 +10,6 @@
 
 use crate::cost::{Acquaintance, Times};
 use crate::endpoint::State;
-use crate::mix::Mix;
 use crate::plan::{Plan, Slots};
 use crate::planning::OwnDemand;
 use crate::{Budget, Config, Load, Mechanism, Outcome, Target};
@@ -43,7 +42,6 @@
     pub(crate) turns: u64,
     pub(crate) evacuated: BTreeSet<FailureDomain>,
     pub(crate) gateways: BTreeMap<FailureDomain, u32>,
-    pub(crate) mix: Mix,
     pub(crate) budget: Budget,
     /// Learned ways to other regions and back, in seconds.
     pub(crate) ways: HashMap<Region, f64>,
@@ -66,7 +64,6 @@
             turns: 0,
             evacuated: BTreeSet::new(),
             gateways: BTreeMap::new(),
-            mix: Mix::new(cfg.max_shift),
             budget: Budget::new(cfg.budget),
             ways: HashMap::new(),
             cfg,
--- a/crates/place/tests/all/regions.rs
+++ b/crates/place/tests/all/regions.rs
@@ -236,3 +236,21 @@
     let wanted = 100.0 * work.as_secs_f64();
     assert!((busy - wanted).abs() < 0.1 * wanted, "{busy} of {wanted}");
 }
+
+/// Every region is asked for more than it has slots for, and gateways hear too seldom of
+/// endpoints elsewhere to know that they are full too. What goes there without a plan meets
+/// endpoints that don't know its object and takes three times as long, and the same comes
+/// back from there. Requests must stay, and those that would be late be told to come back.
+#[test]
+fn a_full_region_does_not_send_its_overload_to_others() {
+    let mut placer = placer("north-1", lopsided());
+    let mut refused = 0;
+    for number in 0..60 {
+        let now = ms(number * 5);
+        match place(&mut placer, now, &format!("o-{}", number % 40)) {
+            Some(target) => assert!(target.id.starts_with('n'), "{number}: {target:?}"),
+            None => refused += 1,
+        }
+    }
+    assert!(refused > 0);
+}
