--- a/crates/place/src/endpoint.rs
+++ b/crates/place/src/endpoint.rs
@@ -183,12 +183,16 @@
         (f64::from(self.own) + others).max(floor)
     }
 
-    /// How much longer than expected its answers take, as far as that is still believed.
+    /// How much longer than others' its answers take, as far as that is still believed.
     pub(crate) fn slowness(&self, now: Moment) -> f64 {
-        let believed = 1.0 + (self.slowness - 1.0) * self.belief(now);
+        let believed = self.believed_slowness(now);
         if believed < SLOW { 1.0 } else { believed }
     }
 
+    fn believed_slowness(&self, now: Moment) -> f64 {
+        1.0 + (self.slowness - 1.0) * self.belief(now)
+    }
+
     /// Part of its requests that end badly, as far as that is still believed.
     pub(crate) fn failing(&self, now: Moment) -> f64 {
         self.failing * self.belief(now)
@@ -242,7 +246,7 @@
     /// Notes how a request ended; `expected` is how long it should have taken.
     pub(crate) fn ended(&mut self, now: Moment, outcome: Outcome, expected: Duration) {
         self.own = self.own.saturating_sub(1);
-        self.slowness = 1.0 + (self.slowness - 1.0) * self.belief(now);
+        self.slowness = self.believed_slowness(now);
         self.failing = self.failing(now);
         self.opinion_at = now;
         if !matches!(outcome, Outcome::Abandoned(_) | Outcome::Broken) {
--- a/crates/place/src/plan.rs
+++ b/crates/place/src/plan.rs
@@ -159,31 +159,33 @@
         load.extend(self.demand.iter().map(|(r, d)| (r.clone(), *d)));
         let quantum = self.demand.values().sum::<f64>() / QUANTA;
         for _ in 0..QUANTA as usize {
-            let at = |region: &Region, load: f64| {
-                let slots = self.capacity.get(region).copied().unwrap_or(0.0);
-                self.marginal(load / slots.max(0.01))
-            };
-            let giver = load
-                .iter()
-                .filter(|(_, load)| **load >= quantum)
-                .map(|(region, load)| (region, at(region, *load)))
-                .max_by(|a, b| a.1.total_cmp(&b.1));
-            let taker = load
-                .iter()
-                .map(|(region, load)| (region, at(region, load + quantum)))
-                .min_by(|a, b| a.1.total_cmp(&b.1));
-            let (Some((giver, gained)), Some((taker, lost))) = (giver, taker) else {
+            let Some((giver, taker)) = self.exchange(&load, quantum) else {
                 break;
             };
-            if gained <= lost + self.way {
-                break;
-            }
-            let (giver, taker) = (giver.clone(), taker.clone());
             *load.entry(giver).or_default() -= quantum;
             *load.entry(taker).or_default() += quantum;
         }
         load
     }
+
+    /// From which region to which a quantum of demand gains most by moving; `None` if it
+    /// gains nothing.
+    fn exchange(&self, load: &Slots, quantum: f64) -> Option<(Region, Region)> {
+        let marginal = |region: &Region, load: f64| {
+            let slots = self.capacity.get(region).copied().unwrap_or(0.0);
+            self.marginal(load / slots.max(0.01))
+        };
+        let (giver, gained) = load
+            .iter()
+            .filter(|(_, load)| **load >= quantum)
+            .map(|(region, load)| (region, marginal(region, *load)))
+            .max_by(|a, b| a.1.total_cmp(&b.1))?;
+        let (taker, lost) = load
+            .iter()
+            .map(|(region, load)| (region, marginal(region, load + quantum)))
+            .min_by(|a, b| a.1.total_cmp(&b.1))?;
+        (gained > lost + self.way).then(|| (giver.clone(), taker.clone()))
+    }
 }
 
 /// The parts of `own`'s requests that should run in other regions.
