--- a/crates/filberthead/src/control/orders.rs
+++ b/crates/filberthead/src/control/orders.rs
@@ -19,6 +19,7 @@
 use super::core::{Core, Pending};
 use super::fleet::Fleet;
 use super::machine::Entry;
+use super::roster::MAX_VOTERS;
 
 /// How long an order or read waits for a leader, or for the leader's word. An operator
 /// waits a second for an answer; after that a late one would be lost on it.
@@ -112,7 +113,8 @@
         };
         let voters = self.replica.status(now).members.voters.len();
         let since = self.fleet.led_since.unwrap_or(now);
-        voters < 2 * keeping.tolerate + 1 && now < since + MAKING
+        let wanted = (2 * keeping.tolerate + 1).min(MAX_VOTERS);
+        voters < wanted && now < since + MAKING
     }
 
     async fn propose_order(&mut self, order: Order, asker: Asker) {
--- a/crates/place/src/budget.rs
+++ b/crates/place/src/budget.rs
@@ -23,7 +23,7 @@
     /// Further attempts as a part of first ones.
     pub ratio: f64,
     /// Further attempts allowed besides in each window, over all gateways.
-    pub floor: u32,
+    pub floor: f64,
     /// The window.
     pub window: Duration,
 }
@@ -66,7 +66,7 @@
                 further += part.further;
             }
         }
-        let floor = f64::from(self.cfg.floor) / f64::from(gateways.max(1));
+        let floor = self.cfg.floor / f64::from(gateways.max(1));
         let allowed = SPENT * (self.cfg.ratio * f64::from(first) + floor);
         if f64::from(further) + 1.0 > allowed {
             return false;
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -14,7 +14,7 @@
     /// Further attempts of requests, as a part of first ones.
     pub retry_ratio: f64,
     /// Further attempts that are allowed in each window besides, over all gateways.
-    pub retry_floor: u32,
+    pub retry_floor: f64,
     /// The window.
     pub retry_window: Duration,
     /// Part of a region's requests that may change the region where they run, from one
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -145,13 +145,13 @@
         /// Where its list of endpoints is read, by the leading control replica.
         PLATFORM_LIST: TargetAddr = "list", Absent::Unset(Roles::Control);
         /// Calls a second that the list bears from all processes together.
-        PLATFORM_RATE: f64 = "rate", default("10"), "0.1"..="10000";
+        PLATFORM_RATE: f64 = "rate", default("10"), "0.001"..="1000000000";
         /// The failure domains. A list of several pages is read by failure domain, all at
         /// once, since each page names only the next one.
         PLATFORM_DOMAINS: DomainList = "domains", UNSET;
         /// Time after which an endpoint that the list calls draining must get nothing new.
         /// The list is read several times within it.
-        PLATFORM_DRAIN: Duration = "drain", default("3s"), "500ms"..="10m";
+        PLATFORM_DRAIN: Duration = "drain", default("3s"), "0s"..="1d";
     }
     /// How the processes of a group find each other without being told of all others.
     ["group"] Seeded {
@@ -166,8 +166,8 @@
         /// the group; a replica that later finds its disk empty must never do so.
         FIRST_START: bool = "first_start", default("false");
         /// Replicas that may be lost at once. Orders are accepted only once the group has
-        /// so many voters that any of them may be lost.
-        TOLERATE: u32 = "tolerate", default("1"), "0"..="3";
+        /// so many voters that any of them may be lost, or seven voters, its most.
+        TOLERATE: u32 = "tolerate", default("1"), "0"..="1000";
     }
     /// Where operators send routes and evacuations.
     ["orders"] Control {
@@ -195,25 +195,26 @@
     /// Bounds that all gateways keep together.
     ["budgets"] Gateway {
         /// Further attempts of requests, as a part of first ones.
-        RETRY_RATIO: f64 = "retry_ratio", default("0.2"), "0"..="1";
-        /// Further attempts that are allowed in each window besides, over all gateways.
-        RETRY_FLOOR: u32 = "retry_floor", default("10"), "0"..="100000";
+        RETRY_RATIO: f64 = "retry_ratio", default("0.2"), "0"..="100";
+        /// Further attempts that are allowed in each window besides, over all gateways; a
+        /// fraction is reached over several windows.
+        RETRY_FLOOR: f64 = "retry_floor", default("10"), "0"..="1000000000";
         /// The window.
-        RETRY_WINDOW: Duration = "retry_window", default("10s"), "1s"..="10m";
+        RETRY_WINDOW: Duration = "retry_window", default("10s"), "100ms"..="1h";
         /// Part of a region's requests that may change the region where they run, from
         /// one window of two seconds to the next.
-        MAX_SHIFT: f64 = "max_shift", default("0.15"), "0.01"..="1";
+        MAX_SHIFT: f64 = "max_shift", default("0.15"), "0"..="1";
     }
     /// The link of a gateway's VM.
     ["link"] Gateway {
         /// Its rate in Mbit/s. Large answers go out in pieces that leave it to short
-        /// messages first. Without it they go out as fast as they come.
-        LINK_RATE: f64 = "rate", UNSET, "0.1"..="1000000";
+        /// messages first. Without it, or with 0, they go out as fast as they come.
+        LINK_RATE: f64 = "rate", UNSET, "0"..="1000000000";
     }
     /// The planned stop of a gateway.
     ["stop"] Gateway {
         /// Time from the signal until the process must have ended.
-        STOP_GRACE: Duration = "grace", default("6s"), "1s"..="1h";
+        STOP_GRACE: Duration = "grace", default("6s"), "0s"..="1d";
     }
     /// Bounds on what an entry takes on.
     ["limits"] Entry {
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -204,7 +204,7 @@
             retry_window: document.get(&keys::RETRY_WINDOW)?,
             max_shift: document.get(&keys::MAX_SHIFT)?,
         },
-        link_rate: document.get(&keys::LINK_RATE),
+        link_rate: document.get(&keys::LINK_RATE).filter(|rate| *rate > 0.0),
         stop_grace: document.get(&keys::STOP_GRACE)?,
         log: log(document)?,
     })
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -9,6 +9,9 @@
 
 use crate::{LogFormat, LogStream, ReviewPolicy};
 
+/// Longest duration that is read, in milliseconds: what a number keeps exactly.
+const MAX_DURATION_MS: f64 = (1_u64 << 53) as f64;
+
 /// A type that a value is read into.
 pub(crate) trait Value: Sized + PartialOrd {
     /// What is allowed, in words that follow "allowed:".
@@ -222,19 +225,23 @@
 }
 
 impl Value for Duration {
-    const FORM: &'static str = "a whole number with `ms`, `s`, `m`, `h` or `d`, such as `500ms`";
+    const FORM: &'static str =
+        "a number with `ms`, `s`, `m`, `h` or `d`, such as `500ms` or `2.5s`";
 
     fn read(text: &str) -> Option<Self> {
-        let (number, unit) = split_unit(text)?;
-        let unit_ms = match unit {
-            "ms" => 1,
-            "s" => 1000,
-            "m" => 60 * 1000,
-            "h" => 60 * 60 * 1000,
-            "d" => 24 * 60 * 60 * 1000,
+        let end = text.find(|c: char| !c.is_ascii_digit() && c != '.')?;
+        let (number, unit) = text.split_at(end);
+        let number: f64 = number.parse().ok()?;
+        let unit_s = match unit.trim_start() {
+            "ms" => 0.001,
+            "s" => 1.0,
+            "m" => 60.0,
+            "h" => 60.0 * 60.0,
+            "d" => 24.0 * 60.0 * 60.0,
             _ => return None,
         };
-        number.checked_mul(unit_ms).map(Self::from_millis)
+        let rounded_ms = (number * unit_s * 1000.0).round();
+        (rounded_ms < MAX_DURATION_MS).then(|| Self::from_millis(rounded_ms as u64))
     }
 }
 
