Let gateways follow a few control replicas

Cause: every gateway reported to every replica twice a second and was answered by each: at 273 gateways and 27 replicas 14,700 reports and as many notices a second; for each notice a replica summed over all gateways anew. 27 replicas had used 110 s of processor while 273 gateways had used less than one each.

Ruled out: a relay in each failure domain that adds reports up: replicas need each gateway's readiness for look-ups anyway, and a domain may hold no replica; leaving the choice to settings (a replaced VM has another address).

Change: fleet::contacts (step functions): a gateway reports to the two nearest replicas that answer, to twice as many every 250 ms while no proof comes that its routes are the newest, in the end to all, and looks around every 5 s. Replicas tell each other of gateways that report to them (`Roster`, every 250 ms, only what is new, with its age). A replica that doesn't lead asks the leader on behalf of the questions that it got (one message each 150 ms) and passes the proof on (`Proof`), valid from when the gateway asked, as before. Sums over gateways are kept for 100 ms.

Tests: fleet::following counts messages at 11, 100, 300 and 600 gateways (before: 2 x gateways at each replica, by construction; now the same divided by replicas), and plays replicas that die, are cut off from the leader both ways or one way, come back; relayed words that are older.

--- a/crates/filberthead/src/control/fleet.rs
+++ b/crates/filberthead/src/control/fleet.rs
@@ -22,6 +22,12 @@
 /// was lost.
 const LIST_CATCH_UP: Duration = Duration::from_millis(1000);
 
+/// How often a replica tells the others of the gateways that report to it: twice in a
+/// gateway's report period, so that what they know of it is hardly older.
+const ROSTER_PERIOD: Duration = Duration::from_millis(250);
+/// How often the leader is asked to prove routes to the gateways that report here.
+const PROOF_PERIOD: Duration = Duration::from_millis(150);
+
 /// Term of a list that was read by a replica that doesn't lead and had none.
 const NO_TERM: u64 = 0;
 /// How long a replica that starts waits for a leader's list before it reads its own.
@@ -50,6 +56,8 @@
     /// When learners were first seen in this leadership.
     pub(super) joined: BTreeMap<ReplicaId, Moment>,
     next_list: Moment,
+    next_roster: Moment,
+    next_proof: Moment,
     shown: watch::Sender<Shown>,
     /// What members of the group were last seen as, for the log.
     belief: (Option<ReplicaId>, Members),
@@ -69,6 +77,8 @@
             led_since: None,
             joined: BTreeMap::new(),
             next_list: Moment::ZERO,
+            next_roster: Moment::ZERO,
+            next_proof: Moment::ZERO,
             shown,
             belief: Default::default(),
             unserved: BTreeSet::new(),
@@ -149,7 +159,7 @@
         }
     }
 
-    fn tell(&mut self, out: Vec<Outbound>) {
+    pub(super) fn tell(&mut self, out: Vec<Outbound>) {
         for (to, message) in out {
             self.send(to, Body::Fleet(message));
         }
@@ -188,6 +198,11 @@
         self.note_leadership(now);
         self.retry_waiting(now).await;
         self.catch_up_on_list(now);
+        self.relay_gateways(now);
+        if now >= self.fleet.next_proof {
+            self.fleet.next_proof = now + PROOF_PERIOD;
+            self.ask_for_proofs(now);
+        }
         self.show(now);
         if self.fleet.keeping.is_some() {
             self.keep_membership(now).await;
@@ -235,6 +250,20 @@
         }
     }
 
+    /// Tells the other replicas of the gateways that report here.
+    fn relay_gateways(&mut self, now: Moment) {
+        if now < self.fleet.next_roster {
+            return;
+        }
+        self.fleet.next_roster = now + ROSTER_PERIOD;
+        let Some(roster) = self.fleet.registry.roster(now) else {
+            return;
+        };
+        for to in self.book.to_greet() {
+            self.send(to, Body::Fleet(roster.clone()));
+        }
+    }
+
     fn show(&mut self, now: Moment) {
         let gateways = self.fleet.registry.ready(now);
         let replica = self.replica.status(now);
--- a/crates/filberthead/src/control/orders.rs
+++ b/crates/filberthead/src/control/orders.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use filberthead_consensus::{Event, Proposal, ProposeError};
-use filberthead_fleet::{Message, Order, OrderError};
+use filberthead_fleet::{Message, Order, OrderError, Question};
 use filberthead_peer::Body;
 use filberthead_route::Change;
 use filberthead_types::Moment;
@@ -52,16 +52,18 @@
     Read(oneshot::Sender<Result<Option<Arc<Change>>, OrderError>>),
     /// An order passed on under this token.
     Passed(u64, oneshot::Sender<Result<(), OrderError>>),
-    /// A read passed on under this token.
-    Asked(
-        u64,
-        oneshot::Sender<Result<Option<Arc<Change>>, OrderError>>,
-    ),
-    /// A read that may be answered once the log is applied up to this index.
-    Behind(
-        u64,
-        oneshot::Sender<Result<Option<Arc<Change>>, OrderError>>,
-    ),
+    /// What was asked of the leader under this token.
+    Asked(u64, Unproven),
+    /// What may be answered once the log is applied up to this index.
+    Behind(u64, Unproven),
+}
+
+/// What a replica that doesn't lead answers once the leader has told what is the newest.
+pub(super) enum Unproven {
+    /// A read of the routes.
+    Read(oneshot::Sender<Result<Option<Arc<Change>>, OrderError>>),
+    /// Questions of gateways.
+    Questions(Vec<Question>),
 }
 
 impl Fleet {
@@ -157,15 +159,40 @@
             return;
         }
         match self.leader_addr(now) {
-            Some(leader) => {
-                let token = self.fleet.token();
-                self.send(leader, Body::Fleet(Message::Newest { token }));
-                self.fleet.wait(now, Waiting::Asked(token, reply));
-            }
+            Some(leader) => self.ask_newest(now, leader, Unproven::Read(reply)),
             None => self.fleet.wait(now, Waiting::Read(reply)),
         }
     }
 
+    fn ask_newest(&mut self, now: Moment, leader: SocketAddr, unproven: Unproven) {
+        let token = self.fleet.token();
+        self.send(leader, Body::Fleet(Message::Newest { token }));
+        self.fleet.wait(now, Waiting::Asked(token, unproven));
+    }
+
+    /// Asks the leader for what proves the routes held here to gateways that report here.
+    /// Without a leader they get no proof, and ask others.
+    pub(super) fn ask_for_proofs(&mut self, now: Moment) {
+        let questions = self.fleet.registry.take_questions();
+        let leader = self.leader_addr(now).filter(|_| !questions.is_empty());
+        if let Some(leader) = leader {
+            self.ask_newest(now, leader, Unproven::Questions(questions));
+        }
+    }
+
+    fn answer_unproven(&mut self, unproven: Unproven) {
+        match unproven {
+            Unproven::Read(reply) => {
+                // Whoever asked may have gone; nobody else needs the answer.
+                let _ = reply.send(Ok(self.machine.routes.newest().cloned()));
+            }
+            Unproven::Questions(questions) => {
+                let out = self.fleet.registry.prove(questions);
+                self.tell(out);
+            }
+        }
+    }
+
     pub(super) async fn prove(&mut self, reader: Reader) {
         let token = self.pend(Pending::Newest(reader));
         self.step(Event::Read { token }).await;
@@ -187,17 +214,13 @@
 
     pub(super) fn asked_done(&mut self, now: Moment, token: u64, result: Result<u64, OrderError>) {
         let mine = |what: &Waiting| matches!(what, Waiting::Asked(held, _) if *held == token);
-        let Some(Waiting::Asked(_, reply)) = self.fleet.take(mine) else {
+        let Some(Waiting::Asked(_, unproven)) = self.fleet.take(mine) else {
             return;
         };
         match result {
-            Ok(index) if index <= self.applied => {
-                let _ = reply.send(Ok(self.machine.routes.newest().cloned()));
-            }
-            Ok(index) => self.fleet.wait(now, Waiting::Behind(index, reply)),
-            Err(e) => {
-                let _ = reply.send(Err(e));
-            }
+            Ok(index) if index <= self.applied => self.answer_unproven(unproven),
+            Ok(index) => self.fleet.wait(now, Waiting::Behind(index, unproven)),
+            Err(e) => unproven.fail(e),
         }
     }
 
@@ -205,8 +228,8 @@
         let applied = self.applied;
         let caught_up =
             |what: &Waiting| matches!(what, Waiting::Behind(index, _) if *index <= applied);
-        while let Some(Waiting::Behind(_, reply)) = self.fleet.take(caught_up) {
-            let _ = reply.send(Ok(self.machine.routes.newest().cloned()));
+        while let Some(Waiting::Behind(_, unproven)) = self.fleet.take(caught_up) {
+            self.answer_unproven(unproven);
         }
     }
 
@@ -240,15 +263,28 @@
     }
 }
 
+impl Unproven {
+    fn fail(self, error: OrderError) {
+        match self {
+            Self::Read(reply) => {
+                let _ = reply.send(Err(error));
+            }
+            // Gateways ask again with each report.
+            Self::Questions(_) => {}
+        }
+    }
+}
+
 fn fail(what: Waiting, error: OrderError) {
     // Whoever asked may have gone; nobody else needs the answer.
     match what {
         Waiting::Order(_, Asker::Here(reply)) | Waiting::Passed(_, reply) => {
             let _ = reply.send(Err(error));
         }
-        Waiting::Read(reply) | Waiting::Asked(_, reply) | Waiting::Behind(_, reply) => {
+        Waiting::Read(reply) => {
             let _ = reply.send(Err(error));
         }
+        Waiting::Asked(_, unproven) | Waiting::Behind(_, unproven) => unproven.fail(error),
         // The replica that passed it on gives up by itself.
         Waiting::Order(_, Asker::Replica { .. }) => {}
     }
--- a/crates/fleet/src/api.rs
+++ b/crates/fleet/src/api.rs
@@ -139,6 +139,22 @@
     pub question: u64,
 }
 
+/// What a gateway said about itself to another replica.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Relayed {
+    /// Who it is.
+    pub gateway: GatewayInfo,
+    /// Whether callers may be sent to it.
+    pub ready: bool,
+    /// What it was asked to carry.
+    pub demand: Vec<Demand>,
+    /// Thousandths of its link that are in use.
+    pub link_milli: u32,
+    /// Time since its report came, when this was sent.
+    pub age: Duration,
+}
+
 /// What an operator wants.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -183,10 +199,22 @@
         /// Thousandths of their links that gateways of the receiver's failure domain use on
         /// average, of those that callers are sent to.
         link_milli: Option<u32>,
+        /// The question of the report that this answers, if it answers one.
+        answers: Option<u64>,
         /// The question of the report that this answers, if its sender could prove at that
         /// moment that nothing newer than what it holds is accepted.
         proves: Option<u64>,
     },
+    /// A replica that doesn't lead has learned from the leader that nothing newer than what
+    /// it holds was accepted when this question was asked.
+    Proof {
+        /// The question of a report.
+        question: u64,
+        /// What it holds.
+        have: Have,
+    },
+    /// A replica tells the others of gateways that have reported to it.
+    Roster(Vec<Relayed>),
     /// Asks for all that is newer than what the sender holds.
     Ask(Have),
     /// The routes in force.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,10 +1,11 @@
 //! What gateways and control tell each other, as step functions free of I/O.
 //!
-//! Every gateway reports to every control replica it knows ([`Member`]), and every
-//! replica answers with the revisions that it holds ([`Registry`]). Whoever sees a higher
-//! revision than its own asks for it. So a gateway that is cut off from the leader still
-//! gets a change from any replica that has it, and no replica has to know which of its
-//! messages arrived.
+//! A gateway reports to a few control replicas ([`Member`]) and to more of them while none
+//! proves that it is up to date; a replica answers with the revisions that it holds and
+//! tells the other replicas of the gateways that report to it ([`Registry`]). Whoever sees a
+//! higher revision than its own asks for it. So a gateway that is cut off from the leader
+//! still gets a change from any replica that has it, and no replica has to know which of
+//! its messages arrived.
 //!
 //! Three things spread this way, each under a revision that only goes up:
 //!
@@ -18,13 +19,14 @@
 //! starts anew begins with nothing and serves nothing until it has both routes and list.
 
 mod api;
+mod contacts;
 mod list;
 mod member;
 mod registry;
 
 pub use api::{
     Demand, Endpoint, EndpointChange, EndpointState, GatewayInfo, Have, Message, Order, OrderError,
-    Outbound, Report, Stamp,
+    Outbound, Relayed, Report, Stamp,
 };
 pub use member::{Load, Member, Update};
-pub use registry::Registry;
+pub use registry::{Question, Registry};
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -1,6 +1,6 @@
 //! The gateway side: reports, and asks for what it lacks.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,6 +8,7 @@
 use filberthead_route::Table;
 use filberthead_types::{FailureDomain, Moment, Region, ServiceName};
 
+use crate::contacts::Contacts;
 use crate::{Demand, Endpoint, EndpointChange, GatewayInfo, Have, Message, Outbound, Report};
 
 /// Time between reports: three fit into the silence after which a gateway is taken for
@@ -16,10 +17,6 @@
 /// An answer to a question takes two ways between regions; asked sooner again, each
 /// change would come twice.
 const ASK_AGAIN: Duration = Duration::from_millis(250);
-/// A replica that no notice has named for this long, while others came, is no longer reported
-/// to.
-const CONTACT_FORGOTTEN: Duration = Duration::from_secs(30);
-
 /// How long a gateway that starts waits to hear from most replicas.
 const UNHEARD_OF: Duration = Duration::from_millis(1500);
 
@@ -70,12 +67,9 @@
 pub struct Member {
     info: GatewayInfo,
     ready: bool,
-    seeds: BTreeSet<SocketAddr>,
-    /// When each replica was last named or heard.
-    contacts: BTreeMap<SocketAddr, Moment>,
+    contacts: Contacts,
     heard: Option<Moment>,
-    /// The first notice of each replica that was heard, and when the first of all came.
-    told: BTreeSet<SocketAddr>,
+    /// When the first notice of all came.
     first_told: Option<Moment>,
     /// The newest of everything that anybody was heard to hold.
     newest: Have,
@@ -102,10 +96,8 @@
         Self {
             info,
             ready: false,
-            seeds: seeds.into_iter().collect(),
-            contacts: BTreeMap::new(),
+            contacts: Contacts::new(seeds),
             heard: None,
-            told: BTreeSet::new(),
             first_told: None,
             newest: Have::default(),
             have: Have::default(),
@@ -128,7 +120,7 @@
     /// a while.
     pub fn is_informed(&self, now: Moment) -> bool {
         let has_all = self.have.routes > 0 && self.have.endpoints.seq > 0;
-        let most = 2 * self.told.len() > self.contacts.len();
+        let most = self.contacts.most_told();
         let waited = self.first_told.is_some_and(|at| now >= at + UNHEARD_OF);
         has_all && ((most && !self.have.lacks(&self.newest)) || waited)
     }
@@ -170,10 +162,7 @@
     /// Replaces the replicas of the settings, when these have changed. None at all means
     /// that they couldn't be read, and changes nothing.
     pub fn set_seeds(&mut self, seeds: impl IntoIterator<Item = SocketAddr>) {
-        let seeds: BTreeSet<_> = seeds.into_iter().collect();
-        if !seeds.is_empty() {
-            self.seeds = seeds;
-        }
+        self.contacts.set_seeds(seeds);
     }
 
     /// Reports if it is time. `load` is asked only then.
@@ -182,11 +171,8 @@
             return Vec::new();
         }
         self.next_report = now + REPORT_PERIOD;
-        // Counted up to the last notice: while none comes nobody is left out of any, and who
-        // is forgotten then may be the only one that can still be reached.
-        let heard = self.heard.unwrap_or_default();
-        self.contacts
-            .retain(|_, named| heard < *named + CONTACT_FORGOTTEN);
+        self.contacts.forget(self.heard.unwrap_or_default());
+        let to = self.contacts.report(now, self.proven_at());
         let Load { demand, link_milli } = load();
         let question = self.question(now);
         let report = Message::Report(Report {
@@ -197,8 +183,7 @@
             link_milli,
             question,
         });
-        let known: BTreeSet<_> = self.contacts.keys().chain(&self.seeds).copied().collect();
-        known.into_iter().map(|to| (to, report.clone())).collect()
+        to.into_iter().map(|to| (to, report.clone())).collect()
     }
 
     fn question(&mut self, now: Moment) -> u64 {
@@ -209,10 +194,14 @@
         question
     }
 
+    fn asked_at(&self, question: u64) -> Option<Moment> {
+        let asked = self.questions.iter().find(|(asked, _)| *asked == question);
+        asked.map(|(_, at)| *at)
+    }
+
     /// Takes in that routes of `revision` were the newest when this question was answered.
     fn prove(&mut self, question: u64, revision: u64) {
-        let asked = self.questions.iter().find(|(asked, _)| *asked == question);
-        let Some(&(_, at)) = asked else {
+        let Some(at) = self.asked_at(question) else {
             return;
         };
         if self.proven.is_none_or(|(_, proven)| proven <= at) {
@@ -235,17 +224,18 @@
                 gateways,
                 demand,
                 link_milli,
+                answers,
                 proves,
             } => {
-                self.told.insert(from);
+                self.contacts.told(now, from, &replicas);
+                if let Some(asked) = answers.and_then(|question| self.asked_at(question)) {
+                    self.contacts.answered(now, from, asked);
+                }
                 self.first_told.get_or_insert(now);
                 self.newest.raise(&have);
                 if let Some(question) = proves {
                     self.prove(question, have.routes);
                 }
-                for replica in replicas.into_iter().chain([from]) {
-                    self.contacts.insert(replica, now);
-                }
                 let updates = vec![
                     Update::Gateways(gateways),
                     Update::Demand(demand),
@@ -253,6 +243,11 @@
                 ];
                 (self.ask(now, from, have), updates)
             }
+            Message::Proof { question, have } => {
+                self.newest.raise(&have);
+                self.prove(question, have.routes);
+                (self.ask(now, from, have), Vec::new())
+            }
             Message::Routes {
                 revision,
                 version,
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -1,5 +1,6 @@
 //! The control side: which gateways are live, and what they are to be told.
 
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,7 +11,7 @@
 
 use crate::list::{List, Taken};
 use crate::{
-    Demand, Endpoint, EndpointChange, GatewayInfo, Have, Message, Outbound, Report, Stamp,
+    Demand, Endpoint, EndpointChange, GatewayInfo, Have, Message, Outbound, Relayed, Report, Stamp,
 };
 
 /// Silence after which a gateway is no longer named to callers: three reports, so that
@@ -20,16 +21,41 @@
 /// one that is cut off from control may still be serving.
 const FORGOTTEN_AFTER: Duration = Duration::from_secs(30);
 
+/// Time for which sums over all gateways are kept: each of hundreds of reports is answered
+/// with them.
+const SUMS_KEPT: Duration = Duration::from_millis(100);
+/// Questions that may wait for the leader's word; further ones are asked again anyway.
+const MAX_QUESTIONS: usize = 1024;
+
 #[derive(Clone, Debug)]
 struct Seen {
     info: GatewayInfo,
-    addr: SocketAddr,
+    /// Where it reported from to this replica, and when; not if only others heard it.
+    direct: Option<(SocketAddr, Moment)>,
     ready: bool,
     at: Moment,
     demand: Vec<Demand>,
     link_milli: u32,
 }
 
+/// The question of a gateway's report that waits for a proof.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Question {
+    /// Who asked.
+    pub from: SocketAddr,
+    /// The question.
+    pub number: u64,
+}
+
+/// Sums over all gateways, as notices tell them.
+#[derive(Clone, Debug)]
+struct Sums {
+    at: Moment,
+    gateways: Vec<(FailureDomain, u32)>,
+    demand: Vec<(Region, ServiceName, u32)>,
+    links: BTreeMap<FailureDomain, u32>,
+}
+
 /// What a control replica knows of gateways, and holds for them.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
@@ -40,6 +66,11 @@
     table: Option<Arc<Table>>,
     evacuated: BTreeSet<FailureDomain>,
     endpoints: List,
+    /// Questions that this replica couldn't answer itself.
+    questions: Vec<Question>,
+    /// When other replicas were last told of gateways.
+    relayed: Moment,
+    sums: RefCell<Option<Sums>>,
 }
 
 impl Registry {
@@ -144,6 +175,10 @@
     ) -> Vec<Outbound> {
         match message {
             Message::Report(report) => self.reported(now, from, report, proven),
+            Message::Roster(gateways) => {
+                self.relayed(now, gateways);
+                Vec::new()
+            }
             Message::Ask(have) => self.newer_than(now, &have, from),
             Message::Endpoints { stamp, list } => {
                 let taken = self.endpoints.replace(now, stamp, list);
@@ -161,18 +196,83 @@
         report: Report,
         proven: bool,
     ) -> Vec<Outbound> {
+        let question = report.question;
         let seen = Seen {
             info: report.gateway,
-            addr: from,
+            direct: Some((from, now)),
             ready: report.ready,
             at: now,
             demand: report.demand,
             link_milli: report.link_milli,
         };
         let domain = seen.info.domain.clone();
-        self.gateways.insert(seen.info.name.clone(), seen);
-        let proves = proven.then_some(report.question);
-        vec![(from, self.notice(now, &domain, proves))]
+        self.note(seen);
+        if !proven && self.questions.len() < MAX_QUESTIONS {
+            let number = question;
+            self.questions.push(Question { from, number });
+        }
+        let proves = proven.then_some(question);
+        vec![(from, self.notice(now, &domain, Some(question), proves))]
+    }
+
+    fn note(&mut self, seen: Seen) {
+        let held = self.gateways.insert(seen.info.name.clone(), seen);
+        if held.is_none() {
+            self.sums.replace(None);
+        }
+    }
+
+    /// Takes in what another replica tells of gateways, as far as it is newer.
+    fn relayed(&mut self, now: Moment, gateways: Vec<Relayed>) {
+        for relayed in gateways {
+            let at = now.saturating_sub(relayed.age);
+            let held = self.gateways.get(&relayed.gateway.name);
+            if held.is_some_and(|held| held.at >= at) {
+                continue;
+            }
+            let direct = held.and_then(|held| held.direct);
+            self.note(Seen {
+                info: relayed.gateway,
+                direct,
+                ready: relayed.ready,
+                at,
+                demand: relayed.demand,
+                link_milli: relayed.link_milli,
+            });
+        }
+    }
+
+    /// What other replicas are to be told of gateways: all that have reported here since
+    /// they were last told.
+    pub fn roster(&mut self, now: Moment) -> Option<Message> {
+        let since = std::mem::replace(&mut self.relayed, now);
+        let reported = |seen: &&Seen| seen.direct.is_some_and(|(_, at)| at >= since && at < now);
+        let relayed = |seen: &Seen| Relayed {
+            gateway: seen.info.clone(),
+            ready: seen.ready,
+            demand: seen.demand.clone(),
+            link_milli: seen.link_milli,
+            age: now.saturating_sub(seen.at),
+        };
+        let gateways = self.gateways.values().filter(reported);
+        let gateways: Vec<_> = gateways.map(relayed).collect();
+        (!gateways.is_empty()).then_some(Message::Roster(gateways))
+    }
+
+    /// The questions that wait for a proof. They are not given again.
+    pub fn take_questions(&mut self) -> Vec<Question> {
+        std::mem::take(&mut self.questions)
+    }
+
+    /// The answers to questions, once it is known that nothing newer than what is held here
+    /// was accepted when they were taken.
+    pub fn prove(&self, questions: Vec<Question>) -> Vec<Outbound> {
+        let have = self.have;
+        let answer = |Question { from, number }| {
+            let question = number;
+            (from, Message::Proof { question, have })
+        };
+        questions.into_iter().map(answer).collect()
     }
 
     fn newer_than(&self, now: Moment, have: &Have, to: SocketAddr) -> Vec<Outbound> {
@@ -203,25 +303,51 @@
         self.gateways
             .retain(|_, seen| now < seen.at + FORGOTTEN_AFTER);
         let mut notices: BTreeMap<&FailureDomain, Message> = BTreeMap::new();
-        let live = self.gateways.values().filter(|seen| seen.is_live(now));
-        live.map(|seen| {
+        let reach = |seen: &Seen| {
+            let (addr, at) = seen.direct?;
+            (now < at + LIVE_FOR).then_some(addr)
+        };
+        let live = self
+            .gateways
+            .values()
+            .filter_map(|seen| Some((seen, reach(seen)?)));
+        live.map(|(seen, addr)| {
             let domain = &seen.info.domain;
             let notice = notices.entry(domain);
-            let notice = notice.or_insert_with(|| self.notice(now, domain, None));
-            (seen.addr, notice.clone())
+            let notice = notice.or_insert_with(|| self.notice(now, domain, None, None));
+            (addr, notice.clone())
         })
         .collect()
     }
 
     /// A notice for gateways of a failure domain, which may prove what it says.
-    fn notice(&self, now: Moment, domain: &FailureDomain, proves: Option<u64>) -> Message {
+    fn notice(
+        &self,
+        now: Moment,
+        domain: &FailureDomain,
+        answers: Option<u64>,
+        proves: Option<u64>,
+    ) -> Message {
+        let mut sums = self.sums.borrow_mut();
+        let held = sums.take().filter(|sums| now < sums.at + SUMS_KEPT);
+        let sums = sums.insert(held.unwrap_or_else(|| self.sums(now)));
         Message::Notice {
             have: self.have,
             replicas: self.replicas.clone(),
+            gateways: sums.gateways.clone(),
+            demand: sums.demand.clone(),
+            link_milli: sums.links.get(domain).copied(),
+            answers,
+            proves,
+        }
+    }
+
+    fn sums(&self, now: Moment) -> Sums {
+        Sums {
+            at: now,
             gateways: self.counts(),
             demand: self.demand(now),
-            link_milli: self.link_milli(now, domain),
-            proves,
+            links: self.links(now),
         }
     }
 
@@ -247,17 +373,17 @@
         sums.into_iter().map(flat).collect()
     }
 
-    /// Mean use of the links of a failure domain's gateways.
-    fn link_milli(&self, now: Moment, domain: &FailureDomain) -> Option<u32> {
-        let ready = |seen: &&Seen| seen.ready && seen.is_live(now) && seen.info.domain == *domain;
-        let used: Vec<u32> = self
-            .gateways
-            .values()
-            .filter(ready)
-            .map(|seen| seen.link_milli)
-            .collect();
-        let count = u32::try_from(used.len()).unwrap_or(u32::MAX);
-        used.iter().sum::<u32>().checked_div(count)
+    /// Mean use of the links of each failure domain's gateways.
+    fn links(&self, now: Moment) -> BTreeMap<FailureDomain, u32> {
+        let ready = |seen: &&Seen| seen.ready && seen.is_live(now);
+        let mut used: BTreeMap<FailureDomain, (u32, u32)> = BTreeMap::new();
+        for seen in self.gateways.values().filter(ready) {
+            let (sum, count) = used.entry(seen.info.domain.clone()).or_default();
+            *sum += seen.link_milli;
+            *count += 1;
+        }
+        let mean = |(domain, (sum, count)): (FailureDomain, (u32, u32))| (domain, sum / count);
+        used.into_iter().map(mean).collect()
     }
 
     /// The gateways that callers may be sent to.
--- /dev/null
+++ b/crates/fleet/tests/all/following.rs
@@ -0,0 +1,340 @@
+//! Whom gateways report to, and how replicas learn of the gateways that others hear.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use filberthead_fleet::{GatewayInfo, Load, Member, Message, Outbound, Registry};
+use filberthead_route::Table;
+use filberthead_types::Moment;
+
+use crate::support::{addr, ms};
+
+/// Time between two steps of the fleet below.
+const STEP_MS: u64 = 50;
+/// How often replicas tell each other of gateways, in steps.
+const ROSTER_STEPS: u64 = 5;
+
+/// Gateways and replicas with a network that can be cut, and a count of messages.
+struct Fleet {
+    now: Moment,
+    members: BTreeMap<SocketAddr, Member>,
+    replicas: BTreeMap<SocketAddr, Registry>,
+    leader: SocketAddr,
+    /// Links that carry nothing, by sender and receiver.
+    cut: BTreeSet<(SocketAddr, SocketAddr)>,
+    down: BTreeSet<SocketAddr>,
+    /// Messages that replicas received from gateways and from each other.
+    received: BTreeMap<SocketAddr, u64>,
+}
+
+fn replica_addr(number: u16) -> SocketAddr {
+    addr(1000 + number)
+}
+
+fn gateway_addr(number: u16) -> SocketAddr {
+    addr(5000 + number)
+}
+
+fn info(number: u16) -> GatewayInfo {
+    GatewayInfo {
+        name: format!("gateway-{number}").parse().expect("a name"),
+        region: "split".parse().expect("a name"),
+        domain: "split-a".parse().expect("a name"),
+        caller_addr: gateway_addr(number),
+    }
+}
+
+impl Fleet {
+    fn new(gateways: u16, replicas: u16) -> Self {
+        let addrs: Vec<_> = (0..replicas).map(replica_addr).collect();
+        let member = |number| {
+            let seeds = addrs.iter().copied().take(3);
+            (gateway_addr(number), Member::new(info(number), seeds, 100))
+        };
+        let mut fleet = Self {
+            now: ms(0),
+            members: (0..gateways).map(member).collect(),
+            replicas: addrs.iter().map(|at| (*at, Registry::default())).collect(),
+            leader: addrs[0],
+            cut: BTreeSet::new(),
+            down: BTreeSet::new(),
+            received: BTreeMap::new(),
+        };
+        for registry in fleet.replicas.values_mut() {
+            registry.set_replicas(addrs.clone());
+        }
+        fleet.set_routes(5, &addrs);
+        fleet
+    }
+
+    fn set_routes(&mut self, revision: u64, at: &[SocketAddr]) {
+        for addr in at {
+            let registry = self.replicas.get_mut(addr).expect("a replica");
+            let out = registry.set_routes(self.now, revision, revision, Arc::default());
+            self.deliver(out.into_iter().map(|out| (*addr, out)).collect());
+        }
+    }
+
+    fn reaches(&self, from: SocketAddr, to: SocketAddr) -> bool {
+        !self.cut.contains(&(from, to)) && !self.down.contains(&from) && !self.down.contains(&to)
+    }
+
+    fn is_proven_at(&self, replica: SocketAddr) -> bool {
+        replica == self.leader
+    }
+
+    /// Carries messages until nobody has any.
+    fn deliver(&mut self, mut messages: Vec<(SocketAddr, Outbound)>) {
+        while let Some((from, (to, message))) = messages.pop() {
+            if !self.reaches(from, to) {
+                continue;
+            }
+            let proven = self.is_proven_at(to);
+            let out = if let Some(registry) = self.replicas.get_mut(&to) {
+                *self.received.entry(to).or_default() += 1;
+                registry.receive(self.now, from, message, proven)
+            } else {
+                let member = self.members.get_mut(&to).expect("a gateway");
+                member.receive(self.now, from, message).0
+            };
+            messages.extend(out.into_iter().map(|out| (to, out)));
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += ms(STEP_MS);
+        let now = self.now;
+        let mut messages = Vec::new();
+        for (at, member) in &mut self.members {
+            let out = member.tick(now, Load::default);
+            messages.extend(out.into_iter().map(|out| (*at, out)));
+        }
+        self.deliver(messages);
+        self.deliver_proofs();
+        if (now.as_millis() as u64 / STEP_MS).is_multiple_of(ROSTER_STEPS) {
+            self.deliver_rosters();
+        }
+    }
+
+    /// A replica that reaches the leader, and is reached, can prove what the leader holds too.
+    fn deliver_proofs(&mut self) {
+        let leader = self.leader;
+        let newest = self.replicas[&leader].have().routes;
+        let addrs: Vec<_> = self.replicas.keys().copied().collect();
+        let mut messages = Vec::new();
+        for at in addrs {
+            let reaches = self.reaches(at, leader) && self.reaches(leader, at);
+            let registry = self.replicas.get_mut(&at).expect("a replica");
+            let questions = registry.take_questions();
+            if reaches && registry.have().routes == newest {
+                let out = registry.prove(questions);
+                messages.extend(out.into_iter().map(|out| (at, out)));
+            }
+        }
+        self.deliver(messages);
+    }
+
+    fn deliver_rosters(&mut self) {
+        let addrs: Vec<_> = self.replicas.keys().copied().collect();
+        let mut messages = Vec::new();
+        for at in &addrs {
+            let registry = self.replicas.get_mut(at).expect("a replica");
+            let Some(roster) = registry.roster(self.now) else {
+                continue;
+            };
+            let others = addrs.iter().filter(|to| *to != at);
+            messages.extend(others.map(|to| (*at, (*to, roster.clone()))));
+        }
+        self.deliver(messages);
+    }
+
+    fn run(&mut self, for_ms: u64) {
+        for _ in 0..for_ms / STEP_MS {
+            self.step();
+        }
+    }
+
+    fn are_proven(&self) -> bool {
+        let mut up = self
+            .members
+            .iter()
+            .filter(|(at, _)| !self.down.contains(*at));
+        up.all(|(_, member)| member.is_proven(self.now))
+    }
+
+    /// Messages that the busiest replica receives in a second.
+    fn busiest_per_s(&mut self) -> u64 {
+        self.received.clear();
+        self.run(10_000);
+        self.received.values().max().copied().unwrap_or(0) / 10
+    }
+}
+
+/// Guards against load of control that grows with gateways times replicas: every gateway
+/// reported twice a second to every replica.
+#[test]
+fn messages_at_a_replica_follow_gateways_divided_by_replicas() {
+    for (gateways, replicas) in [(11, 3), (100, 5), (300, 9), (600, 9)] {
+        let mut fleet = Fleet::new(gateways, replicas);
+        fleet.run(5000);
+        assert!(fleet.are_proven());
+        let busiest = fleet.busiest_per_s();
+        let rosters = 5 * u64::from(replicas);
+        assert!(
+            busiest < 2 * u64::from(gateways) + rosters,
+            "{gateways}, {replicas}: {busiest}"
+        );
+        let received = fleet.received.values().sum::<u64>() / 10;
+        // Two reports a second to two replicas, a look around, rosters among replicas.
+        let expected = 5 * u64::from(gateways) + rosters * u64::from(replicas);
+        assert!(
+            received <= expected,
+            "{gateways}, {replicas}: {received} of {expected}"
+        );
+    }
+}
+
+/// Guards against gateways that only some replicas know of: look-ups there left them out.
+#[test]
+fn every_replica_knows_every_gateway() {
+    let mut fleet = Fleet::new(40, 9);
+    for member in fleet.members.values_mut() {
+        member.set_ready(true);
+    }
+    fleet.run(10_000);
+    for (at, registry) in &fleet.replicas {
+        assert_eq!(registry.ready(fleet.now).len(), 40, "{at}");
+    }
+    // One stops, and is out of all answers within a second.
+    fleet
+        .members
+        .get_mut(&gateway_addr(7))
+        .expect("a gateway")
+        .set_ready(false);
+    fleet.run(1000);
+    for (at, registry) in &fleet.replicas {
+        assert_eq!(registry.ready(fleet.now).len(), 39, "{at}");
+    }
+    // Another one dies without a word.
+    fleet.down.insert(gateway_addr(8));
+    fleet.run(2500);
+    for (at, registry) in &fleet.replicas {
+        assert_eq!(registry.ready(fleet.now).len(), 38, "{at}");
+    }
+}
+
+/// Guards against gateways that lose touch when the replicas that they follow end.
+#[test]
+fn other_replicas_are_followed_when_some_die() {
+    for dead in [vec![1, 2], vec![1, 2, 3, 4], vec![1, 2, 3, 4, 5, 6, 7, 8]] {
+        let mut fleet = Fleet::new(20, 9);
+        fleet.run(5000);
+        fleet
+            .down
+            .extend(dead.iter().map(|number| replica_addr(*number)));
+        for passed in 0..40 {
+            fleet.run(100);
+            // One report and its proof are lost; asking others takes two more.
+            assert!(fleet.are_proven() || passed < 16, "{dead:?} {passed}");
+        }
+    }
+}
+
+/// Guards against gateways that stay with a replica which answers but has lost the leader,
+/// both ways or one way, and so miss newer routes.
+#[test]
+fn replicas_that_have_lost_the_leader_are_left() {
+    for both_ways in [true, false] {
+        let mut fleet = Fleet::new(20, 9);
+        fleet.run(5000);
+        let cut: Vec<_> = (1..=4).map(replica_addr).collect();
+        for at in &cut {
+            fleet.cut.insert((fleet.leader, *at));
+            if both_ways {
+                fleet.cut.insert((*at, fleet.leader));
+            }
+        }
+        let informed: Vec<_> = [0, 5, 6, 7, 8].map(replica_addr).to_vec();
+        fleet.set_routes(6, &informed);
+        fleet.run(2500);
+        for (at, member) in &fleet.members {
+            assert_eq!(member.have().routes, 6, "{at} {both_ways}");
+            assert!(member.is_proven(fleet.now), "{at} {both_ways}");
+        }
+    }
+}
+
+/// Guards against a replica that has come back and is asked by nobody any more.
+#[test]
+fn a_replica_that_has_come_back_is_found() {
+    let mut fleet = Fleet::new(20, 9);
+    fleet.run(5000);
+    fleet
+        .down
+        .extend((0..=8).filter(|n| *n != 0).map(replica_addr));
+    fleet.run(5000);
+    fleet.down.clear();
+    // The look around finds each of nine within a minute.
+    fleet.run(60_000);
+    fleet.down.insert(replica_addr(0));
+    fleet.leader = replica_addr(4);
+    fleet.run(3000);
+    assert!(fleet.are_proven());
+}
+
+/// Guards against relayed words of a gateway that put newer ones of its own back.
+#[test]
+fn a_relayed_report_does_not_replace_a_newer_one() {
+    let mut here = Registry::default();
+    let mut there = Registry::default();
+    let mut member = Member::new(info(1), [replica_addr(0)], 100);
+    member.set_ready(true);
+    let report = |member: &mut Member, now| member.tick(now, Load::default).remove(0).1;
+    let first = report(&mut member, ms(1000));
+    there.receive(ms(1000), gateway_addr(1), first, false);
+    let roster = there.roster(ms(1250)).expect("a gateway has reported");
+    member.set_ready(false);
+    let second = report(&mut member, ms(1300));
+    here.receive(ms(1300), gateway_addr(1), second, false);
+    here.receive(ms(1400), replica_addr(1), roster, false);
+    assert!(here.ready(ms(1400)).is_empty());
+}
+
+/// Guards against a gateway that goes on being named by what replicas tell each other.
+#[test]
+fn a_relayed_gateway_is_not_relayed_again() {
+    let mut here = Registry::default();
+    let mut there = Registry::default();
+    let mut member = Member::new(info(1), [replica_addr(0)], 100);
+    let report = member.tick(ms(1000), Load::default).remove(0).1;
+    there.receive(ms(1000), gateway_addr(1), report, false);
+    let roster = there.roster(ms(1100)).expect("a gateway has reported");
+    here.receive(ms(1200), replica_addr(1), roster, false);
+    assert_eq!(here.roster(ms(1300)), None);
+    assert_eq!(there.roster(ms(1400)), None, "told once");
+}
+
+/// Guards against proofs for gateways whose replica is behind the leader.
+#[test]
+fn a_proof_names_what_its_sender_holds() {
+    let mut registry = Registry::default();
+    registry.set_routes(ms(0), 5, 7, Arc::new(Table::default()));
+    let mut member = Member::new(info(1), [replica_addr(0)], 100);
+    let report = member.tick(ms(0), Load::default).remove(0).1;
+    for (_, message) in registry.receive(ms(1), gateway_addr(1), report, false) {
+        for (_, ask) in member.receive(ms(2), replica_addr(0), message).0 {
+            for (_, routes) in registry.receive(ms(3), gateway_addr(1), ask, false) {
+                member.receive(ms(4), replica_addr(0), routes);
+            }
+        }
+    }
+    assert!(!member.is_proven(ms(5)));
+    let questions = registry.take_questions();
+    assert_eq!(questions.len(), 1);
+    for (_, proof) in registry.prove(questions) {
+        assert!(matches!(proof, Message::Proof { question: 100, .. }));
+        member.receive(ms(6), replica_addr(0), proof);
+    }
+    assert!(member.is_proven(ms(7)));
+}
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! What spreads between gateways and control.
 
+mod following;
 mod proofs;
 mod spreading;
 mod starts;
--- a/crates/fleet/tests/all/support.rs
+++ b/crates/fleet/tests/all/support.rs
@@ -84,6 +84,7 @@
         gateways: Vec::new(),
         demand: Vec::new(),
         link_milli: None,
+        answers: None,
         proves: None,
     }
 }
--- a/crates/peer/examples/cost.rs
+++ b/crates/peer/examples/cost.rs
@@ -81,6 +81,7 @@
         gateways: (0..domains).map(|n| (domain(n), 28)).collect(),
         demand: demand.collect(),
         link_milli: Some(456),
+        answers: None,
         proves: Some(u64::MAX),
     }
 }
