Spread requests that concern no object over endpoints

Cause: without an object endpoints kept the order of the list, and the first one counted as the one where the object settles.

Ruled out: counting its load better (a gateway hears of an endpoint that others fill only with its own answers).

Change: each request without an object has a key of its own, each gateway begins elsewhere, and no endpoint counts as a place where anything settles.

Test: place::objects::requests_without_an_object_are_spread_over_endpoints (400 requests of 40 gateways: before all at one of 20, now below 40 each).

--- a/crates/place/src/decide.rs
+++ b/crates/place/src/decide.rs
@@ -62,6 +62,7 @@
 impl Placer {
     /// Decides where a request goes, and counts it as sent there.
     pub fn place(&mut self, now: Moment, req: Request<'_>) -> Decision {
+        self.turns = self.turns.wrapping_add(1);
         let object = self.object(&req);
         let planned = self.planned(&req, object);
         let best = self.best_by_region(now, &req, object, planned.as_ref());
@@ -117,7 +118,6 @@
             return None;
         }
         let plan = self.plans.get(req.service)?;
-        self.turns += 1;
         let turn = rank::place(rank::turn(self.turns));
         let place = match object {
             // Requests for an object near the edge of a part are divided, so that a few
@@ -185,21 +185,25 @@
             open = self.open(now, req, true);
         }
         let times = self.times(req);
+        // Requests that concern no object go round, or all gateways would send them to the
+        // first of the idle endpoints on the list.
+        let key = object.unwrap_or_else(|| rank::turn(self.turns));
         let mut best: BTreeMap<Region, Candidate> = BTreeMap::new();
         for (region, indices) in by_region(&self.endpoints, &open) {
             // Where all gateways of this region send the object.
-            let shared = region == self.cfg.region || Some(&region) == planned;
+            let is_shared = region == self.cfg.region || Some(&region) == planned;
+            let is_ordered = is_shared && object.is_some();
             let state = Around {
                 pressure: self.pressure(now, &indices),
                 failing: self.failing(now, &indices),
             };
-            for (place, index) in self.in_order(&indices, object).into_iter().enumerate() {
+            for (place, index) in self.in_order(&indices, key).into_iter().enumerate() {
                 let candidate = self.price(
                     now,
                     req,
                     object,
                     &times,
-                    shared.then_some(place),
+                    is_ordered.then_some(place),
                     (index, state),
                 );
                 let held = best.get(&region);
@@ -278,14 +282,12 @@
         learned.unwrap_or_else(|| Times::new(req.objective))
     }
 
-    /// Endpoints in the order in which the object prefers them.
-    fn in_order(&self, indices: &[usize], object: Option<u64>) -> Vec<usize> {
+    /// Endpoints in the order in which an object prefers them, or whatever the key stands for.
+    fn in_order(&self, indices: &[usize], key: u64) -> Vec<usize> {
         let mut order = indices.to_vec();
-        if let Some(object) = object {
-            let key =
-                |i: &usize| std::cmp::Reverse(rank::preference(object, &self.endpoints[*i].id));
-            order.sort_by_cached_key(key);
-        }
+        let preference =
+            |i: &usize| std::cmp::Reverse(rank::preference(key, &self.endpoints[*i].id));
+        order.sort_by_cached_key(preference);
         order
     }
 
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -13,7 +13,7 @@
 use crate::plan::{Plan, Slots};
 use crate::planning::OwnDemand;
 use crate::shift::Shift;
-use crate::{Budget, Config, Load, Mechanism, Outcome, Target};
+use crate::{Budget, Config, Load, Mechanism, Outcome, Target, rank};
 
 /// Weight of a new observation of a way: about the last fifty count, and half of a change
 /// is learned within as many answers.
@@ -41,7 +41,7 @@
     pub(crate) found_callers: Option<bool>,
     /// When callers first came.
     pub(crate) first_arrival: Option<Moment>,
-    /// Turns of requests that concern no object.
+    /// Turns of requests, for those that concern no object; each gateway begins elsewhere.
     pub(crate) turns: u64,
     pub(crate) evacuated: BTreeSet<FailureDomain>,
     pub(crate) gateways: BTreeMap<FailureDomain, u32>,
@@ -65,7 +65,7 @@
             informed: None,
             found_callers: None,
             first_arrival: None,
-            turns: 0,
+            turns: rank::name(cfg.gateway.as_str().as_bytes()),
             evacuated: BTreeSet::new(),
             gateways: BTreeMap::new(),
             budget: Budget::new(cfg.budget),
--- a/crates/place/tests/all/objects.rs
+++ b/crates/place/tests/all/objects.rs
@@ -1,8 +1,12 @@
 //! Requests for one object go where it is known.
 
-use filberthead_place::{Acquaintance, Decision, Object, Outcome, Refusal};
+use std::collections::BTreeMap;
 
-use crate::support::{domain, endpoint, id, ms, place, placer, refusal, request, served, service};
+use filberthead_place::{Acquaintance, Decision, EndpointId, Object, Outcome, Refusal, Request};
+
+use crate::support::{
+    domain, endpoint, id, ms, named_placer, place, placer, refusal, request, served, service,
+};
 
 fn four() -> Vec<filberthead_fleet::Endpoint> {
     ["a", "b", "c", "d"]
@@ -230,3 +234,34 @@
     // Four endpoints: three of four names have two of them.
     assert!(apart >= 20, "{apart} of 40");
 }
+
+/// Guards against one endpoint that gets all requests without an object: every gateway sent
+/// them to the first of the idle ones on the list.
+#[test]
+fn requests_without_an_object_are_spread_over_endpoints() {
+    let endpoints = || {
+        (0..20)
+            .map(|n| endpoint(&format!("e-{n}"), "north-1"))
+            .collect()
+    };
+    let service = service();
+    let mut counts: BTreeMap<EndpointId, u32> = BTreeMap::new();
+    for gateway in 0..40 {
+        let mut placer = named_placer(&format!("gateway-{gateway}"), "north-1", endpoints());
+        for number in 0..10 {
+            let now = ms(1000 * number);
+            let req = Request {
+                object: None,
+                ..request(&service, b"")
+            };
+            let Decision::Send(target) = placer.place(now, req) else {
+                panic!("all endpoints are idle");
+            };
+            served(&mut placer, now, &target, ms(100));
+            *counts.entry(target.id).or_default() += 1;
+        }
+    }
+    // 400 requests over 20 endpoints; by chance 20 each, give or take 4.5.
+    let most = counts.values().max().copied().unwrap_or(0);
+    assert!(counts.len() == 20 && most < 40, "{counts:?}");
+}
