Refuse large answers beyond a part of the link

Ruled out: slots (warm work fills a third of them); the plan (Osijek has room); pieces that give way to short messages (they help in the direction to callers only; what comes in is sent by others).

Change: place::admission, a budget of bytes: two thirds of the link less what short messages take, at least a tenth, a second's worth at once. What goes beyond is refused at once with result code 1212 and the time after which there is room; who comes back goes first. Without a rate in the settings nothing changes.

Tests: place::link::downloads_leave_room_on_the_link_at_its_peak, no_download_is_refused_on_a_usual_day, a_download_that_comes_back_is_taken_on_first.

--- a/crates/filberthead/src/gateway/carry.rs
+++ b/crates/filberthead/src/gateway/carry.rs
@@ -157,6 +157,10 @@
 
 impl Carried<'_> {
     async fn run(mut self, body: RequestBody) -> Response<AnswerBody> {
+        let is_large = self.route.kind == Kind::Download;
+        if is_large && let Err(room_in) = self.core.admit_large(self.returned) {
+            return self.refusal(ResultCode::LinkBusy, room_in);
+        }
         let mut body = body;
         loop {
             match self.step(body).await {
@@ -279,21 +283,25 @@
                 .may_repeat(self.core.now(), self.service)
     }
 
+    fn refused(&mut self, code: ResultCode, retry_after: Duration) -> Next {
+        Next::end(self.refusal(code, retry_after))
+    }
+
     /// The final answer where no further attempt is made: a promise that nothing ran only
     /// if that is so.
-    fn refused(&mut self, code: ResultCode, retry_after: Duration) -> Next {
+    fn refusal(&mut self, code: ResultCode, retry_after: Duration) -> Response<AnswerBody> {
         let left = self.deadline.left().as_millis();
         let (list_ms, control_ms) = self.core.ages();
         info!(request = self.id(), route = self.route.name.as_str(), code:%, left,
             tried = self.tries.made(), returned = self.returned, version = self.version,
             list_ms, control_ms, retry_after_ms = retry_after.as_millis(); "refused");
         if let Some(failure) = self.failure.take() {
-            return Next::end(failure);
+            return failure;
         }
         if self.tries.may_have_run() > 0 {
-            return Next::end(own(ResultCode::EndpointLost, None));
+            return own(ResultCode::EndpointLost, None);
         }
-        Next::end(own(code, Some(retry_after)))
+        own(code, Some(retry_after))
     }
 
     fn note(&self, what: &'static str, endpoint: &EndpointId) {
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -12,7 +12,7 @@
 use filberthead_fleet::{Load, Member, Outbound, Update};
 use filberthead_observe::{GatewayMetrics, LineAllowance};
 use filberthead_peer::Body;
-use filberthead_place::{Balance, Link, Placer};
+use filberthead_place::{Balance, LargeShare, Link, Placer};
 use filberthead_ring::Sender;
 use filberthead_route::{CallerBounds, Matcher};
 use filberthead_types::{Moment, ResultCode};
@@ -44,6 +44,8 @@
     pub(crate) phase: watch::Sender<Phase>,
     /// The VM's link, if its rate is known.
     pub(crate) link: Option<Link>,
+    /// What large answers may take of it.
+    pub(crate) large: Option<LargeShare>,
     /// Callers' connections that are open.
     pub(crate) connections: watch::Sender<usize>,
     pub(crate) metrics: Arc<GatewayMetrics>,
@@ -75,6 +77,7 @@
     pub(crate) metrics: Arc<GatewayMetrics>,
     /// The VM's link, if its rate is known.
     link: Option<RefCell<Link>>,
+    large: Option<RefCell<LargeShare>>,
     balance: RefCell<Balance>,
     member: RefCell<Member>,
     in_force: RefCell<Option<Rc<InForce>>>,
@@ -118,6 +121,7 @@
             placer: RefCell::new(parts.placer),
             metrics: parts.metrics,
             link: parts.link.map(RefCell::new),
+            large: parts.large.map(RefCell::new),
             balance: RefCell::default(),
             member: RefCell::new(parts.member),
             in_force: RefCell::new(None),
@@ -137,13 +141,36 @@
         self.clock.now()
     }
 
-    /// Notes bytes that go out.
+    /// Notes bytes of a short message that go out.
     pub(crate) fn sends(&self, bytes: usize) {
+        if let Some(large) = &self.large {
+            large.borrow_mut().sent_short(bytes);
+        }
+        self.sends_piece(bytes);
+    }
+
+    /// Notes bytes of a large answer that go out.
+    pub(crate) fn sends_piece(&self, bytes: usize) {
         if let Some(link) = &self.link {
             link.borrow_mut().sent(self.now(), bytes);
         }
     }
 
+    /// Takes on a large answer, or tells after which time the link has room for it.
+    pub(crate) fn admit_large(&self, returned: bool) -> Result<(), Duration> {
+        match &self.large {
+            Some(large) => large.borrow_mut().admit(self.now(), returned),
+            None => Ok(()),
+        }
+    }
+
+    /// Notes the length of a large answer.
+    pub(crate) fn observe_large(&self, bytes: u64) {
+        if let Some(large) = &self.large {
+            large.borrow_mut().observe(bytes);
+        }
+    }
+
     /// How much longer the link has other things to send than large answers.
     pub(crate) fn link_busy_for(&self) -> Option<Duration> {
         let now = self.now();
--- a/crates/filberthead/src/gateway/passing.rs
+++ b/crates/filberthead/src/gateway/passing.rs
@@ -51,6 +51,7 @@
         connection: Connection,
         deadline: Instant,
     ) -> Self {
+        core.observe_large(body.size_hint().lower());
         Self {
             core: Rc::clone(core),
             body,
@@ -79,7 +80,7 @@
         }
         ready!(self.poll_link(cx));
         let piece = self.held.len().min(self.core.piece());
-        self.core.sends(piece);
+        self.core.sends_piece(piece);
         Poll::Ready(Some(Ok(Frame::data(self.held.split_to(piece)))))
     }
 
--- /dev/null
+++ b/crates/place/src/admission.rs
@@ -0,0 +1,100 @@
+//! How many large answers a VM's link takes on.
+//!
+//! The load it answers: callers at their peak ask a small VM for as many downloads as its
+//! link carries, or more. What waits on a link grows without bound as that fills up, in both
+//! directions: requests that come in, short answers of endpoints and the downloads
+//! themselves all are late then, for the sake of a tenth of the requests that takes two
+//! thirds of the bytes. So large answers get what short messages leave of a part of the
+//! link, and are refused at once beyond it.
+
+use std::time::Duration;
+
+use filberthead_types::Moment;
+
+/// Part of the link up to which large answers are taken on: with two thirds in use what
+/// waits takes twice the time that it takes on an idle link.
+const USED: f64 = 0.66;
+/// Part of the link that large answers get however many short messages there are.
+const LEAST: f64 = 0.1;
+/// Time over which short messages are averaged.
+const SHORT_OVER: Duration = Duration::from_secs(2);
+/// Large answers that may come at once, by the time that the link takes for them.
+const AT_ONCE: Duration = Duration::from_secs(1);
+/// Bytes of a large answer before one was seen, and weight of each that is.
+const SIZE_PRIOR: f64 = 64.0 * 1024.0;
+const NEW_SIZE: f64 = 0.1;
+/// Shortest time after which a caller is told to come back.
+const COME_BACK: Duration = Duration::from_millis(100);
+
+/// The part of a link that large answers may take.
+#[derive(Clone, Copy, Debug)]
+pub struct LargeShare {
+    bytes_per_s: f64,
+    /// Bytes that large answers may take now; below zero by what was taken on in advance.
+    budget: f64,
+    /// Bytes of short messages a second, averaged, and since they were.
+    short_per_s: f64,
+    short: f64,
+    at: Moment,
+    /// Bytes of a large answer, on average.
+    size: f64,
+}
+
+impl LargeShare {
+    /// The share of a link of so many bits a second.
+    pub fn new(bits_per_s: f64) -> Self {
+        let bytes_per_s = bits_per_s / 8.0;
+        Self {
+            bytes_per_s,
+            budget: USED * bytes_per_s * AT_ONCE.as_secs_f64(),
+            short_per_s: 0.0,
+            short: 0.0,
+            at: Moment::ZERO,
+            size: SIZE_PRIOR,
+        }
+    }
+
+    /// Notes bytes of a short message.
+    pub fn sent_short(&mut self, bytes: usize) {
+        self.short += bytes as f64;
+    }
+
+    /// Notes the length of a large answer.
+    pub fn observe(&mut self, bytes: u64) {
+        self.size += NEW_SIZE * (bytes as f64 - self.size);
+    }
+
+    /// Takes on a large answer, or tells after which time there is room for it. One whose
+    /// caller has come back may use what is there for the next second.
+    pub fn admit(&mut self, now: Moment, returned: bool) -> Result<(), Duration> {
+        self.refill(now);
+        let least = if returned { -self.most() } else { 0.0 };
+        if self.budget >= least {
+            self.budget -= self.size;
+            return Ok(());
+        }
+        let wait = Duration::from_secs_f64((least - self.budget) / self.per_s());
+        Err(wait.max(COME_BACK))
+    }
+
+    fn refill(&mut self, now: Moment) {
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        if passed <= 0.0 {
+            return;
+        }
+        self.at = now;
+        let weight = (passed / SHORT_OVER.as_secs_f64()).min(1.0);
+        self.short_per_s += weight * (self.short / passed - self.short_per_s);
+        self.short = 0.0;
+        self.budget = (self.budget + passed * self.per_s()).min(self.most());
+    }
+
+    /// Bytes a second that large answers may take.
+    fn per_s(&self) -> f64 {
+        (USED * self.bytes_per_s - self.short_per_s).max(LEAST * self.bytes_per_s)
+    }
+
+    fn most(&self) -> f64 {
+        self.per_s() * AT_ONCE.as_secs_f64()
+    }
+}
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -20,6 +20,7 @@
 //! - *Cold endpoints* (`cold`): each gets no more requests a second than it bears, from
 //!   all gateways together, without their talking.
 //! - *Large answers* (`link`): they give way to short messages on a VM's own link.
+//! - *Admission* (`admission`): beyond a part of the link, large answers are refused.
 //! - *Connections* (`balance`): a gateway with more of them than its neighbours ends some,
 //!   so that their callers choose anew.
 //! - *Refusals* (`tries`): a request that was refused by an endpoint with room may go there
@@ -27,6 +28,7 @@
 //! - *Retries* (`budget`): further attempts stay within a part of first ones, over all
 //!   gateways, without their talking.
 
+mod admission;
 mod balance;
 mod budget;
 mod cold;
@@ -43,6 +45,7 @@
 mod shift;
 mod tries;
 
+pub use admission::LargeShare;
 pub use balance::Balance;
 pub use budget::{Budget, BudgetConfig};
 pub use cost::Acquaintance;
--- a/crates/place/tests/all/link.rs
+++ b/crates/place/tests/all/link.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use filberthead_place::Link;
+use filberthead_place::{LargeShare, Link};
 use filberthead_types::Moment;
 
 use crate::support::ms;
@@ -71,3 +71,56 @@
         link.sent(now, link.piece());
     }
 }
+
+/// Plays callers at their peak on a link of 4 Mbit/s: so many short messages of 5 kB and
+/// downloads of 90 kB a second. Returns which part of the link was used, and which part of
+/// downloads was taken on.
+fn peak(short_per_s: u64, large_per_s: u64) -> (f64, f64) {
+    const BITS: f64 = 4_000_000.0;
+    const SECONDS: u64 = 20;
+    let mut share = LargeShare::new(BITS);
+    let (mut bytes, mut taken) = (0, 0);
+    for at in 0..SECONDS * 1000 {
+        if at % (1000 / short_per_s) == 0 {
+            share.sent_short(SHORT);
+            bytes += SHORT;
+        }
+        if at % (1000 / large_per_s) == 0 && share.admit(ms(at), false).is_ok() {
+            share.observe(DOWNLOAD as u64);
+            bytes += DOWNLOAD;
+            taken += 1;
+        }
+    }
+    let used = bytes as f64 * 8.0 / (BITS * SECONDS as f64);
+    (used, f64::from(taken) / (SECONDS * large_per_s) as f64)
+}
+
+/// Guards against short messages that are late because downloads fill the link: at the peak
+/// of a day all requests of a region waited for longer than their objectives.
+#[test]
+fn downloads_leave_room_on_the_link_at_its_peak() {
+    let (used, taken) = peak(25, 4);
+    assert!(used < 0.75, "{used} of the link, {taken} of downloads");
+    assert!(taken > 0.25, "{used} of the link, {taken} of downloads");
+}
+
+/// Guards against downloads that are refused while the link has room.
+#[test]
+fn no_download_is_refused_on_a_usual_day() {
+    let (_, taken) = peak(12, 2);
+    assert!(taken >= 1.0, "{taken} of downloads");
+}
+
+/// Guards against downloads that get nothing where short messages fill the link, and against
+/// callers that come back for nothing.
+#[test]
+fn a_download_that_comes_back_is_taken_on_first() {
+    let mut share = LargeShare::new(4_000_000.0);
+    let refused = (0..100).find_map(|_| share.admit(ms(10), false).err());
+    let room_in = refused.expect("a hundred at once don't fit");
+    assert!(room_in >= Duration::from_millis(100), "{room_in:?}");
+    assert!(share.admit(ms(20), true).is_ok());
+    assert!(share.admit(ms(20), false).is_err());
+    let (_, taken) = peak(100, 2);
+    assert!(taken > 0.1, "{taken} of downloads");
+}
--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -138,6 +138,8 @@
     /// The routes held here don't allow the request, and control hasn't proved lately that
     /// there are no newer ones.
     RoutesUnproven = 1211, 503, NotRun, "routes-unproven";
+    /// The VM's link has no room for a further large answer.
+    LinkBusy = 1212, 503, NotRun, "link-busy";
     /// The deadline passed while an endpoint had the request.
     DeadlineWhileRunning = 1300, 504, MayHaveRun, "deadline-while-running";
     /// The endpoint's connection ended before its whole answer came.
