Order endpoints of the own failure domain first for large answers

Cause: an object's first endpoint is any of the region, so two thirds of all downloads took their 90 kB between failure domains, though the cost of that was reckoned with; objects are asked for by callers of one domain.

Ruled out: the same for short answers (a domain's endpoints alone wait longer, and their bytes are few).

Change: in the order for a large answer the endpoints of the gateway's failure domain come first; beyond them as before.

Test: place::objects::large_answers_come_from_the_gateways_failure_domain.

--- a/crates/place/src/decide.rs
+++ b/crates/place/src/decide.rs
@@ -197,7 +197,11 @@
                 pressure: self.pressure(now, &indices),
                 failing: self.failing(now, &indices),
             };
-            for (place, index) in self.in_order(&indices, key).into_iter().enumerate() {
+            for (place, index) in self
+                .in_order(&indices, key, req.large)
+                .into_iter()
+                .enumerate()
+            {
                 let candidate = self.price(
                     now,
                     req,
@@ -283,10 +287,15 @@
     }
 
     /// Endpoints in the order in which an object prefers them, or whatever the key stands for.
-    fn in_order(&self, indices: &[usize], key: u64) -> Vec<usize> {
+    /// For a large answer those of this failure domain come first: its callers connect here,
+    /// and each answer from elsewhere takes its bytes between failure domains.
+    fn in_order(&self, indices: &[usize], key: u64, large: bool) -> Vec<usize> {
         let mut order = indices.to_vec();
-        let preference =
-            |i: &usize| std::cmp::Reverse(rank::preference(key, &self.endpoints[*i].id));
+        let preference = |i: &usize| {
+            let e = &self.endpoints[*i];
+            let is_near = large && e.domain == self.cfg.domain;
+            std::cmp::Reverse((is_near, rank::preference(key, &e.id)))
+        };
         order.sort_by_cached_key(preference);
         order
     }
--- a/crates/place/tests/all/objects.rs
+++ b/crates/place/tests/all/objects.rs
@@ -1,6 +1,6 @@
 //! Requests for one object go where it is known.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use filberthead_place::{Acquaintance, Decision, EndpointId, Object, Outcome, Refusal, Request};
 
@@ -265,3 +265,33 @@
     let most = counts.values().max().copied().unwrap_or(0);
     assert!(counts.len() == 20 && most < 40, "{counts:?}");
 }
+
+/// Guards against large answers that take their bytes between failure domains though their
+/// own has room: an object's first endpoint was any of the region.
+#[test]
+fn large_answers_come_from_the_gateways_failure_domain() {
+    let endpoints = || {
+        let near = (0..4).map(|n| endpoint(&format!("near-{n}"), "north-1"));
+        let far = (0..8).map(|n| endpoint(&format!("far-{n}"), "north-2"));
+        near.chain(far).collect()
+    };
+    let service = service();
+    let mut homes: BTreeMap<String, BTreeSet<EndpointId>> = BTreeMap::new();
+    for gateway in 0..10 {
+        let mut placer = named_placer(&format!("gateway-{gateway}"), "north-1", endpoints());
+        for number in 0..40 {
+            let object = format!("o-{number}");
+            let req = Request {
+                large: true,
+                ..request(&service, object.as_bytes())
+            };
+            let Decision::Send(target) = placer.place(ms(1000 * number), req) else {
+                panic!("all endpoints are idle");
+            };
+            assert!(target.id.starts_with("near"), "{target:?}");
+            served(&mut placer, ms(1000 * number), &target, ms(100));
+            homes.entry(object).or_default().insert(target.id);
+        }
+    }
+    assert!(homes.values().all(|ids| ids.len() == 1), "{homes:?}");
+}
