Give large answers half of the link

Cause: two thirds of a link in use still mean waits of three times what an idle one takes; a doc comment had it as twice.

Change: half of the link less what short messages take.

--- a/crates/place/src/admission.rs
+++ b/crates/place/src/admission.rs
@@ -11,9 +11,9 @@
 
 use filberthead_types::Moment;
 
-/// Part of the link up to which large answers are taken on: with two thirds in use what
-/// waits takes twice the time that it takes on an idle link.
-const USED: f64 = 0.66;
+/// Part of the link up to which large answers are taken on: at half of a link's rate what
+/// waits takes twice the time that it takes on an idle one.
+const USED: f64 = 0.5;
 /// Part of the link that large answers get however many short messages there are.
 const LEAST: f64 = 0.1;
 /// Time over which short messages are averaged.
