--- a/crates/bench/src/placement/callers.rs
+++ b/crates/bench/src/placement/callers.rs
@@ -4,7 +4,8 @@
 use rand::Rng;
 use rand::rngs::StdRng;
 
-use super::site::{GATEWAYS, KINDS, KindOfRequest, domains, regions};
+use super::pattern::Pattern;
+use super::site::{KINDS, KindOfRequest, domains, regions};
 
 /// Seconds of a wave of demand.
 const PERIOD_S: f64 = 36.0;
@@ -29,21 +30,24 @@
     homes: Vec<Region>,
     per_s: f64,
     swing: f64,
+    /// Gateways of each failure domain.
+    pub(super) gateways: usize,
     pub(super) rate: f64,
     /// Where a part of a region's callers connects instead.
     pub(super) moved: Option<(Region, Region, f64)>,
 }
 
 impl Callers {
-    pub(super) fn new(per_s: f64, swing: f64) -> Self {
+    pub(super) fn new(pattern: &Pattern) -> Self {
         let domains = domains();
         let regions = regions();
         let homes = domains.iter().map(|domain| regions[domain].clone());
         Self {
             homes: homes.collect(),
             domains,
-            per_s,
-            swing,
+            per_s: pattern.per_s,
+            swing: pattern.swing,
+            gateways: pattern.gateways,
             rate: 1.0,
             moved: None,
         }
@@ -89,7 +93,7 @@
             let there = self.homes.iter().position(|region| region == to);
             domain = there.unwrap_or(domain) + rng.random_range(0..2);
         }
-        domain * GATEWAYS + rng.random_range(0..GATEWAYS)
+        domain * self.gateways + rng.random_range(0..self.gateways)
     }
 }
 
--- a/crates/bench/src/placement/pattern.rs
+++ b/crates/bench/src/placement/pattern.rs
@@ -38,6 +38,8 @@
     /// one region to the next.
     pub(super) swing: f64,
     pub(super) seconds: u64,
+    /// Gateways of each failure domain.
+    pub(super) gateways: usize,
     /// Changes, by the millisecond in which they come.
     pub(super) changes: Vec<(u64, Change)>,
 }
@@ -49,6 +51,7 @@
             per_s,
             swing: 0.3,
             seconds: 30,
+            gateways: GATEWAYS,
             changes: changes.to_vec(),
         }
     }
@@ -58,12 +61,22 @@
         self
     }
 
+    fn over(mut self, gateways: usize) -> Self {
+        self.gateways = gateways;
+        self
+    }
+
     /// How long it is played.
     pub fn seconds(&self) -> usize {
         self.seconds as usize
     }
 }
 
+/// Gateways of each failure domain, where a pattern names no other number.
+const GATEWAYS: usize = 2;
+/// Gateways of each failure domain where there are hundreds of them: each sees an object
+/// about once in a minute.
+const MANY_GATEWAYS: usize = 40;
 /// Requests a second of a failure domain on a usual day, in the busiest hour, and when more
 /// is asked for than there are slots.
 const USUAL: f64 = 29.0;
@@ -124,5 +137,7 @@
             &[(8000, Evacuate("north-2")), (18_000, TakeBack)],
         ),
         Pattern::new("gateways-restart", BUSY, &[(12_000, Restart)]),
+        Pattern::new("many-gateways", USUAL, &[]).over(MANY_GATEWAYS),
+        Pattern::new("many-gateways-overload", TOO_MUCH, &[]).over(MANY_GATEWAYS),
     ]
 }
--- a/crates/bench/src/placement/site.rs
+++ b/crates/bench/src/placement/site.rs
@@ -38,8 +38,6 @@
 pub(super) const KNOWN: f64 = 0.3;
 /// Spread of work around its mean.
 pub(super) const SPREAD: f64 = 0.15;
-/// Gateways of each failure domain.
-pub(super) const GATEWAYS: usize = 2;
 /// Milliseconds to another region and back.
 pub(super) const FAR_MS: u64 = 24;
 
--- a/crates/bench/src/placement/world.rs
+++ b/crates/bench/src/placement/world.rs
@@ -15,7 +15,7 @@
 use super::endpoint::{Endpoint, Job, Taken};
 use super::figures::{End, Figures};
 use super::pattern::{Change, Pattern};
-use super::site::{self, FAR_MS, GATEWAYS, KNOWN};
+use super::site::{self, FAR_MS, KNOWN};
 
 /// Milliseconds between reports to control; what it tells of them is one such time old.
 const REPORT_MS: u64 = 500;
@@ -122,7 +122,7 @@
             gateways: Vec::new(),
             endpoints: listed.iter().map(endpoint).collect(),
             homes: listed.iter().map(home).collect(),
-            callers: Callers::new(pattern.per_s, pattern.swing),
+            callers: Callers::new(pattern),
             requests: Vec::new(),
             told: Vec::new(),
             figures: Figures::default(),
@@ -133,13 +133,11 @@
 
     fn start_gateways(&mut self) {
         let domains = site::domains();
-        let counts: Vec<_> = domains
-            .iter()
-            .map(|d| (d.clone(), GATEWAYS as u32))
-            .collect();
+        let each = self.callers.gateways;
+        let counts: Vec<_> = domains.iter().map(|d| (d.clone(), each as u32)).collect();
         self.gateways.clear();
-        for number in 0..domains.len() * GATEWAYS {
-            let mut cfg = site::config(number, &domains[number / GATEWAYS]);
+        for number in 0..domains.len() * each {
+            let mut cfg = site::config(number, &domains[number / each]);
             cfg.without = self.without.clone();
             let mut placer = Placer::new(cfg);
             placer.set_routes(&site::table());
@@ -261,7 +259,7 @@
     /// Milliseconds from the request's gateway to an endpoint and back.
     fn way(&self, request: usize, id: &EndpointId) -> u64 {
         let gateway = self.requests[request].wish.gateway;
-        let domain = &self.callers.domains()[gateway / GATEWAYS];
+        let domain = &self.callers.domains()[gateway / self.callers.gateways];
         if site::regions()[domain] == self.homes[id] {
             NEAR_MS
         } else {
@@ -389,13 +387,14 @@
         self.add(self.now + REPORT_MS, Event::Report);
         let domains = site::domains();
         let regions = site::regions();
+        let each = self.callers.gateways;
         let mut told = Vec::new();
         for (number, placer) in self.gateways.iter_mut().enumerate() {
             if !self.told.is_empty() {
                 placer.set_demand(ms(self.now), &self.told);
             }
             placer.plan(ms(self.now));
-            let region = &regions[&domains[number / GATEWAYS]];
+            let region = &regions[&domains[number / each]];
             let demand = placer.demand(ms(self.now)).into_iter();
             told.extend(demand.map(|d| (region.clone(), d.service, d.busy_milli)));
         }
--- a/crates/place/src/decide.rs
+++ b/crates/place/src/decide.rs
@@ -392,10 +392,8 @@
         }
         // Whatever the plan leaves here stays here, also where another region seems to have
         // room: nobody there knows its object, so it takes three times the work, and under an
-        // overload of all regions each would send its own to the others. Letting it go, by
-        // small steps, brought mean worth down from 0.43 to 0.31 on days of overload, and from
-        // 0.41 to 0.37 with 70 gateways; it brought nothing elsewhere. Only if nothing of this
-        // region may run it any other region is better than none.
+        // overload of all regions each would send its own to the others. Only if nothing of
+        // this region may run it any other region is better than none.
         here.or_else(|| cheapest(best.values()))
     }
 
--- a/crates/place/src/endpoint.rs
+++ b/crates/place/src/endpoint.rs
@@ -32,8 +32,7 @@
 const OPINION_HALF_LIFE: Duration = Duration::from_secs(3);
 /// Answers that take less than so many times what is expected are as quick as others: kinds
 /// of requests of one service differ by as much, and objects that leave an endpoint for it
-/// have to be learned elsewhere. Without this bound mean worth of five days with faults is
-/// 0.654, with it 0.661 (three seeds each).
+/// have to be learned elsewhere.
 const SLOW: f64 = 1.5;
 /// Weight of a new observation in running means: about the last ten count.
 const NEW: f64 = 0.1;
--- a/crates/place/src/link.rs
+++ b/crates/place/src/link.rs
@@ -2,8 +2,7 @@
 //!
 //! The load it answers: a small VM's link carries a download of 90 kB in a tenth of a
 //! second, and whatever is sent meanwhile waits behind it: requests to endpoints, short
-//! answers to callers. At half of the link's load each of these waited 60 ms in each
-//! direction, a third of what an answer takes. So large answers go out in pieces, and a
+//! answers to callers. So large answers go out in pieces, and a
 //! piece only when the link should have sent what went before. Short messages go at once:
 //! at most a piece is before them, and downloads have all that they leave.
 //!
--- a/crates/place/src/plan.rs
+++ b/crates/place/src/plan.rs
@@ -20,8 +20,7 @@
 /// Utilisation of all regions that is assumed before anybody has reported demand.
 const ASSUMED: f64 = 0.4;
 /// How far the busier endpoints of a region are above its utilisation, and the others below,
-/// as a part of it: objects have one endpoint each, and endpoints' arrivals were seen to
-/// spread by so much (busiest by mean 1.2 to 2.2).
+/// as a part of it: objects have one endpoint each, so that arrivals spread unevenly.
 const UNEVEN: f64 = 0.4;
 /// Step of utilisation over which a marginal wait is taken.
 const STEP: f64 = 0.01;
@@ -31,9 +30,7 @@
 pub(crate) const USED: f64 = 0.3;
 /// The same for requests that come home, more slowly than they leave: demand that has fallen
 /// may rise again faster than a bounded step can follow, and a region that is short of slots
-/// then queues for seconds, while what stays away needs the way and no more. Against coming
-/// home at the pace of leaving: calm days 0.725 to 0.747, and 0.660 to 0.777 with 80 gateways;
-/// days with faults 0.648 to 0.653, and 0.578 to 0.605 (mean worth, demand in waves).
+/// then queues for seconds, while what stays away needs the way and no more.
 const RETURN: f64 = 0.075;
 /// The window over which change is bounded.
 pub(crate) const WINDOW: Duration = Duration::from_secs(2);
@@ -191,10 +188,7 @@
 /// The parts of `own`'s requests that should run in other regions.
 ///
 /// A region keeps requests until the wait that one more of them causes to all is longer
-/// than the way to where it would cause less. Against a fixed utilisation of 0.6 up to which
-/// a region kept its requests: mean worth of five days with faults 0.633 to 0.646, of the
-/// calm day 0.723 to 0.730 (three seeds each, 24 endpoints, a region with a third of the
-/// callers and a twelfth of the slots).
+/// than the way to where it would cause less.
 pub(crate) fn aim(own: &Region, outlook: &Outlook<'_>) -> Slots {
     let here = outlook.demand.get(own).copied().unwrap_or(0.0);
     if here <= 0.0 {
