Let requests without an object come back to an endpoint that failed

Since requests without an object no longer settle at the first endpoint of the list, two idle endpoints differ only by what is believed of their failures. That halves every 3 s and never is nothing, so one that has failed once was avoided for good while its neighbour was idle.

Ruled out: the machine's load (the endpoint that served answered in 2 ms all the while).

Change: the emptiest goes first, and of those that are alike whichever it is the turn of, at less than the price of one request there.

--- a/crates/place/src/decide.rs
+++ b/crates/place/src/decide.rs
@@ -197,11 +197,9 @@
                 pressure: self.pressure(now, &indices),
                 failing: self.failing(now, &indices),
             };
-            for (place, index) in self
-                .in_order(&indices, key, req.large)
-                .into_iter()
-                .enumerate()
-            {
+            let order = self.in_order(&indices, key, req.large);
+            let count = order.len() as f64;
+            for (place, index) in order.into_iter().enumerate() {
                 let candidate = self.price(
                     now,
                     req,
@@ -210,6 +208,14 @@
                     is_ordered.then_some(place),
                     (index, state),
                 );
+                // The emptiest goes first, and of those that are alike whichever it is the
+                // turn of, or one that has failed once would be avoided for good.
+                let turn = match object {
+                    Some(_) => 0.0,
+                    None => RANK_COST * place as f64 / count,
+                };
+                let total = candidate.total + turn;
+                let candidate = Candidate { total, ..candidate };
                 let held = best.get(&region);
                 if held.is_none_or(|held| candidate.total < held.total) {
                     best.insert(region.clone(), candidate);
--- a/crates/place/tests/all/objects.rs
+++ b/crates/place/tests/all/objects.rs
@@ -295,3 +295,32 @@
     }
     assert!(homes.values().all(|ids| ids.len() == 1), "{homes:?}");
 }
+
+/// Guards against an endpoint that has failed once and gets no request without an object ever
+/// again while its neighbour is idle.
+#[test]
+fn an_endpoint_that_has_failed_gets_requests_without_an_object_again() {
+    let endpoints = ["a", "b"].map(|id| endpoint(id, "north-1")).into();
+    let mut placer = placer("north-1", endpoints);
+    let service = service();
+    let mut failed = None;
+    let mut came_back = false;
+    for number in 0..400 {
+        let now = ms(100 * number);
+        let req = Request {
+            object: None,
+            ..request(&service, b"")
+        };
+        let Decision::Send(target) = placer.place(now, req) else {
+            panic!("both endpoints are idle");
+        };
+        if failed.is_none() {
+            placer.ended(now, &service, &target, Outcome::Failed);
+            failed = Some(target.id);
+        } else {
+            came_back |= failed.as_ref() == Some(&target.id);
+            served(&mut placer, now, &target, ms(100));
+        }
+    }
+    assert!(came_back, "not within 40 s");
+}
