Tell how long news took to reach a gateway, and which messages fill its link

The incident's logs couldn't tell a list that was read late from one that was long on its way. Both sides now log the number of the list; a gateway adds the replica that it came from, how long ago a replica first spoke of it, and the questions for it, for routes as well. Gateways serve the transport's counts, with bytes received by kind of message. Test: delay of news, bytes by kind.

--- a/crates/filberthead/src/control/fleet.rs
+++ b/crates/filberthead/src/control/fleet.rs
@@ -125,9 +125,11 @@
         let out = self.fleet.registry.listed(now, term, list);
         self.fleet.note_unserved();
         self.tell(out);
-        if self.fleet.registry.have().endpoints == before {
+        let listed = self.fleet.registry.have().endpoints;
+        if listed == before {
             return;
         }
+        info!(term = listed.term, seq = listed.seq; "list of endpoints changed");
         let replicas = self.book.to_greet();
         if let Some(news) = self.fleet.registry.endpoints_for(now, before) {
             for to in replicas {
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use filberthead_endpoint::Client;
-use filberthead_fleet::{Load, Member, Outbound, Update};
+use filberthead_fleet::{Delay, Load, Member, Outbound, Stamp, Update};
 use filberthead_observe::{GatewayMetrics, LineAllowance};
 use filberthead_peer::Body;
 use filberthead_place::{Balance, LargeShare, Link, Placer};
@@ -68,6 +68,14 @@
     pub(crate) bounds: CallerBounds,
 }
 
+/// Where news came from, and how.
+struct News {
+    from: SocketAddr,
+    delay: Delay,
+    /// The list of endpoints that is held now.
+    listed: Stamp,
+}
+
 /// State of the duty.
 pub(crate) struct Core {
     pub(crate) clock: Clock,
@@ -268,9 +276,14 @@
         let mut member = self.member.borrow_mut();
         let (out, updates) = member.receive(now, heard.from, heard.message);
         self.send(out);
+        let news = News {
+            from: heard.from,
+            delay: member.delay(),
+            listed: member.have().endpoints,
+        };
         drop(member);
         for update in updates {
-            self.update(now, heard.from, update);
+            self.update(now, &news, update);
         }
         self.serve_if_informed(now);
     }
@@ -289,8 +302,14 @@
         });
     }
 
-    fn update(&self, now: Moment, from: SocketAddr, update: Update) {
+    fn update(&self, now: Moment, news: &News, update: Update) {
         let mut placer = self.placer.borrow_mut();
+        let News {
+            from,
+            delay,
+            listed,
+        } = *news;
+        let (questions, since_heard_of) = (delay.questions, delay.since_heard_of.as_millis());
         match update {
             Update::Routes {
                 revision,
@@ -298,7 +317,8 @@
                 table,
             } => {
                 self.metrics.routes_version(version);
-                info!(version, revision, routes = table.routes.len(), from:%; "routes in force");
+                info!(version, revision, routes = table.routes.len(), from:%, since_heard_of,
+                    questions; "routes in force");
                 placer.set_routes(&table);
                 let in_force = InForce {
                     version,
@@ -321,13 +341,15 @@
             Update::Endpoints(list) => {
                 self.listed_at.set(now);
                 self.metrics.endpoints(list.len());
-                info!(endpoints = list.len(); "list of endpoints");
+                info!(endpoints = list.len(), term = listed.term, seq = listed.seq, from:%,
+                    since_heard_of, questions; "list of endpoints");
                 let left = placer.set_endpoints(now, list);
                 self.leave(&left);
             }
             Update::EndpointsChanged(change) => {
                 self.listed_at.set(now);
-                info!(changed = change.changed.len(), gone = change.gone.len();
+                info!(changed = change.changed.len(), gone = change.gone.len(),
+                    term = listed.term, seq = listed.seq, from:%, since_heard_of, questions;
                     "list of endpoints changed");
                 let left = placer.change_endpoints(now, change);
                 self.leave(&left);
--- a/crates/filberthead/src/gateway/mod.rs
+++ b/crates/filberthead/src/gateway/mod.rs
@@ -230,6 +230,7 @@
         status: opened.status,
         path: dialect.readiness_path,
         metrics: Arc::clone(&metrics),
+        peers: opened.transport.counters(),
         phase: phase.subscribe(),
     };
     let parts = CoreParts {
--- a/crates/filberthead/src/gateway/readiness.rs
+++ b/crates/filberthead/src/gateway/readiness.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use filberthead_observe::GatewayMetrics;
+use filberthead_peer::Counters;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -17,6 +18,7 @@
 use tokio::sync::watch;
 
 use super::stop::Phase;
+use crate::peers::totals;
 use crate::stop::Stop;
 use crate::{Duty, DutyError};
 
@@ -29,6 +31,7 @@
     pub(crate) path: &'static str,
     pub(crate) phase: watch::Receiver<Phase>,
     pub(crate) metrics: Arc<GatewayMetrics>,
+    pub(crate) peers: Arc<Counters>,
 }
 
 /// Starts the duty.
@@ -59,9 +62,10 @@
         };
         let (path, phase) = (probes.path, probes.phase.clone());
         let metrics = Arc::clone(&probes.metrics);
+        let peers = Arc::clone(&probes.peers);
         tokio::task::spawn_local(async move {
             let service = service_fn(move |req| {
-                let answer = answer(path, *phase.borrow(), &metrics, &req);
+                let answer = answer(path, *phase.borrow(), (&metrics, &peers), &req);
                 async move { Ok::<_, Infallible>(answer) }
             });
             let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
@@ -75,10 +79,11 @@
 fn answer(
     path: &str,
     phase: Phase,
-    metrics: &GatewayMetrics,
+    (metrics, peers): (&GatewayMetrics, &Counters),
     req: &Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     if req.method() == Method::GET && req.uri().path() == METRICS_PATH {
+        metrics.peers().record(&totals(peers));
         return Response::new(Full::new(Bytes::from(metrics.encode())));
     }
     let (status, text) = match (req.method(), req.uri().path()) {
--- a/crates/filberthead/src/peers.rs
+++ b/crates/filberthead/src/peers.rs
@@ -81,6 +81,7 @@
         dropped: counters.dropped.load(Ordering::Relaxed),
         received: counters.received.load(Ordering::Relaxed),
         received_bytes: counters.received_bytes.load(Ordering::Relaxed),
+        received_bytes_by_kind: counters.received_bytes_by_kind(),
         rejected: counters.rejected(),
     }
 }
--- a/crates/fleet/src/api.rs
+++ b/crates/fleet/src/api.rs
@@ -80,6 +80,27 @@
     pub endpoints: Stamp,
 }
 
+impl Message {
+    /// Short stable name of the kind of message, as a metrics label.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Report(_) => "report",
+            Self::Notice { .. } => "notice",
+            Self::Proof { .. } => "proof",
+            Self::Roster(_) => "roster",
+            Self::Ask(_) => "ask",
+            Self::Routes { .. } => "routes",
+            Self::Evacuated { .. } => "evacuated",
+            Self::Endpoints { .. } => "endpoints",
+            Self::EndpointsChanged { .. } => "endpoints-changed",
+            Self::Order { .. } => "order",
+            Self::OrderDone { .. } => "order-done",
+            Self::Newest { .. } => "newest",
+            Self::NewestIs { .. } => "newest-is",
+        }
+    }
+}
+
 impl Have {
     /// Takes over what is newer in `other`.
     pub fn raise(&mut self, other: &Self) {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -28,5 +28,5 @@
     Demand, Endpoint, EndpointChange, EndpointState, GatewayInfo, Have, Message, Order, OrderError,
     Outbound, Relayed, Report, Stamp,
 };
-pub use member::{Load, Member, Update};
+pub use member::{Delay, Load, Member, Update};
 pub use registry::{Question, Registry};
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -53,6 +53,15 @@
     Links(Option<u32>),
 }
 
+/// How long news took from when it was first heard of.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Delay {
+    /// Since a replica first said that it holds something newer.
+    pub since_heard_of: Duration,
+    /// Questions for it.
+    pub questions: u32,
+}
+
 /// What a gateway carries.
 #[derive(Clone, Debug, Default)]
 pub struct Load {
@@ -75,6 +84,11 @@
     newest: Have,
     have: Have,
     asked: Option<(Have, Moment)>,
+    /// When news was first heard of that isn't here yet.
+    lacking: Option<Moment>,
+    /// Questions since then.
+    asks: u32,
+    delay: Delay,
     next_report: Moment,
     /// The questions of the last reports, and when they were asked.
     questions: VecDeque<(u64, Moment)>,
@@ -102,6 +116,9 @@
             newest: Have::default(),
             have: Have::default(),
             asked: None,
+            lacking: None,
+            asks: 0,
+            delay: Delay::default(),
             next_report: Moment::ZERO,
             questions: VecDeque::new(),
             next_question: first_question,
@@ -146,6 +163,11 @@
         (self.have.routes >= newest).then_some(asked)
     }
 
+    /// How long the news took that was taken in last.
+    pub fn delay(&self) -> Delay {
+        self.delay
+    }
+
     /// When a control replica was last heard.
     pub fn heard(&self) -> Option<Moment> {
         self.heard
@@ -217,6 +239,32 @@
         message: Message,
     ) -> (Vec<Outbound>, Vec<Update>) {
         self.heard = Some(now);
+        let held = self.have;
+        let taken = self.take(now, from, message);
+        if self.have != held {
+            self.note_delay(now);
+        }
+        taken
+    }
+
+    fn note_delay(&mut self, now: Moment) {
+        let since = self.lacking.unwrap_or(now);
+        self.delay = Delay {
+            since_heard_of: now.saturating_sub(since),
+            questions: self.asks,
+        };
+        if !self.have.lacks(&self.newest) {
+            self.lacking = None;
+            self.asks = 0;
+        }
+    }
+
+    fn take(
+        &mut self,
+        now: Moment,
+        from: SocketAddr,
+        message: Message,
+    ) -> (Vec<Outbound>, Vec<Update>) {
         match message {
             Message::Notice {
                 have,
@@ -289,6 +337,7 @@
         if !self.have.lacks(&theirs) {
             return Vec::new();
         }
+        self.lacking.get_or_insert(now);
         let under_way = self
             .asked
             .is_some_and(|(asked, at)| now < at + ASK_AGAIN && !asked.lacks(&theirs));
@@ -296,6 +345,7 @@
             return Vec::new();
         }
         self.asked = Some((theirs, now));
+        self.asks += 1;
         vec![(from, Message::Ask(self.have))]
     }
 }
--- a/crates/fleet/tests/all/spreading.rs
+++ b/crates/fleet/tests/all/spreading.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 
 use filberthead_fleet::{
-    Endpoint, EndpointChange, GatewayInfo, Have, Load, Member, Message, Registry, Stamp, Update,
+    Delay, Endpoint, EndpointChange, GatewayInfo, Have, Load, Member, Message, Registry, Stamp,
+    Update,
 };
 use filberthead_route::Table;
 
@@ -275,3 +276,20 @@
     assert_eq!(told(&mut near[1], ms(2), 200), Some(Some(500)));
     assert_eq!(told(&mut far, ms(3), 100), Some(Some(100)));
 }
+
+/// An on-call engineer can't tell a list that was read late from one that was long on its way.
+#[test]
+fn a_gateway_tells_how_long_news_was_on_its_way() {
+    let (mut member, mut registry) = (gateway(), Registry::default());
+    registry.listed(ms(0), 1, vec![endpoint("a", 0)]);
+    let news = notice(registry.have(), Vec::new());
+    member.receive(ms(100), addr(CONTROL), news.clone());
+    member.receive(ms(400), addr(3), news);
+    let list = told(&mut registry, Stamp::default());
+    member.receive(ms(900), addr(3), list);
+    let delay = Delay {
+        since_heard_of: ms(800),
+        questions: 2,
+    };
+    assert_eq!(member.delay(), delay);
+}
--- a/crates/observe/src/metrics/gateway.rs
+++ b/crates/observe/src/metrics/gateway.rs
@@ -10,8 +10,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 
-use super::labels::ReasonLabels;
-use super::{encoded, observe, registry, set, wait_histogram};
+use super::labels::{KindLabels, ReasonLabels};
+use super::{PeerMetrics, encoded, observe, registry, set, wait_histogram};
 
 /// Kind of requests that were answered before a route was found.
 const NO_KIND: &str = "none";
@@ -25,12 +25,6 @@
     result: &'static str,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-#[derive(EncodeLabelSet)]
-struct KindLabels {
-    kind: &'static str,
-}
-
 /// Metrics of a gateway. Shared by its duties.
 #[derive(Debug)]
 pub struct GatewayMetrics {
@@ -43,6 +37,7 @@
     routes_proven: Gauge,
     endpoints: Gauge,
     ready: Gauge,
+    peers: PeerMetrics,
 }
 
 impl Default for GatewayMetrics {
@@ -64,12 +59,14 @@
             routes_proven: Gauge::default(),
             endpoints: Gauge::default(),
             ready: Gauge::default(),
+            peers: PeerMetrics::default(),
         };
         metrics.registry = registry(|registry| metrics.register(registry));
         metrics
     }
 
     fn register(&self, registry: &mut Registry) {
+        self.peers.register(registry);
         let requests = "Requests by kind of route, none where no route was found, and result code";
         registry.register("gateway_requests", requests, self.requests.clone());
         registry.register_with_unit(
@@ -141,6 +138,11 @@
         self.ready.set(ready.into());
     }
 
+    /// Messages between processes.
+    pub fn peers(&self) -> &PeerMetrics {
+        &self.peers
+    }
+
     /// The text that `/metrics` answers.
     pub fn encode(&self) -> String {
         encoded(&self.registry)
--- a/crates/observe/src/metrics/labels.rs
+++ b/crates/observe/src/metrics/labels.rs
@@ -57,6 +57,13 @@
     pub(super) protocol: &'static str,
 }
 
+/// A label whose values are kinds of routes or of messages.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+pub(super) struct KindLabels {
+    pub(super) kind: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
 pub(super) struct RingLabels {
--- a/crates/observe/src/metrics/peer.rs
+++ b/crates/observe/src/metrics/peer.rs
@@ -7,7 +7,7 @@
 use prometheus_client::metrics::family::Family;
 use prometheus_client::registry::{Registry, Unit};
 
-use super::labels::{ProtocolLabels, ReasonLabels, RingLabels};
+use super::labels::{KindLabels, ProtocolLabels, ReasonLabels, RingLabels};
 
 /// What the peer transport has counted since the start of the process.
 #[derive(Clone, Debug, Default)]
@@ -24,6 +24,8 @@
     pub received: u64,
     /// Bytes of those.
     pub received_bytes: u64,
+    /// Bytes of those, by kind of message.
+    pub received_bytes_by_kind: HashMap<&'static str, u64>,
     /// Messages rejected, by reason.
     pub rejected: HashMap<&'static str, u64>,
 }
@@ -37,6 +39,7 @@
     dropped: Counter,
     received: Counter,
     received_bytes: Counter,
+    received_by_kind: Family<KindLabels, Counter>,
     rejected: Family<ReasonLabels, Counter>,
     rings: Family<RingLabels, Counter>,
 }
@@ -57,6 +60,9 @@
         let received = "Bytes accepted from other processes";
         let bytes = self.received_bytes.clone();
         registry.register_with_unit("peer_received", received, Unit::Bytes, bytes);
+        let received = "Bytes accepted from other processes, by kind of message";
+        let bytes = self.received_by_kind.clone();
+        registry.register_with_unit("peer_kind_received", received, Unit::Bytes, bytes);
         let rejected = "Messages rejected, by reason";
         registry.register("peer_rejected_messages", rejected, self.rejected.clone());
         let rings = "Items refused by a full ring between two duties";
@@ -74,6 +80,10 @@
         raise(&self.dropped, totals.dropped);
         raise(&self.received, totals.received);
         raise(&self.received_bytes, totals.received_bytes);
+        for (kind, total) in &totals.received_bytes_by_kind {
+            let labels = KindLabels { kind };
+            raise(&self.received_by_kind.get_or_create_owned(&labels), *total);
+        }
         for (reason, total) in &totals.rejected {
             raise(
                 &self.rejected.get_or_create_owned(&ReasonLabels { reason }),
--- a/crates/observe/tests/metrics.rs
+++ b/crates/observe/tests/metrics.rs
@@ -172,6 +172,18 @@
     );
 }
 
+#[test]
+fn a_gateway_tells_bytes_from_control_by_kind_of_message() {
+    let metrics = GatewayMetrics::new();
+    let mut totals = PeerTotals::default();
+    totals.received_bytes_by_kind.insert("routes", 230_000);
+    totals.received_bytes_by_kind.insert("notice", 352);
+    metrics.peers().record(&totals);
+    let text = metrics.encode();
+    let routes = "filberthead_peer_kind_received_bytes_total{kind=\"routes\"}";
+    assert_eq!(value(&text, routes), 230_000.0);
+}
+
 #[test]
 fn process_shows_its_processor_time_and_memory() {
     let text = ControlMetrics::new().encode();
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -88,4 +88,12 @@
             Self::Samples(_) => "samples",
         }
     }
+
+    /// The kind of message where the protocol tells several apart, else the protocol.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Fleet(message) => message.kind(),
+            other => other.protocol(),
+        }
+    }
 }
--- a/crates/peer/src/transport.rs
+++ b/crates/peer/src/transport.rs
@@ -74,6 +74,7 @@
     /// Bytes of those.
     pub received_bytes: AtomicU64,
     sent_bytes_by_protocol: Mutex<HashMap<&'static str, u64>>,
+    received_bytes_by_kind: Mutex<HashMap<&'static str, u64>>,
     rejected: Mutex<HashMap<&'static str, u64>>,
 }
 
@@ -83,6 +84,11 @@
         copy(&self.sent_bytes_by_protocol)
     }
 
+    /// Bytes of messages received and accepted, by kind of message.
+    pub fn received_bytes_by_kind(&self) -> HashMap<&'static str, u64> {
+        copy(&self.received_bytes_by_kind)
+    }
+
     /// Messages rejected, by reason.
     pub fn rejected(&self) -> HashMap<&'static str, u64> {
         copy(&self.rejected)
@@ -94,6 +100,12 @@
         raise(&self.sent_bytes_by_protocol, protocol, len);
     }
 
+    fn received(&self, kind: &'static str, len: u64) {
+        self.received.fetch_add(1, Ordering::Relaxed);
+        self.received_bytes.fetch_add(len, Ordering::Relaxed);
+        raise(&self.received_bytes_by_kind, kind, len);
+    }
+
     fn reject(&self, reason: &'static str) {
         raise(&self.rejected, reason, 1);
     }
@@ -234,11 +246,8 @@
     fn take(&self, buf: &[u8], deliver: &mut impl Deliver) {
         match decode(self.cluster, buf) {
             Ok(envelope) => {
-                let len = buf.len() as u64;
-                self.counters.received.fetch_add(1, Ordering::Relaxed);
                 self.counters
-                    .received_bytes
-                    .fetch_add(len, Ordering::Relaxed);
+                    .received(envelope.body.kind(), buf.len() as u64);
                 let from = envelope.origin.addr;
                 self.acknowledgements
                     .received(Instant::now(), from, envelope.received);
