Tell gateways what has changed in routes, not the whole table

What callers saw: as before; while a table went out in parts, a change took up to 2.4 s to come into force, and one request was handled by routes that were 3.1 s old (2.5 s allowed).

Change: a delta of two tables (route::Delta) keeps runs of routes that follow one another in both and names the others; a replica keeps the last 16 of them and sends those since the revision that the gateway holds, which names one content on every replica; without them, or where they are as long as the table, it sends the table. Tables share their routes, so neither the delta nor what is prepared for matching copies them.

--- a/crates/bench/src/placement/site.rs
+++ b/crates/bench/src/placement/site.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use filberthead_fleet::{Endpoint, EndpointState};
@@ -150,7 +151,7 @@
         cold_per_s: 5.5,
     };
     Table {
-        routes: KINDS.iter().map(route).collect(),
+        routes: KINDS.iter().map(route).map(Arc::new).collect(),
         services: ["desk", "lock"].map(service).into(),
         bounds: CallerBounds::default(),
     }
--- a/crates/fleet/src/api.rs
+++ b/crates/fleet/src/api.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use filberthead_route::{Change, Table};
+use filberthead_route::{Change, Delta, Table};
 use filberthead_types::{FailureDomain, Incarnation, NodeName, Region, ServiceName};
 use serde::{Deserialize, Serialize};
 
@@ -93,6 +93,7 @@
             Self::Part(_) => "part",
             Self::AskPart { .. } => "ask-part",
             Self::Routes { .. } => "routes",
+            Self::RoutesChanged { .. } => "routes-changed",
             Self::Evacuated { .. } => "evacuated",
             Self::Endpoints { .. } => "endpoints",
             Self::EndpointsChanged { .. } => "endpoints-changed",
@@ -106,7 +107,9 @@
     /// What its receiver holds then, for those that may be long.
     pub(crate) fn revision(&self) -> Option<Revision> {
         match self {
-            Self::Routes { revision, .. } => Some(Revision::Routes(*revision)),
+            Self::Routes { revision, .. } | Self::RoutesChanged { revision, .. } => {
+                Some(Revision::Routes(*revision))
+            }
             Self::Endpoints { stamp, .. } | Self::EndpointsChanged { stamp, .. } => {
                 Some(Revision::Endpoints(*stamp))
             }
@@ -298,6 +301,17 @@
         /// The table.
         table: Arc<Table>,
     },
+    /// What has changed in the routes.
+    RoutesChanged {
+        /// The revision that comes of it.
+        revision: u64,
+        /// The operator's number of the last change, for logs.
+        version: u64,
+        /// The revision that it changes.
+        from: u64,
+        /// The changes, the oldest first.
+        changes: Vec<Arc<Delta>>,
+    },
     /// The evacuated failure domains.
     Evacuated {
         /// Revision of the set.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -26,6 +26,7 @@
 mod member;
 mod parts;
 mod registry;
+mod routes;
 
 pub use api::{
     Demand, Endpoint, EndpointChange, EndpointState, GatewayInfo, Have, Message, Order, OrderError,
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use filberthead_route::Table;
+use filberthead_route::{Delta, Table};
 use filberthead_types::{FailureDomain, Moment, Region, ServiceName};
 
 use crate::contacts::Contacts;
@@ -86,6 +86,8 @@
     /// The newest of everything that anybody was heard to hold.
     newest: Have,
     have: Have,
+    /// The routes of that revision.
+    routes: Option<Arc<Table>>,
     asked: Option<(Have, Moment)>,
     /// Long messages of which some parts are here.
     receiving: Receiving,
@@ -120,6 +122,7 @@
             first_told: None,
             newest: Have::default(),
             have: Have::default(),
+            routes: None,
             asked: None,
             receiving: Receiving::default(),
             lacking: None,
@@ -313,12 +316,27 @@
                 version,
                 table,
             } if revision > self.have.routes => {
-                self.have.routes = revision;
-                let update = Update::Routes {
-                    revision,
-                    version,
-                    table,
+                let update = self.set_routes(revision, version, table);
+                (Vec::new(), vec![update])
+            }
+            Message::RoutesChanged {
+                revision,
+                version,
+                from: older,
+                changes,
+            } if revision > self.have.routes => {
+                if older != self.have.routes {
+                    self.asked = None;
+                    return (Vec::new(), Vec::new());
+                }
+                let Some(table) = self.changed_routes(&changes) else {
+                    let whole = Have {
+                        routes: 0,
+                        ..self.have
+                    };
+                    return (vec![(from, Message::Ask(whole))], Vec::new());
                 };
+                let update = self.set_routes(revision, version, table);
                 (Vec::new(), vec![update])
             }
             Message::Evacuated { revision, domains } if revision > self.have.evacuated => {
@@ -344,6 +362,25 @@
         }
     }
 
+    fn set_routes(&mut self, revision: u64, version: u64, table: Arc<Table>) -> Update {
+        self.have.routes = revision;
+        self.routes = Some(Arc::clone(&table));
+        Update::Routes {
+            revision,
+            version,
+            table,
+        }
+    }
+
+    /// The routes held here with these changes, if they are changes of them.
+    fn changed_routes(&self, changes: &[Arc<Delta>]) -> Option<Arc<Table>> {
+        let mut table = Arc::clone(self.routes.as_ref()?);
+        for change in changes {
+            table = Arc::new(change.apply(&table)?);
+        }
+        Some(table)
+    }
+
     fn take_part(
         &mut self,
         now: Moment,
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -11,6 +11,7 @@
 
 use crate::list::{List, Taken};
 use crate::parts::Sending;
+use crate::routes::Routes;
 use crate::{
     Demand, Endpoint, EndpointChange, GatewayInfo, Have, Message, Outbound, Relayed, Report,
     Revision, Stamp,
@@ -64,8 +65,7 @@
     gateways: BTreeMap<NodeName, Seen>,
     replicas: Vec<SocketAddr>,
     have: Have,
-    version: u64,
-    table: Option<Arc<Table>>,
+    routes: Routes,
     evacuated: BTreeSet<FailureDomain>,
     endpoints: List,
     /// Long messages that gateways receive in parts.
@@ -100,8 +100,7 @@
             return Vec::new();
         }
         self.have.routes = revision;
-        self.version = version;
-        self.table = Some(table);
+        self.routes.set(revision, version, table);
         self.notices(now)
     }
 
@@ -123,7 +122,7 @@
     /// Takes in a list of endpoints that this replica, the leader of `term`, has read
     /// just now. A list that tells nothing new keeps its stamp.
     pub fn listed(&mut self, now: Moment, term: u64, list: Vec<Endpoint>) -> Vec<Outbound> {
-        let table = self.table.as_deref();
+        let table = self.routes.table();
         let list = self.endpoints.settled(now, list, |s| is_served(table, s));
         let held = self.endpoints.stamp();
         if held.term == term && self.endpoints.tells_nothing_new(now, &list) {
@@ -139,7 +138,7 @@
     pub fn unserved(&self) -> BTreeMap<&ServiceName, usize> {
         let mut counts = BTreeMap::new();
         for service in self.endpoints.services() {
-            if !is_served(self.table.as_deref(), service) {
+            if !is_served(self.routes.table(), service) {
                 *counts.entry(service).or_default() += 1;
             }
         }
@@ -293,7 +292,8 @@
             .endpoints_for(now, have.endpoints)
             .map(|news| (Revision::Endpoints(have.endpoints), news));
         let routes = self
-            .routes_for(have.routes)
+            .routes
+            .since(have.routes)
             .map(|news| (Revision::Routes(have.routes), news));
         let long = [endpoints, routes].into_iter().flatten();
         let long: Vec<_> = long
@@ -304,15 +304,6 @@
         news.map(|news| (to, news)).collect()
     }
 
-    fn routes_for(&self, have: u64) -> Option<Message> {
-        let table = self.table.as_ref().filter(|_| self.have.routes > have)?;
-        Some(Message::Routes {
-            revision: self.have.routes,
-            version: self.version,
-            table: Arc::clone(table),
-        })
-    }
-
     fn evacuated_for(&self, have: u64) -> Option<Message> {
         (self.have.evacuated > have).then(|| Message::Evacuated {
             revision: self.have.evacuated,
--- a/crates/fleet/tests/all/links.rs
+++ b/crates/fleet/tests/all/links.rs
@@ -55,7 +55,7 @@
         cold_per_s: 6.2,
     };
     Arc::new(Table {
-        routes: (0..routes).map(route).collect(),
+        routes: (0..routes).map(route).map(Arc::new).collect(),
         services: vec![service],
         ..Table::default()
     })
@@ -326,6 +326,22 @@
     assert!(world.bytes <= bound, "{} of {bound} bytes", world.bytes);
 }
 
+/// Guards against whole tables for each change of a few routes.
+#[test]
+fn a_change_of_routes_takes_what_has_changed() {
+    let mut world = serving(2822);
+    let further = table(4223);
+    world.set_routes(2, &table(4222));
+    world.run_until(ms(6600));
+    world.set_routes(3, &further);
+    world.run_until(ms(10_000));
+    assert!(world.learned_routes(&further).is_some());
+    let new = (2822..4223).map(route).collect::<Vec<_>>();
+    let once = postcard::to_stdvec(&new).expect("it can be encoded");
+    let bound = once.len() + once.len() / 4;
+    assert!(world.bytes <= bound, "{} of {bound} bytes", world.bytes);
+}
+
 /// Guards against a gateway whose requests wait for seconds behind a table of routes.
 #[test]
 fn requests_do_not_wait_behind_a_large_table() {
--- a/crates/place/tests/all/support.rs
+++ b/crates/place/tests/all/support.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use filberthead_fleet::{Endpoint, EndpointState};
@@ -58,7 +59,7 @@
         weight: 1,
     };
     Table {
-        routes: vec![Route {
+        routes: vec![Arc::new(Route {
             name: "r".to_owned(),
             host: "h".to_owned(),
             prefix: "/".to_owned(),
@@ -70,7 +71,7 @@
             max_attempts: 2,
             sticky: true,
             regions: Vec::new(),
-        }],
+        })],
         services: vec![Service {
             name: service(),
             health_path: "/healthz".to_owned(),
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -13,11 +13,13 @@
 //!   same table routes a request alike.
 
 mod change;
+mod delta;
 mod matcher;
 mod split;
 mod table;
 
 pub use change::{Change, Held, Offered};
+pub use delta::Delta;
 pub use matcher::{Matched, Matcher};
 pub use split::Split;
 pub use table::{CallerBounds, InvalidTable, Kind, Route, Service, Table, Target};
--- a/crates/route/src/matcher.rs
+++ b/crates/route/src/matcher.rs
@@ -17,7 +17,7 @@
 #[derive(Debug)]
 pub struct Matched {
     /// The route.
-    pub route: Route,
+    pub route: Arc<Route>,
     /// Deals its requests out to its targets.
     pub split: Split,
 }
@@ -29,7 +29,7 @@
         for route in &table.routes {
             let matched = Matched {
                 split: Split::new(&route.targets),
-                route: route.clone(),
+                route: Arc::clone(route),
             };
             hosts
                 .entry(name(&route.host).to_ascii_lowercase())
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -1,6 +1,7 @@
 //! The table of routes, and what makes one valid.
 
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use filberthead_types::{Region, ServiceName};
@@ -119,8 +120,8 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct Table {
-    /// The routes.
-    pub routes: Vec<Route>,
+    /// The routes. Tables that follow one another share those that stay.
+    pub routes: Vec<Arc<Route>>,
     /// The services that they may name.
     pub services: Vec<Service>,
     /// Bounds for callers.
--- a/crates/route/tests/table.rs
+++ b/crates/route/tests/table.rs
@@ -1,9 +1,11 @@
 //! Tables, changes and matching.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use filberthead_route::{
-    CallerBounds, Change, Held, InvalidTable, Kind, Matcher, Offered, Route, Service, Table, Target,
+    CallerBounds, Change, Delta, Held, InvalidTable, Kind, Matcher, Offered, Route, Service, Table,
+    Target,
 };
 
 fn target(service: &str, weight: u32) -> Target {
@@ -38,7 +40,7 @@
         cold_per_s: 9.4,
     };
     Table {
-        routes,
+        routes: routes.into_iter().map(Arc::new).collect(),
         services: vec![service("catalogue"), service("orders")],
         bounds: CallerBounds::default(),
     }
@@ -174,3 +176,61 @@
             assert!((first - part).abs() <= 3.0, "{first} of 100, not {part}");
         });
 }
+
+fn names(table: &Table) -> Vec<&str> {
+    table
+        .routes
+        .iter()
+        .map(|route| route.name.as_str())
+        .collect()
+}
+
+/// Guards against routes that are lost, doubled or out of order after a change.
+#[test]
+fn a_delta_makes_the_newer_table() {
+    let host = |name: &str| route(name, "/", vec![target("catalogue", 1)]);
+    let older = table(["a", "b", "c", "d", "e"].map(host).into());
+    let mut moved = host("b");
+    moved.timeout = Duration::from_secs(9);
+    let newer = table(vec![
+        host("e"),
+        host("a"),
+        moved,
+        host("x"),
+        host("c"),
+        host("d"),
+    ]);
+    let delta = Delta::between(&older, &newer);
+    let made = delta.apply(&older).expect("a change of that table");
+    assert_eq!(made, newer);
+    assert_eq!(names(&made), ["e/", "a/", "b/", "x/", "c/", "d/"]);
+    assert_eq!(delta.new_routes(), 2);
+}
+
+#[test]
+fn a_delta_of_another_table_is_refused() {
+    let host = |name: &str| route(name, "/", vec![target("catalogue", 1)]);
+    let older = table(["a", "b", "c"].map(host).into());
+    let newer = table(["a", "b", "c", "d"].map(host).into());
+    let delta = Delta::between(&older, &newer);
+    assert_eq!(delta.apply(&table(Vec::new())), None);
+}
+
+/// Whatever two tables are, routes of the same name among them, the delta makes one of the
+/// other.
+#[test]
+fn a_delta_makes_any_table_of_any_other() {
+    bolero::check!()
+        .with_type::<(Vec<u8>, Vec<u8>)>()
+        .for_each(|(older, newer)| {
+            let host = |number: &u8| {
+                let name = char::from(b'a' + number % 16).to_string();
+                let mut route = route(&name, "/", vec![target("catalogue", 1)]);
+                route.timeout = Duration::from_secs(u64::from(1 + number / 64));
+                route
+            };
+            let older = table(older.iter().map(host).collect());
+            let newer = table(newer.iter().map(host).collect());
+            assert_eq!(Delta::between(&older, &newer).apply(&older), Some(newer));
+        });
+}
--- /dev/null
+++ b/tests/all/large_routes.rs
@@ -0,0 +1,76 @@
+//! Configurations of thousands of routes on their way to gateways.
+
+use std::time::Duration;
+
+use filberthead_testing::site::{Site, config, request};
+use filberthead_testing::wait_until;
+use serde_json::{Value, json};
+
+use crate::groups::site;
+
+const BOUND: Duration = Duration::from_secs(60);
+/// Bytes that a few messages take, and a table of thousands of routes doesn't.
+const FEW_BYTES: f64 = 16.0 * 1024.0;
+
+/// A configuration with so many further routes to one service.
+fn grown(version: u64, further: usize) -> String {
+    let text = config(version, &[("catalogue", "safe")]);
+    let mut body: Value = serde_json::from_str(&text).expect("it is JSON");
+    let first = body["routes"][0].clone();
+    let routes = body["routes"].as_array_mut().expect("a list of routes");
+    routes.extend((0..further).map(|number| {
+        let mut route = first.clone();
+        route["name"] = json!(format!("r-further{number}"));
+        route["path_prefix"] = json!(format!("/further{number}/"));
+        route
+    }));
+    body.to_string()
+}
+
+fn put(site: &Site, body: &str) {
+    assert_eq!(site.order("config.put", body).status, 200);
+}
+
+#[track_caller]
+fn wait_in_force(site: &Site, version: u64) {
+    wait_until("the gateway obeys it", BOUND, || {
+        site.gateways[0].metric("routes_version") == version as f64
+    });
+}
+
+fn received(site: &Site, kind: &str) -> f64 {
+    let name = format!("peer_kind_received_bytes_total{{kind=\"{kind}\"}}");
+    site.gateways[0].metric(&name)
+}
+
+#[track_caller]
+fn assert_served(site: &Site, path: &str) {
+    let answer = site.request(0, &request("GET", path, "read-1"));
+    assert_eq!(answer.expect("an answer").status, 200, "{path}");
+}
+
+/// Guards against a large configuration that is sent whole, and sent again for each change:
+/// it takes a small VM's link for seconds.
+#[test]
+fn a_gateway_gets_a_large_table_in_parts_and_then_changes_alone() {
+    let mut site = site().start();
+    site.add_endpoint("catalogue", "zagreb-a");
+    put(&site, &grown(1, 0));
+    site.wait_serving(0);
+    put(&site, &grown(2, 3000));
+    wait_in_force(&site, 2);
+    assert_served(&site, "/further2999/1");
+    let parts = received(&site, "part");
+    assert!(parts > 4.0 * FEW_BYTES, "{parts}");
+    put(&site, &grown(3, 3001));
+    wait_in_force(&site, 3);
+    assert_served(&site, "/further3000/1");
+    let further = received(&site, "part") - parts;
+    assert!(further < FEW_BYTES, "the change alone, not {further}");
+    let whole = received(&site, "routes") + received(&site, "routes-changed");
+    assert!(whole < FEW_BYTES, "{whole}");
+    site.gateways[0].restart();
+    wait_in_force(&site, 3);
+    assert_served(&site, "/further3000/1");
+    assert!(received(&site, "part") > 4.0 * FEW_BYTES);
+}
