Push short news to gateways instead of announcing it

What callers saw: on a link that is full of requests, news of an endpoint that leaves waits three times: as a notice, as the question for it and as the answer, up to 0.67 s for the last two.

Cause: replicas announced that there is something new and gateways asked for it. The reports tell what a gateway holds, so the replica can send what it lacks. Now it does so for what is short; a notice goes out only for what is long. What a gateway was sent counts as held until its next report; a change that doesn't fit what it holds makes it ask at once, where it waited for the next notice.

Tests, in links: news of endpoints and an evacuation take one way (both took three before); news whose push is lost comes with the next report; a gateway asks at once for what lies between.

--- a/crates/fleet/src/api.rs
+++ b/crates/fleet/src/api.rs
@@ -104,6 +104,16 @@
         }
     }
 
+    /// Raises what its receiver holds by what it tells whole.
+    pub(crate) fn raise(&self, have: &mut Have) {
+        match (self, self.revision()) {
+            (Self::Evacuated { revision, .. }, _) => have.evacuated = have.evacuated.max(*revision),
+            (_, Some(Revision::Routes(revision))) => have.routes = have.routes.max(revision),
+            (_, Some(Revision::Endpoints(stamp))) => have.endpoints = have.endpoints.max(stamp),
+            (_, None) => {}
+        }
+    }
+
     /// What its receiver holds then, for those that may be long.
     pub(crate) fn revision(&self) -> Option<Revision> {
         match self {
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -326,8 +326,8 @@
                 changes,
             } if revision > self.have.routes => {
                 if older != self.have.routes {
-                    self.asked = None;
-                    return (Vec::new(), Vec::new());
+                    self.newest.routes = self.newest.routes.max(revision);
+                    return (self.ask(now, from, self.newest), Vec::new());
                 }
                 let Some(table) = self.changed_routes(&changes) else {
                     let whole = Have {
@@ -349,10 +349,8 @@
             }
             Message::EndpointsChanged { stamp, change } if stamp > self.have.endpoints => {
                 if change.from != self.have.endpoints {
-                    // An answer to a question that another one has overtaken; the next
-                    // notice is to ask again.
-                    self.asked = None;
-                    return (Vec::new(), Vec::new());
+                    self.newest.endpoints = self.newest.endpoints.max(stamp);
+                    return (self.ask(now, from, self.newest), Vec::new());
                 }
                 self.have.endpoints = stamp;
                 (Vec::new(), vec![Update::EndpointsChanged(change)])
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -30,11 +30,20 @@
 /// Questions that may wait for the leader's word; further ones are asked again anyway.
 const MAX_QUESTIONS: usize = 1024;
 
+/// A report that came to this replica itself.
+#[derive(Clone, Copy, Debug)]
+struct Direct {
+    addr: SocketAddr,
+    at: Moment,
+    /// What the gateway holds, by its report and what it was sent since.
+    have: Have,
+}
+
 #[derive(Clone, Debug)]
 struct Seen {
     info: GatewayInfo,
-    /// Where it reported from to this replica, and when; not if only others heard it.
-    direct: Option<(SocketAddr, Moment)>,
+    /// Its last report to this replica; none if only others heard it.
+    direct: Option<Direct>,
     ready: bool,
     at: Moment,
     demand: Vec<Demand>,
@@ -101,7 +110,7 @@
         }
         self.have.routes = revision;
         self.routes.set(revision, version, table);
-        self.notices(now)
+        self.announce(now)
     }
 
     /// Takes in the evacuated failure domains, as of `revision` of the log.
@@ -116,7 +125,7 @@
         }
         self.have.evacuated = revision;
         self.evacuated.clone_from(domains);
-        self.notices(now)
+        self.announce(now)
     }
 
     /// Takes in a list of endpoints that this replica, the leader of `term`, has read
@@ -148,7 +157,7 @@
     fn after(&mut self, now: Moment, taken: Taken) -> Vec<Outbound> {
         self.have.endpoints = self.endpoints.stamp();
         match taken {
-            Taken::New => self.notices(now),
+            Taken::New => self.announce(now),
             Taken::Old | Taken::Gap => Vec::new(),
         }
     }
@@ -210,7 +219,11 @@
         let question = report.question;
         let seen = Seen {
             info: report.gateway,
-            direct: Some((from, now)),
+            direct: Some(Direct {
+                addr: from,
+                at: now,
+                have: report.have,
+            }),
             ready: report.ready,
             at: now,
             demand: report.demand,
@@ -257,7 +270,7 @@
     /// they were last told.
     pub fn roster(&mut self, now: Moment) -> Option<Message> {
         let since = std::mem::replace(&mut self.relayed, now);
-        let reported = |seen: &&Seen| seen.direct.is_some_and(|(_, at)| at >= since && at < now);
+        let reported = |seen: &&Seen| seen.direct.is_some_and(|d| d.at >= since && d.at < now);
         let relayed = |seen: &Seen| Relayed {
             gateway: seen.info.clone(),
             ready: seen.ready,
@@ -287,7 +300,13 @@
     }
 
     fn newer_than(&mut self, now: Moment, have: &Have, to: SocketAddr) -> Vec<Outbound> {
-        let evacuated = self.evacuated_for(have.evacuated);
+        let news = self.news(now, have);
+        news.into_iter().map(|news| (to, news)).collect()
+    }
+
+    /// What somebody lacks who holds this; of what is long the first part. What changes where
+    /// requests may go comes before what may be long.
+    fn news(&mut self, now: Moment, have: &Have) -> Vec<Message> {
         let endpoints = self
             .endpoints_for(now, have.endpoints)
             .map(|news| (Revision::Endpoints(have.endpoints), news));
@@ -295,13 +314,10 @@
             .routes
             .since(have.routes)
             .map(|news| (Revision::Routes(have.routes), news));
+        let evacuated = self.evacuated_for(have.evacuated);
         let long = [endpoints, routes].into_iter().flatten();
-        let long: Vec<_> = long
-            .map(|(from, news)| self.sending.begin(now, from, news))
-            .collect();
-        // What changes where requests may go goes before what is long.
-        let news = evacuated.into_iter().chain(long);
-        news.map(|news| (to, news)).collect()
+        let long = long.map(|(from, news)| self.sending.begin(now, from, news));
+        evacuated.into_iter().chain(long).collect()
     }
 
     fn evacuated_for(&self, have: u64) -> Option<Message> {
@@ -316,25 +332,54 @@
         self.endpoints.since(now, have)
     }
 
-    fn notices(&mut self, now: Moment) -> Vec<Outbound> {
+    /// Tells the gateways that report here what is new: short news itself, and of what is long
+    /// that it is there, since each of them hears several replicas.
+    fn announce(&mut self, now: Moment) -> Vec<Outbound> {
         self.gateways
             .retain(|_, seen| now < seen.at + FORGOTTEN_AFTER);
-        let mut notices: BTreeMap<&FailureDomain, Message> = BTreeMap::new();
-        let reach = |seen: &Seen| {
-            let (addr, at) = seen.direct?;
-            (now < at + LIVE_FOR).then_some(addr)
+        let mut notices: BTreeMap<FailureDomain, Message> = BTreeMap::new();
+        let mut news: Vec<(Have, Vec<Message>)> = Vec::new();
+        let mut out = Vec::new();
+        for (domain, Direct { addr, have, .. }) in self.reached(now) {
+            let known = news.iter().position(|(held, _)| *held == have);
+            let place = known.unwrap_or_else(|| {
+                news.push((have, self.news(now, &have)));
+                news.len() - 1
+            });
+            let (long, short): (Vec<_>, Vec<_>) = news[place].1.iter().partition(is_part);
+            out.extend(short.into_iter().map(|message| (addr, message.clone())));
+            if !long.is_empty() {
+                let notice = notices.entry(domain);
+                let notice = notice.or_insert_with_key(|d| self.notice(now, d, None, None));
+                out.push((addr, notice.clone()));
+            }
+        }
+        self.note_sent(&out);
+        out
+    }
+
+    /// The failure domains and last reports of the gateways that report here.
+    fn reached(&self, now: Moment) -> Vec<(FailureDomain, Direct)> {
+        let live = |seen: &Seen| {
+            let direct = seen.direct.filter(|direct| now < direct.at + LIVE_FOR)?;
+            Some((seen.info.domain.clone(), direct))
         };
-        let live = self
-            .gateways
-            .values()
-            .filter_map(|seen| Some((seen, reach(seen)?)));
-        live.map(|(seen, addr)| {
-            let domain = &seen.info.domain;
-            let notice = notices.entry(domain);
-            let notice = notice.or_insert_with(|| self.notice(now, domain, None, None));
-            (addr, notice.clone())
-        })
-        .collect()
+        self.gateways.values().filter_map(live).collect()
+    }
+
+    /// Notes what gateways hold when these messages have arrived. The next report says whether
+    /// they have.
+    fn note_sent(&mut self, out: &[Outbound]) {
+        let mut sent: BTreeMap<SocketAddr, Have> = BTreeMap::new();
+        for (to, message) in out {
+            message.raise(sent.entry(*to).or_default());
+        }
+        let direct = self.gateways.values_mut().filter_map(|s| s.direct.as_mut());
+        for direct in direct {
+            if let Some(sent) = sent.get(&direct.addr) {
+                direct.have.raise(sent);
+            }
+        }
     }
 
     /// A notice for gateways of a failure domain, which may prove what it says.
@@ -411,6 +456,10 @@
     }
 }
 
+fn is_part(message: &&Message) -> bool {
+    matches!(message, Message::Part(_))
+}
+
 /// Before there are routes any service may come to be known.
 fn is_served(table: Option<&Table>, service: &ServiceName) -> bool {
     table.is_none_or(|table| table.services.iter().any(|s| s.name == *service))
--- a/crates/fleet/tests/all/links.rs
+++ b/crates/fleet/tests/all/links.rs
@@ -200,6 +200,22 @@
         relayed.into_iter().for_each(|(_, m)| self.send(other, m));
     }
 
+    fn evacuate(&mut self, revision: u64) {
+        let domains = ["split-a".parse().expect("a name")].into();
+        for replica in 0..self.replicas.len() {
+            let (from, registry) = &mut self.replicas[replica];
+            let from = *from;
+            for (_, message) in registry.set_evacuated(self.now, revision, &domains) {
+                self.send(from, message);
+            }
+        }
+    }
+
+    /// Loses all that waits for the link, as a connection that is made anew does.
+    fn lose_what_waits(&mut self) {
+        self.link.connections.iter_mut().for_each(VecDeque::clear);
+    }
+
     fn run_until(&mut self, until: Moment) {
         while self.now < until {
             self.step();
@@ -342,6 +358,56 @@
     assert!(world.bytes <= bound, "{} of {bound} bytes", world.bytes);
 }
 
+/// Guards against short news that waits three times on a busy link: as a notice, as the
+/// question for it and as the answer.
+#[test]
+fn news_of_endpoints_takes_one_way() {
+    let mut world = serving(22);
+    world.list(endpoints(Some("i-00000007")));
+    world.run_until(ms(7000));
+    let leaving = world.learned_leaving("i-00000007").expect("it is told");
+    assert!(leaving < ms(6000) + 2 * WAY, "learned only at {leaving:?}");
+}
+
+/// Guards against an evacuation that waits as news of endpoints did.
+#[test]
+fn an_evacuation_takes_one_way() {
+    let mut world = serving(22);
+    world.evacuate(2);
+    world.run_until(ms(7000));
+    let evacuated = |update: &Update| matches!(update, Update::Evacuated(_));
+    let first = world.learned.iter().find(|(_, update)| evacuated(update));
+    let (at, _) = first.expect("it is told");
+    assert!(*at < ms(6000) + 2 * WAY, "learned only at {at:?}");
+}
+
+/// Guards against news that is lost for good if the push is.
+#[test]
+fn news_whose_push_is_lost_comes_with_the_next_report() {
+    let mut world = serving(22);
+    world.list(endpoints(Some("i-00000007")));
+    world.lose_what_waits();
+    world.run_until(ms(7000));
+    let leaving = world.learned_leaving("i-00000007").expect("it is told");
+    assert!(
+        leaving < ms(6000) + NEWS_WITHIN,
+        "learned only at {leaving:?}"
+    );
+}
+
+/// Guards against a gateway that is told a change of a list that it doesn't hold, and waits
+/// for its next report to ask for what is between.
+#[test]
+fn a_gateway_asks_at_once_for_what_it_lacks_before_a_change() {
+    let mut world = serving(22);
+    world.list(endpoints(Some("i-00000006")));
+    world.lose_what_waits();
+    world.list(endpoints(Some("i-00000007")));
+    world.run_until(ms(7000));
+    let leaving = world.learned_leaving("i-00000007").expect("it is told");
+    assert!(leaving < ms(6000) + 8 * WAY, "learned only at {leaving:?}");
+}
+
 /// Guards against a gateway whose requests wait for seconds behind a table of routes.
 #[test]
 fn requests_do_not_wait_behind_a_large_table() {
