Give up transfers of what a gateway holds by now

Fault: a gateway that gets routes in another way while parts of them are on their way kept the transfer until it was overdue three times, and asked for no newer routes for up to 1.8 s. Found by reading the change.

Test: parts::a_transfer_of_what_is_held_by_now_is_given_up, which failed before. Member::take is split: what a notice says and what comes of changes of routes are functions of their own.

--- a/crates/fleet/src/api.rs
+++ b/crates/fleet/src/api.rs
@@ -136,6 +136,14 @@
         self.endpoints = self.endpoints.max(other.endpoints);
     }
 
+    /// Whether this revision is newer than what is held.
+    pub(crate) fn is_before(&self, revision: Revision) -> bool {
+        match revision {
+            Revision::Routes(revision) => revision > self.routes,
+            Revision::Endpoints(stamp) => stamp > self.endpoints,
+        }
+    }
+
     /// Whether anything in `other` is newer than here.
     pub fn lacks(&self, other: &Self) -> bool {
         other.routes > self.routes
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -10,9 +10,7 @@
 
 use crate::contacts::Contacts;
 use crate::parts::{Receiving, Taken};
-use crate::{
-    Demand, Endpoint, EndpointChange, GatewayInfo, Have, Message, Outbound, Part, Report, Revision,
-};
+use crate::{Demand, Endpoint, EndpointChange, GatewayInfo, Have, Message, Outbound, Part, Report};
 
 /// Time between reports: three fit into the silence after which a gateway is taken for
 /// dead, and a notice that was lost is made up for within it.
@@ -65,6 +63,16 @@
     pub questions: u32,
 }
 
+/// What comes of changes of routes.
+enum Changed {
+    /// The newer table.
+    Table(Arc<Table>),
+    /// They are changes of routes that aren't held.
+    Gap,
+    /// They don't fit the routes that they name, so only a whole table helps.
+    Invalid,
+}
+
 /// What a gateway carries.
 #[derive(Clone, Debug, Default)]
 pub struct Load {
@@ -257,6 +265,7 @@
         let held = self.have;
         let taken = self.take(now, from, message);
         if self.have != held {
+            self.receiving.forget_held(&self.have);
             self.note_delay(now);
         }
         taken
@@ -291,14 +300,7 @@
                 proves,
             } => {
                 self.contacts.told(now, from, &replicas);
-                if let Some(asked) = answers.and_then(|question| self.asked_at(question)) {
-                    self.contacts.answered(now, from, asked);
-                }
-                self.first_told.get_or_insert(now);
-                self.newest.raise(&have);
-                if let Some(question) = proves {
-                    self.prove(question, have.routes);
-                }
+                self.noticed(now, from, have, (answers, proves));
                 let updates = vec![
                     Update::Gateways(gateways),
                     Update::Demand(demand),
@@ -324,21 +326,23 @@
                 version,
                 from: older,
                 changes,
-            } if revision > self.have.routes => {
-                if older != self.have.routes {
+            } if revision > self.have.routes => match self.changed_routes(older, &changes) {
+                Changed::Table(table) => {
+                    let update = self.set_routes(revision, version, table);
+                    (Vec::new(), vec![update])
+                }
+                Changed::Gap => {
                     self.newest.routes = self.newest.routes.max(revision);
-                    return (self.ask(now, from, self.newest), Vec::new());
+                    (self.ask(now, from, self.newest), Vec::new())
                 }
-                let Some(table) = self.changed_routes(&changes) else {
+                Changed::Invalid => {
                     let whole = Have {
                         routes: 0,
                         ..self.have
                     };
-                    return (vec![(from, Message::Ask(whole))], Vec::new());
-                };
-                let update = self.set_routes(revision, version, table);
-                (Vec::new(), vec![update])
-            }
+                    (vec![(from, Message::Ask(whole))], Vec::new())
+                }
+            },
             Message::Evacuated { revision, domains } if revision > self.have.evacuated => {
                 self.have.evacuated = revision;
                 (Vec::new(), vec![Update::Evacuated(domains)])
@@ -360,6 +364,24 @@
         }
     }
 
+    /// Takes in what a replica holds, and the questions that its notice answers and proves.
+    fn noticed(
+        &mut self,
+        now: Moment,
+        from: SocketAddr,
+        have: Have,
+        (answers, proves): (Option<u64>, Option<u64>),
+    ) {
+        if let Some(asked) = answers.and_then(|question| self.asked_at(question)) {
+            self.contacts.answered(now, from, asked);
+        }
+        self.first_told.get_or_insert(now);
+        self.newest.raise(&have);
+        if let Some(question) = proves {
+            self.prove(question, have.routes);
+        }
+    }
+
     fn set_routes(&mut self, revision: u64, version: u64, table: Arc<Table>) -> Update {
         self.have.routes = revision;
         self.routes = Some(Arc::clone(&table));
@@ -370,13 +392,19 @@
         }
     }
 
-    /// The routes held here with these changes, if they are changes of them.
-    fn changed_routes(&self, changes: &[Arc<Delta>]) -> Option<Arc<Table>> {
-        let mut table = Arc::clone(self.routes.as_ref()?);
+    /// The routes held here with changes of the routes of revision `from`.
+    fn changed_routes(&self, from: u64, changes: &[Arc<Delta>]) -> Changed {
+        let held = self.routes.as_ref().filter(|_| from == self.have.routes);
+        let Some(mut table) = held.cloned() else {
+            return Changed::Gap;
+        };
         for change in changes {
-            table = Arc::new(change.apply(&table)?);
+            match change.apply(&table) {
+                Some(changed) => table = Arc::new(changed),
+                None => return Changed::Invalid,
+            }
         }
-        Some(table)
+        Changed::Table(table)
     }
 
     fn take_part(
@@ -385,7 +413,7 @@
         from: SocketAddr,
         part: Part,
     ) -> (Vec<Outbound>, Vec<Update>) {
-        if !self.lacks(part.revision) {
+        if !self.have.is_before(part.revision) {
             return (Vec::new(), Vec::new());
         }
         match self.receiving.take(now, from, part) {
@@ -404,13 +432,6 @@
         }
     }
 
-    fn lacks(&self, revision: Revision) -> bool {
-        match revision {
-            Revision::Routes(revision) => revision > self.have.routes,
-            Revision::Endpoints(stamp) => stamp > self.have.endpoints,
-        }
-    }
-
     /// Asks for what a replica holds beyond this gateway, unless the same was asked of
     /// somebody a moment ago.
     fn ask(&mut self, now: Moment, from: SocketAddr, theirs: Have) -> Vec<Outbound> {
--- a/crates/fleet/src/parts.rs
+++ b/crates/fleet/src/parts.rs
@@ -215,6 +215,11 @@
         covered
     }
 
+    /// Gives up transfers of what is held by now.
+    pub(crate) fn forget_held(&mut self, have: &Have) {
+        self.0.retain(|incoming| have.is_before(incoming.revision));
+    }
+
     /// Takes in a part of news that isn't held yet.
     pub(crate) fn take(&mut self, now: Moment, from: SocketAddr, part: Part) -> Taken {
         let known = |incoming: &Incoming| incoming.digest == part.digest;
--- a/crates/fleet/tests/all/parts.rs
+++ b/crates/fleet/tests/all/parts.rs
@@ -143,3 +143,24 @@
         [(_, Message::Evacuated { revision: 6, .. })]
     ));
 }
+
+/// Guards against a transfer that nobody needs any more, because the gateway got the news in
+/// another way, and that keeps it from asking for what comes next.
+#[test]
+fn a_transfer_of_what_is_held_by_now_is_given_up() {
+    let (older, newer) = (table(1000), table(1001));
+    let mut member = gateway();
+    let whole = answer(&mut registry(&older), Message::Ask(Have::default()));
+    member.receive(ms(1), addr(CONTROL), whole);
+    let routes = Message::Routes {
+        revision: 5,
+        version: 7,
+        table: older,
+    };
+    member.receive(ms(2), addr(OTHER), routes);
+    let mut further = registry(&newer);
+    further.set_routes(ms(3), 6, 8, newer);
+    let news = notice(further.have(), Vec::new());
+    let (out, _) = member.receive(ms(4), addr(OTHER), news);
+    assert!(matches!(out[..], [(_, Message::Ask(have))] if have.routes == 5));
+}
