--- a/tests/all/groups.rs
+++ b/tests/all/groups.rs
@@ -186,6 +186,11 @@
     site.put_routes(7, SERVICES);
     site.controls.iter().for_each(|node| wait_version(node, 7));
     let leads = |node: &Node| node.metric("_leader") > 0.0;
+    wait_until("all vote", BOUND, || {
+        site.controls
+            .iter()
+            .all(|node| node.metric("voters") >= 3.0)
+    });
     // The seed, which leads at first, must not when the newcomer comes.
     while !site.controls[1..].iter().any(leads) {
         site.controls[0].kill();
