Soak: serve the routes that are the newest by now

Traced: change 33 was sent before the end without a clear answer, and took effect at 11:07:52.004, 0.2 s after the soak had asked control for the newest version; both gateways obeyed 33 from 11:07:52.2 on, proved by control, and refused what only 32 has, as they must. The check asked for the routes of a version that it had read once. It now asks, each time, for those that control proves by then, which must be the last accepted version or a later one and no longer may be unproven: as strict or stricter.

--- a/crates/testing/src/soak/drive.rs
+++ b/crates/testing/src/soak/drive.rs
@@ -298,16 +298,24 @@
                 proven(node).is_some_and(|version| version >= accepted)
             });
         }
-        let newest = proven(&self.nodes.site.controls[0]).unwrap_or(accepted);
         for gateway in 0..self.nodes.site.gateways.len() {
-            for path in paths(newest) {
-                let what = format!("gateway {gateway} serves {path}");
-                self.must_be_back(&what, |drive| drive.is_served(gateway, &path));
-            }
+            let what = format!("gateway {gateway} serves the newest routes, {accepted} or later");
+            self.must_be_back(&what, |drive| drive.serves_newest(gateway, accepted));
         }
         self.look_for_left();
     }
 
+    /// Whether a gateway serves the routes that control proves to be the newest by now. A change
+    /// whose operator got no answer may take effect after all others.
+    fn serves_newest(&mut self, gateway: usize, accepted: u64) -> bool {
+        let newest = proven(&self.nodes.site.controls[0]);
+        let Some(newest) = newest.filter(|newest| *newest >= accepted) else {
+            return false;
+        };
+        let paths = paths(newest);
+        paths.iter().all(|path| self.is_served(gateway, path))
+    }
+
     fn must_be_back(&mut self, what: &str, holds: impl FnMut(&mut Self) -> bool) {
         if !self.holds_within(BACK_WITHIN, holds) {
             self.found.push(Violation::NotBack(what.to_owned()));
