--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -9,7 +9,7 @@
 const SEEDS: [u64; 2] = [3, 1];
 
 /// Seeds that broke a promise once, and why.
-const REGRESSIONS: [(u64, &str); 2] = [
+const REGRESSIONS: [(u64, &str); 3] = [
     (
         2,
         "all connections to a replica went silent; the others went on sending into them",
@@ -18,8 +18,15 @@
         15,
         "a process was told to reload when it had just said that it serves, and ended",
     ),
+    (
+        94_000,
+        "a change whose operator got no answer took effect after the newest one was asked for",
+    ),
 ];
 
+/// Seeds in which a process ended in the transport's library, in the thread that sends to peers.
+const CRASHED: [u64; 2] = [94_010, 94_044];
+
 #[track_caller]
 fn soak(seed: u64) {
     let programs = SitePrograms {
@@ -53,3 +60,9 @@
         soak(seed);
     }
 }
+
+/// Guards against a transport that crashes its process. Not mended; it depends on timing.
+#[test]
+fn no_process_ends_by_itself() {
+    CRASHED.into_iter().for_each(soak);
+}
