Spread: a stop belongs to the incarnation that announced it

What callers saw: after a planned stop and immediate restart of an entry, requests to one of the two entries of its failure domain were refused as `1202 no-endpoint` for up to 10 s.

Cause: a neighbour that later in name reports to the stopped entry keeps the mark "stopped" until that answers a report, and sends one only every 10 s to a silent member. If the entry is back before the directory has dropped it, the mark outlives the restart: neither lists the other, so the one without endpoints knows no entry that has any.

The test added here failed on the code before ("zagreb-1-a after 0 ms": zagreb-1-b isn't listed).

The mark now names the incarnation, and is dropped once the member is known under another one.

--- a/crates/spread/src/node/domain.rs
+++ b/crates/spread/src/node/domain.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use filberthead_types::{Moment, NodeName};
+use filberthead_types::{Incarnation, Moment, NodeName};
 use rand::seq::IteratorRandom;
 
 use crate::reports::Reports;
@@ -33,8 +33,8 @@
     pub(super) unanswered: Option<Moment>,
     /// Whether it has ever answered.
     pub(super) answered: bool,
-    /// Whether it has announced its stop.
-    pub(super) stopped: bool,
+    /// The incarnation that has announced its stop.
+    pub(super) stopped: Option<Incarnation>,
 }
 
 /// The failure domain as seen by this node.
@@ -170,9 +170,14 @@
     /// It may miss one answer, since late members are bypassed by reporting to the next one.
     pub(super) fn choose_relay(&mut self, now: Moment, out: &mut Vec<Action>) {
         let earlier = self.earlier_members();
-        self.domain
-            .upstreams
-            .retain(|name, _| earlier.contains_key(name));
+        // A member that has restarted since its stop gets reports again at once.
+        let is_current = |name: &NodeName, upstream: &mut Upstream| {
+            earlier.get(name).is_some_and(|member| {
+                let mut stopped = upstream.stopped.iter();
+                stopped.all(|stopped| *stopped == member.incarnation)
+            })
+        };
+        self.domain.upstreams.retain(is_current);
         let answers = |name: &&NodeName| {
             let upstream = self.domain.upstreams.get(*name);
             upstream.is_some_and(|upstream| upstream.answered && !self.is_silent(now, upstream))
@@ -240,12 +245,12 @@
     /// Whether an answer is overdue. One answer may be lost, so the member isn't silent yet.
     pub(super) fn is_late(&self, now: Moment, upstream: &Upstream) -> bool {
         let late = self.cfg.heartbeat_period + self.cfg.heartbeat_period / 2;
-        upstream.stopped || upstream.unanswered.is_some_and(|sent| now >= sent + late)
+        upstream.stopped.is_some() || upstream.unanswered.is_some_and(|sent| now >= sent + late)
     }
 
     pub(super) fn is_silent(&self, now: Moment, upstream: &Upstream) -> bool {
         let silence = self.cfg.member_timeout;
-        upstream.stopped
+        upstream.stopped.is_some()
             || upstream
                 .unanswered
                 .is_some_and(|sent| now >= sent + silence)
@@ -306,7 +311,7 @@
             .discovered
             .retain(|_, (member, _)| !is_sender(member));
         if let Some(upstream) = domain.upstreams.get_mut(&from.name) {
-            upstream.stopped = true;
+            upstream.stopped = Some(from.incarnation);
         }
         self.rebuild_reported_roster(now);
         if self.domain.relay.as_ref() == Some(&from.name) {
--- a/crates/spread/src/node/report.rs
+++ b/crates/spread/src/node/report.rs
@@ -150,7 +150,7 @@
         *upstream = Upstream {
             unanswered: None,
             answered: true,
-            stopped: false,
+            stopped: None,
         };
         self.choose_relay(now, out);
         if self.domain.relay.as_ref() != Some(&from.name) {
--- a/crates/spread/tests/all/restart.rs
+++ b/crates/spread/tests/all/restart.rs
@@ -2,13 +2,14 @@
 
 use std::time::Duration;
 
-use filberthead_spread::node::Readiness;
+use filberthead_spread::node::{self, Readiness};
 use filberthead_spread::source;
 use filberthead_spread::{Message, Responder};
 use filberthead_types::Version;
 
 use crate::network::{Network, Packet};
 
+const TWO_EACH: [&str; 4] = ["split-1-a", "split-1-b", "zagreb-1-a", "zagreb-1-b"];
 const FOUR: [&str; 4] = ["split-1-a", "zagreb-1-a", "zagreb-1-b", "zagreb-1-c"];
 
 fn settled() -> Network {
@@ -304,3 +305,29 @@
     network.heal();
     network.run_until("proven", |net| net.all_at(Version(1)));
 }
+
+/// Time within which the members of a failure domain must know a new one: two heartbeats, and
+/// as much for the messages on the way.
+const KNOWN_WITHIN: Duration = Duration::from_secs(4);
+
+/// An entry stops as planned and restarts at once: its neighbours must not go on treating it as
+/// stopped.
+#[test]
+fn an_entry_that_restarts_after_a_planned_stop_is_known_to_its_failure_domain() {
+    for downtime_ms in (0..3_000).step_by(100) {
+        let mut network = Network::new(&TWO_EACH);
+        network.run(Duration::from_secs(10));
+        network.step_entry("zagreb-1-a", node::Event::Leave);
+        network.run(Duration::from_secs(1));
+        network.step_entry("zagreb-1-a", node::Event::Stop);
+        network.run(Duration::from_millis(10));
+        network.kill("zagreb-1-a");
+        network.run(Duration::from_millis(downtime_ms));
+        network.start("zagreb-1-a");
+        network.run(KNOWN_WITHIN);
+        for name in ["zagreb-1-a", "zagreb-1-b"] {
+            let known = network.entry(name).listed_names();
+            assert_eq!(known, TWO_EACH, "{name} after {downtime_ms} ms");
+        }
+    }
+}
