Wait for the next owner of healthy endpoints instead of refusing requests

What callers saw: an order to an entry that had just served others was refused at once as `1202 no-endpoint` although the endpoints were healthy. Tests of the module `homes` that don't read that answer waited 120 s for an order that never ran.

Cause: for a moment no entry of the failure domain has slots, and every request in it was refused. An entry that takes endpoints over reserves all their slots until a reading arrives; entries that serve isolated after a start get their first leases some 3.5 s later and take over just then; and when a roster changes, the member that loses endpoints follows it up to a renewal before the one that gains them, with each planned stop.

Evidence: new log lines say which rule takes an entry's slots away. No refusal showed an endpoint that was taken for dead (`backing_off=0 not_ready=0 silent=0`, readings at most 1.1 s old, last tick at most 50 ms ago), so lateness of a starved entry wasn't the cause.

Why this works: steering answers AwaitOwner while the service's healthy endpoints had slots in the failure domain within the last two seconds; the entry places the request again every 50 ms. After that, for leaving or unready endpoints, and beyond 64 waiting requests it refuses at once as before, so what can't be served isn't held.

--- a/crates/bench/src/experiment/flow.rs
+++ b/crates/bench/src/experiment/flow.rs
@@ -14,6 +14,8 @@
 
 /// Time after which a connection attempt to a stopped entry or endpoint fails.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// How often an entry places a request again whose endpoints change their owner.
+const OWNER_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Time for which a caller avoids an entry that it couldn't reach or that had no endpoint.
 const AVOID_DURATION: Duration = Duration::from_secs(5);
 /// Attempts for a request, over all entries.
@@ -186,6 +188,10 @@
             self.requests[req].counted_by.push(entry);
         }
         let decision = self.entries[entry].policy.place(self.now, &info);
+        if matches!(decision, Decision::AwaitOwner) {
+            self.after(OWNER_POLL_INTERVAL, SimEvent::AtEntry { req, entry, via });
+            return;
+        }
         self.apply_decision(req, entry, decision);
     }
 
@@ -232,6 +238,8 @@
                 );
             }
             Decision::Queued => {}
+            // `place` schedules it again; a queued request never gets this decision.
+            Decision::AwaitOwner => {}
             Decision::Refuse {
                 code: ResultCode::NoEndpoint,
                 ..
--- a/crates/filberthead/src/entry/forward/core.rs
+++ b/crates/filberthead/src/entry/forward/core.rs
@@ -14,11 +14,11 @@
 use filberthead_peer::Body;
 use filberthead_ring::Sender;
 use filberthead_steer::{
-    Action, Decision, EndpointInfo, Event, FinishKind, Reading, RequestInfo, Steering,
+    Action, Decision, EndpointInfo, Event, FinishKind, Reading, RequestInfo, ServiceUsage, Steering,
 };
 use filberthead_types::{Incarnation, NodeName, RequestId, ResultCode, ServiceName};
-use log::debug;
-use tokio::sync::{oneshot, watch};
+use log::{debug, info};
+use tokio::sync::{Semaphore, oneshot, watch};
 use tokio::time::Instant;
 
 use super::budget::RetryBudget;
@@ -30,6 +30,13 @@
 use crate::entry::measures::Measures;
 use crate::peers::Outgoing;
 
+/// How often a request is placed again while its endpoints change their owner.
+const OWNER_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Requests that wait for that at most; further ones are refused at once.
+const MAX_OWNER_WAITS: usize = 64;
+/// Retry-After of those.
+const OWNER_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Set in the ids of attempts, to distinguish them from ids of requests.
 const ATTEMPT_BIT: u64 = 1 << 63;
 
@@ -89,6 +96,10 @@
     out: Sender<Outgoing>,
     running: watch::Sender<usize>,
     measures: RefCell<Measures>,
+    /// Whether this entry had slots for each service when its usage was last recorded.
+    available: RefCell<HashMap<ServiceName, bool>>,
+    /// A permit for each request that may wait for a new owner of its endpoints.
+    owner_waits: Semaphore,
     next_attempt: Cell<u64>,
 }
 
@@ -244,6 +255,8 @@
             out: parts.out,
             running: parts.running,
             measures: RefCell::new(parts.measures),
+            available: RefCell::default(),
+            owner_waits: Semaphore::new(MAX_OWNER_WAITS),
             next_attempt: Cell::new(0),
         }
     }
@@ -275,10 +288,25 @@
     /// Records the slots in use now.
     pub(crate) fn record_usage(&self) {
         let usage = self.steering.borrow().usage();
+        self.log_changed_availability(&usage);
         let mut measures = self.measures.borrow_mut();
         measures.record_usage(self.clock.now(), &usage);
     }
 
+    /// Logs services that have lost their last slot at this entry, or have slots again.
+    fn log_changed_availability(&self, usage: &[ServiceUsage]) {
+        let now = self.clock.now();
+        let steering = self.steering.borrow();
+        let mut available = self.available.borrow_mut();
+        for ServiceUsage { service, .. } in usage {
+            let why = steering.explain(now, service);
+            let is_available = why.slots > 0;
+            if available.insert(service.clone(), is_available) != Some(is_available) {
+                info!(service:%, available = is_available, why:%; "slots of this entry");
+            }
+        }
+    }
+
     /// Takes one retry from the budget; false if there is none.
     pub(crate) fn try_spend_retry(&self) -> bool {
         self.retry_budget.borrow_mut().try_spend()
@@ -298,7 +326,11 @@
         abandoned: impl Future<Output = ()>,
     ) -> Placement {
         info.id = self.attempt_id();
-        let decision = self.steering.borrow_mut().place(self.clock.now(), info);
+        tokio::pin!(abandoned);
+        let decision = tokio::select! {
+            decision = self.decide(info) => decision,
+            () = &mut abandoned => return Placement::Abandoned,
+        };
         let slot = Slot::new(self, info.id);
         let decision = match decision {
             Decision::Queued => self.wait_in_queue(info, abandoned).await,
@@ -313,6 +345,37 @@
         }
     }
 
+    /// Steering's decision, after the endpoints have got an owner if they are just changing it.
+    async fn decide(&self, info: &RequestInfo) -> Decision {
+        let place = || self.steering.borrow_mut().place(self.clock.now(), info);
+        let mut decision = place();
+        if matches!(decision, Decision::AwaitOwner) {
+            decision = match self.owner_waits.try_acquire() {
+                Ok(_permit) => await_owner(place).await,
+                Err(_) => Decision::Refuse {
+                    code: ResultCode::NoEndpoint,
+                    retry_after: OWNER_RETRY_AFTER,
+                },
+            };
+        }
+        self.log_unavailable(info, &decision);
+        decision
+    }
+
+    /// Logs why no endpoint is available for a request.
+    fn log_unavailable(&self, info: &RequestInfo, decision: &Decision) {
+        let Decision::Refuse {
+            code: ResultCode::NoEndpoint,
+            ..
+        } = decision
+        else {
+            return;
+        };
+        let now = self.clock.now();
+        let why = self.steering.borrow().explain(now, &info.service);
+        info!(service:% = info.service, why:%; "no endpoint is available");
+    }
+
     /// A slot that steering doesn't hold, for an attempt that it didn't place.
     pub(super) fn untracked_slot(self: &Rc<Self>) -> Slot {
         let mut slot = Slot::new(self, self.attempt_id());
@@ -444,6 +507,17 @@
 }
 
 /// Converts steering's decision; `slot` is kept only if there is a target.
+/// Places a request again until its endpoints have an owner or it is refused.
+async fn await_owner(place: impl Fn() -> Decision) -> Decision {
+    loop {
+        tokio::time::sleep(OWNER_POLL_INTERVAL).await;
+        let decision = place();
+        if !matches!(decision, Decision::AwaitOwner) {
+            return decision;
+        }
+    }
+}
+
 fn to_placement(decision: Decision, slot: Slot) -> Placement {
     let target = match decision {
         Decision::Endpoint(endpoint) => Target::Endpoint(endpoint.name.clone(), endpoint.addr),
@@ -454,7 +528,9 @@
         }
         // Steering never queues a request again that it has removed from its queue; if it
         // did, the slot dropped here would remove it.
-        Decision::Queued => return Placement::Refused(ResultCode::Overloaded, Duration::ZERO),
+        Decision::Queued | Decision::AwaitOwner => {
+            return Placement::Refused(ResultCode::Overloaded, Duration::ZERO);
+        }
     };
     Placement::Placed(target, slot)
 }
--- a/crates/steer/src/api.rs
+++ b/crates/steer/src/api.rs
@@ -10,6 +10,7 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::Availability;
 use crate::lease::{Grant, Renew};
 
 /// An endpoint as the platform's list or the settings describe it.
@@ -83,6 +84,10 @@
     /// It waits in the bounded queue: [`Action::Place`] follows, at the latest with a refusal
     /// at its deadline.
     Queued,
+    /// No entry admits to the endpoints at the moment because they are changing their owner, which
+    /// takes about a renewal of leases. Place it again shortly; a refusal follows if it takes
+    /// longer.
+    AwaitOwner,
     /// Refuse it; nothing ran.
     Refuse {
         /// The reason.
@@ -309,4 +314,9 @@
     fn usage(&self) -> Vec<ServiceUsage> {
         Vec::new()
     }
+
+    /// What determines the slots for a service, for log lines only.
+    fn explain(&self, _now: Moment, _service: &ServiceName) -> Availability {
+        Availability::default()
+    }
 }
--- a/crates/steer/src/decide.rs
+++ b/crates/steer/src/decide.rs
@@ -190,7 +190,11 @@
             return refuse(ResultCode::NoEndpoint, RETRY_AFTER);
         };
         let retry_after = Duration::from_secs_f64(pool.wait_seconds(now, &self.cfg));
-        let code = if pool.capacity(now, &self.cfg) == 0 {
+        let has_slots = pool.capacity(now, &self.cfg) > 0;
+        if !has_slots && self.awaits_owner(now, &req.service) {
+            return Decision::AwaitOwner;
+        }
+        let code = if !has_slots {
             ResultCode::NoEndpoint
         } else if !self.admits(now, &req.service, class) {
             ResultCode::LimitReached
--- a/crates/steer/src/endpoint.rs
+++ b/crates/steer/src/endpoint.rs
@@ -6,7 +6,7 @@
 use filberthead_types::Moment;
 
 use crate::estimate::Mean;
-use crate::health::{Health, Usability};
+use crate::health::{Health, Obstacle, Usability};
 use crate::{EndpointInfo, FinishKind, Reading};
 
 /// Answers after which an endpoint in slow start gets one more slot.
@@ -213,4 +213,12 @@
         }
         self.health.usability(now, reading_ttl)
     }
+
+    /// Why the endpoint may get no requests now; `None` if it may.
+    pub(crate) fn obstacle(&self, now: Moment, reading_ttl: Duration) -> Option<Obstacle> {
+        if self.delisted {
+            return Some(Obstacle::Leaving);
+        }
+        self.health.obstacle(now, reading_ttl)
+    }
 }
--- a/crates/steer/src/health.rs
+++ b/crates/steer/src/health.rs
@@ -35,6 +35,27 @@
     Unusable,
 }
 
+/// Why an endpoint may get no requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Obstacle {
+    Leaving,
+    /// Requests or connections failed lately.
+    BackingOff,
+    /// It didn't answer probes.
+    Silent,
+    /// It reports that it isn't ready.
+    NotReady,
+}
+
+impl Obstacle {
+    fn usability(self) -> Usability {
+        match self {
+            Self::Silent => Usability::Silent,
+            Self::Leaving | Self::BackingOff | Self::NotReady => Usability::Unusable,
+        }
+    }
+}
+
 #[derive(Debug)]
 pub(crate) struct Health {
     reading: Option<Reading>,
@@ -157,16 +178,29 @@
     /// Whether the endpoint may get requests now. After a backoff it gets a real request
     /// even if no probe has succeeded, so that it can recover while probes are lost.
     pub(crate) fn usability(&self, now: Moment, reading_ttl: Duration) -> Usability {
-        if self.is_leaving() || now < self.backoff_until {
-            return Usability::Unusable;
+        self.obstacle(now, reading_ttl)
+            .map_or(Usability::Usable, Obstacle::usability)
+    }
+
+    /// Why the endpoint may get no requests now; `None` if it may.
+    pub(crate) fn obstacle(&self, now: Moment, reading_ttl: Duration) -> Option<Obstacle> {
+        if self.is_leaving() {
+            return Some(Obstacle::Leaving);
         }
-        if self.consecutive_failed_probes >= SILENT_THRESHOLD {
-            return Usability::Silent;
+        if now < self.backoff_until {
+            return Some(Obstacle::BackingOff);
         }
-        match self.fresh_reading(now, reading_ttl) {
-            Some(reading) if !reading.ready => Usability::Unusable,
-            _ => Usability::Usable,
+        if self.consecutive_failed_probes >= SILENT_THRESHOLD {
+            return Some(Obstacle::Silent);
         }
+        let reading = self.fresh_reading(now, reading_ttl)?;
+        (!reading.ready).then_some(Obstacle::NotReady)
+    }
+
+    /// Time since the newest reading's probe was sent; `None` without a reading.
+    pub(crate) fn reading_age(&self, now: Moment) -> Option<Duration> {
+        let reading = self.reading.as_ref()?;
+        Some(now.saturating_sub(reading.asked))
     }
 
     /// The newest reading; `None` if its probe was sent `reading_ttl` ago or earlier.
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -12,6 +12,7 @@
 //! - A *slot* is the capacity of an endpoint for one request at a time.
 
 mod api;
+mod availability;
 mod config;
 mod cost;
 mod decide;
@@ -38,6 +39,7 @@
     Action, Decision, EndpointInfo, EndpointUsage, EntryInfo, Event, FinishKind, Message, Reading,
     RequestInfo, ServiceReport, ServiceUsage, Steering,
 };
+pub use availability::Availability;
 pub use config::{Config, EndpointSelection, SlotOwnership};
 pub use lease::{
     Grant, LEASE_DURATION, LEASE_MARGIN, Part, RENEW_INTERVAL, Renew, Roster, ServiceDemand,
--- a/crates/steer/src/policy.rs
+++ b/crates/steer/src/policy.rs
@@ -13,16 +13,20 @@
 use crate::config::Config;
 use crate::lease::RENEW_INTERVAL;
 use crate::ownership::Ownership;
-use crate::peers::Peers;
+use crate::peers::{Peer, Peers};
 use crate::pool::Pool;
 use crate::region::Regions;
 use crate::shares::LeasedShares;
 use crate::shift::ShiftWindow;
 use crate::{
-    Action, Decision, EndpointInfo, EntryInfo, Event, FinishKind, Message, RequestInfo,
-    ServiceReport, ServiceUsage, Steering,
+    Action, Availability, Decision, EndpointInfo, EntryInfo, Event, FinishKind, Message,
+    RequestInfo, ServiceReport, ServiceUsage, Steering,
 };
 
+/// Time for which endpoints without an owner are expected to get one: the members of a roster
+/// follow a change of it with their renewals, one after the other, and report their slots.
+const OWNER_CHANGE_TIME: Duration = RENEW_INTERVAL.saturating_mul(4);
+
 /// Where a placed request was sent.
 #[derive(Debug)]
 pub(crate) enum Location {
@@ -58,8 +62,11 @@
     pub(crate) ownership: Ownership,
     pub(crate) shares: LeasedShares,
     pub(crate) running: HashMap<RequestId, Running>,
+    /// When this entry or another one of the failure domain last had slots, by service.
+    pub(crate) last_available: HashMap<ServiceName, Moment>,
     pub(crate) rng: StdRng,
     pub(crate) stopping: bool,
+    pub(crate) last_tick: Moment,
     next_report: Moment,
     pub(crate) next_renewal: Moment,
 }
@@ -75,8 +82,10 @@
             ownership: Ownership::new(now, cfg.node.clone(), cfg.leased),
             shares: LeasedShares::default(),
             running: HashMap::new(),
+            last_available: HashMap::new(),
             rng: StdRng::seed_from_u64(cfg.seed),
             stopping: false,
+            last_tick: now,
             next_report: Moment::ZERO,
             next_renewal: Moment::ZERO,
             cfg,
@@ -252,8 +261,10 @@
     }
 
     fn tick(&mut self, now: Moment) -> Vec<Action> {
+        self.last_tick = now;
         self.regions.tick(now);
         self.refresh_owned_slots(now);
+        self.record_availability(now);
         self.update_windows(now);
         self.update_loads(now);
         let mut actions = self.expire_queued(now);
@@ -272,6 +283,29 @@
         actions
     }
 
+    fn record_availability(&mut self, now: Moment) {
+        for (service, pool) in &self.pools {
+            if pool.capacity(now, &self.cfg) > 0 || self.has_neighbour_with_slots(now, service) {
+                self.last_available.insert(service.clone(), now);
+            }
+        }
+    }
+
+    fn has_neighbour_with_slots(&self, now: Moment, service: &ServiceName) -> bool {
+        let is_neighbour = |peer: &&Peer| peer.info.failure_domain == self.cfg.failure_domain;
+        let mut neighbours = self.peers.iter().filter(is_neighbour);
+        neighbours.any(|peer| peer.load(now, service, self.cfg.report_ttl).is_some())
+    }
+
+    /// Whether the service's healthy endpoints have had slots at an entry of the failure domain
+    /// until just now, so that another owner is probably about to admit to them.
+    pub(crate) fn awaits_owner(&self, now: Moment, service: &ServiceName) -> bool {
+        let pool = self.pools.get(service);
+        let is_healthy = pool.is_some_and(|pool| pool.has_usable(now, &self.cfg));
+        let last_available = self.last_available.get(service);
+        is_healthy && last_available.is_some_and(|last| now < *last + OWNER_CHANGE_TIME)
+    }
+
     fn update_windows(&mut self, now: Moment) {
         for (service, pool) in &self.pools {
             let capacity = pool.capacity(now, &self.cfg);
@@ -388,6 +422,10 @@
         self.in_use()
     }
 
+    fn explain(&self, now: Moment, service: &ServiceName) -> Availability {
+        self.availability(now, service)
+    }
+
     fn observe(&mut self, now: Moment, event: Event) -> Vec<Action> {
         match event {
             Event::Tick => return self.tick(now),
--- a/crates/steer/src/pool.rs
+++ b/crates/steer/src/pool.rs
@@ -110,6 +110,13 @@
         2 * silent <= self.endpoints.len()
     }
 
+    /// Whether any endpoint may get requests, whoever owns its slots.
+    pub(crate) fn has_usable(&self, now: Moment, cfg: &Config) -> bool {
+        let trusts_probe_failures = self.trusts_probe_failures(now, cfg);
+        let mut endpoints = self.endpoints.iter();
+        endpoints.any(|e| usable(e, now, cfg, trusts_probe_failures))
+    }
+
     /// Slots of usable endpoints that this entry may fill now, running requests included.
     pub(crate) fn capacity(&self, now: Moment, cfg: &Config) -> u32 {
         let trusts_probe_failures = self.trusts_probe_failures(now, cfg);
--- a/crates/steer/tests/all/policy.rs
+++ b/crates/steer/tests/all/policy.rs
@@ -302,3 +302,38 @@
     policy.observe(ms(3), table(2, &drained));
     assert_eq!(look_up(&mut policy, ms(3)), [name("e2")]);
 }
+
+/// A policy whose endpoints have just moved to another entry of the failure domain.
+fn lost_to_a_neighbour() -> Policy {
+    let mut policy = warmed_up(&["a"]);
+    policy.observe(Moment::ZERO, Event::Tick);
+    let mut neighbours = (2..).map(|number| format!("e{number}"));
+    let new_owner = neighbours.find(|neighbour| {
+        let in_domain = |name: &str| entry(name, "zagreb", "zagreb-a");
+        let entries = vec![in_domain("e1"), in_domain(neighbour)];
+        policy.observe(Moment::ZERO, Event::Entries(entries));
+        !policy.owns(Moment::ZERO, &service())
+    });
+    assert!(new_owner.is_some());
+    policy
+}
+
+/// Endpoints move to an entry that hasn't reported its slots yet: requests must wait for that
+/// report, but not longer than a change of owner takes.
+#[test]
+fn requests_wait_for_the_next_owner_of_healthy_endpoints() {
+    let mut policy = lost_to_a_neighbour();
+    let decision = policy.place(ms(100), &request(1, FAR_DEADLINE));
+    assert_eq!(decision, Decision::AwaitOwner);
+    let decision = policy.place(ms(3_000), &request(1, FAR_DEADLINE));
+    assert_eq!(refusal_code(&decision), Some(ResultCode::NoEndpoint));
+}
+
+/// Endpoints that leave get no next owner that could serve a request.
+#[test]
+fn requests_for_leaving_endpoints_are_refused_at_once() {
+    let mut policy = lost_to_a_neighbour();
+    policy.observe(Moment::ZERO, Event::Leaving(vec![name("a")]));
+    let decision = policy.place(ms(100), &request(1, FAR_DEADLINE));
+    assert_eq!(refusal_code(&decision), Some(ResultCode::NoEndpoint));
+}
--- a/tests/all/homes.rs
+++ b/tests/all/homes.rs
@@ -2,6 +2,9 @@
 
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use filberthead_testing::client::{Answer, Call};
@@ -13,6 +16,10 @@
 use crate::support::{init, programs};
 
 const BOUND: Duration = Duration::from_secs(120);
+/// Time between two reads of a caller.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(5);
+/// Time in which endpoints have moved to an entry that has started.
+const OWNERSHIP_CHANGE: Duration = Duration::from_secs(6);
 /// Primary of the homes in most tests; its backup is [`BACKUP`].
 const PRIMARY: &str = "entry-zagreb-a-1";
 const BACKUP: &str = "entry-zagreb-a-2";
@@ -130,6 +137,38 @@
     }
 }
 
+/// Reads sent to an entry, one after the other, until it is dropped.
+struct Requests {
+    stop: Arc<AtomicBool>,
+    thread: JoinHandle<Vec<String>>,
+}
+
+impl Requests {
+    fn start(entry: SocketAddr) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let stopped = Arc::clone(&stop);
+        let thread = std::thread::spawn(move || {
+            let mut refused = Vec::new();
+            while !stopped.load(Ordering::SeqCst) {
+                let answer = Call::get("/v1/services/orders/read").send(entry);
+                let answer = answer.expect("an answer");
+                if answer.result() != Some(1000) {
+                    refused.push(answer.text());
+                }
+                std::thread::sleep(REQUEST_INTERVAL);
+            }
+            refused
+        });
+        Self { stop, thread }
+    }
+
+    /// Stops, and returns the answers of requests that weren't served.
+    fn refused(self) -> Vec<String> {
+        self.stop.store(true, Ordering::SeqCst);
+        self.thread.join().expect("each request is answered")
+    }
+}
+
 fn look_up(entry: SocketAddr) -> Option<Lookup> {
     let answer = Call::get("/v1/lookup?service=orders").send(entry).ok()?;
     (answer.status == 200).then(|| answer.json())
@@ -257,3 +296,20 @@
     let placed = |seen: &ObservedRequest| seen.path == "/place";
     assert_eq!(site.cluster.record().count(Stage::Executed, placed), 1);
 }
+
+/// An entry joins and takes over endpoints of its failure domain, or hands them over in a planned
+/// stop: requests must wait for the new owner instead of being refused.
+#[test]
+fn requests_are_served_while_endpoints_change_their_owner() {
+    let mut site = Site::start();
+    let entries = [PRIMARY, BACKUP];
+    for moving in entries {
+        let staying = if moving == PRIMARY { BACKUP } else { PRIMARY };
+        let requests = Requests::start(site.addr(staying));
+        let status = site.cluster.entry(moving).stop();
+        assert!(status.success(), "{status:?}");
+        site.cluster.entry(moving).start();
+        std::thread::sleep(OWNERSHIP_CHANGE);
+        assert_eq!(requests.refused(), Vec::<String>::new());
+    }
+}
