Proxy: identify who opened connections on one thread

What was seen: a test process with 534 threads and 3.5 cores busy while the systems under test starved and whole-system tests failed after a minute each.

Cause: the fault proxy of the harness starts a blocking task for each new connection that reads /proc/net/tcp and the open files of each process, under a lock held meanwhile. tokio allows 512 threads for blocking tasks: with its 4 workers and the tests' own threads that is the number seen. Processes that starve lose each other and reconnect every 1.5 s, which makes more such tasks.

Evidence: the test added here opens 600 connections through a network's proxy.

Now one thread reads the tables, once for all connections that wait.

--- a/crates/testing/src/proxy/link.rs
+++ b/crates/testing/src/proxy/link.rs
@@ -125,9 +125,7 @@
         return None;
     }
     let (peer, local) = (client.peer_addr().ok()?, client.local_addr().ok()?);
-    tokio::task::spawn_blocking(move || owners.find(peer, local))
-        .await
-        .ok()?
+    owners.find(peer, local).await
 }
 
 async fn connect(rules: &watch::Receiver<Rules>) -> Option<TcpStream> {
--- a/crates/testing/src/proxy/owner.rs
+++ b/crates/testing/src/proxy/owner.rs
@@ -3,10 +3,18 @@
 //! All processes of a test share one loopback address, so a connection's address doesn't
 //! identify them. The kernel's tables do: `/proc/net/tcp` gives the inode of the client's socket
 //! and `/proc/PID/fd` the process that has it open.
+//!
+//! Reading these tables takes longer the more sockets and files there are. One thread reads them,
+//! once for all connections that wait: a thread for each would take the processor from the
+//! processes under test, which then lose each other and open further connections.
 
+use std::collections::{HashMap, HashSet};
 use std::fs;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, LazyLock, Mutex, MutexGuard, PoisonError};
+use std::thread;
+
+use tokio::sync::{mpsc, oneshot};
 
 /// The registered processes, whose connections can be identified.
 #[derive(Clone, Debug, Default)]
@@ -14,7 +22,7 @@
     processes: Arc<Mutex<Vec<Owner>>>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Owner {
     pid: u32,
     name: Arc<str>,
@@ -36,13 +44,15 @@
 
     /// Name of the process that opened the connection from `client` to `proxy`; `None` if it
     /// isn't registered or has closed its socket.
-    pub(crate) fn find(&self, client: SocketAddr, proxy: SocketAddr) -> Option<Arc<str>> {
-        let link = format!("socket:[{}]", inode(client, proxy)?);
-        let processes = self.lock();
-        let owner = processes
-            .iter()
-            .find(|owner| has_open_file(owner.pid, &link))?;
-        Some(Arc::clone(&owner.name))
+    pub(crate) async fn find(&self, client: SocketAddr, proxy: SocketAddr) -> Option<Arc<str>> {
+        let (answer, name) = oneshot::channel();
+        let query = Query {
+            connection: Connection::new(client, proxy)?,
+            owners: self.clone(),
+            answer,
+        };
+        QUERIES.send(query).ok()?;
+        name.await.ok()?
     }
 
     fn lock(&self) -> MutexGuard<'_, Vec<Owner>> {
@@ -52,14 +62,62 @@
     }
 }
 
-fn has_open_file(pid: u32, link: &str) -> bool {
-    let Ok(files) = fs::read_dir(format!("/proc/{pid}/fd")) else {
-        return false;
+/// The client's side of a connection, with addresses as in `/proc/net/tcp`.
+#[derive(Debug, PartialEq, Eq, Hash)]
+struct Connection {
+    local: String,
+    remote: String,
+}
+
+impl Connection {
+    fn new(local: SocketAddr, remote: SocketAddr) -> Option<Self> {
+        Some(Self {
+            local: proc_net_format(local)?,
+            remote: proc_net_format(remote)?,
+        })
+    }
+}
+
+fn proc_net_format(addr: SocketAddr) -> Option<String> {
+    let SocketAddr::V4(v4) = addr else {
+        return None;
     };
-    files
-        .flatten()
-        .filter_map(|file| fs::read_link(file.path()).ok())
-        .any(|to| to.as_os_str() == link)
+    let ip = u32::from_ne_bytes(v4.ip().octets());
+    Some(format!("{ip:08X}:{:04X}", v4.port()))
+}
+
+/// A connection that waits to be identified.
+struct Query {
+    connection: Connection,
+    owners: Owners,
+    answer: oneshot::Sender<Option<Arc<str>>>,
+}
+
+/// Queries to the thread that reads the tables.
+static QUERIES: LazyLock<mpsc::UnboundedSender<Query>> = LazyLock::new(|| {
+    let (tx, rx) = mpsc::unbounded_channel();
+    thread::Builder::new()
+        .name("proxy-owners".to_owned())
+        .spawn(move || answer_all(rx))
+        .expect("the harness can start a thread");
+    tx
+});
+
+fn answer_all(mut queries: mpsc::UnboundedReceiver<Query>) {
+    while let Some(first) = queries.blocking_recv() {
+        let mut waiting = vec![first];
+        while let Ok(query) = queries.try_recv() {
+            waiting.push(query);
+        }
+        let inodes = read_inodes();
+        let mut files = OpenFiles::default();
+        for query in waiting {
+            let inode = inodes.get(&query.connection);
+            let name = inode.and_then(|inode| files.owner(&query.owners, inode));
+            // The connection may have ended while it waited.
+            let _ = query.answer.send(name);
+        }
+    }
 }
 
 /// Columns of `/proc/net/tcp`.
@@ -67,21 +125,52 @@
 const REMOTE: usize = 2;
 const INODE: usize = 9;
 
-fn inode(local: SocketAddr, remote: SocketAddr) -> Option<String> {
-    let (local, remote) = (proc_net_format(local)?, proc_net_format(remote)?);
-    let table = fs::read_to_string("/proc/net/tcp").ok()?;
-    table.lines().skip(1).find_map(|line| {
+/// Inodes of the sockets of all connections.
+fn read_inodes() -> HashMap<Connection, String> {
+    let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+    let rows = table.lines().skip(1).filter_map(|line| {
         let columns: Vec<_> = line.split_whitespace().collect();
-        let matches = columns.get(LOCAL) == Some(&local.as_str())
-            && columns.get(REMOTE) == Some(&remote.as_str());
-        matches.then(|| columns.get(INODE).map(|&inode| inode.to_owned()))?
-    })
+        let column = |index: usize| columns.get(index).map(|&text| text.to_owned());
+        let connection = Connection {
+            local: column(LOCAL)?,
+            remote: column(REMOTE)?,
+        };
+        Some((connection, column(INODE)?))
+    });
+    rows.collect()
 }
 
-fn proc_net_format(addr: SocketAddr) -> Option<String> {
-    let SocketAddr::V4(v4) = addr else {
-        return None;
-    };
-    let ip = u32::from_ne_bytes(v4.ip().octets());
-    Some(format!("{ip:08X}:{:04X}", v4.port()))
+/// Sockets that processes have open, read once for each process.
+#[derive(Default)]
+struct OpenFiles {
+    inodes: HashMap<u32, HashSet<String>>,
+}
+
+impl OpenFiles {
+    fn owner(&mut self, owners: &Owners, inode: &str) -> Option<Arc<str>> {
+        let processes = owners.lock().clone();
+        let mut processes = processes.into_iter();
+        let owner = processes.find(|owner| self.has_open(owner.pid, inode))?;
+        Some(owner.name)
+    }
+
+    fn has_open(&mut self, pid: u32, inode: &str) -> bool {
+        let inodes = self.inodes.entry(pid);
+        inodes
+            .or_insert_with(|| read_open_sockets(pid))
+            .contains(inode)
+    }
+}
+
+/// Inodes of the sockets that a process has open; none if it has ended.
+fn read_open_sockets(pid: u32) -> HashSet<String> {
+    let files = fs::read_dir(format!("/proc/{pid}/fd"));
+    let links = files.into_iter().flatten().flatten();
+    links
+        .filter_map(|file| fs::read_link(file.path()).ok())
+        .filter_map(|link| {
+            let socket = link.to_str()?.strip_prefix("socket:[")?;
+            Some(socket.strip_suffix(']')?.to_owned())
+        })
+        .collect()
 }
--- a/crates/testing/tests/proxy.rs
+++ b/crates/testing/tests/proxy.rs
@@ -1,6 +1,7 @@
 //! The proxy injects the configured faults and no others.
 
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
 use filberthead_testing::client::{Call, CallError};
@@ -118,3 +119,37 @@
         assert!(Payload::of_answer("GET", path, b"").matches(0, &answer.body));
     }
 }
+
+/// Connections that are opened at the same time; a group of processes that lose each other
+/// reconnects at that rate for as long as the harness is slow to identify them.
+const SIMULTANEOUS_CONNECTIONS: usize = 600;
+/// Threads that the harness may use to identify who opened them.
+const MAX_THREADS: usize = 40;
+
+fn thread_count() -> usize {
+    let threads = std::fs::read_dir("/proc/self/task").expect("the own threads are listed");
+    threads.count()
+}
+
+/// Many connections at once made the harness start a thread for each, which took the machine
+/// from the processes under test.
+#[test]
+fn many_connections_are_identified_by_few_threads() {
+    let standin = Standin::start("a");
+    let proxy = Network::new().proxy("server");
+    proxy.retarget(standin.addr());
+    let before = thread_count();
+    let connections: Vec<_> = (0..SIMULTANEOUS_CONNECTIONS)
+        .map(|_| TcpStream::connect(proxy.addr()).expect("a connection"))
+        .collect();
+    let mut most = 0;
+    for mut connection in connections {
+        most = most.max(thread_count().saturating_sub(before));
+        let request = b"GET /a HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
+        connection.write_all(request).expect("a request is sent");
+        let mut answer = Vec::new();
+        connection.read_to_end(&mut answer).expect("an answer");
+        assert!(answer.starts_with(b"HTTP/1.1 200"), "{answer:?}");
+    }
+    assert!(most <= MAX_THREADS, "{most} threads were started");
+}
