Membership: don't add a replica whose address has another identity now

What was seen: after a control VM had lost its disk, learners were added and dropped every 50 ms, two identities of the same VM by turns. The new replica wasn't promoted meanwhile.

Cause: a replica that was heard from within 1.5 s and isn't a member is added. The former identity of a wiped VM is removed as replaced and, heard from just before, added again at the next tick, until its last message is 1.5 s old. Adding goes before promoting.

Evidence: the test added here failed on the code before, in its first play: the leader's log shows the removed identity as a learner 13 times, every 100 ms.

--- a/crates/filberthead/src/control/membership_policy.rs
+++ b/crates/filberthead/src/control/membership_policy.rs
@@ -108,10 +108,20 @@
         let is_member =
             |id: &ReplicaId| self.members.voters.contains(id) || self.members.learners.contains(id);
         let mut candidates = self.contacts.keys().filter(|id| !is_member(id));
-        let candidate = candidates.find(|id| self.is_alive(**id))?;
+        let candidate = candidates.find(|id| self.is_alive(**id) && !self.is_superseded(**id))?;
         Some(Step::Change(Proposal::AddLearner(*candidate)))
     }
 
+    /// Whether another replica was heard from later at this one's address: its data folder is lost,
+    /// although its last message may be recent.
+    fn is_superseded(&self, id: ReplicaId) -> bool {
+        let Some(contact) = self.contacts.get(&id) else {
+            return false;
+        };
+        let mut others = self.contacts.iter().filter(|(other, _)| **other != id);
+        others.any(|(_, other)| other.addr == contact.addr && other.last_seen > contact.last_seen)
+    }
+
     fn remove(&self) -> Option<Step> {
         let all = self.members.voters.iter().chain(&self.members.learners);
         let mut removable = all.filter(|id| self.may_remove(**id));
--- a/tests/all/groups.rs
+++ b/tests/all/groups.rs
@@ -80,6 +80,46 @@
     wait_version(&site.controls[1], 8);
 }
 
+/// A replica that restarts with an empty disk replaces its former identity, which was heard from a
+/// moment ago. Once removed, that must not be added again, or the two take turns and the new
+/// replica isn't promoted.
+#[test]
+fn a_removed_identity_is_not_added_again() {
+    let mut site = site().start();
+    site.put_routes(7, SERVICES);
+    wait_until("all vote", BOUND, || {
+        site.controls.iter().all(has_three_voters)
+    });
+    let leader = eventually("a leader", BOUND, || {
+        let leads = |node: &Node| node.metric("filberthead_lease_held") == 1.0;
+        site.controls.iter().position(leads)
+    });
+    let wiped = (leader + 1) % site.controls.len();
+    let lost = replica_id(&site.controls[wiped]);
+    site.controls[wiped].kill();
+    site.controls[wiped].wipe();
+    site.controls[wiped].start();
+    let id = eventually("another identity", BOUND, || {
+        let id = replica_id(&site.controls[wiped]);
+        (id != lost).then_some(id)
+    });
+    wait_until("it votes", BOUND, || {
+        lists_voter(&site.controls[leader], &id)
+    });
+    let log = site.controls[leader].process_ref().log();
+    let changes = log
+        .lines()
+        .filter(|line| line.contains("leadership or membership"));
+    let since_loss = changes.skip_while(|line| !line.contains(&id));
+    let after_removal = since_loss.skip_while(|line| line.contains(&lost));
+    let added_again: Vec<_> = after_removal.filter(|line| line.contains(&lost)).collect();
+    assert!(added_again.is_empty(), "{added_again:#?}");
+}
+
+fn has_three_voters(node: &Node) -> bool {
+    node.metric("voters") >= 3.0
+}
+
 /// The replica id that a node last logged at its start.
 #[track_caller]
 fn replica_id(node: &Node) -> String {
