--- a/ci/test.sh
+++ b/ci/test.sh
@@ -61,7 +61,7 @@
 summary "$out"/*.txt
 if ((failed)); then
     for name in workspace processes; do
-        sed -n '/^failures:$/,/^test result:/p' "$out/$name.txt" | tail -n 400
+        failure_output "$out/$name.txt"
     done
     echo "ci/test.sh: FAILED"
     exit 1
