--- a/crates/peer/src/outbox.rs
+++ b/crates/peer/src/outbox.rs
@@ -30,11 +30,11 @@
 /// Sends messages to peers without blocking.
 #[derive(Debug)]
 pub struct Outbox {
-    pub(crate) cluster: ClusterId,
-    pub(crate) origin: Origin,
-    pub(crate) runtime: Handle,
-    pub(crate) counters: Arc<Counters>,
-    pub(crate) acknowledgements: Arc<Acknowledgements>,
+    cluster: ClusterId,
+    origin: Origin,
+    runtime: Handle,
+    counters: Arc<Counters>,
+    acknowledgements: Arc<Acknowledgements>,
     destinations: HashMap<SocketAddr, Destination>,
     last_sweep: Instant,
 }
