--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -100,9 +100,9 @@
         .new_codec()
 }
 
-/// Releases an empty buffer whose last message was long.
-pub(crate) fn release_long_buffer(buf: &mut BytesMut, last_len: usize) {
-    if buf.is_empty() && last_len > MAX_KEPT_BUFFER_LEN {
+/// Releases an empty buffer that has grown to `len` bytes if that is long.
+pub(crate) fn release_long_buffer(buf: &mut BytesMut, len: usize) {
+    if buf.is_empty() && len > MAX_KEPT_BUFFER_LEN {
         *buf = BytesMut::new();
     }
 }
--- a/crates/peer/tests/transport.rs
+++ b/crates/peer/tests/transport.rs
@@ -24,6 +24,8 @@
 const RESET_CONNECTIONS: usize = 2_000;
 /// Messages sent to a peer that doesn't read: more than any socket buffer holds.
 const UNREAD_MESSAGES: u64 = 200_000;
+/// Time within which these connections are opened again and again, also on a busy machine.
+const CLOSING_BOUND: Duration = Duration::from_secs(120);
 /// Time within which a message must arrive.
 const BOUND: Duration = Duration::from_secs(20);
 
@@ -126,7 +128,9 @@
     let peers: Vec<_> = (0..CLOSING_PEERS)
         .map(|number| closing_peer(number, Arc::clone(&closed)))
         .collect();
+    let end = Instant::now() + CLOSING_BOUND;
     while closed.load(Ordering::SeqCst) < CLOSED_CONNECTIONS {
+        assert!(Instant::now() < end, "not within {CLOSING_BOUND:?}");
         for peer in &peers {
             outbox.send(*peer, hello());
         }
