--- a/crates/testing/src/proxy/owner.rs
+++ b/crates/testing/src/proxy/owner.rs
@@ -109,33 +109,41 @@
         while let Ok(query) = queries.try_recv() {
             waiting.push(query);
         }
-        let inodes = read_inodes();
-        let mut files = OpenFiles::default();
-        for query in waiting {
-            let inode = inodes.get(&query.connection);
-            let name = inode.and_then(|inode| files.owner(&query.owners, inode));
+        let names = identify(&waiting);
+        for (query, name) in waiting.into_iter().zip(names) {
             // The connection may have ended while it waited.
             let _ = query.answer.send(name);
         }
     }
 }
 
-/// Columns of `/proc/net/tcp`.
-const LOCAL: usize = 1;
-const REMOTE: usize = 2;
-const INODE: usize = 9;
+/// Names of the processes that opened these connections.
+fn identify(queries: &[Query]) -> Vec<Option<Arc<str>>> {
+    let inodes = read_inodes(queries.iter().map(|query| &query.connection));
+    let mut files = OpenFiles::default();
+    let owner = |query: &Query| files.owner(&query.owners, inodes.get(&query.connection)?);
+    queries.iter().map(owner).collect()
+}
 
-/// Inodes of the sockets of all connections.
-fn read_inodes() -> HashMap<Connection, String> {
+/// Columns of `/proc/net/tcp` between the remote address and the inode.
+const COLUMNS_TO_INODE: usize = 6;
+
+/// Inodes of the sockets of these connections, as far as they are open.
+fn read_inodes<'a>(
+    connections: impl Iterator<Item = &'a Connection>,
+) -> HashMap<&'a Connection, String> {
+    let by_address: HashMap<_, _> = connections
+        .map(|connection| {
+            let addresses = (connection.local.as_str(), connection.remote.as_str());
+            (addresses, connection)
+        })
+        .collect();
     let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
     let rows = table.lines().skip(1).filter_map(|line| {
-        let columns: Vec<_> = line.split_whitespace().collect();
-        let column = |index: usize| columns.get(index).map(|&text| text.to_owned());
-        let connection = Connection {
-            local: column(LOCAL)?,
-            remote: column(REMOTE)?,
-        };
-        Some((connection, column(INODE)?))
+        let mut columns = line.split_ascii_whitespace().skip(1);
+        let connection = by_address.get(&(columns.next()?, columns.next()?))?;
+        let inode = columns.nth(COLUMNS_TO_INODE)?;
+        Some((*connection, inode.to_owned()))
     });
     rows.collect()
 }
