Workspaces in the routing table: keys, homes, priority, allotment, public routes

A table now has workspaces. A changed workspace travels as a delta like a route. A request may run where route and workspace both allow it (place::Homes).

--- a/crates/bench/src/placement/simulation.rs
+++ b/crates/bench/src/placement/simulation.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use filberthead_place::{
-    Attempts, Decision, EndpointId, Load, Mechanism, NextAttempt, Object, Outcome, Placer, Request,
-    Target,
+    Attempts, Decision, EndpointId, Homes, Load, Mechanism, NextAttempt, Object, Outcome, Placer,
+    Request, Target,
 };
 use filberthead_types::{Region, ServiceName};
 use rand::rngs::StdRng;
@@ -253,7 +253,7 @@
             objective: ms(kind.objective_ms),
             remaining: ms(remaining_ms),
             is_caller_retry: state.is_retry,
-            regions: &[],
+            homes: Homes::default(),
             excluded: state.attempts.excluded(),
         };
         match self.gateways[state.spec.gateway].place(ms(now), request_info) {
--- a/crates/bench/src/placement/site.rs
+++ b/crates/bench/src/placement/site.rs
@@ -142,6 +142,7 @@
         max_attempts: 2,
         sticky: true,
         regions: Vec::new(),
+        public: false,
     };
     let service = |name: &str| Service {
         name: name.parse().expect("a valid name"),
@@ -154,6 +155,7 @@
         routes: KINDS.iter().map(route).map(Arc::new).collect(),
         services: ["desk", "lock"].map(service).into(),
         bounds: CallerBounds::default(),
+        workspaces: Vec::new(),
     }
 }
 
--- a/crates/fleet/src/routes.rs
+++ b/crates/fleet/src/routes.rs
@@ -71,11 +71,8 @@
     fn changes_since(&self, base: u64, table: &Table) -> Option<Vec<Arc<Delta>>> {
         let first = self.changes.iter().position(|change| change.from == base)?;
         let changes = self.changes.range(first..);
-        let added: usize = changes
-            .clone()
-            .map(|change| change.delta.new_routes())
-            .sum();
+        let added: usize = changes.clone().map(|change| change.delta.new_items()).sum();
         let changes = changes.map(|change| Arc::clone(&change.delta));
-        (added < table.routes.len()).then(|| changes.collect())
+        (added < table.routes.len() + table.workspaces.len()).then(|| changes.collect())
     }
 }
--- a/crates/fleet/tests/all/narrow_link.rs
+++ b/crates/fleet/tests/all/narrow_link.rs
@@ -43,6 +43,7 @@
         max_attempts: 2,
         sticky: true,
         regions: Vec::new(),
+        public: false,
     }
 }
 
--- a/crates/place/src/decide.rs
+++ b/crates/place/src/decide.rs
@@ -274,7 +274,7 @@
                 && (e.is_usable(now) || (include_backed_off && e.is_usable(Moment::MAX)))
                 && !self.evacuated.contains(&e.domain)
                 && !req.excluded.contains(&e.id)
-                && self.may_run_in(req, e.region.as_ref())
+                && req.homes.allow(e.region.as_ref())
                 && self.cold_limit_allows(now, e)
         };
         let all = self.endpoints.iter().enumerate();
@@ -283,10 +283,6 @@
             .collect()
     }
 
-    fn may_run_in(&self, req: &Request<'_>, region: Option<&Region>) -> bool {
-        req.regions.is_empty() || region.is_some_and(|region| req.regions.contains(region))
-    }
-
     /// Whether the endpoint is warm, or this gateway may send it another request while it is cold.
     fn cold_limit_allows(&self, now: Moment, e: &TrackedEndpoint) -> bool {
         let in_region = e.region.as_ref() == Some(&self.cfg.region);
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -56,5 +56,5 @@
 pub use mechanism::{Mechanism, UnknownMechanism};
 pub use placer::Placer;
 pub use planning::ServiceEstimate;
-pub use request::{Config, Decision, Object, Refusal, Request, Target};
+pub use request::{Config, Decision, Homes, Object, Refusal, Request, Target};
 pub use retry_budget::{RetryBudget, RetryBudgetConfig};
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -207,10 +207,15 @@
 
     /// Takes a retry from the budget if there is one left.
     pub fn try_spend_retry(&mut self, now: Moment, service: &ServiceName) -> bool {
-        let gateways = self.gateways.values().sum::<u32>().max(1);
+        let gateways = self.gateway_count();
         self.retry_budget.try_spend(now, service, gateways)
     }
 
+    /// Number of gateways, this one included, as last reported; at least 1.
+    pub fn gateway_count(&self) -> u32 {
+        self.gateways.values().sum::<u32>().max(1)
+    }
+
     /// Whether a request may be sent again to an endpoint that rejected it.
     pub fn may_retry_same_endpoint(&self, load_reported: bool) -> bool {
         load_reported && self.cfg.uses(Mechanism::SameAgain)
--- a/crates/place/src/request.rs
+++ b/crates/place/src/request.rs
@@ -48,6 +48,25 @@
     pub name: &'a [u8],
 }
 
+/// The regions where a request may run: those that its route and its workspace both allow.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Homes<'a> {
+    /// The only regions that the route allows; empty allows all.
+    pub route: &'a [Region],
+    /// The only regions that the workspace allows; empty allows all.
+    pub workspace: &'a [Region],
+}
+
+impl Homes<'_> {
+    /// Whether the request may run in this region.
+    pub fn allow(&self, region: Option<&Region>) -> bool {
+        let allows = |regions: &[Region]| {
+            regions.is_empty() || region.is_some_and(|region| regions.contains(region))
+        };
+        allows(self.route) && allows(self.workspace)
+    }
+}
+
 /// The properties of a request that a decision depends on.
 #[derive(Clone, Copy, Debug)]
 pub struct Request<'a> {
@@ -64,8 +83,8 @@
     /// Whether the caller repeats a request that was rejected before. It is then better served
     /// late than rejected again.
     pub is_caller_retry: bool,
-    /// The only regions where the request may run; empty allows all.
-    pub regions: &'a [Region],
+    /// Where the request may run.
+    pub homes: Homes<'a>,
     /// Endpoints that the request isn't sent to again. A later start of one of them is
     /// excluded too: it is cold, and the request may be what made the endpoint restart.
     pub excluded: &'a [EndpointId],
--- a/crates/place/tests/all/support.rs
+++ b/crates/place/tests/all/support.rs
@@ -7,8 +7,8 @@
 
 use filberthead_fleet::{Endpoint, EndpointState};
 use filberthead_place::{
-    Config, Decision, EndpointId, Object, Outcome, Placer, Refusal, Request, RetryBudgetConfig,
-    Target,
+    Config, Decision, EndpointId, Homes, Object, Outcome, Placer, Refusal, Request,
+    RetryBudgetConfig, Target,
 };
 use filberthead_route::{CallerBounds, Kind, Route, Service, Table};
 use filberthead_types::{FailureDomain, Moment, Region, ServiceName};
@@ -72,6 +72,7 @@
             max_attempts: 2,
             sticky: true,
             regions: Vec::new(),
+            public: false,
         })],
         services: vec![Service {
             name: service(),
@@ -81,6 +82,7 @@
             cold_per_s: COLD_PER_S,
         }],
         bounds: CallerBounds::default(),
+        workspaces: Vec::new(),
     }
 }
 
@@ -121,7 +123,7 @@
         objective: ms(300),
         remaining: ms(1000),
         is_caller_retry: false,
-        regions: &[],
+        homes: Homes::default(),
         excluded: &[],
     }
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,4 +1,5 @@
-//! The route table: which requests go to which services, and within which limits.
+//! The route table: which requests go to which services, whose they are, and within which
+//! limits.
 //!
 //! A [`Table`] is a complete configuration of routes. Operators replace it as a whole by a
 //! [`Change`] with a version; of two changes the one with the higher version is in force,
@@ -10,16 +11,19 @@
 //! - a table that [`Table::check`] accepts has a service and a positive weight for each route,
 //!   so that a matched route always has a target;
 //! - [`Matcher::find`] depends on host and path only, so every process with the same table
-//!   routes a request alike.
+//!   routes a request alike;
+//! - in a table that [`Table::check`] accepts, a key identifies one workspace.
 
 mod change;
 mod delta;
 mod matcher;
 mod split;
 mod table;
+mod workspace;
 
 pub use change::{Change, LatestChange, OfferResult};
 pub use delta::Delta;
 pub use matcher::{Matched, Matcher};
 pub use split::Split;
 pub use table::{CallerBounds, InvalidTable, Kind, Route, Service, Table, Target};
+pub use workspace::{Allotment, KeyDigest, KeyIndex, Workspace};
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -1,13 +1,15 @@
 //! The table of routes and its validation.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
-use filberthead_types::{Region, ServiceName};
+use filberthead_types::{Region, ServiceName, Workspace as WorkspaceName};
 use serde::{Deserialize, Serialize};
 use snafu::{Snafu, ensure};
 
+use crate::{Allotment, KeyDigest, Workspace};
+
 /// Whether requests of a route may be repeated, and how large their responses are.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
@@ -72,6 +74,8 @@
     pub sticky: bool,
     /// The only regions where requests may run; empty allows all.
     pub regions: Vec<Region>,
+    /// Whether requests need no API key.
+    pub public: bool,
 }
 
 /// Properties of a service's endpoints.
@@ -126,9 +130,12 @@
     pub services: Vec<Service>,
     /// Limits for callers.
     pub bounds: CallerBounds,
+    /// The workspaces. If there are any, requests on routes that aren't public need a key of one
+    /// of them. Consecutive tables share the workspaces that are unchanged.
+    pub workspaces: Vec<Arc<Workspace>>,
 }
 
-/// Why a table isn't valid. Names the first invalid route.
+/// Why a table isn't valid. Names the first invalid route or workspace.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Snafu)]
 pub enum InvalidTable {
@@ -166,6 +173,20 @@
         /// The route.
         route: String,
     },
+    /// Two workspaces share a key, so it doesn't identify a caller.
+    #[snafu(display("workspaces `{first}` and `{second}` share a key"))]
+    SharedKey {
+        /// A workspace.
+        first: WorkspaceName,
+        /// Another workspace, or a second one of the same name.
+        second: WorkspaceName,
+    },
+    /// A workspace has an allotment that isn't a valid number of requests.
+    #[snafu(display("workspace `{workspace}` has an invalid allotment"))]
+    InvalidAllotment {
+        /// The workspace.
+        workspace: WorkspaceName,
+    },
 }
 
 impl Table {
@@ -180,7 +201,8 @@
         let has_service = |service: &ServiceName| services.contains(service);
         self.routes
             .iter()
-            .try_for_each(|route| check_route(route, has_service))
+            .try_for_each(|route| check_route(route, has_service))?;
+        check_workspaces(&self.workspaces)
     }
 
     /// The service with this name.
@@ -220,3 +242,29 @@
     ensure!(weight > 0, NoTargetSnafu { route: name });
     Ok(())
 }
+
+fn check_workspaces(workspaces: &[Arc<Workspace>]) -> Result<(), InvalidTable> {
+    let mut holders: HashMap<KeyDigest, &Arc<Workspace>> = HashMap::new();
+    for workspace in workspaces {
+        for key in &workspace.keys {
+            let holder = *holders.entry(*key).or_insert(workspace);
+            ensure!(
+                Arc::ptr_eq(holder, workspace),
+                SharedKeySnafu {
+                    first: holder.name.clone(),
+                    second: workspace.name.clone()
+                }
+            );
+        }
+        let is_valid = workspace.allotment.is_none_or(|Allotment { rate, burst }| {
+            rate > 0.0 && burst >= 0.0 && rate.is_finite() && burst.is_finite()
+        });
+        ensure!(
+            is_valid,
+            InvalidAllotmentSnafu {
+                workspace: workspace.name.clone()
+            }
+        );
+    }
+    Ok(())
+}
--- a/crates/route/tests/table.rs
+++ b/crates/route/tests/table.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use filberthead_route::{
-    CallerBounds, Change, Delta, InvalidTable, Kind, LatestChange, Matcher, OfferResult, Route,
-    Service, Table, Target,
+    Allotment, CallerBounds, Change, Delta, InvalidTable, KeyDigest, KeyIndex, Kind, LatestChange,
+    Matcher, OfferResult, Route, Service, Table, Target, Workspace,
 };
 
 fn target(service: &str, weight: u32) -> Target {
@@ -28,6 +28,7 @@
         max_attempts: 2,
         sticky: true,
         regions: Vec::new(),
+        public: false,
     }
 }
 
@@ -43,6 +44,7 @@
         routes: routes.into_iter().map(Arc::new).collect(),
         services: vec![service("catalogue"), service("orders")],
         bounds: CallerBounds::default(),
+        workspaces: Vec::new(),
     }
 }
 
@@ -213,7 +215,7 @@
     let applied = delta.apply(&older).expect("a delta for that table");
     assert_eq!(applied, newer);
     assert_eq!(names(&applied), ["e/", "a/", "b/", "x/", "c/", "d/"]);
-    assert_eq!(delta.new_routes(), 2);
+    assert_eq!(delta.new_items(), 2);
 }
 
 #[test]
@@ -243,3 +245,85 @@
             assert_eq!(Delta::between(&older, &newer).apply(&older), Some(newer));
         });
 }
+
+fn workspace(name: &str, keys: &[&str]) -> Arc<Workspace> {
+    Arc::new(Workspace {
+        name: name.parse().expect("a valid name"),
+        keys: keys
+            .iter()
+            .map(|key| KeyDigest::of(key.as_bytes()))
+            .collect(),
+        regions: Vec::new(),
+        priority: None,
+        allotment: None,
+    })
+}
+
+fn table_of(workspaces: Vec<Arc<Workspace>>) -> Table {
+    Table {
+        workspaces,
+        ..table(Vec::new())
+    }
+}
+
+#[test]
+fn a_key_identifies_its_workspace() {
+    let workspaces = vec![workspace("a", &["k1", "k2"]), workspace("b", &["k3"])];
+    let index = KeyIndex::new(&workspaces);
+    let holder = |key: &str| {
+        let found = index.find(KeyDigest::of(key.as_bytes()));
+        found.map(|workspace| workspace.name.as_str())
+    };
+    assert_eq!(
+        ["k1", "k2", "k3"].map(holder),
+        [Some("a"), Some("a"), Some("b")]
+    );
+    assert_eq!(["K1", "k", ""].map(holder), [None; 3]);
+}
+
+/// With a key of two workspaces, requests of one would run in the name of the other.
+#[test]
+fn a_key_of_two_workspaces_is_invalid() {
+    let shared = table_of(vec![workspace("a", &["k1", "k2"]), workspace("b", &["k2"])]);
+    assert!(matches!(
+        shared.check(),
+        Err(InvalidTable::SharedKey { .. })
+    ));
+    let twice = table_of(vec![workspace("a", &["k1", "k1"])]);
+    assert_eq!(twice.check(), Ok(()));
+    let mut negative = Workspace::clone(&workspace("a", &["k1"]));
+    negative.allotment = Some(Allotment {
+        rate: -1.0,
+        burst: 0.0,
+    });
+    let negative = table_of(vec![Arc::new(negative)]);
+    let invalid = negative.check();
+    assert!(matches!(
+        invalid,
+        Err(InvalidTable::InvalidAllotment { .. })
+    ));
+}
+
+/// A change of one workspace among thousands must not send them all to every gateway.
+#[test]
+fn a_delta_has_only_the_changed_workspaces() {
+    let all = |changed: usize| {
+        let one = |number: usize| {
+            let key = format!("key-{number}-{}", number == changed);
+            workspace(&format!("w-{number}"), &[&key])
+        };
+        table_of((0..1000).map(one).collect())
+    };
+    let (older, newer) = (all(2000), all(500));
+    let delta = Delta::between(&older, &newer);
+    assert_eq!(delta.new_items(), 1);
+    assert_eq!(delta.apply(&older), Some(newer));
+    assert_eq!(Delta::between(&older, &table_of(Vec::new())).new_items(), 0);
+}
+
+/// Whatever prints a table, a log line for instance, must not print what identifies callers.
+#[test]
+fn a_printed_table_has_no_digest() {
+    let printed = format!("{:?}", table_of(vec![workspace("a", &["k1"])]));
+    assert!(printed.contains("KeyDigest]"), "{printed}");
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -15,7 +15,7 @@
 pub use id::{
     ChangeId, ClusterId, Epoch, Incarnation, ParseIdError, ReplicaId, RequestId, Revision, Version,
 };
-pub use name::{FailureDomain, NameError, NodeName, Region, ServiceName};
+pub use name::{FailureDomain, NameError, NodeName, Region, ServiceName, Workspace};
 pub use reference::result_codes_page;
 
 /// A moment on the monotonic clock: time since an origin fixed at process start.
--- a/crates/types/src/name.rs
+++ b/crates/types/src/name.rs
@@ -1,4 +1,4 @@
-//! Names of nodes, regions, failure domains and services.
+//! Names of nodes, regions, failure domains, services and workspaces.
 //!
 //! All are short ASCII words, because they are used unescaped in file names, URLs, metric
 //! labels and message headers.
@@ -97,3 +97,7 @@
     /// A service that requests are routed to, such as `catalogue`.
     ServiceName
 }
+name! {
+    /// A workspace: a customer, whose callers identify themselves by API keys.
+    Workspace
+}
