Allotments over many gateways: local counts, shared totals

Decision code without I/O for the allotment of a workspace, summed over all gateways.

An even part of a rate of 16 requests a second is 0.2 a second for each of 73 gateways, while a workspace uses a handful of gateways at a time. Gateways count locally; control adds up the reports and names the part of its requests that may be sent for workspaces near their rate; what was sent beyond the rate is kept as a balance and taken back. A gateway without proven contact goes on at the rate it has last reported, which control counts as sent.

--- /dev/null
+++ b/crates/allot/src/limiter.rs
@@ -0,0 +1,286 @@
+//! The gateway side: admits requests of each workspace and measures them.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use filberthead_route::{Allotment, Workspace};
+use filberthead_types::{Moment, Workspace as WorkspaceName};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::rate::Rate;
+use crate::usage::{AVERAGING, to_milli};
+use crate::{AdmitRatio, Usage};
+
+/// Time over which the reserved rate is averaged. A gateway often has less than one request of
+/// a workspace per second, and a shorter average would be zero at most moments.
+const RESERVED_AVERAGING: Duration = Duration::from_secs(5);
+/// Factor on the reserved rate of a workspace that is far below its allotment.
+const RESERVED_GROWTH: f64 = 1.5;
+/// Time after which the parts that a replica has sent expire: three report periods.
+const RATIOS_TTL: Duration = Duration::from_millis(1600);
+/// Offered rate, in requests per second, below which a workspace isn't reported.
+const MIN_REPORTED: f64 = 0.01;
+/// Requests that may be sent at once without contact, as time of the reserved rate.
+const RESERVED_BURST: Duration = Duration::from_secs(2);
+/// Shortest and longest time after which a rejected caller is asked to retry.
+const RETRY_AFTER_RANGE: (Duration, Duration) =
+    (Duration::from_millis(100), Duration::from_secs(5));
+/// Time after which a caller that a gateway without contact rejects may try another gateway.
+const RETRY_AFTER_ALONE: Duration = Duration::from_millis(100);
+
+/// Whether this gateway knows the totals of all gateways.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Contact {
+    /// Control has proved lately that the replicas heard from are up to date.
+    Proven,
+    /// No such proof, so the totals may be wrong.
+    Alone {
+        /// Number of gateways that may be in the same situation.
+        gateways: u32,
+    },
+}
+
+/// The decision about a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It may be sent.
+    Admitted,
+    /// It exceeds the allotment.
+    Refused {
+        /// Time after which the caller may retry.
+        retry_after: Duration,
+    },
+}
+
+/// Settings of a limiter.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LimiterConfig {
+    /// Differs between gateways, so that they don't all reject the first request.
+    pub seed: u64,
+    /// Requests that all gateways without contact may send together, at once, for a workspace
+    /// that they have reserved nothing for.
+    pub unreserved: f64,
+}
+
+/// A workspace's requests at this gateway.
+#[derive(Clone, Copy, Debug)]
+struct Meter {
+    allotment: Allotment,
+    offered: Rate,
+    sent: Rate,
+    sent_slowly: Rate,
+    /// Requests that may be sent by the ratio; one is sent when it reaches 1.
+    credit: f64,
+    /// Rate of the last report that is used without contact.
+    reserved: f64,
+    /// Since when there is no contact, and the requests that may be sent now.
+    alone: Option<(Moment, f64)>,
+}
+
+/// Ratios from one control replica.
+#[derive(Clone, Debug)]
+struct Ratios {
+    received_at: Moment,
+    by_workspace: HashMap<WorkspaceName, f64>,
+}
+
+/// Admits the requests of workspaces with an allotment at one gateway.
+#[derive(Clone, Debug)]
+pub struct Limiter {
+    cfg: LimiterConfig,
+    allotments: HashMap<WorkspaceName, Allotment>,
+    meters: HashMap<WorkspaceName, Meter>,
+    ratios: HashMap<SocketAddr, Ratios>,
+}
+
+impl Limiter {
+    /// A limiter without workspaces.
+    pub fn new(cfg: LimiterConfig) -> Self {
+        Self {
+            cfg,
+            allotments: HashMap::new(),
+            meters: HashMap::new(),
+            ratios: HashMap::new(),
+        }
+    }
+
+    /// Applies the allotments in force. What was measured for workspaces that remain is kept.
+    pub fn set_workspaces(&mut self, workspaces: &[Arc<Workspace>]) {
+        let limited = workspaces
+            .iter()
+            .filter_map(|workspace| Some((workspace.name.clone(), workspace.allotment?)));
+        self.allotments = limited.collect();
+        let allotments = &self.allotments;
+        self.meters
+            .retain(|name, meter| match allotments.get(name) {
+                Some(allotment) => {
+                    meter.allotment = *allotment;
+                    true
+                }
+                None => false,
+            });
+    }
+
+    /// Applies the parts that a control replica has sent.
+    pub fn set_ratios(&mut self, now: Moment, from: SocketAddr, ratios: &[AdmitRatio]) {
+        self.ratios
+            .retain(|_, ratios| now < ratios.received_at + RATIOS_TTL);
+        let by_workspace = ratios.iter().map(|r| (r.workspace.clone(), r.ratio()));
+        let received = Ratios {
+            received_at: now,
+            by_workspace: by_workspace.collect(),
+        };
+        self.ratios.insert(from, received);
+    }
+
+    /// Decides about a request that has arrived, and counts it as sent if it is admitted.
+    pub fn admit(&mut self, now: Moment, workspace: &WorkspaceName, contact: Contact) -> Admission {
+        let Some(allotment) = self.allotments.get(workspace) else {
+            return Admission::Admitted;
+        };
+        let ratio = self.ratio(now, workspace).unwrap_or(1.0);
+        let cfg = self.cfg;
+        if !self.meters.contains_key(workspace) {
+            let meter = Meter::new(*allotment, cfg.unit(workspace));
+            self.meters.insert(workspace.clone(), meter);
+        }
+        let Some(meter) = self.meters.get_mut(workspace) else {
+            return Admission::Admitted;
+        };
+        meter.offered.record(now, 1.0, AVERAGING);
+        let admission = match contact {
+            Contact::Proven => {
+                meter.alone = None;
+                meter.admit_part(now, ratio)
+            }
+            Contact::Alone { gateways } => {
+                let has_first = cfg.unit(workspace) * f64::from(gateways.max(1)) < cfg.unreserved;
+                meter.admit_reserved(now, if has_first { 1.0 } else { 0.0 })
+            }
+        };
+        if admission == Admission::Admitted {
+            meter.record_sent(now, 1.0);
+        }
+        admission
+    }
+
+    /// Counts a further attempt of a request that was admitted before.
+    pub fn record_retry(&mut self, now: Moment, workspace: &WorkspaceName) {
+        if let Some(meter) = self.meters.get_mut(workspace) {
+            meter.record_sent(now, 1.0);
+        }
+    }
+
+    /// Takes back the count of an attempt that no endpoint has run.
+    pub fn refund(&mut self, now: Moment, workspace: &WorkspaceName) {
+        if let Some(meter) = self.meters.get_mut(workspace) {
+            meter.record_sent(now, -1.0);
+            meter.credit = (meter.credit + 1.0).min(1.0);
+        }
+    }
+
+    /// The requests at this gateway, for its report to control.
+    pub fn usage(&mut self, now: Moment) -> Vec<Usage> {
+        self.meters
+            .retain(|_, meter| meter.sent_slowly_or_offered(now) >= MIN_REPORTED);
+        let names: Vec<WorkspaceName> = self.meters.keys().cloned().collect();
+        let report = |name: WorkspaceName| {
+            let growth = match self.ratio(now, &name) {
+                Some(_) => 1.0,
+                None => RESERVED_GROWTH,
+            };
+            let meter = self.meters.get_mut(&name)?;
+            if meter.alone.is_none() {
+                meter.reserved = growth * meter.sent_slowly.get(now, RESERVED_AVERAGING);
+            }
+            Some(Usage {
+                offered_milli: to_milli(meter.offered.get(now, AVERAGING)),
+                sent_milli: to_milli(meter.sent.get(now, AVERAGING)),
+                reserved_milli: to_milli(meter.reserved),
+                workspace: name,
+            })
+        };
+        names.into_iter().filter_map(report).collect()
+    }
+
+    /// The smallest part that a replica has sent lately; `None` if none mentions the workspace.
+    /// A replica that has just started doesn't know all gateways yet.
+    fn ratio(&self, now: Moment, workspace: &WorkspaceName) -> Option<f64> {
+        let current = self
+            .ratios
+            .values()
+            .filter(|ratios| now < ratios.received_at + RATIOS_TTL);
+        let ratios = current.filter_map(|ratios| ratios.by_workspace.get(workspace).copied());
+        ratios.min_by(f64::total_cmp)
+    }
+}
+
+impl LimiterConfig {
+    /// A number from 0 to 1 that differs between gateways and workspaces.
+    fn unit(&self, workspace: &WorkspaceName) -> f64 {
+        let hash = xxh3_64_with_seed(workspace.as_str().as_bytes(), self.seed);
+        (hash >> 11) as f64 / (1_u64 << 53) as f64
+    }
+}
+
+impl Meter {
+    fn new(allotment: Allotment, credit: f64) -> Self {
+        Self {
+            allotment,
+            offered: Rate::default(),
+            sent: Rate::default(),
+            sent_slowly: Rate::default(),
+            credit,
+            reserved: 0.0,
+            alone: None,
+        }
+    }
+
+    fn record_sent(&mut self, now: Moment, requests: f64) {
+        self.sent.record(now, requests, AVERAGING);
+        self.sent_slowly.record(now, requests, RESERVED_AVERAGING);
+    }
+
+    fn sent_slowly_or_offered(&self, now: Moment) -> f64 {
+        let sent = self.sent_slowly.get(now, RESERVED_AVERAGING);
+        sent.max(self.offered.get(now, AVERAGING))
+    }
+
+    /// Admits this part of the requests.
+    fn admit_part(&mut self, now: Moment, ratio: f64) -> Admission {
+        self.credit = (self.credit + ratio).min(2.0);
+        if self.credit >= 1.0 {
+            self.credit -= 1.0;
+            return Admission::Admitted;
+        }
+        let per_s = ratio * self.offered.get(now, AVERAGING);
+        // Without any credit to come the balance has to recover first.
+        let wait = match per_s > 0.0 {
+            true => Duration::try_from_secs_f64((1.0 - self.credit) / per_s),
+            false => Ok(RETRY_AFTER_RANGE.1),
+        };
+        let wait = wait.unwrap_or(RETRY_AFTER_RANGE.1);
+        Admission::Refused {
+            retry_after: wait.clamp(RETRY_AFTER_RANGE.0, RETRY_AFTER_RANGE.1),
+        }
+    }
+
+    /// Admits requests at the reserved rate. `first` may be sent at once in addition.
+    fn admit_reserved(&mut self, now: Moment, first: f64) -> Admission {
+        let rate = self.reserved.min(self.allotment.rate);
+        let (at, tokens) = self.alone.unwrap_or((now, rate + first));
+        let limit = (rate * RESERVED_BURST.as_secs_f64()).max(1.0);
+        let tokens = (tokens + rate * now.saturating_sub(at).as_secs_f64()).min(limit.max(tokens));
+        let is_admitted = tokens >= 1.0;
+        self.alone = Some((now, tokens - if is_admitted { 1.0 } else { 0.0 }));
+        if is_admitted {
+            Admission::Admitted
+        } else {
+            Admission::Refused {
+                retry_after: RETRY_AFTER_ALONE,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/allot/src/pool.rs
@@ -0,0 +1,148 @@
+//! The control side: adds up the requests of each workspace and derives the part that may be
+//! sent.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use filberthead_route::Allotment;
+use filberthead_types::{Moment, Workspace};
+
+use crate::usage::{AVERAGING, from_milli};
+use crate::{AdmitRatio, Usage};
+
+/// Part of its rate from which a workspace is mentioned to gateways. Below it, requests may
+/// double within the age of a total without reaching the rate.
+const MENTIONED_FROM: f64 = 0.5;
+/// Time in which a balance is spent or recovered. A shorter time than the age of the totals
+/// would make the sums oscillate.
+const RECOVERY: Duration = Duration::from_secs(2);
+/// Longest debt, as time of the rate. It bounds for how long a workspace pays for a past excess.
+const MAX_DEBT: Duration = Duration::from_secs(4);
+/// Longest step in which a balance changes at once. After a longer pause the reported rates say
+/// nothing about the time in between.
+const MAX_STEP: Duration = Duration::from_secs(1);
+
+/// Whether a gateway is in contact with control.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// Its reports arrive.
+    Live,
+    /// It has not been heard lately, and may go on sending at the rate it has reserved.
+    Silent,
+}
+
+/// Sums of a workspace's requests over all gateways, in requests per second.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sums {
+    /// Arriving at live gateways.
+    offered: f64,
+    /// Sent by live gateways.
+    sent: f64,
+    /// Reserved by silent gateways.
+    reserved: f64,
+}
+
+/// Requests that a workspace may still send at once; negative if it has sent too many.
+#[derive(Clone, Copy, Debug, Default)]
+struct Balance(f64);
+
+/// The balances of all workspaces with an allotment that have sent requests lately.
+#[derive(Clone, Debug, Default)]
+pub struct Pool {
+    balances: BTreeMap<Workspace, Balance>,
+    started_at: Option<Moment>,
+    updated_at: Moment,
+}
+
+impl Pool {
+    /// Advances the balances to `now`, and returns the parts to tell the gateways.
+    /// `allotment_of` returns the limit of a workspace, `usage` is the last report of each
+    /// gateway.
+    pub fn update<'a>(
+        &mut self,
+        now: Moment,
+        allotment_of: impl Fn(&Workspace) -> Option<Allotment>,
+        usage: impl IntoIterator<Item = (Presence, &'a Usage)>,
+    ) -> Vec<AdmitRatio> {
+        // A workspace that is new to a replica that has watched for long enough has sent nothing.
+        let watched_for = now.saturating_sub(*self.started_at.get_or_insert(now));
+        let has_watched = watched_for >= MAX_DEBT;
+        let elapsed = now.saturating_sub(std::mem::replace(&mut self.updated_at, now));
+        let step = elapsed.min(MAX_STEP).as_secs_f64();
+        let sums = sum_up(usage);
+        self.balances
+            .retain(|workspace, _| sums.contains_key(workspace));
+        let mut ratios = Vec::new();
+        for (workspace, sums) in sums {
+            let Some(allotment) = allotment_of(workspace) else {
+                continue;
+            };
+            let balance = match self.balances.get_mut(workspace) {
+                Some(balance) => balance,
+                None => {
+                    let initial = if has_watched { allotment.burst } else { 0.0 };
+                    let balance = self.balances.entry(workspace.clone());
+                    balance.or_insert(Balance(initial))
+                }
+            };
+            balance.advance(step, &allotment, &sums);
+            ratios.extend(balance.ratio(workspace, &allotment, &sums));
+        }
+        ratios
+    }
+}
+
+fn sum_up<'a>(
+    usage: impl IntoIterator<Item = (Presence, &'a Usage)>,
+) -> BTreeMap<&'a Workspace, Sums> {
+    let mut all: BTreeMap<&Workspace, Sums> = BTreeMap::new();
+    for (presence, usage) in usage {
+        let sums = all.entry(&usage.workspace).or_default();
+        match presence {
+            Presence::Live => {
+                sums.offered += from_milli(usage.offered_milli);
+                sums.sent += from_milli(usage.sent_milli);
+            }
+            Presence::Silent => sums.reserved += from_milli(usage.reserved_milli),
+        }
+    }
+    all
+}
+
+impl Sums {
+    /// Requests that arrive per second, less what may be chance: a few requests that happen to
+    /// arrive together are no reason to reject any. What is sent too many lowers the balance.
+    fn steady_offered(&self) -> f64 {
+        let deviation = (self.offered / AVERAGING.as_secs_f64()).sqrt();
+        (self.offered - deviation).max(0.0)
+    }
+}
+
+impl Balance {
+    fn advance(&mut self, step: f64, allotment: &Allotment, sums: &Sums) {
+        let earned = step * (allotment.rate - sums.sent - sums.reserved);
+        let debt = allotment.rate * MAX_DEBT.as_secs_f64();
+        self.0 = (self.0 + earned).clamp(-debt, allotment.burst);
+    }
+
+    /// The part of the requests at live gateways that may be sent; `None` if the workspace is
+    /// far below its rate.
+    fn ratio(
+        &self,
+        workspace: &Workspace,
+        allotment: &Allotment,
+        sums: &Sums,
+    ) -> Option<AdmitRatio> {
+        let extra = self.0 / RECOVERY.as_secs_f64();
+        let allowed = (allotment.rate - sums.reserved + extra).max(0.0);
+        let is_near = sums.offered + sums.reserved >= MENTIONED_FROM * allotment.rate;
+        if !is_near && allowed >= sums.steady_offered() {
+            return None;
+        }
+        let ratio = (allowed / sums.steady_offered().max(f64::MIN_POSITIVE)).min(1.0);
+        Some(AdmitRatio {
+            workspace: workspace.clone(),
+            ratio_milli: (ratio * 1000.0) as u16,
+        })
+    }
+}
