Gateways identify callers and keep workspaces within their allotments

Callers' keys went to endpoints, requests with unknown keys ran, and the homes of a workspace were not kept. The gateway now identifies the caller by the key, once and alone in its header; sends the workspace's name and never the key, whatever the caller has set; answers 401 (1107) to an unknown key while its routes are proven the newest and 503 otherwise; looks a waiting request's key up again when routes have changed; and answers 429 (1213) beyond the allotment. A request that no endpoint has run is given back.

Reports of gateways carry the rates of limited workspaces, replicas relay them, notices carry the parts that may be sent. The format of messages has changed.

--- a/crates/filberthead/src/gateway/attempt.rs
+++ b/crates/filberthead/src/gateway/attempt.rs
@@ -8,7 +8,7 @@
 };
 use filberthead_place::{Load, Outcome, Target};
 use filberthead_route::Kind;
-use filberthead_types::{Moment, ServiceName};
+use filberthead_types::{Moment, ServiceName, Workspace};
 use http::header::{CONTENT_LENGTH, EXPECT};
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Version};
@@ -62,6 +62,8 @@
     /// Name of the route, for logs.
     pub(crate) route: &'a str,
     pub(crate) head: &'a Parts,
+    /// The caller's workspace, if it is known.
+    pub(crate) workspace: Option<&'a Workspace>,
     pub(crate) kind: Kind,
     pub(crate) service: &'a ServiceName,
     pub(crate) deadline: Deadline,
@@ -179,6 +181,15 @@
     remove_hop_by_hop(&mut headers);
     // The body is already here, or is sent without waiting for 100 Continue.
     headers.remove(EXPECT);
+    // The key is the caller's secret, and endpoints trust the name of the workspace.
+    headers.remove(&core.protocol.api_key);
+    headers.remove(&core.protocol.workspace);
+    let workspace = job
+        .workspace
+        .map(|name| HeaderValue::from_str(name.as_str()));
+    if let Some(Ok(workspace)) = workspace {
+        headers.insert(&core.protocol.workspace, workspace);
+    }
     let left = u64::try_from(job.deadline.remaining().as_millis()).unwrap_or(u64::MAX);
     headers.insert(&core.protocol.deadline_ms, HeaderValue::from(left));
     if let Ok(id) = HeaderValue::from_str(&target.id) {
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -9,14 +9,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use filberthead_allot::{Admission, Contact, Limiter};
 use filberthead_endpoint::Client;
 use filberthead_fleet::{Load, Member, Outbound, Stamp, Update, UpdateDelay};
 use filberthead_observe::{GatewayMetrics, LogRateLimiter};
 use filberthead_peer::Body;
 use filberthead_place::{ConnectionBalancer, LargeResponseAdmission, Link, Placer};
 use filberthead_ring::Sender;
-use filberthead_route::{CallerBounds, Matcher};
-use filberthead_types::{Moment, ResultCode};
+use filberthead_route::{CallerBounds, KeyIndex, Matcher, Table};
+use filberthead_types::{Moment, ResultCode, Workspace};
 use log::{Level, debug, info, log_enabled, warn};
 use tokio::sync::watch;
 
@@ -40,6 +41,7 @@
     pub(crate) clock: Clock,
     pub(crate) protocol: Arc<ProtocolNames>,
     pub(crate) placer: Placer,
+    pub(crate) limiter: Limiter,
     pub(crate) member: Member,
     pub(crate) out: Sender<Outgoing>,
     pub(crate) phase: watch::Sender<Phase>,
@@ -69,6 +71,25 @@
     pub(crate) since: Moment,
     pub(crate) matcher: Matcher,
     pub(crate) bounds: CallerBounds,
+    pub(crate) keys: KeyIndex,
+    /// Whether requests need a key, except on public routes.
+    pub(crate) needs_keys: bool,
+}
+
+impl ActiveRoutes {
+    fn new(table: &Table, (version, revision): (u64, u64), from: SocketAddr, now: Moment) -> Self {
+        Self {
+            version,
+            revision,
+            route_count: table.routes.len(),
+            from,
+            since: now,
+            matcher: Matcher::new(table),
+            bounds: table.bounds,
+            keys: KeyIndex::new(&table.workspaces),
+            needs_keys: !table.workspaces.is_empty(),
+        }
+    }
 }
 
 /// Origin and delay of the updates of one message, for the log.
@@ -86,6 +107,8 @@
     pub(crate) protocol: Arc<ProtocolNames>,
     pub(crate) client: Client,
     pub(crate) placer: RefCell<Placer>,
+    /// Keeps workspaces within their allotments.
+    limiter: RefCell<Limiter>,
     pub(crate) metrics: Arc<GatewayMetrics>,
     /// Model of the VM's uplink, if its rate is configured.
     link: Option<RefCell<Link>>,
@@ -135,6 +158,7 @@
             protocol: parts.protocol,
             client: Client::with_connect_timeout(CONNECT_TIMEOUT),
             placer: RefCell::new(parts.placer),
+            limiter: RefCell::new(parts.limiter),
             metrics: parts.metrics,
             link: parts.link.map(RefCell::new),
             large_admission: parts.large_admission.map(RefCell::new),
@@ -227,6 +251,29 @@
         self.member.borrow().is_proven(self.now())
     }
 
+    /// Decides whether a workspace's allotment has room for a request.
+    pub(crate) fn admit(&self, workspace: &Workspace) -> Admission {
+        let now = self.now();
+        let contact = match self.member.borrow().has_proven_contact(now) {
+            true => Contact::Proven,
+            false => Contact::Alone {
+                gateways: self.placer.borrow().gateway_count(),
+            },
+        };
+        self.limiter.borrow_mut().admit(now, workspace, contact)
+    }
+
+    /// Counts a further attempt of an admitted request against its workspace's allotment.
+    pub(crate) fn record_retry(&self, workspace: &Workspace) {
+        let now = self.now();
+        self.limiter.borrow_mut().record_retry(now, workspace);
+    }
+
+    /// Takes an attempt that no endpoint has run off its workspace's allotment.
+    pub(crate) fn refund(&self, workspace: &Workspace) {
+        self.limiter.borrow_mut().refund(self.now(), workspace);
+    }
+
     /// Age of the proof that the active routes are the newest, counted from when it was
     /// requested; `None` without a proof.
     pub(crate) fn proof_age(&self) -> Option<Duration> {
@@ -333,15 +380,8 @@
                 info!(version, revision, routes = table.routes.len(), from:%, since_heard_of,
                     questions; "routes in force");
                 placer.set_routes(&table);
-                let active_routes = ActiveRoutes {
-                    version,
-                    revision,
-                    route_count: table.routes.len(),
-                    from,
-                    since: now,
-                    matcher: Matcher::new(&table),
-                    bounds: table.bounds,
-                };
+                self.limiter.borrow_mut().set_workspaces(&table.workspaces);
+                let active_routes = ActiveRoutes::new(&table, (version, revision), from, now);
                 self.active_routes.replace(Some(Rc::new(active_routes)));
                 let bounds = Some(table.bounds);
                 self.bounds
@@ -370,6 +410,7 @@
             }
             Update::Gateways(counts) => placer.set_gateways(&counts),
             Update::Demand(demand) => placer.set_demand(now, &demand),
+            Update::Ratios(ratios) => self.limiter.borrow_mut().set_ratios(now, from, &ratios),
             Update::Links(milli) => {
                 let mean = milli.map(|milli| f64::from(milli) / 1000.0);
                 self.balancer.borrow_mut().set_mean_utilisation(now, mean);
@@ -416,6 +457,7 @@
             }
             Load {
                 demand: placer.take_demand(now),
+                usage: self.limiter.borrow_mut().usage(now),
                 link_milli: self.link_milli(now),
             }
         });
--- a/crates/filberthead/src/gateway/forward.rs
+++ b/crates/filberthead/src/gateway/forward.rs
@@ -7,10 +7,11 @@
 
 use filberthead_endpoint::RequestBody;
 use filberthead_place::{
-    Attempts, Decision, EndpointId, NextAttempt, Object, Refusal, Request as PlacementRequest,
+    Attempts, Decision, EndpointId, Homes, NextAttempt, Object, Refusal,
+    Request as PlacementRequest,
 };
 use filberthead_route::{Kind, Matched, Route};
-use filberthead_types::{ResultCode, ServiceName, header};
+use filberthead_types::{ResultCode, ServiceName, Workspace as WorkspaceName, header};
 use http::request::Parts;
 use http::{Request, Response};
 use http_body_util::BodyExt;
@@ -20,6 +21,7 @@
 
 use super::attempt::{Attempt, Job, attempt, header_text};
 use super::bounds::head_bytes;
+use super::caller::{Caller, Charge};
 use super::context::{RequestContext, host};
 use super::core::{ActiveRoutes, Core};
 use super::deadline::Deadline;
@@ -57,11 +59,13 @@
     route: &'a Route,
     service: &'a ServiceName,
     head: &'a Parts,
+    caller: &'a Caller,
     deadline: Deadline,
     /// Whether an earlier attempt of the caller has used part of its deadline.
     is_retry: bool,
-    /// Version of the routes that it was matched against.
+    /// Version and revision of the routes that it was matched against.
     version: u64,
+    revision: u64,
     attempts: Attempts,
     /// Response of an endpoint that ran the request and failed. The caller gets it if no further
     /// attempt can be made.
@@ -89,6 +93,10 @@
     };
     let route = &matched.route;
     ctx.route = Some(route);
+    let api_key = &core.protocol.api_key;
+    let Ok(caller) = Caller::identify(&active_routes, &head.headers, api_key, route.public) else {
+        return ctx.reject_by_routes(ResultCode::CallerUnknown);
+    };
     let deadline = Deadline::new(started, &head.headers, &core.protocol.deadline_ms, route);
     let Some(target) = route.targets.get(matched.split.pick()) else {
         return ctx.reject(ResultCode::NoEndpoint, Some(RETRY_AFTER_STARTING));
@@ -109,9 +117,11 @@
         route,
         service: &target.service,
         head: &head,
+        caller: &caller,
         deadline,
         is_retry: is_caller_retry(core, &head, route),
         version: active_routes.version,
+        revision: active_routes.revision,
         attempts: Attempts::new(route.max_attempts),
         failed_response: None,
     };
@@ -160,13 +170,20 @@
 
 impl Forwarding<'_> {
     async fn run(mut self, body: RequestBody) -> Response<ResponseBody> {
+        let core = self.core;
+        let mut charge = match Charge::take(core, self.caller) {
+            Ok(charge) => charge,
+            Err(retry_after) => {
+                return self.final_response(ResultCode::AllotmentUsed, retry_after);
+            }
+        };
         let is_large = self.route.kind == Kind::Download;
         if is_large && let Err(retry_after) = self.core.admit_large(self.is_retry) {
             return self.final_response(ResultCode::LinkBusy, retry_after);
         }
         let mut body = body;
         loop {
-            match self.step(body).await {
+            match self.step(body, &mut charge).await {
                 Next::Respond(response) => return *response,
                 Next::Retry(retry_body) => body = retry_body,
             }
@@ -174,10 +191,13 @@
     }
 
     /// Makes one attempt.
-    async fn step(&mut self, body: RequestBody) -> Next {
+    async fn step(&mut self, body: RequestBody, charge: &mut Charge<'_>) -> Next {
         if self.deadline.remaining() < MIN_TIME_LEFT {
             return self.reject(ResultCode::DeadlineBeforeRun, Duration::ZERO);
         }
+        if self.is_revoked() {
+            return self.reject_revoked();
+        }
         let decision = self.place();
         let target = match decision {
             Decision::Send(target) => target,
@@ -196,18 +216,26 @@
             }
         };
         self.attempts.record_sent(target.id.clone());
+        charge.spend();
         let retry_body = body.try_clone();
         let job = Job {
             route: &self.route.name,
             head: self.head,
+            workspace: self.caller.workspace(),
             kind: self.route.kind,
             service: self.service,
             deadline: self.deadline,
         };
         match attempt(self.core, &job, body, &target).await {
             Attempt::Answered(response) => Next::respond(response),
-            Attempt::NotSent(body) => self.after_unreached(body),
-            Attempt::NotRun { load_reported } => self.after_not_run(load_reported, retry_body),
+            Attempt::NotSent(body) => {
+                charge.restore();
+                self.after_unreached(body)
+            }
+            Attempt::NotRun { load_reported } => {
+                charge.restore();
+                self.after_not_run(load_reported, retry_body)
+            }
             Attempt::Failed(response) => self.after_failure(response, retry_body),
             Attempt::Lost => self.after_loss(&target.id, retry_body),
             Attempt::TimedOut => {
@@ -218,6 +246,22 @@
         }
     }
 
+    /// Whether newer routes have taken the key away that the caller was identified by.
+    fn is_revoked(&self) -> bool {
+        let routes = self.core.active_routes();
+        let newer = routes.filter(|routes| routes.revision != self.revision);
+        newer.is_some_and(|routes| !self.caller.is_known_to(&routes))
+    }
+
+    /// Rejects a request whose key was taken away while it waited. Newer routes than these may
+    /// allow it again, unless they are proven to be the newest.
+    fn reject_revoked(&mut self) -> Next {
+        match self.core.is_proven() {
+            true => self.reject(ResultCode::CallerUnknown, Duration::ZERO),
+            false => self.reject(ResultCode::RoutesUnproven, RETRY_AFTER_STARTING),
+        }
+    }
+
     /// Chooses an endpoint.
     fn place(&self) -> Decision {
         let object = self.head.headers.get(&self.core.protocol.affinity_key);
@@ -232,7 +276,10 @@
             objective: self.route.objective,
             remaining: self.deadline.remaining(),
             is_caller_retry: self.is_retry,
-            regions: &self.route.regions,
+            homes: Homes {
+                route: &self.route.regions,
+                workspace: self.caller.regions(),
+            },
             excluded: self.attempts.excluded(),
         };
         let now = self.core.now();
@@ -314,7 +361,8 @@
     ) -> Response<ResponseBody> {
         let left = self.deadline.remaining().as_millis();
         let (list_ms, control_ms) = self.core.data_ages();
-        info!(request = self.request_id(), route = self.route.name.as_str(), code:%, left,
+        info!(request = self.request_id(), route = self.route.name.as_str(),
+            workspace = self.caller.workspace().map(WorkspaceName::as_str), code:%, left,
             tried = self.attempts.made(), returned = self.is_retry, version = self.version,
             list_ms, control_ms, retry_after_ms = retry_after.as_millis(); "refused");
         if let Some(response) = self.failed_response.take() {
--- a/crates/filberthead/src/gateway/mod.rs
+++ b/crates/filberthead/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 
 mod attempt;
 mod bounds;
+mod caller;
 mod context;
 mod core;
 mod deadline;
@@ -28,6 +29,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 
+use filberthead_allot::{Limiter, LimiterConfig};
 use filberthead_fleet::{GatewayInfo, Member, Message};
 use filberthead_observe::GatewayMetrics;
 use filberthead_peer::{Body, Deliver, Origin, Transport, TransportError, cluster_id};
@@ -249,6 +251,10 @@
         clock: Clock::start(),
         protocol: Arc::new(protocol),
         placer: Placer::new(placement_config(cfg)),
+        limiter: Limiter::new(LimiterConfig {
+            seed: rand::random(),
+            unreserved: cfg.budgets.allotment_slack,
+        }),
         member: Member::new(info, cfg.seeds.clone(), rand::random()),
         out,
         phase,
--- a/crates/filberthead/src/gateway/protocol.rs
+++ b/crates/filberthead/src/gateway/protocol.rs
@@ -13,6 +13,10 @@
     pub deadline_ms: HeaderName,
     /// Key for session affinity: the object that the request concerns.
     pub affinity_key: HeaderName,
+    /// Key that identifies the caller's workspace. It is never sent on.
+    pub api_key: HeaderName,
+    /// Name of the caller's workspace, for endpoints.
+    pub workspace: HeaderName,
     /// Identity of the endpoint the request is for. Another one refuses to run it.
     pub target_instance: HeaderName,
     /// Set by an endpoint that did not run the request.
--- a/crates/fleet/src/api.rs
+++ b/crates/fleet/src/api.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use filberthead_allot::{AdmitRatio, Usage};
 use filberthead_route::{Change, Delta, Table};
 use filberthead_types::{FailureDomain, Incarnation, NodeName, Region, ServiceName};
 use serde::{Deserialize, Serialize};
@@ -191,6 +192,8 @@
     pub revisions: Revisions,
     /// Offered load for each service.
     pub demand: Vec<Demand>,
+    /// Requests of each workspace with an allotment.
+    pub usage: Vec<Usage>,
     /// Utilisation of its network link in thousandths.
     pub link_milli: u32,
     /// Identifies the report in the notice and the proof that answer it.
@@ -207,6 +210,8 @@
     pub ready: bool,
     /// Offered load for each service.
     pub demand: Vec<Demand>,
+    /// Requests of each workspace with an allotment.
+    pub usage: Vec<Usage>,
     /// Utilisation of its network link in thousandths.
     pub link_milli: u32,
     /// Age of the report at the moment of relaying.
@@ -281,6 +286,8 @@
         gateways: Vec<(FailureDomain, u32)>,
         /// Total load of each service by region, in thousandths of a busy slot.
         demand: Vec<(Region, ServiceName, u32)>,
+        /// The part of its requests that may be sent, for each workspace near its allotment.
+        ratios: Vec<AdmitRatio>,
         /// Mean link utilisation of the ready gateways in the receiver's failure domain, in
         /// thousandths; `None` if there are none.
         link_milli: Option<u32>,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,6 +20,7 @@
 //! Invariant: a [`Member`] never returns to a lower revision of any of these. A process
 //! starts without state and serves nothing until it has both routes and a list.
 
+mod allotments;
 mod api;
 mod contacts;
 mod list;
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use filberthead_allot::{AdmitRatio, Usage};
 use filberthead_route::{Delta, Table};
 use filberthead_types::{FailureDomain, Moment, Region, ServiceName};
 
@@ -53,6 +54,8 @@
     Gateways(Vec<(FailureDomain, u32)>),
     /// Total load of each service by region, in thousandths of a busy slot.
     Demand(Vec<(Region, ServiceName, u32)>),
+    /// The part of its requests that may be sent, for each workspace near its allotment.
+    Ratios(Vec<AdmitRatio>),
     /// Mean link utilisation of the gateways in this failure domain, in thousandths.
     Links(Option<u32>),
 }
@@ -81,6 +84,8 @@
 pub struct Load {
     /// Offered load for each service.
     pub demand: Vec<Demand>,
+    /// Requests of each workspace with an allotment.
+    pub usage: Vec<Usage>,
     /// Utilisation of its network link in thousandths.
     pub link_milli: u32,
 }
@@ -185,6 +190,13 @@
         (self.revisions.routes >= newest).then_some(requested_at)
     }
 
+    /// Whether a control replica has lately been proved to be in contact with the leader, so that
+    /// what it said about other gateways was recent.
+    pub fn has_proven_contact(&self, now: Moment) -> bool {
+        self.proven
+            .is_some_and(|(_, requested_at)| now < requested_at + PROVEN_FOR)
+    }
+
     /// How long the last applied update took to arrive.
     pub fn delay(&self) -> UpdateDelay {
         self.delay
@@ -225,13 +237,18 @@
         self.contacts
             .remove_unnamed(self.control_last_seen.unwrap_or_default());
         let to = self.contacts.select(now, self.proven_at());
-        let Load { demand, link_milli } = load();
+        let Load {
+            demand,
+            usage,
+            link_milli,
+        } = load();
         let id = self.new_report_id(now);
         let report = Message::Report(Report {
             gateway: self.info.clone(),
             ready: self.ready,
             revisions: self.revisions,
             demand,
+            usage,
             link_milli,
             id,
         });
@@ -302,6 +319,7 @@
                 replicas,
                 gateways,
                 demand,
+                ratios,
                 link_milli,
                 answered_report,
                 proven_report,
@@ -311,6 +329,7 @@
                 let updates = vec![
                     Update::Gateways(gateways),
                     Update::Demand(demand),
+                    Update::Ratios(ratios),
                     Update::Links(link_milli),
                 ];
                 (self.pull(now, from, revisions), updates)
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -6,9 +6,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use filberthead_allot::{AdmitRatio, Presence, Usage};
 use filberthead_route::Table;
 use filberthead_types::{FailureDomain, Moment, NodeName, Region, ServiceName};
 
+use crate::allotments::Allotments;
 use crate::list::{EndpointList, ListOutcome};
 use crate::parts::OutgoingTransfers;
 use crate::routes::Routes;
@@ -49,6 +51,7 @@
     ready: bool,
     last_seen: Moment,
     demand: Vec<Demand>,
+    usage: Vec<Usage>,
     link_milli: u32,
 }
 
@@ -67,6 +70,7 @@
     computed_at: Moment,
     gateways: Vec<(FailureDomain, u32)>,
     demand: Vec<(Region, ServiceName, u32)>,
+    ratios: Vec<AdmitRatio>,
     links: BTreeMap<FailureDomain, u32>,
 }
 
@@ -87,6 +91,7 @@
     /// When reports were last relayed to the other replicas.
     last_roster: Moment,
     totals: RefCell<Option<Totals>>,
+    allotments: RefCell<Allotments>,
 }
 
 impl Registry {
@@ -112,6 +117,7 @@
             return Vec::new();
         }
         self.revisions.routes = revision;
+        self.allotments.borrow_mut().set_table(&table);
         self.routes.set(revision, version, table);
         self.announce(now)
     }
@@ -239,6 +245,7 @@
             ready: report.ready,
             last_seen: now,
             demand: report.demand,
+            usage: report.usage,
             link_milli: report.link_milli,
         };
         let domain = gateway.info.domain.clone();
@@ -273,6 +280,7 @@
                 ready: relayed.ready,
                 last_seen,
                 demand: relayed.demand,
+                usage: relayed.usage,
                 link_milli: relayed.link_milli,
             });
         }
@@ -291,6 +299,7 @@
             gateway: gateway.info.clone(),
             ready: gateway.ready,
             demand: gateway.demand.clone(),
+            usage: gateway.usage.clone(),
             link_milli: gateway.link_milli,
             age: now.saturating_sub(gateway.last_seen),
         };
@@ -432,6 +441,7 @@
             replicas: self.replicas.clone(),
             gateways: totals.gateways.clone(),
             demand: totals.demand.clone(),
+            ratios: totals.ratios.clone(),
             link_milli: totals.links.get(domain).copied(),
             answered_report,
             proven_report,
@@ -443,10 +453,24 @@
             computed_at: now,
             gateways: self.gateway_counts(),
             demand: self.demand(now),
+            ratios: self.ratios(now),
             links: self.link_means(now),
         }
     }
 
+    /// The part of its requests that may be sent, for each workspace near its allotment.
+    fn ratios(&self, now: Moment) -> Vec<AdmitRatio> {
+        let gateways = self.gateways.values();
+        let usage = gateways.flat_map(|gateway| {
+            let presence = match gateway.is_live(now) {
+                true => Presence::Live,
+                false => Presence::Silent,
+            };
+            gateway.usage.iter().map(move |usage| (presence, usage))
+        });
+        self.allotments.borrow_mut().ratios(now, usage)
+    }
+
     /// Number of gateways by failure domain. Lately silent ones are included: they may be cut
     /// off from this replica and still be sending requests to endpoints.
     fn gateway_counts(&self) -> Vec<(FailureDomain, u32)> {
--- a/crates/fleet/tests/all/support.rs
+++ b/crates/fleet/tests/all/support.rs
@@ -83,6 +83,7 @@
         replicas,
         gateways: Vec::new(),
         demand: Vec::new(),
+        ratios: Vec::new(),
         link_milli: None,
         answered_report: None,
         proven_report: None,
--- a/crates/peer/examples/cost.rs
+++ b/crates/peer/examples/cost.rs
@@ -55,6 +55,7 @@
         ready: true,
         revisions: revisions(),
         demand: (0..3).map(demand).collect(),
+        usage: Vec::new(),
         link_milli: 456,
         id: u64::MAX,
     })
@@ -80,6 +81,7 @@
         replicas: (0..replicas).map(addr).collect(),
         gateways: (0..domains).map(|n| (domain(n), 28)).collect(),
         demand: demand.collect(),
+        ratios: Vec::new(),
         link_milli: Some(456),
         answered_report: None,
         proven_report: Some(u64::MAX),
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -20,6 +20,9 @@
     /// Fraction of a region's requests that may move to another region from one window of
     /// two seconds to the next.
     pub max_shift: f64,
+    /// Requests beyond the allotment of a workspace that gateways without contact to control
+    /// may send, over all gateways, when they lose contact.
+    pub allotment_slack: f64,
 }
 
 /// All settings of a gateway.
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -204,6 +204,9 @@
         /// Fraction of a region's requests that may move to another region from one window
         /// of two seconds to the next.
         MAX_SHIFT: f64 = "max_shift", default("0.15"), "0"..="1";
+        /// Requests beyond the allotment of a workspace that gateways without contact to
+        /// control may send, over all gateways, when they lose contact.
+        ALLOTMENT_SLACK: f64 = "allotment_slack", default("0"), "0"..="1000000000";
     }
     /// The network link of a gateway's VM.
     ["link"] Gateway {
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -208,6 +208,7 @@
             retry_floor: document.get(&keys::RETRY_FLOOR)?,
             retry_window: document.get(&keys::RETRY_WINDOW)?,
             max_shift: document.get(&keys::MAX_SHIFT)?,
+            allotment_slack: document.get(&keys::ALLOTMENT_SLACK)?,
         },
         link_rate: document.get(&keys::LINK_RATE).filter(|rate| *rate > 0.0),
         stop_grace: document.get(&keys::STOP_GRACE)?,
--- a/crates/testing/src/site/endpoint.rs
+++ b/crates/testing/src/site/endpoint.rs
@@ -59,6 +59,8 @@
     pub id: String,
     /// Its method and path.
     pub request_line: String,
+    /// Its headers.
+    pub headers: HeaderMap,
 }
 
 #[derive(Debug, Default)]
@@ -315,6 +317,7 @@
         state.ran.push(Run {
             id: id.clone(),
             request_line: format!("{} {}", head.method, head.uri),
+            headers: head.headers.clone(),
         });
         let deadline_ms = text(&head.headers, "x-deadline-ms").parse::<u64>();
         state.deadlines.extend(deadline_ms);
--- a/crates/testing/src/site/mod.rs
+++ b/crates/testing/src/site/mod.rs
@@ -248,6 +248,21 @@
 
 /// Routes in the platform's JSON format: each service with its route's kind under its own prefix.
 pub fn config(version: u64, services: &[(&str, &str)]) -> String {
+    config_value(version, services).to_string()
+}
+
+/// The same with workspaces, each in the platform's JSON format.
+pub fn config_with_workspaces(
+    version: u64,
+    services: &[(&str, &str)],
+    workspaces: &[serde_json::Value],
+) -> String {
+    let mut config = config_value(version, services);
+    config["tenants"] = workspaces.into();
+    config.to_string()
+}
+
+fn config_value(version: u64, services: &[(&str, &str)]) -> serde_json::Value {
     let route = |(name, kind): &(&str, &str)| {
         serde_json::json!({
             "name": format!("r-{name}"), "host": HOST, "path_prefix": format!("/{name}/"),
@@ -268,7 +283,6 @@
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 67108864,
             "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
     })
-    .to_string()
 }
 
 impl SiteBuilder {
--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -112,6 +112,9 @@
     KeyWithoutHome = 1105, 400, NotRun, "key-without-home";
     /// A head over the bound of the routes in force.
     HeadTooLarge = 1106, 431, NotRun, "head-too-large";
+    /// The route needs an API key, and the request has none, several or one that no
+    /// workspace holds.
+    CallerUnknown = 1107, 401, NotRun, "caller-unknown";
     /// Every slot that this entry may use is taken and the queue is full.
     Overloaded = 1200, 503, NotRun, "overloaded";
     /// The limit of the row would be exceeded.
@@ -140,6 +143,8 @@
     RoutesUnproven = 1211, 503, NotRun, "routes-unproven";
     /// The VM's link has no room for a further large answer.
     LinkBusy = 1212, 503, NotRun, "link-busy";
+    /// The workspace's allotment is used up.
+    AllotmentUsed = 1213, 429, NotRun, "allotment-used";
     /// The deadline passed while an endpoint had the request.
     DeadlineWhileRunning = 1300, 504, MayHaveRun, "deadline-while-running";
     /// The endpoint's connection ended before its whole answer came.
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -24,3 +24,4 @@
 mod spreading;
 mod stops;
 mod support;
+mod workspaces;
