Acknowledge a membership change that was made before

What operators saw: after a lost or late answer to adding, promoting or removing a replica, every resend got 2201 membership-refused for good, although the change had been made.

Cause: the leader refused a change whose result the membership already has, which is what a resend asks for.

Ruled out: load alone (the refusals went on for 70 s on an idle machine).

Fix: the leader acknowledges a change whose result is the committed membership, with a lease and a majority that answers. It is the same to its sender as the first answer.

--- a/crates/consensus/src/api.rs
+++ b/crates/consensus/src/api.rs
@@ -228,7 +228,7 @@
         /// The current leader, if another replica is known to lead.
         leader: Option<ReplicaId>,
     },
-    /// Another membership change is not committed yet, or this one changes nothing or
+    /// Another membership change is not committed yet, or this one is not possible or
     /// would leave no majority of responsive voters; nothing was appended.
     MembershipRefused,
     /// The learner's log is too far behind for it to vote; nothing was appended.
--- a/crates/consensus/src/leader.rs
+++ b/crates/consensus/src/leader.rs
@@ -3,6 +3,7 @@
 use filberthead_types::{Epoch, Moment, ReplicaId};
 
 use crate::api::{Action, Entry, Message, Payload, Proposal, ProposeError, Token};
+use crate::membership::MembershipStep;
 use crate::progress::{Flow, MAX_BATCHES_IN_FLIGHT};
 use crate::replica::{Replica, State};
 
@@ -38,25 +39,33 @@
 
     pub(crate) fn on_propose(&mut self, now: Moment, token: Token, proposal: Proposal) {
         let result = match self.build_payload(now, proposal) {
-            Ok(payload) => self.append_proposal(now, token, payload),
+            Ok(Some(payload)) => match self.append_proposal(now, token, payload) {
+                // Reported once the entry is committed.
+                Ok(()) => return,
+                Err(e) => Err(e),
+            },
+            Ok(None) => Ok(self.commit),
             Err(e) => Err(e),
         };
-        if let Err(e) = result {
-            let result = Err(e);
-            self.push(Action::Proposed { token, result });
-        }
+        self.push(Action::Proposed { token, result });
     }
 
-    fn build_payload(&self, now: Moment, proposal: Proposal) -> Result<Payload, ProposeError> {
+    /// The payload to append for a proposal; `None` if nothing remains to be done for it.
+    fn build_payload(
+        &self,
+        now: Moment,
+        proposal: Proposal,
+    ) -> Result<Option<Payload>, ProposeError> {
         if !self.holds_lease(now) {
             let leader = self.other_leader();
             return Err(ProposeError::NotLeader { leader });
         }
         match proposal {
-            Proposal::Command(command) => Ok(Payload::Command(command)),
-            change => self
-                .members_after_change(now, &change)
-                .map(Payload::Members),
+            Proposal::Command(command) => Ok(Some(Payload::Command(command))),
+            change => match self.membership_step(now, &change)? {
+                MembershipStep::Append(members) => Ok(Some(Payload::Members(members))),
+                MembershipStep::Done => Ok(None),
+            },
         }
     }
 
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -10,13 +10,22 @@
 use crate::api::{Members, Proposal, ProposeError};
 use crate::replica::{Replica, State};
 
+/// What a membership change leads to.
+pub(crate) enum MembershipStep {
+    /// This membership is to be appended.
+    Append(Members),
+    /// The committed membership is what the change asks for: it was made before, and its sender
+    /// hasn't learned of it.
+    Done,
+}
+
 impl Replica {
-    /// Returns the membership that `change` results in, or why it can't begin now.
-    pub(crate) fn members_after_change(
+    /// Returns what `change` leads to, or why it can't begin now.
+    pub(crate) fn membership_step(
         &self,
         now: Moment,
         change: &Proposal,
-    ) -> Result<Members, ProposeError> {
+    ) -> Result<MembershipStep, ProposeError> {
         let State::Leader(leadership) = &self.state else {
             let leader = self.other_leader();
             return Err(ProposeError::NotLeader { leader });
@@ -27,6 +36,9 @@
             return Err(ProposeError::MembershipRefused);
         }
         let mut members = self.log.members().clone();
+        if is_done(&members, change) && self.has_active_majority(now, &members) {
+            return Ok(MembershipStep::Done);
+        }
         let is_valid = match change {
             Proposal::Command(_) => false,
             Proposal::AddLearner(id) => {
@@ -44,7 +56,7 @@
         if !is_valid || !self.has_active_majority(now, &members) {
             return Err(ProposeError::MembershipRefused);
         }
-        Ok(members)
+        Ok(MembershipStep::Append(members))
     }
 
     /// Whether a learner holds all committed entries and is responsive. As a voter it then
@@ -83,3 +95,13 @@
         acked_sent_at.is_some_and(|at| now < at + self.cfg.election_timeout)
     }
 }
+
+/// Whether a membership is what a change asks for. A learner that is a voter by now was added.
+fn is_done(members: &Members, change: &Proposal) -> bool {
+    match change {
+        Proposal::Command(_) => false,
+        Proposal::AddLearner(id) => members.all().any(|member| member == *id),
+        Proposal::Promote(id) => members.voters.contains(id),
+        Proposal::Remove(id) => members.all().all(|member| member != *id),
+    }
+}
--- a/crates/consensus/tests/all/membership.rs
+++ b/crates/consensus/tests/all/membership.rs
@@ -67,6 +67,25 @@
     assert!(cluster.proposed[&first].is_ok());
 }
 
+/// The answer to a change is lost, or comes too late for its sender. A resend was refused for
+/// good, although the change had been made.
+#[test]
+fn a_change_that_was_made_is_acknowledged_again() {
+    let (mut cluster, _) = elected(3);
+    let add = || Proposal::AddLearner(id(4));
+    change(&mut cluster, add()).expect("added");
+    change(&mut cluster, add()).expect("added before");
+    cluster.add(id(4), Durable::default());
+    cluster.run(1000);
+    change(&mut cluster, Proposal::Promote(id(4))).expect("promoted");
+    change(&mut cluster, Proposal::Promote(id(4))).expect("promoted before");
+    change(&mut cluster, add()).expect("added before it was promoted");
+    change(&mut cluster, Proposal::Remove(id(4))).expect("removed");
+    change(&mut cluster, Proposal::Remove(id(4))).expect("removed before");
+    let promoted = change(&mut cluster, Proposal::Promote(id(4)));
+    assert_eq!(promoted, Err(ProposeError::MembershipRefused));
+}
+
 /// One of three is down and an operator removes the wrong one. One running and one dead
 /// voter would remain, which can commit nothing, not even the reversal.
 #[test]
--- a/tests/all/control/replacement.rs
+++ b/tests/all/control/replacement.rs
@@ -54,6 +54,21 @@
     group.check(writers);
 }
 
+/// The answers to an operator's removal and addition are lost, and he sends both again. Each
+/// resend was refused for good, although the change had been made.
+#[test]
+fn membership_changes_are_acknowledged_again() {
+    let mut group = Group::start();
+    let (name, lost) = wipe_follower(&mut group);
+    let addr = group.cluster.control(&name).addr("operator");
+    for _ in 0..2 {
+        group.operator.remove_replica(lost);
+    }
+    for _ in 0..2 {
+        group.operator.add_replica(addr);
+    }
+}
+
 /// A VM restarts with an empty disk, and a second one dies before the first is a member
 /// again. Two of three processes run, but only one holds what was accepted: nothing may
 /// be accepted until the second one is back.
