Believe totals before the first proof after a start

Cause: a gateway without a proof admits the rate it has last reported, and one that has just started has reported none. Totals don't depend on a leader: replicas relay reports to each other anyway.

Now a gateway that has never had a proof believes what replicas say for 5 s after the first notice. The new tests fail before: fleet::allotments.

--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -254,7 +254,7 @@
     /// Decides whether a workspace's allotment has room for a request.
     pub(crate) fn admit(&self, workspace: &Workspace) -> Admission {
         let now = self.now();
-        let contact = match self.member.borrow().has_proven_contact(now) {
+        let contact = match self.member.borrow().has_current_totals(now) {
             true => Contact::Proven,
             false => Contact::Alone {
                 gateways: self.placer.borrow().gateway_count(),
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -28,6 +28,9 @@
 /// requested it: three report periods, so that one lost or late report doesn't end it, and
 /// much less than the time within which a change must be in force everywhere.
 const PROVEN_FOR: Duration = Duration::from_millis(1600);
+/// How long a gateway that has just started believes totals without a proof: an election and the
+/// first proofs take less.
+const TRUSTED_BEFORE_PROOF: Duration = Duration::from_secs(5);
 /// Number of recent reports whose send times are kept: as many as are sent while a proof is
 /// valid.
 const TRACKED_REPORTS: usize = 4;
@@ -190,11 +193,17 @@
         (self.revisions.routes >= newest).then_some(requested_at)
     }
 
-    /// Whether a control replica has lately been proved to be in contact with the leader, so that
-    /// what it said about other gateways was recent.
-    pub fn has_proven_contact(&self, now: Moment) -> bool {
-        self.proven
-            .is_some_and(|(_, requested_at)| now < requested_at + PROVEN_FOR)
+    /// Whether what control replicas say about other gateways is recent: a replica has lately
+    /// been proved to be in contact with the leader. A gateway that has just started believes
+    /// them for a while before the first proof. After all processes have restarted there is no
+    /// leader yet, but replicas already exchange the reports of gateways.
+    pub fn has_current_totals(&self, now: Moment) -> bool {
+        match self.proven {
+            Some((_, requested_at)) => now < requested_at + PROVEN_FOR,
+            None => self
+                .first_notice
+                .is_some_and(|at| now < at + TRUSTED_BEFORE_PROOF),
+        }
     }
 
     /// How long the last applied update took to arrive.
--- /dev/null
+++ b/crates/fleet/tests/all/allotments.rs
@@ -0,0 +1,86 @@
+//! Totals of workspaces' requests, from gateways' reports to the notices that answer them.
+
+use std::sync::Arc;
+
+use filberthead_allot::{AdmitRatio, Usage};
+use filberthead_fleet::{Load, Member, Registry, Update};
+use filberthead_route::{Allotment, Table, Workspace};
+use filberthead_types::Moment;
+
+use crate::support::{CONTROL, GATEWAY, addr, exchange, exchange_with, gateway, ms};
+
+fn limited_table() -> Arc<Table> {
+    let workspace = Workspace {
+        name: "alpha".parse().expect("a name"),
+        keys: Vec::new(),
+        regions: Vec::new(),
+        priority: None,
+        allotment: Some(Allotment {
+            rate: 10.0,
+            burst: 0.0,
+        }),
+    };
+    Arc::new(Table {
+        workspaces: vec![Arc::new(workspace)],
+        ..Table::default()
+    })
+}
+
+fn usage(per_s: u32) -> Usage {
+    Usage {
+        workspace: "alpha".parse().expect("a name"),
+        offered_milli: per_s * 1000,
+        sent_milli: per_s * 1000,
+        reserved_milli: per_s * 1000,
+    }
+}
+
+/// Reports this many requests per second, and returns the parts in the answer.
+fn report(
+    now: Moment,
+    member: &mut Member,
+    registry: &mut Registry,
+    per_s: u32,
+) -> Vec<AdmitRatio> {
+    let load = || Load {
+        usage: vec![usage(per_s)],
+        ..Load::default()
+    };
+    let report = member.tick(now, load).pop().expect("a report").1;
+    let notice = registry.receive(now, addr(GATEWAY), report, true).pop();
+    let (_, updates) = member.receive(now, addr(CONTROL), notice.expect("a notice").1);
+    let ratios = updates.into_iter().find_map(|update| match update {
+        Update::Ratios(ratios) => Some(ratios),
+        _ => None,
+    });
+    ratios.expect("the notice has the parts")
+}
+
+/// Callers of a workspace exceed its rate at a gateway; the notice names the part to send.
+#[test]
+fn a_notice_names_workspaces_near_their_rate() {
+    let (mut member, mut registry) = (gateway(), Registry::default());
+    registry.set_routes(ms(0), 7, 1, limited_table());
+    assert!(report(ms(10), &mut member, &mut registry, 2).is_empty());
+    let ratios = report(ms(600), &mut member, &mut registry, 100);
+    assert!(ratios[0].ratio() < 0.2, "{ratios:?}");
+    // The limit is lifted.
+    registry.set_routes(ms(700), 8, 2, Arc::new(Table::default()));
+    assert!(report(ms(1200), &mut member, &mut registry, 100).is_empty());
+}
+
+/// Without a leader nothing is proved. A gateway that has just started refused all requests of
+/// limited workspaces until then, after all processes had restarted at once.
+#[test]
+fn a_starting_gateway_believes_totals_before_the_first_proof() {
+    let (mut member, mut registry) = (gateway(), Registry::default());
+    assert!(!member.has_current_totals(ms(0)), "nothing was heard");
+    exchange_with(ms(10), &mut member, &mut registry, false);
+    assert!(member.has_current_totals(ms(2000)));
+    assert!(!member.has_current_totals(ms(5010)), "not for long");
+    exchange(ms(5100), &mut member, &mut registry);
+    assert!(member.has_current_totals(ms(6000)));
+    // From the first proof on only proofs count.
+    exchange_with(ms(7000), &mut member, &mut registry, false);
+    assert!(!member.has_current_totals(ms(7010)));
+}
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of state distribution between gateways and control replicas.
 
+mod allotments;
 mod narrow_link;
 mod parts;
 mod proofs;
