--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,5 +1,6 @@
-//! Simulations of the placement and steering algorithms. The load generators are in
+//! Simulations of the allotment, placement and steering algorithms. The load generators are in
 //! `src/bin`.
 
+pub mod allotments;
 pub mod experiment;
 pub mod placement;
