--- a/crates/allot/tests/allotment.rs
+++ b/crates/allot/tests/allotment.rs
@@ -1,6 +1,8 @@
 //! Allotments over many gateways: totals that are late, gateways that are cut off or restart, and
 //! replicas that forget.
 
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use filberthead_allot::{
@@ -11,8 +13,6 @@
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
-use std::net::SocketAddr;
-use std::sync::Arc;
 
 const GATEWAYS: usize = 73;
 const STEP: Duration = Duration::from_millis(10);
@@ -133,14 +133,14 @@
     /// Reports and totals, each gateway at its own time.
     fn exchange(&mut self) {
         for (number, gateway) in self.gateways.iter_mut().enumerate() {
-            if (self.step + number) % REPORT_STEPS != 0 || gateway.is_cut_off {
+            if !(self.step + number).is_multiple_of(REPORT_STEPS) || gateway.is_cut_off {
                 continue;
             }
             gateway.reported = gateway.limiter.usage(self.now);
             let ratios = &self.ratios;
             gateway.limiter.set_ratios(self.now, replica(), ratios);
         }
-        if self.step % RELAY_STEPS == 0 {
+        if self.step.is_multiple_of(RELAY_STEPS) {
             let usage = self.gateways.iter().flat_map(|gateway| {
                 let presence = match gateway.is_cut_off {
                     true => Presence::Silent,
