Soak: callers belong to workspaces; keys, names and allotments are checked

Found as violations: a request in the name of another workspace or of none, a key at an endpoint, more than (5 s x 20 + 20) x 1.1 + 20 runs within 5 s, and 401 to a known caller. The check has a test for each.

--- a/crates/testing/src/site/endpoint.rs
+++ b/crates/testing/src/site/endpoint.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
@@ -61,6 +61,8 @@
     pub request_line: String,
     /// Its headers.
     pub headers: HeaderMap,
+    /// When it started to run.
+    pub at: Instant,
 }
 
 #[derive(Debug, Default)]
@@ -318,6 +320,7 @@
             id: id.clone(),
             request_line: format!("{} {}", head.method, head.uri),
             headers: head.headers.clone(),
+            at: Instant::now(),
         });
         let deadline_ms = text(&head.headers, "x-deadline-ms").parse::<u64>();
         state.deadlines.extend(deadline_ms);
--- a/crates/testing/src/soak/callers.rs
+++ b/crates/testing/src/soak/callers.rs
@@ -13,6 +13,7 @@
 
 use super::history::{CallerRequest, RequestOutcome, RouteProbe};
 use super::shared::{SharedState, probe_path};
+use super::workspaces;
 use crate::client::{Answer, Call, CallError, Connection};
 use crate::site::{HOST, is_answer};
 
@@ -29,6 +30,8 @@
 const LESSON_BYTES: [u64; 3] = [20_000, 300_000, 2_500_000];
 /// Number of distinct objects, which are the affinity keys of requests.
 const OBJECTS: u32 = 40;
+/// Workspace that every caller claims to belong to.
+const SPOOFED_WORKSPACE: &str = "somebody-else";
 /// Probed versions are among this many newest ones.
 const RECENT_VERSIONS: u64 = 6;
 
@@ -46,6 +49,9 @@
     object: u32,
     /// The only version that has its route; `None` for a route that all versions have.
     probes: Option<u64>,
+    key: String,
+    /// The workspace that holds the key; `None` if none does.
+    workspace: Option<String>,
 }
 
 /// Sends requests until the soak is over.
@@ -62,7 +68,12 @@
             continue;
         };
         count += 1;
-        let spec = random_request(&shared, &mut rng);
+        let (key, workspace) = workspaces::key(number, count);
+        let spec = RequestSpec {
+            key,
+            workspace,
+            ..random_request(&shared, &mut rng)
+        };
         connection = send(&shared, open, format!("c{number}-{count}"), &spec).await;
     }
 }
@@ -75,6 +86,8 @@
         body: body.to_owned(),
         object,
         probes,
+        key: String::new(),
+        workspace: None,
     };
     match rng.random_range(0..20) {
         0..=6 => spec("POST", format!("/orders/{object}"), "two packs", None),
@@ -135,6 +148,9 @@
         .header("x-request-id", &id)
         .header("x-affinity-key", &spec.object.to_string())
         .header("x-deadline-ms", &DEADLINE_MS.to_string())
+        .header("api-key", &spec.key)
+        // The gateway has to replace what a caller claims to be.
+        .header("x-tenant", SPOOFED_WORKSPACE)
         .body(spec.body.clone());
     let incarnation = shared.incarnations[connection.gateway].load(Ordering::SeqCst);
     let sent = Instant::now();
@@ -165,6 +181,7 @@
         history.requests.push(CallerRequest {
             id,
             request_line: format!("{} {}", spec.method, spec.path),
+            workspace: spec.workspace.clone(),
             idempotent: spec.method == "GET",
             gateway: connection.gateway,
             outcome,
--- a/crates/testing/src/soak/mod.rs
+++ b/crates/testing/src/soak/mod.rs
@@ -20,6 +20,7 @@
 mod runner;
 mod shared;
 mod violations;
+mod workspaces;
 
 pub use history::{CallerRequest, History, RequestOutcome, RouteProbe, RoutesChange, RoutesRead};
 pub use plan::{Plan, Size, Step, Target, TimedStep};
--- a/crates/testing/src/soak/runner.rs
+++ b/crates/testing/src/soak/runner.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use http::HeaderMap;
 use tokio::task::JoinHandle;
 
 use super::history::{CallerRequest, RequestOutcome};
@@ -11,7 +12,7 @@
 use super::plan::{Plan, Step, Target};
 use super::shared::{SERVICES, SharedState, probe_path};
 use super::violations::{EndpointRun, Violation, find_violations};
-use super::{callers, operators};
+use super::{callers, operators, workspaces};
 use crate::proxy::{Direction, FaultProxy, Flow};
 use crate::runtime;
 use crate::site::{Behaviour, Site, SitePrograms, is_answer, proven_version, request};
@@ -344,10 +345,11 @@
         } else {
             "GET"
         };
+        let (key, workspace) = workspaces::key(0, 1);
         let result = self
             .nodes
             .site
-            .request(gateway, &request(method, path, &id));
+            .request(gateway, &request(method, path, &id).header("api-key", &key));
         let (outcome, served) = match result {
             Ok(answer) => {
                 let status = answer.status.as_u16();
@@ -361,6 +363,7 @@
             self.shared.history().requests.push(CallerRequest {
                 id,
                 request_line: format!("{method} {path}"),
+                workspace,
                 idempotent: method == "GET",
                 gateway,
                 outcome,
@@ -417,6 +420,9 @@
                     endpoint,
                     id: run.id,
                     request_line: run.request_line,
+                    workspace: text(&run.headers, "x-tenant"),
+                    has_key: run.headers.contains_key("api-key"),
+                    at: run.at,
                 })
             })
             .collect();
@@ -460,3 +466,9 @@
         .chain([format!("{}end", probe_path(version))])
         .collect()
 }
+
+/// A header's value as text; `None` without one.
+fn text(headers: &HeaderMap, name: &str) -> Option<String> {
+    let value = headers.get(name)?.to_str().ok()?;
+    Some(value.to_owned())
+}
--- a/crates/testing/src/soak/shared.rs
+++ b/crates/testing/src/soak/shared.rs
@@ -6,7 +6,8 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use super::history::History;
-use crate::site::{Site, config};
+use super::workspaces;
+use crate::site::{Site, config_with_workspaces};
 
 /// Services, each with the kind of its route.
 pub(super) const SERVICES: &[(&str, &str)] = &[
@@ -105,7 +106,7 @@
 }
 
 fn routes(version: u64) -> String {
-    let text = config(version, SERVICES);
+    let text = config_with_workspaces(version, SERVICES, &workspaces::all());
     let mut value: serde_json::Value = serde_json::from_str(&text).expect("it was made as JSON");
     if let Some(routes) = value["routes"].as_array_mut() {
         let mut route = routes[1].clone();
--- a/crates/testing/src/soak/violations.rs
+++ b/crates/testing/src/soak/violations.rs
@@ -2,8 +2,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
+use std::time::Instant;
 
 use super::history::{CallerRequest, History, RequestOutcome};
+use super::workspaces;
 
 /// Statuses that guarantee that the request has not run and never will.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
@@ -20,6 +22,12 @@
     pub id: String,
     /// Its method and path, as the endpoint received them.
     pub request_line: String,
+    /// The workspace that the endpoint was told.
+    pub workspace: Option<String>,
+    /// Whether the endpoint received a key.
+    pub has_key: bool,
+    /// When it started to run.
+    pub at: Instant,
 }
 
 /// A violated guarantee. Strings are ids of requests unless noted.
@@ -33,6 +41,14 @@
     RefusedButRan(String, u16),
     /// An endpoint ran a request that no caller had sent, or with another request line.
     UnknownRequest(String),
+    /// A request ran in the name of another workspace than the one that holds its key, or although
+    /// none does.
+    WrongWorkspace(String, Option<String>),
+    /// An endpoint received a caller's key.
+    KeySentOn(String),
+    /// More requests of the workspace with this name ran within a window than its allotment
+    /// allows.
+    AllotmentExceeded(String, usize),
     /// A caller got a successful answer that isn't the one to its request.
     WrongAnswer(String),
     /// A valid request got a status that no valid request may get.
@@ -92,6 +108,7 @@
     for request in &history.requests {
         let runs = runs_by_id.remove(request.id.as_str()).unwrap_or_default();
         violations.extend(check_runs(request, &runs, max_attempts));
+        violations.extend(check_workspace(request, &runs));
         violations.extend(check_outcome(request, !runs.is_empty(), planned_only));
     }
     violations.extend(
@@ -99,6 +116,7 @@
             .into_keys()
             .map(|id| Violation::UnknownRequest(id.to_owned())),
     );
+    violations.extend(check_allotments(runs));
     violations.extend(check_routes(history));
     violations.extend(check_gateways(history));
     violations
@@ -127,6 +145,35 @@
     violations
 }
 
+/// Checks that each run was for the workspace that holds the request's key.
+fn check_workspace(request: &CallerRequest, runs: &[&EndpointRun]) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    let wrong = |run: &&&EndpointRun| run.workspace.is_none() || run.workspace != request.workspace;
+    if let Some(run) = runs.iter().find(wrong) {
+        let told = run.workspace.clone();
+        violations.push(Violation::WrongWorkspace(request.id.clone(), told));
+    }
+    if runs.iter().any(|run| run.has_key) {
+        violations.push(Violation::KeySentOn(request.id.clone()));
+    }
+    violations
+}
+
+fn check_allotments(runs: &[EndpointRun]) -> Vec<Violation> {
+    let mut moments: BTreeMap<&str, Vec<Instant>> = BTreeMap::new();
+    for run in runs {
+        if let Some(workspace) = &run.workspace {
+            moments.entry(workspace).or_default().push(run.at);
+        }
+    }
+    let exceeded = |(workspace, mut moments): (&str, Vec<Instant>)| {
+        let bound = workspaces::bound(workspace)?;
+        let most = workspaces::most_in_window(&mut moments);
+        (most > bound).then(|| Violation::AllotmentExceeded(workspace.to_owned(), most))
+    };
+    moments.into_iter().filter_map(exceeded).collect()
+}
+
 fn check_outcome(request: &CallerRequest, has_run: bool, planned_only: bool) -> Option<Violation> {
     let id = request.id.clone();
     match request.outcome {
@@ -137,6 +184,7 @@
             (!matches).then_some(Violation::WrongAnswer(id))
         }
         RequestOutcome::Answered { status, .. } if MAY_HAVE_RUN.contains(&status) => None,
+        RequestOutcome::Answered { status: 401, .. } if request.workspace.is_none() => None,
         RequestOutcome::Answered { status, .. } => Some(Violation::UnexpectedStatus(id, status)),
         RequestOutcome::Closed | RequestOutcome::Cut => {
             (planned_only && has_run).then_some(Violation::CutByPlannedWork(id))
--- a/crates/testing/tests/soak.rs
+++ b/crates/testing/tests/soak.rs
@@ -8,11 +8,14 @@
 };
 
 const ATTEMPTS: usize = 2;
+/// A workspace whose requests are limited in a soak.
+const WORKSPACE: &str = "workspace-3";
 
 fn request(id: &str, idempotent: bool, outcome: RequestOutcome) -> CallerRequest {
     CallerRequest {
         id: id.to_owned(),
         request_line: "GET /catalogue/1".to_owned(),
+        workspace: Some(WORKSPACE.to_owned()),
         idempotent,
         gateway: 0,
         outcome,
@@ -24,6 +27,9 @@
         endpoint,
         id: id.to_owned(),
         request_line: "GET /catalogue/1".to_owned(),
+        workspace: Some(WORKSPACE.to_owned()),
+        has_key: false,
+        at: Instant::now(),
     }
 }
 
@@ -193,3 +199,73 @@
     let steps = plan(3).steps;
     assert!(steps.is_sorted_by_key(|timed| timed.at));
 }
+
+/// Violations found for one request that ran once, as its endpoint received it.
+fn violations_of_run(request: CallerRequest, run: EndpointRun) -> Vec<Violation> {
+    let history = History {
+        requests: vec![request],
+        ..History::default()
+    };
+    find_violations(&history, &[run], ATTEMPTS, false)
+}
+
+#[test]
+fn a_request_in_another_workspaces_name_is_found() {
+    let known = || request("a", true, answered(200));
+    let unknown = || CallerRequest {
+        workspace: None,
+        ..request("a", true, answered(401))
+    };
+    let told = |workspace: Option<&str>| EndpointRun {
+        workspace: workspace.map(str::to_owned),
+        ..ran(0, "a")
+    };
+    let wrong = |told: Option<&str>| {
+        let told = told.map(str::to_owned);
+        Violation::WrongWorkspace("a".to_owned(), told)
+    };
+    assert_eq!(violations_of_run(known(), told(Some(WORKSPACE))), []);
+    for other in [None, Some("somebody-else")] {
+        let found = violations_of_run(known(), told(other));
+        assert_eq!(found, [wrong(other)]);
+    }
+    let found = violations_of_run(unknown(), told(Some(WORKSPACE)));
+    assert_eq!(found, [wrong(Some(WORKSPACE))]);
+    assert_eq!(violations(unknown(), &[], false), []);
+    let denied = violations(request("a", true, answered(401)), &[], false);
+    assert_eq!(denied, [Violation::UnexpectedStatus("a".to_owned(), 401)]);
+}
+
+#[test]
+fn a_key_that_was_sent_on_is_found() {
+    let run = EndpointRun {
+        has_key: true,
+        ..ran(0, "a")
+    };
+    let found = violations_of_run(request("a", true, answered(200)), run);
+    assert_eq!(found, [Violation::KeySentOn("a".to_owned())]);
+}
+
+#[test]
+fn an_exceeded_allotment_is_found() {
+    let start = Instant::now();
+    let found = |count: u64, gap: Duration| {
+        let ids: Vec<String> = (0..count).map(|n| n.to_string()).collect();
+        let requests = ids.iter().map(|id| request(id, true, answered(200)));
+        let runs = ids.iter().zip(0..).map(|(id, n)| EndpointRun {
+            at: start + gap * n,
+            ..ran(0, id)
+        });
+        let history = History {
+            requests: requests.collect(),
+            ..History::default()
+        };
+        let runs: Vec<_> = runs.collect();
+        find_violations(&history, &runs, ATTEMPTS, false)
+    };
+    // 20 a second over 5 s and a burst of 20, a tenth more, and 20: 152.
+    assert_eq!(found(152, Duration::ZERO), []);
+    assert_eq!(found(1000, Duration::from_millis(40)), []);
+    let exceeded = Violation::AllotmentExceeded(WORKSPACE.to_owned(), 153);
+    assert_eq!(found(153, Duration::ZERO), [exceeded]);
+}
