--- a/crates/allot/examples/cost.rs
+++ b/crates/allot/examples/cost.rs
@@ -104,7 +104,7 @@
     let names: Vec<_> = (0..1000).map(name).collect();
     let admit = time(|round| {
         let name = &names[round as usize % names.len()];
-        black_box(limiter.admit(now, name, Contact::Proven));
+        black_box(limiter.admit(now, name, Contact::Current));
     });
     println!("allot/{WORKSPACES}-workspaces/admit: {admit:.0} ns");
     for gateways in [73, 1000] {
--- a/crates/allot/src/limiter.rs
+++ b/crates/allot/src/limiter.rs
@@ -33,9 +33,9 @@
 /// Whether this gateway knows the totals of all gateways.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Contact {
-    /// Control has proved lately that the replicas heard from are up to date.
-    Proven,
-    /// No such proof, so the totals may be wrong.
+    /// The replicas heard from know the reports of all gateways that are in contact.
+    Current,
+    /// They may not, so the totals may be wrong.
     Alone {
         /// Number of gateways that may be in the same situation.
         gateways: u32,
@@ -151,7 +151,7 @@
         };
         meter.offered.record(now, 1.0, AVERAGING);
         let admission = match contact {
-            Contact::Proven => {
+            Contact::Current => {
                 meter.alone = None;
                 meter.admit_part(now, ratio)
             }
--- a/crates/allot/tests/allotment.rs
+++ b/crates/allot/tests/allotment.rs
@@ -119,7 +119,7 @@
     fn request(&mut self, at: usize) {
         let gateway = &mut self.gateways[at];
         let contact = match gateway.is_cut_off {
-            false => Contact::Proven,
+            false => Contact::Current,
             true => Contact::Alone {
                 gateways: GATEWAYS as u32,
             },
@@ -303,7 +303,7 @@
     let now = Duration::from_secs(100);
     for _ in 0..100 {
         assert_eq!(
-            limiter.admit(now, &name(), Contact::Proven),
+            limiter.admit(now, &name(), Contact::Current),
             Admission::Admitted
         );
         limiter.refund(now, &name());
@@ -318,7 +318,7 @@
 fn workspaces_without_requests_are_forgotten() {
     let mut limiter = limiter(1, allotment(10.0));
     let now = Duration::from_secs(100);
-    limiter.admit(now, &name(), Contact::Proven);
+    limiter.admit(now, &name(), Contact::Current);
     assert_eq!(limiter.usage(now).len(), 1);
     assert_eq!(limiter.usage(now + Duration::from_secs(60)).len(), 0);
 }
@@ -334,7 +334,7 @@
     };
     limiter.set_ratios(now, replica(), &[half]);
     let decisions: Vec<Admission> = (0..40)
-        .map(|_| limiter.admit(now, &name(), Contact::Proven))
+        .map(|_| limiter.admit(now, &name(), Contact::Current))
         .collect();
     let admitted = decisions.iter().filter(|d| **d == Admission::Admitted);
     assert!((3..=5).contains(&admitted.count()));
--- a/crates/bench/src/allotments/way.rs
+++ b/crates/bench/src/allotments/way.rs
@@ -199,7 +199,7 @@
 impl Divider for Totals {
     fn admit(&mut self, now: Moment, gateway: usize, is_cut_off: bool) -> bool {
         let contact = match is_cut_off {
-            false => Contact::Proven,
+            false => Contact::Current,
             true => Contact::Alone {
                 gateways: self.limiters.len() as u32,
             },
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -255,7 +255,7 @@
     pub(crate) fn admit(&self, workspace: &Workspace) -> Admission {
         let now = self.now();
         let contact = match self.member.borrow().has_current_totals(now) {
-            true => Contact::Proven,
+            true => Contact::Current,
             false => Contact::Alone {
                 gateways: self.placer.borrow().gateway_count(),
             },
