--- a/crates/allot/src/limiter.rs
+++ b/crates/allot/src/limiter.rs
@@ -75,7 +75,8 @@
     credit: f64,
     /// Rate of the last report that is used without contact.
     reserved: f64,
-    /// Since when there is no contact, and the requests that may be sent now.
+    /// When the requests that may be sent without contact were last counted, and their number;
+    /// `None` while there is contact.
     alone: Option<(Moment, f64)>,
 }
 
--- a/crates/filberthead/src/gateway/caller.rs
+++ b/crates/filberthead/src/gateway/caller.rs
@@ -85,7 +85,7 @@
 /// One request of a workspace's allotment. Dropped unspent, it is given back.
 pub(crate) struct Charge<'a> {
     core: &'a Core,
-    /// `None` if the request isn't limited.
+    /// `None` if the caller belongs to no workspace.
     workspace: Option<&'a WorkspaceName>,
     is_unspent: bool,
 }
