Keep a failure domain listed while its stopped relay is replaced

Callers saw: after the planned stop of an entry, a resend at an entry of another failure domain got 1204 home-unreachable (true, may be resent) instead of the stored answer.

Cause: the leader removes the reporter that announces its stop. If it was the relay, its failure domain has no reporter until the successor's first report is complete (report, request for the list, list), and a failure domain without a reporter counts as settled. A check in between publishes it empty, so entries elsewhere know no live entry of it.

Fix: the members that a stopped relay reported for stay listed until another relay reports for them, or for the 6 s after which a silent failure domain is removed. That is the time that a relay which dies without notice gets already, so nothing is listed longer than after a crash.

--- a/crates/spread/src/reports.rs
+++ b/crates/spread/src/reports.rs
@@ -146,17 +146,13 @@
         }
     }
 
-    /// Removes a process that is stopping.
-    pub(crate) fn remove(&mut self, sender: &Sender) {
-        let is_same_process =
-            |existing: &Reporter| existing.sender.incarnation == sender.incarnation;
-        if self
-            .reporters
-            .get(&sender.name)
-            .is_some_and(is_same_process)
-        {
-            self.reporters.remove(&sender.name);
+    /// Removes a process that is stopping, and returns its last report.
+    pub(crate) fn remove(&mut self, sender: &Sender) -> Option<Reporter> {
+        let existing = self.reporters.get(&sender.name)?;
+        if existing.sender.incarnation != sender.incarnation {
+            return None;
         }
+        self.reporters.remove(&sender.name)
     }
 
     /// Removes processes that have been silent for `silence`; returns whether there were any.
--- a/crates/spread/src/source/mod.rs
+++ b/crates/spread/src/source/mod.rs
@@ -115,6 +115,9 @@
     last_reports: BTreeMap<NodeName, LastReport>,
     /// Entries that have announced their stop.
     stopped: BTreeMap<NodeName, Incarnation>,
+    /// Failure domains whose relay has announced its stop, and when. Another member takes
+    /// its place within [`Config::domain_timeout`].
+    relay_stopped: BTreeMap<FailureDomain, Moment>,
     digest_due: Moment,
     /// When to check for changed records, at the latest.
     check_due: Moment,
@@ -134,6 +137,7 @@
             leader: None,
             last_reports: BTreeMap::new(),
             stopped: BTreeMap::new(),
+            relay_stopped: BTreeMap::new(),
             digest_due: Moment::ZERO,
             check_due: Moment::ZERO,
             published: Moment::ZERO,
@@ -211,6 +215,7 @@
                 self.reports.clear();
                 self.last_reports.clear();
                 self.stopped.clear();
+                self.relay_stopped.clear();
                 self.send_digests(now, out);
             }
         }
@@ -254,9 +259,7 @@
             }
             Message::Query { nonce, .. } => Some(self.answer(nonce)),
             Message::Bye => {
-                self.reports.remove(from);
-                self.stopped.insert(from.name.clone(), from.incarnation);
-                self.check_due = now;
+                self.on_bye(now, from);
                 None
             }
             // Sent only between entries, or only to entries.
@@ -298,6 +301,21 @@
         }
     }
 
+    /// Removes an entry that announces its planned stop. The members that it reported for stay
+    /// listed until another relay reports for them.
+    fn on_bye(&mut self, now: Moment, from: &Sender) {
+        let replace_within = self.cfg.domain_timeout;
+        self.relay_stopped
+            .retain(|_, stopped_at| now < *stopped_at + replace_within);
+        if let Some(reporter) = self.reports.remove(from) {
+            let domains = reporter.domains().cloned();
+            self.relay_stopped
+                .extend(domains.map(|domain| (domain, now)));
+        }
+        self.stopped.insert(from.name.clone(), from.incarnation);
+        self.check_due = now;
+    }
+
     /// Pulls the leader's directory if it differs. A follower keeps a copy, so that it has the
     /// addresses of entries when it becomes the leader.
     fn on_digest(&self, digest: &Digest) -> Option<Message> {
--- a/crates/spread/src/source/publish.rs
+++ b/crates/spread/src/source/publish.rs
@@ -185,12 +185,14 @@
     }
 
     /// Failure domains in which unreported members can be removed: those with a reporter that
-    /// has had time to receive reports from all members, and, once this leader has had time to
-    /// receive reports from all failure domains, those without a reporter.
+    /// has had time to receive reports from all members, and those without a reporter, once this
+    /// leader has had time to receive reports from all failure domains, and a member to take the
+    /// place of a relay that has stopped.
     fn settled_domains(&self, now: Moment, lead: Leadership) -> BTreeSet<&FailureDomain> {
         let mut settled = BTreeSet::new();
         if now >= lead.since + self.cfg.domain_timeout {
-            settled.extend(self.directory.records().map(|(domain, _)| domain));
+            let listed = self.directory.records().map(|(domain, _)| domain);
+            settled.extend(listed.filter(|domain| !self.is_replacing_relay(now, domain)));
         }
         let (mature, recent): (Vec<_>, Vec<_>) = self
             .reports
@@ -202,4 +204,9 @@
         settled.extend(mature.into_iter().flat_map(Reporter::domains));
         settled
     }
+
+    fn is_replacing_relay(&self, now: Moment, domain: &FailureDomain) -> bool {
+        let stopped_at = self.relay_stopped.get(domain);
+        stopped_at.is_some_and(|at| now < *at + self.cfg.domain_timeout)
+    }
 }
--- a/crates/spread/tests/all/directory.rs
+++ b/crates/spread/tests/all/directory.rs
@@ -119,6 +119,40 @@
     }
 }
 
+/// The relay of a failure domain stops as planned. Its successor's first report may reach the
+/// leader seconds later; the other members must stay listed meanwhile.
+#[test]
+fn a_relay_that_stops_removes_no_other_entry() {
+    for delay in [Duration::ZERO, Duration::from_secs(2)] {
+        let mut network = settled();
+        network.step_entry("zagreb-1-a", node::Event::Leave);
+        network.run(Duration::from_secs(3));
+        let leader = network.controls[0].addr;
+        let successor = network.entry("zagreb-1-b").member.peer_addr;
+        network.step_entry("zagreb-1-a", node::Event::Stop);
+        network.kill_keeping_packets("zagreb-1-a");
+        let remaining = without("zagreb-1-a");
+        let heals_at = network.now + delay;
+        network.filter = Some(Box::new(move |packet| {
+            packet.from != successor || packet.to != leader
+        }));
+        for _ in 0..400 {
+            if network.now >= heals_at {
+                network.heal();
+            }
+            network.tick();
+            for name in &remaining {
+                let listed_names = network.entry(name).listed_names();
+                assert!(
+                    remaining.iter().all(|name| listed_names.contains(name)),
+                    "{name}: {listed_names:?}"
+                );
+            }
+        }
+        assert!(all_list(&network, &remaining));
+    }
+}
+
 /// The leader dies, and an entry begins a planned stop just after another replica has become
 /// the leader. The new leader has received no reports; it must announce itself, or the entry
 /// stays in look-ups until each relay detects the failure.
--- a/tests/all/homes.rs
+++ b/tests/all/homes.rs
@@ -5,10 +5,11 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use filberthead_testing::client::{Answer, Call};
 use filberthead_testing::cluster::{Cluster, Node};
+use filberthead_testing::proxy::Flow;
 use filberthead_testing::standin::{Fault, ObservedRequest, Rule, Stage, When};
 use filberthead_testing::{eventually, wait_until};
 use serde::Deserialize;
@@ -20,6 +21,8 @@
 const REQUEST_INTERVAL: Duration = Duration::from_millis(5);
 /// Time in which endpoints have moved to an entry that has started.
 const OWNERSHIP_CHANGE: Duration = Duration::from_secs(6);
+/// Delay of the notices of a planned stop.
+const NOTICE_DELAY: Duration = Duration::from_secs(2);
 /// Primary of the homes in most tests; its backup is [`BACKUP`].
 const PRIMARY: &str = "entry-zagreb-a-1";
 const BACKUP: &str = "entry-zagreb-a-2";
@@ -253,6 +256,50 @@
     assert_eq!(site.executions(&cached), 1);
 }
 
+/// The notice of a planned stop, or the first report of the successor, arrives late. Every
+/// resend must get the stored answer meanwhile.
+fn stop_with_late_link(from: &str, to: &str) {
+    let mut site = Site::start();
+    let key = site.key(PRIMARY, "a");
+    let first = site.send(PRIMARY, &key);
+    assert_eq!(first.result(), Some(1000), "{}", first.text());
+    let late = Flow::Delay(NOTICE_DELAY);
+    site.cluster.network.set(from, to, late);
+    let status = site.cluster.entry(PRIMARY).stop();
+    assert!(status.success(), "{status:?}");
+    let stopped_at = Instant::now();
+    while stopped_at.elapsed() < OWNERSHIP_CHANGE {
+        let resent = site.send(REMOTE, &key);
+        assert_eq!(resent.result(), REPLAYED, "{}", resent.text());
+        assert_eq!(resent.body, first.body);
+    }
+    assert_eq!(site.executions(&key), 1);
+}
+
+/// Control learns late that the successor reports for the failure domain.
+#[test]
+fn a_planned_stop_hands_the_home_over_when_its_successor_reports_late() {
+    stop_with_late_link(BACKUP, "control-1");
+}
+
+/// The successor learns late that its relay has stopped, and control in time.
+#[test]
+fn a_planned_stop_hands_the_home_over_when_its_successor_is_told_late() {
+    stop_with_late_link(PRIMARY, BACKUP);
+}
+
+/// Control learns late that an entry has stopped, and the successor in time.
+#[test]
+fn a_planned_stop_hands_the_home_over_when_control_is_told_late() {
+    stop_with_late_link(PRIMARY, "control-1");
+}
+
+/// An entry of another failure domain learns late that the home has moved.
+#[test]
+fn a_planned_stop_hands_the_home_over_when_other_domains_are_told_late() {
+    stop_with_late_link("control-1", REMOTE);
+}
+
 /// A failure domain is partitioned from all others and from control. Orders sent to it
 /// still run there. The same order sent to another domain is refused as "may-have-run",
 /// not "not-run".
