Keep members listed when the one that they report through stops

Evidence: directory::an_entry_stays_listed_when_the_one_it_reports_through_stops failed before (split-1-a lists zagreb-1-a and zagreb-1-d without zagreb-1-c) where the member's first report to control is late by 2 s; without that delay it passed before too.

Fix: the relay counts them as live for as long as a silent member counts as live (3 s), as it does after a change of relay. The three places that did so share one function.

--- a/crates/spread/src/node/domain.rs
+++ b/crates/spread/src/node/domain.rs
@@ -85,6 +85,14 @@
         }
     }
 
+    /// Counts a member as live for as long as a silent one counts as live, from now on or from
+    /// when that began.
+    fn assume_live(&mut self, now: Moment, member: &MemberInfo) {
+        self.assumed_live
+            .entry(member.name.clone())
+            .or_insert_with(|| (member.clone(), now));
+    }
+
     fn schedule_announcement(&mut self, now: Moment) {
         let due = now.max(self.announced + ROSTER_PAUSE);
         self.announce_due.get_or_insert(due);
@@ -212,11 +220,7 @@
             let upstream = self.domain.upstreams.get(&member.name);
             let is_lost = upstream.is_some_and(|upstream| self.is_silent(now, upstream));
             if member.name != self.local.name && !is_lost {
-                let assumed = (member.clone(), now);
-                self.domain
-                    .assumed_live
-                    .entry(member.name)
-                    .or_insert(assumed);
+                self.domain.assume_live(now, &member);
             }
         }
         self.rebuild_reported_roster(now);
@@ -227,11 +231,7 @@
     pub(super) fn assume_live_at_start(&mut self, now: Moment, member: &MemberInfo) {
         let starting = now < self.proof.started_at() + self.cfg.member_timeout;
         if starting && member.name != self.local.name {
-            let assumed = (member.clone(), now);
-            self.domain
-                .assumed_live
-                .entry(member.name.clone())
-                .or_insert(assumed);
+            self.domain.assume_live(now, member);
             self.rebuild_reported_roster(now);
         }
     }
@@ -303,7 +303,12 @@
             member.name == from.name && member.incarnation == from.incarnation
         };
         let domain = &mut self.domain;
-        domain.reports.remove(from);
+        let reported = domain.reports.remove(from);
+        // Members that reported through the sender need a moment to find another way.
+        let reported = reported.iter().flat_map(|last| last.roster.members());
+        for member in reported.filter(|member| member.name != self.local.name) {
+            domain.assume_live(now, member);
+        }
         domain
             .assumed_live
             .retain(|_, (member, _)| !is_sender(member));
--- a/crates/spread/tests/all/directory.rs
+++ b/crates/spread/tests/all/directory.rs
@@ -153,6 +153,40 @@
     }
 }
 
+/// An entry whose link to its relay is cut reports through another one, which stops as
+/// planned. It must stay listed elsewhere until it has found another way to report.
+#[test]
+fn an_entry_stays_listed_when_the_one_it_reports_through_stops() {
+    let mut network = settled();
+    network.cut_one_way("zagreb-1-c", "zagreb-1-a");
+    network.run(Duration::from_secs(15));
+    assert!(all_list(&network, &SIX));
+    network.step_entry("zagreb-1-b", node::Event::Leave);
+    network.run(Duration::from_secs(3));
+    let leader = network.controls[0].addr;
+    let late = network.entry("zagreb-1-c").member.peer_addr;
+    network.filter = Some(Box::new(move |packet| {
+        packet.from != late || packet.to != leader
+    }));
+    network.step_entry("zagreb-1-b", node::Event::Stop);
+    network.kill_keeping_packets("zagreb-1-b");
+    let remaining = without("zagreb-1-b");
+    let found_at = network.now + Duration::from_secs(2);
+    for _ in 0..400 {
+        if network.now >= found_at {
+            network.filter = None;
+        }
+        network.tick();
+        for name in ["split-1-a", "split-1-b"] {
+            let listed_names = network.entry(name).listed_names();
+            assert!(
+                remaining.iter().all(|name| listed_names.contains(name)),
+                "{name}: {listed_names:?}"
+            );
+        }
+    }
+}
+
 /// The leader dies, and an entry begins a planned stop just after another replica has become
 /// the leader. The new leader has received no reports; it must announce itself, or the entry
 /// stays in look-ups until each relay detects the failure.
