Commands that add, replace and revoke a workspace's key

Operators could change a key only by editing and sending a whole configuration by hand. `filberthead key add|replace|revoke WORKSPACE` sends the newest configuration with one key changed, under the next version; keys are read from files and never printed.

A configuration whose version isn't the highest is acknowledged without effect, so two operators who edit at the same moment could lose a change and be told 200. The client reads the newest configuration again after each attempt and repeats the change until it is there (keys::changes_of_several_operators_are_all_kept: six at once through three replicas). `replace` puts both keys in force for an overlap (keys::a_key_is_replaced_without_a_gap).

--- a/src/cli/args.rs
+++ b/src/cli/args.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::ffi::OsString;
 use std::fmt::Display;
+use std::net::SocketAddr;
 use std::str::FromStr;
 
 use lexopt::{Arg, ValueExt};
@@ -21,11 +22,15 @@
     "before",
     "change-id",
     "control",
+    "key-file",
     "last",
     "limit",
     "note",
     "objective",
+    "old-key-file",
+    "orders",
     "out",
+    "overlap",
     "rebase",
     "revision",
     "services",
@@ -141,6 +146,30 @@
     }
 }
 
+/// Removes an option with addresses, separated by commas or in several options, which may come
+/// from an environment variable instead. `missing` is the error if there are none.
+pub(super) fn addrs(
+    args: &mut Args,
+    option: &str,
+    variable: &str,
+    missing: &str,
+) -> Result<Vec<SocketAddr>> {
+    let mut given = args.option_values(option);
+    if given.is_empty() {
+        given.extend(std::env::var(variable).ok());
+    }
+    let words = given.iter().flat_map(|list| list.split(','));
+    let words: Vec<_> = words.map(str::trim).filter(|w| !w.is_empty()).collect();
+    if words.is_empty() {
+        return Err(CliError::usage(missing));
+    }
+    let parse = |word: &str| {
+        word.parse()
+            .map_err(|e| CliError::usage(format!("--{option}: `{word}`: {e}; give IP:PORT")))
+    };
+    words.into_iter().map(parse).collect()
+}
+
 fn usage(e: lexopt::Error) -> CliError {
     CliError::usage(e.to_string())
 }
--- a/src/cli/error.rs
+++ b/src/cli/error.rs
@@ -2,6 +2,7 @@
 
 use std::process::ExitCode;
 
+use filberthead_adapter::client::OrdersError;
 use filberthead_operator::{Answer, ClientError, ConflictBody};
 use filberthead_table::CsvError;
 use filberthead_types::{ChangeId, ResultCode};
@@ -48,6 +49,8 @@
         id: Option<ChangeId>,
         error: ClientError,
     },
+    /// A call about routes failed.
+    Orders(OrdersError),
     /// A local operation failed, such as writing a file.
     Fault(String),
 }
@@ -69,6 +72,11 @@
         match self {
             Self::Usage(_) | Self::Csv { .. } | Self::Fault(_) => Exit::Usage,
             Self::Refused(_) => Exit::Refused,
+            Self::Orders(error) => match error {
+                OrdersError::Change { .. } | OrdersError::Refused { .. } => Exit::Refused,
+                OrdersError::Unreachable => Exit::Unreachable,
+                OrdersError::OutcomeUnknown => Exit::Unknown,
+            },
             Self::Client { error, .. } => match error {
                 ClientError::OutcomeUnknown { .. } => Exit::Unknown,
                 ClientError::Unreachable { .. } => Exit::Unreachable,
@@ -92,6 +100,7 @@
                 lines.join("\n")
             }
             Self::Refused(answer) => describe_refusal(answer),
+            Self::Orders(error) => error.to_string(),
             Self::Client { id, error } => match (id, error) {
                 (Some(id), ClientError::OutcomeUnknown { last }) => format!(
                     "the outcome is not known ({last})\n\
@@ -181,7 +190,7 @@
             let faults: Vec<_> = error.faults.iter().map(fault).collect();
             json!({ "exit": exit as u8, "message": error.to_string(), "faults": faults })
         }
-        CliError::Usage(_) | CliError::Fault(_) => {
+        CliError::Usage(_) | CliError::Fault(_) | CliError::Orders(_) => {
             json!({ "exit": exit as u8, "message": error.message() })
         }
     };
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -6,7 +6,7 @@
 
 /// All commands; the closest one is suggested for an unknown command.
 pub(super) const COMMANDS: &[&str] = &[
-    "check", "control", "explain", "help", "report", "status", "table", "token",
+    "check", "control", "explain", "help", "key", "report", "status", "table", "token",
 ];
 
 const GENERAL: &str = "\
@@ -21,6 +21,7 @@
   explain ID [FILE...]
                      what logs of any processes tell of a request, from files or standard
                      input, in the order of time
+  key ...            the keys of workspaces; see `filberthead help key`
   token new NAME ROLE [--services A,B]
                      generate a bearer token: role read, propose or accept
 
@@ -82,11 +83,29 @@
                        may be run again if it breaks off
 ";
 
+const KEY: &str = "\
+usage: filberthead key ... WORKSPACE --key-file FILE
+
+  add                  let callers use this key, besides those that they have
+  replace --old-key-file FILE [--overlap SECONDS]
+                       let callers use both keys for some time (default 300), then revoke
+                       the old one; may be run again if it breaks off
+  revoke               end this key for new requests and those that wait
+
+A key is read from its file, or from standard input if FILE is `-`. Each command sends the newest
+configuration with this change, under the next version.
+
+  --orders IP:PORT     where a control replica takes routes; several by commas or again
+                       (else FILBERTHEAD_ORDERS)
+  --timeout SECONDS    longest time for all attempts of a change (default 20)
+";
+
 pub(super) fn run(args: &mut Args) -> Result<Exit> {
     let page = match args.optional_positional().as_deref() {
         None | Some("help" | "status" | "report" | "check" | "explain" | "token") => GENERAL,
         Some("table") => TABLE,
         Some("control") => CONTROL,
+        Some("key") => KEY,
         Some(other) => return Err(args::unknown_name("command", other, COMMANDS)),
     };
     text::print(page);
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -10,6 +10,7 @@
 mod error;
 mod explain;
 mod help;
+mod key;
 mod report;
 mod session;
 mod status;
@@ -53,6 +54,7 @@
         "help" => help::run(&mut args),
         "check" => check::run(args, json),
         "explain" => explain::run(args, json),
+        "key" => key::run(args, json),
         "token" => token::run(args, json),
         "report" => report(args, json),
         command @ ("table" | "status" | "control") => remote(command, args, json),
--- a/src/cli/session.rs
+++ b/src/cli/session.rs
@@ -10,7 +10,7 @@
 use serde::de::DeserializeOwned;
 use tokio::time;
 
-use super::args::Args;
+use super::args::{self, Args};
 use super::error::{CliError, Exit, Result};
 use super::text;
 
@@ -276,21 +276,8 @@
 }
 
 fn control_addrs(args: &mut Args) -> Result<Vec<SocketAddr>> {
-    let mut given = args.option_values("control");
-    if given.is_empty() {
-        given.extend(std::env::var(CONTROL_ENV).ok());
-    }
-    let words = given.iter().flat_map(|list| list.split(','));
-    let words: Vec<_> = words.map(str::trim).filter(|w| !w.is_empty()).collect();
-    if words.is_empty() {
-        let message = format!("name control replicas by --control IP:PORT or {CONTROL_ENV}");
-        return Err(CliError::usage(message));
-    }
-    let parse = |word: &str| {
-        word.parse()
-            .map_err(|e| CliError::usage(format!("--control: `{word}`: {e}; give IP:PORT")))
-    };
-    words.into_iter().map(parse).collect()
+    let missing = format!("name control replicas by --control IP:PORT or {CONTROL_ENV}");
+    args::addrs(args, "control", CONTROL_ENV, &missing)
 }
 
 /// Reads the bearer token from a file: on the command line every user of the VM could see it.
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod groups;
 mod homes;
 mod journals;
+mod keys;
 mod large_routes;
 mod measures;
 mod operators;
