Show workspaces, the use of their allotments and refusals by code

Operators could see none of it but in log lines. `filberthead workspaces [NAME]` prints them.

A gateway's metric by workspace and code is bounded to 256 workspaces; the bound of pairs of service and region and this one share one type.

--- a/crates/allot/src/lib.rs
+++ b/crates/allot/src/lib.rs
@@ -26,8 +26,10 @@
 mod limiter;
 mod pool;
 mod rate;
+mod refusals;
 mod usage;
 
 pub use limiter::{Admission, Contact, Limiter, LimiterConfig};
-pub use pool::{Pool, Presence};
+pub use pool::{Pool, Presence, WorkspaceTotals, sum_up};
+pub use refusals::{RefusalMeter, RefusedRate};
 pub use usage::{AdmitRatio, Usage};
--- a/crates/allot/src/pool.rs
+++ b/crates/allot/src/pool.rs
@@ -32,14 +32,14 @@
 }
 
 /// Sums of a workspace's requests over all gateways, in requests per second.
-#[derive(Clone, Copy, Debug, Default)]
-struct Sums {
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct WorkspaceTotals {
     /// Arriving at live gateways.
-    offered: f64,
+    pub offered: f64,
     /// Sent by live gateways.
-    sent: f64,
+    pub sent: f64,
     /// Reserved by silent gateways.
-    reserved: f64,
+    pub reserved: f64,
 }
 
 /// Requests that a workspace may still send at once; negative if it has sent too many.
@@ -92,10 +92,11 @@
     }
 }
 
-fn sum_up<'a>(
+/// The totals of each workspace by the last report of each gateway.
+pub fn sum_up<'a>(
     usage: impl IntoIterator<Item = (Presence, &'a Usage)>,
-) -> BTreeMap<&'a Workspace, Sums> {
-    let mut all: BTreeMap<&Workspace, Sums> = BTreeMap::new();
+) -> BTreeMap<&'a Workspace, WorkspaceTotals> {
+    let mut all: BTreeMap<&Workspace, WorkspaceTotals> = BTreeMap::new();
     for (presence, usage) in usage {
         let sums = all.entry(&usage.workspace).or_default();
         match presence {
@@ -109,7 +110,7 @@
     all
 }
 
-impl Sums {
+impl WorkspaceTotals {
     /// Requests that arrive per second, less what may be chance: a few requests that happen to
     /// arrive together are no reason to reject any. What is sent too many lowers the balance.
     fn steady_offered(&self) -> f64 {
@@ -119,7 +120,7 @@
 }
 
 impl Balance {
-    fn advance(&mut self, step: f64, allotment: &Allotment, sums: &Sums) {
+    fn advance(&mut self, step: f64, allotment: &Allotment, sums: &WorkspaceTotals) {
         let earned = step * (allotment.rate - sums.sent - sums.reserved);
         let debt = allotment.rate * MAX_DEBT.as_secs_f64();
         self.0 = (self.0 + earned).clamp(-debt, allotment.burst);
@@ -131,7 +132,7 @@
         &self,
         workspace: &Workspace,
         allotment: &Allotment,
-        sums: &Sums,
+        sums: &WorkspaceTotals,
     ) -> Option<AdmitRatio> {
         let extra = self.0 / RECOVERY.as_secs_f64();
         let allowed = (allotment.rate - sums.reserved + extra).max(0.0);
--- a/crates/allot/tests/allotment.rs
+++ b/crates/allot/tests/allotment.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use filberthead_allot::{
-    Admission, AdmitRatio, Contact, Limiter, LimiterConfig, Pool, Presence, Usage,
+    Admission, AdmitRatio, Contact, Limiter, LimiterConfig, Pool, Presence, RefusalMeter, Usage,
 };
 use filberthead_route::{Allotment, Workspace};
-use filberthead_types::{Moment, Workspace as WorkspaceName};
+use filberthead_types::{Moment, ResultCode, Workspace as WorkspaceName};
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -344,3 +344,26 @@
     });
     assert!(waits.into_iter().all(|wait| !wait.is_zero()));
 }
+
+/// Refusals are averaged by code, and forgotten once they have ended.
+#[test]
+fn refusals_are_reported_by_code_until_they_end() {
+    let mut meter = RefusalMeter::default();
+    let step = Duration::from_millis(100);
+    let mut now = Moment::from_secs(1000);
+    for number in 0..600 {
+        now += step;
+        meter.record(now, &name(), ResultCode::AllotmentUsed);
+        if number % 10 == 0 {
+            meter.record(now, &name(), ResultCode::NoEndpoint);
+        }
+    }
+    let report = meter.report(now);
+    let rate = |code| {
+        let refused = report.iter().find(|refused| refused.code == code);
+        refused.expect("reported").refused_milli
+    };
+    assert!((9_000..11_000).contains(&rate(ResultCode::AllotmentUsed)));
+    assert!((800..1_200).contains(&rate(ResultCode::NoEndpoint)));
+    assert!(meter.report(now + Duration::from_secs(60)).is_empty());
+}
--- a/crates/filberthead/src/control/admin.rs
+++ b/crates/filberthead/src/control/admin.rs
@@ -8,7 +8,7 @@
 use filberthead_observe::ControlMetrics;
 use filberthead_operator::{
     Administration, AdministrationError, BoxFuture, MembershipChange, RowReading, Server, Status,
-    TokenSource,
+    TokenSource, WorkspacesBody,
 };
 use filberthead_ring::Sender;
 use filberthead_settings::{ControlSettings, ReviewPolicy};
@@ -144,6 +144,14 @@
         })
     }
 
+    fn workspaces(&self) -> BoxFuture<'_, Result<WorkspacesBody, AdministrationError>> {
+        Box::pin(async {
+            let (reply, rx) = oneshot::channel();
+            self.push(AdminRequest::Workspaces { reply })?;
+            rx.await.map_err(|_| unavailable("the process is stopping"))
+        })
+    }
+
     fn readings(&self) -> BoxFuture<'_, Vec<RowReading>> {
         Box::pin(async {
             // Without a status there are no readings; the caller then treats the change as
--- a/crates/filberthead/src/control/core.rs
+++ b/crates/filberthead/src/control/core.rs
@@ -275,6 +275,9 @@
                 // The operator may have disconnected; then nothing needs the reply.
                 let _ = reply.send(self.status());
             }
+            AdminRequest::Workspaces { reply } => {
+                let _ = reply.send(self.workspaces());
+            }
             AdminRequest::Members { proposal, reply } => {
                 let token = self.add_pending(Pending::Members(reply));
                 self.step(Event::Propose { token, proposal }).await;
--- a/crates/filberthead/src/control/input.rs
+++ b/crates/filberthead/src/control/input.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use filberthead_consensus::{Durable, Members, Persist, Proposal, ProposeError};
-use filberthead_operator::Status;
+use filberthead_operator::{Status, WorkspacesBody};
 use filberthead_peer::{Body, Deliver, Origin};
 use filberthead_ring::{Receiver, Sender, ring};
 use filberthead_table::{Command, Outcome, Table};
@@ -78,6 +78,11 @@
         /// Receives the state.
         reply: oneshot::Sender<Status>,
     },
+    /// Return the workspaces and their requests as known to this replica; needs no lease.
+    Workspaces {
+        /// Receives them.
+        reply: oneshot::Sender<WorkspacesBody>,
+    },
     /// Change the membership.
     Members {
         /// The change.
--- a/crates/filberthead/src/control/status.rs
+++ b/crates/filberthead/src/control/status.rs
@@ -3,7 +3,11 @@
 use std::net::SocketAddr;
 
 use filberthead_consensus::{self as consensus, Role};
-use filberthead_operator::{ReplicaRole, ReplicaStatus, Status};
+use filberthead_fleet::WorkspaceUsage;
+use filberthead_operator::{
+    AllotmentStatus, RefusedStatus, ReplicaRole, ReplicaStatus, Status, WorkspaceStatus,
+    WorkspacesBody,
+};
 use filberthead_types::ReplicaId;
 
 use super::core::Core;
@@ -31,6 +35,13 @@
         }
     }
 
+    pub(super) fn workspaces(&self) -> WorkspacesBody {
+        let workspaces = self.fleet.registry.workspaces(self.clock.now());
+        WorkspacesBody {
+            workspaces: workspaces.into_iter().map(workspace_status).collect(),
+        }
+    }
+
     fn replicas(&self, replica: &consensus::Status) -> Vec<ReplicaStatus> {
         let voters = replica.members.voters.iter().map(|id| (*id, true));
         let learners = replica.members.learners.iter().map(|id| (*id, false));
@@ -71,6 +82,32 @@
     }
 }
 
+fn workspace_status(usage: WorkspaceUsage) -> WorkspaceStatus {
+    let workspace = &usage.workspace;
+    let allotment = workspace.allotment.map(|allotment| AllotmentStatus {
+        rate: allotment.rate,
+        burst: allotment.burst,
+        offered: usage.totals.offered,
+        sent: usage.totals.sent,
+        reserved: usage.totals.reserved,
+        admitted: usage.ratio,
+    });
+    let refused = usage.refused.iter();
+    WorkspaceStatus {
+        name: workspace.name.clone(),
+        keys: workspace.keys.len(),
+        regions: workspace.regions.clone(),
+        priority: workspace.priority,
+        allotment,
+        refused: refused
+            .map(|(code, rate)| RefusedStatus {
+                code: *code,
+                rate: *rate,
+            })
+            .collect(),
+    }
+}
+
 fn role(replica: &consensus::Status) -> ReplicaRole {
     if replica.members.voters.is_empty() {
         return ReplicaRole::Uninitialised;
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use filberthead_allot::{Admission, Contact, Limiter};
+use filberthead_allot::{Admission, Contact, Limiter, RefusalMeter};
 use filberthead_endpoint::Client;
 use filberthead_fleet::{Load, Member, Outbound, Stamp, Update, UpdateDelay};
 use filberthead_observe::{GatewayMetrics, LogRateLimiter};
@@ -17,7 +17,7 @@
 use filberthead_place::{ConnectionBalancer, LargeResponseAdmission, Link, Placer};
 use filberthead_ring::Sender;
 use filberthead_route::{CallerBounds, KeyIndex, Matcher, Table};
-use filberthead_types::{Moment, ResultCode, Workspace};
+use filberthead_types::{Meaning, Moment, ResultCode, Workspace};
 use log::{Level, debug, info, log_enabled, warn};
 use tokio::sync::watch;
 
@@ -109,6 +109,8 @@
     pub(crate) placer: RefCell<Placer>,
     /// Keeps workspaces within their allotments.
     limiter: RefCell<Limiter>,
+    /// Refused requests by workspace, for the report to control.
+    refusals: RefCell<RefusalMeter>,
     pub(crate) metrics: Arc<GatewayMetrics>,
     /// Model of the VM's uplink, if its rate is configured.
     link: Option<RefCell<Link>>,
@@ -159,6 +161,7 @@
             client: Client::with_connect_timeout(CONNECT_TIMEOUT),
             placer: RefCell::new(parts.placer),
             limiter: RefCell::new(parts.limiter),
+            refusals: RefCell::default(),
             metrics: parts.metrics,
             link: parts.link.map(RefCell::new),
             large_admission: parts.large_admission.map(RefCell::new),
@@ -274,6 +277,15 @@
         self.limiter.borrow_mut().refund(self.now(), workspace);
     }
 
+    /// Counts the final answer to a request of a workspace.
+    pub(crate) fn record_answer(&self, workspace: &Workspace, code: ResultCode) {
+        self.metrics.record_workspace_request(workspace, code);
+        if code.meaning() == Meaning::NotRun {
+            let now = self.now();
+            self.refusals.borrow_mut().record(now, workspace, code);
+        }
+    }
+
     /// Age of the proof that the active routes are the newest, counted from when it was
     /// requested; `None` without a proof.
     pub(crate) fn proof_age(&self) -> Option<Duration> {
@@ -458,6 +470,7 @@
             Load {
                 demand: placer.take_demand(now),
                 usage: self.limiter.borrow_mut().usage(now),
+                refused: self.refusals.borrow_mut().report(now),
                 link_milli: self.link_milli(now),
             }
         });
--- a/crates/filberthead/src/gateway/forward.rs
+++ b/crates/filberthead/src/gateway/forward.rs
@@ -126,8 +126,12 @@
         failed_response: None,
     };
     let response = forwarding.run(body).await;
+    let code = result_code(&response);
     core.metrics
-        .record_request(Some(kind), result_code(&response), started.elapsed());
+        .record_request(Some(kind), code, started.elapsed());
+    if let Some(workspace) = caller.workspace() {
+        core.record_answer(workspace, code);
+    }
     response
 }
 
--- a/crates/fleet/src/api.rs
+++ b/crates/fleet/src/api.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use filberthead_allot::{AdmitRatio, Usage};
+use filberthead_allot::{AdmitRatio, RefusedRate, Usage};
 use filberthead_route::{Change, Delta, Table};
 use filberthead_types::{FailureDomain, Incarnation, NodeName, Region, ServiceName};
 use serde::{Deserialize, Serialize};
@@ -194,6 +194,8 @@
     pub demand: Vec<Demand>,
     /// Requests of each workspace with an allotment.
     pub usage: Vec<Usage>,
+    /// Requests of workspaces that it has refused lately.
+    pub refused: Vec<RefusedRate>,
     /// Utilisation of its network link in thousandths.
     pub link_milli: u32,
     /// Identifies the report in the notice and the proof that answer it.
@@ -212,6 +214,8 @@
     pub demand: Vec<Demand>,
     /// Requests of each workspace with an allotment.
     pub usage: Vec<Usage>,
+    /// Requests of workspaces that it has refused lately.
+    pub refused: Vec<RefusedRate>,
     /// Utilisation of its network link in thousandths.
     pub link_milli: u32,
     /// Age of the report at the moment of relaying.
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use filberthead_allot::{AdmitRatio, Usage};
+use filberthead_allot::{AdmitRatio, RefusedRate, Usage};
 use filberthead_route::{Delta, Table};
 use filberthead_types::{FailureDomain, Moment, Region, ServiceName};
 
@@ -89,6 +89,8 @@
     pub demand: Vec<Demand>,
     /// Requests of each workspace with an allotment.
     pub usage: Vec<Usage>,
+    /// Requests of workspaces that it has refused lately.
+    pub refused: Vec<RefusedRate>,
     /// Utilisation of its network link in thousandths.
     pub link_milli: u32,
 }
@@ -249,6 +251,7 @@
         let Load {
             demand,
             usage,
+            refused,
             link_milli,
         } = load();
         let id = self.new_report_id(now);
@@ -258,6 +261,7 @@
             revisions: self.revisions,
             demand,
             usage,
+            refused,
             link_milli,
             id,
         });
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -1,14 +1,16 @@
 //! The control side: tracks the gateways and sends them the updates that they need.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use filberthead_allot::{AdmitRatio, Presence, Usage};
-use filberthead_route::Table;
-use filberthead_types::{FailureDomain, Moment, NodeName, Region, ServiceName};
+use filberthead_allot::{AdmitRatio, Presence, RefusedRate, Usage, WorkspaceTotals, sum_up};
+use filberthead_route::{Table, Workspace};
+use filberthead_types::{
+    FailureDomain, Moment, NodeName, Region, ResultCode, ServiceName, Workspace as WorkspaceName,
+};
 
 use crate::allotments::Allotments;
 use crate::list::{EndpointList, ListOutcome};
@@ -52,6 +54,7 @@
     last_seen: Moment,
     demand: Vec<Demand>,
     usage: Vec<Usage>,
+    refused: Vec<RefusedRate>,
     link_milli: u32,
 }
 
@@ -64,6 +67,19 @@
     pub report_id: u64,
 }
 
+/// A workspace, and its requests over all gateways.
+#[derive(Clone, Debug)]
+pub struct WorkspaceUsage {
+    /// The workspace.
+    pub workspace: Arc<Workspace>,
+    /// Its requests by the gateways' last reports; zero if it has no allotment.
+    pub totals: WorkspaceTotals,
+    /// The part of its requests that gateways may send, from 0 to 1.
+    pub ratio: f64,
+    /// Its refused requests per second over the last seconds, by code.
+    pub refused: Vec<(ResultCode, f64)>,
+}
+
 /// Totals over all gateways, as sent in notices.
 #[derive(Clone, Debug)]
 struct Totals {
@@ -246,6 +262,7 @@
             last_seen: now,
             demand: report.demand,
             usage: report.usage,
+            refused: report.refused,
             link_milli: report.link_milli,
         };
         let domain = gateway.info.domain.clone();
@@ -281,6 +298,7 @@
                 last_seen,
                 demand: relayed.demand,
                 usage: relayed.usage,
+                refused: relayed.refused,
                 link_milli: relayed.link_milli,
             });
         }
@@ -300,6 +318,7 @@
             ready: gateway.ready,
             demand: gateway.demand.clone(),
             usage: gateway.usage.clone(),
+            refused: gateway.refused.clone(),
             link_milli: gateway.link_milli,
             age: now.saturating_sub(gateway.last_seen),
         };
@@ -460,15 +479,57 @@
 
     /// The part of its requests that may be sent, for each workspace near its allotment.
     fn ratios(&self, now: Moment) -> Vec<AdmitRatio> {
-        let gateways = self.gateways.values();
-        let usage = gateways.flat_map(|gateway| {
+        self.allotments.borrow_mut().ratios(now, self.usage(now))
+    }
+
+    /// The last reported usage of each gateway.
+    fn usage(&self, now: Moment) -> impl Iterator<Item = (Presence, &Usage)> {
+        self.gateways.values().flat_map(move |gateway| {
             let presence = match gateway.is_live(now) {
                 true => Presence::Live,
                 false => Presence::Silent,
             };
             gateway.usage.iter().map(move |usage| (presence, usage))
-        });
-        self.allotments.borrow_mut().ratios(now, usage)
+        })
+    }
+
+    /// The workspaces of the routes in force, with their requests by the gateways' last reports.
+    pub fn workspaces(&self, now: Moment) -> Vec<WorkspaceUsage> {
+        let Some(table) = self.routes.table() else {
+            return Vec::new();
+        };
+        let totals = sum_up(self.usage(now));
+        let ratios = self.ratios(now);
+        let ratios: HashMap<_, _> = ratios.iter().map(|r| (&r.workspace, r.ratio())).collect();
+        let refused = self.refused(now);
+        let usage = |workspace: &Arc<Workspace>| {
+            let name = &workspace.name;
+            WorkspaceUsage {
+                totals: totals.get(name).copied().unwrap_or_default(),
+                ratio: ratios.get(name).copied().unwrap_or(1.0),
+                refused: refused.get(name).cloned().unwrap_or_default(),
+                workspace: Arc::clone(workspace),
+            }
+        };
+        table.workspaces.iter().map(usage).collect()
+    }
+
+    /// Refused requests per second of each workspace, by code.
+    fn refused(&self, now: Moment) -> HashMap<&WorkspaceName, Vec<(ResultCode, f64)>> {
+        let live = self
+            .gateways
+            .values()
+            .filter(|gateway| gateway.is_live(now));
+        let mut sums: HashMap<&WorkspaceName, Vec<(ResultCode, f64)>> = HashMap::new();
+        for refused in live.flat_map(|gateway| &gateway.refused) {
+            let per_s = f64::from(refused.refused_milli) / 1000.0;
+            let codes = sums.entry(&refused.workspace).or_default();
+            match codes.iter_mut().find(|(code, _)| *code == refused.code) {
+                Some((_, sum)) => *sum += per_s,
+                None => codes.push((refused.code, per_s)),
+            }
+        }
+        sums
     }
 
     /// Number of gateways by failure domain. Lately silent ones are included: they may be cut
--- a/crates/fleet/tests/all/allotments.rs
+++ b/crates/fleet/tests/all/allotments.rs
@@ -2,10 +2,10 @@
 
 use std::sync::Arc;
 
-use filberthead_allot::{AdmitRatio, Usage};
+use filberthead_allot::{AdmitRatio, RefusedRate, Usage};
 use filberthead_fleet::{Load, Member, Registry, Update};
 use filberthead_route::{Allotment, Table, Workspace};
-use filberthead_types::Moment;
+use filberthead_types::{Moment, ResultCode};
 
 use crate::support::{CONTROL, GATEWAY, addr, exchange, exchange_with, gateway, ms};
 
@@ -84,3 +84,29 @@
     exchange_with(ms(7000), &mut member, &mut registry, false);
     assert!(!member.has_current_totals(ms(7010)));
 }
+
+/// Operators see what arrives, what is sent and what is refused, until the gateway is silent.
+#[test]
+fn a_replica_shows_the_use_of_an_allotment() {
+    let (mut member, mut registry) = (gateway(), Registry::default());
+    let start = Moment::from_secs(1000);
+    registry.set_routes(start, 1, 1, limited_table());
+    let load = || Load {
+        usage: vec![usage(4)],
+        refused: vec![RefusedRate {
+            workspace: "alpha".parse().expect("a name"),
+            code: ResultCode::AllotmentUsed,
+            refused_milli: 1500,
+        }],
+        ..Load::default()
+    };
+    let message = member.tick(start, load).pop().expect("a report").1;
+    registry.receive(start, addr(GATEWAY), message, true);
+    let shown = registry.workspaces(start).pop().expect("a workspace");
+    assert_eq!(shown.workspace.name.as_str(), "alpha");
+    assert_eq!((shown.totals.offered, shown.totals.sent), (4.0, 4.0));
+    assert_eq!(shown.refused, [(ResultCode::AllotmentUsed, 1.5)]);
+    let later = registry.workspaces(start + ms(5000)).pop().expect("it");
+    assert_eq!((later.totals.sent, later.totals.reserved), (0.0, 4.0));
+    assert!(later.refused.is_empty());
+}
--- a/crates/observe/src/metrics/gateway.rs
+++ b/crates/observe/src/metrics/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use filberthead_types::ResultCode;
+use filberthead_types::{ResultCode, Workspace};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -10,7 +10,7 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 
-use super::labels::{KindLabels, ReasonLabels};
+use super::labels::{BoundedValues, KindLabels, ReasonLabels, other};
 use super::{PeerMetrics, encoded, observe, registry, set, wait_histogram};
 
 /// `kind` label of requests that were answered before a route was found.
@@ -25,12 +25,26 @@
     result: &'static str,
 }
 
+/// Labels of finished requests of a workspace.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct WorkspaceLabels {
+    workspace: String,
+    code: u16,
+    result: &'static str,
+}
+
+/// Workspaces that get series of their own; all others share one.
+const MAX_WORKSPACES: usize = 256;
+
 /// Metrics of a gateway, shared by its duties.
 #[derive(Debug)]
 pub struct GatewayMetrics {
     registry: Registry,
     requests: Family<OutcomeLabels, Counter>,
     durations: Family<KindLabels, Histogram, fn() -> Histogram>,
+    workspace_requests: Family<WorkspaceLabels, Counter>,
+    workspaces: BoundedValues<String>,
     attempts: Family<ReasonLabels, Counter>,
     running: Gauge,
     routes_version: Gauge,
@@ -53,6 +67,8 @@
             registry: Registry::default(),
             requests: Family::default(),
             durations: Family::new_with_constructor(wait_histogram),
+            workspace_requests: Family::default(),
+            workspaces: BoundedValues::new(MAX_WORKSPACES),
             attempts: Family::default(),
             running: Gauge::default(),
             routes_version: Gauge::default(),
@@ -75,6 +91,12 @@
             Unit::Seconds,
             self.durations.clone(),
         );
+        let by_workspace = "Requests by workspace, other beyond the first 256, and result code";
+        registry.register(
+            "gateway_workspace_requests",
+            by_workspace,
+            self.workspace_requests.clone(),
+        );
         let attempts = "Attempts at endpoints by how they ended";
         registry.register("gateway_attempts", attempts, self.attempts.clone());
         let running = "Requests without a final answer";
@@ -107,6 +129,17 @@
         observe(&duration, took);
     }
 
+    /// Counts a request of a workspace that was answered.
+    pub fn record_workspace_request(&self, workspace: &Workspace, code: ResultCode) {
+        let name = workspace.as_str().to_owned();
+        let labels = WorkspaceLabels {
+            workspace: self.workspaces.admit(name).unwrap_or_else(other),
+            code: code.number(),
+            result: code.slug(),
+        };
+        self.workspace_requests.get_or_create_owned(&labels).inc();
+    }
+
     /// Counts an attempt at an endpoint, by its outcome.
     pub fn record_attempt(&self, outcome: &'static str) {
         let labels = ReasonLabels { reason: outcome };
--- a/crates/observe/src/metrics/labels.rs
+++ b/crates/observe/src/metrics/labels.rs
@@ -77,31 +77,56 @@
     pub(super) ring: &'static str,
 }
 
+/// The label value of everything beyond a bound.
+pub(super) fn other() -> String {
+    OTHER.to_owned()
+}
+
 /// Pairs of service and region that have a series, at most `MAX_PAIRS`.
-#[derive(Debug, Default)]
-pub(super) struct BoundedPairs(Mutex<BTreeSet<(String, String)>>);
+#[derive(Debug)]
+pub(super) struct BoundedPairs(BoundedValues<(String, String)>);
+
+impl Default for BoundedPairs {
+    fn default() -> Self {
+        Self(BoundedValues::new(MAX_PAIRS))
+    }
+}
 
 impl BoundedPairs {
     /// The labels of a pair; `other` for both once the bound is reached.
     pub(super) fn labels(&self, service: &ServiceName, region: &Region) -> PairLabels {
         let pair = (service.as_str().to_owned(), region.as_str().to_owned());
-        let (service, region) = match self.admits(&pair) {
-            true => pair,
-            false => (OTHER.to_owned(), OTHER.to_owned()),
-        };
+        let (service, region) = self.0.admit(pair).unwrap_or_else(|| (other(), other()));
         PairLabels { service, region }
     }
+}
 
-    fn admits(&self, pair: &(String, String)) -> bool {
-        // A poisoned lock is fine: a panic can't leave the set half changed.
-        let mut admitted = self.0.lock().unwrap_or_else(|err| err.into_inner());
-        if admitted.contains(pair) {
-            return true;
+/// Label values that have a series: the first ones up to a bound, whatever callers send.
+#[derive(Debug)]
+pub(super) struct BoundedValues<T> {
+    max: usize,
+    admitted: Mutex<BTreeSet<T>>,
+}
+
+impl<T: Clone + Ord> BoundedValues<T> {
+    pub(super) fn new(max: usize) -> Self {
+        Self {
+            max,
+            admitted: Mutex::default(),
         }
-        let has_room = admitted.len() < MAX_PAIRS;
-        if has_room {
-            admitted.insert(pair.clone());
+    }
+
+    /// Returns the value if it has a series, or may have one; `None` beyond the bound.
+    pub(super) fn admit(&self, value: T) -> Option<T> {
+        // A poisoned lock is fine: a panic can't leave the set half changed.
+        let mut admitted = self.admitted.lock().unwrap_or_else(|err| err.into_inner());
+        if admitted.contains(&value) {
+            return Some(value);
         }
-        has_room
+        let has_room = admitted.len() < self.max;
+        has_room.then(|| {
+            admitted.insert(value.clone());
+            value
+        })
     }
 }
--- a/crates/operator/src/administration.rs
+++ b/crates/operator/src/administration.rs
@@ -7,7 +7,7 @@
 
 use filberthead_table::{Command, Outcome, Table};
 use filberthead_types::{
-    Epoch, FailureDomain, NodeName, Region, ReplicaId, ResultCode, ServiceName, Version,
+    Epoch, FailureDomain, NodeName, Region, ReplicaId, ResultCode, ServiceName, Version, Workspace,
 };
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
@@ -101,6 +101,14 @@
     /// Fails if the daemon is stopping.
     fn status(&self) -> BoxFuture<'_, Result<Status, AdministrationError>>;
 
+    /// The workspaces of the routes in force and their requests, as known to this replica. Needs
+    /// no lease.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the daemon is stopping.
+    fn workspaces(&self) -> BoxFuture<'_, Result<WorkspacesBody, AdministrationError>>;
+
     /// The live readings of the rows; rows of which this replica has none are left out.
     fn readings(&self) -> BoxFuture<'_, Vec<RowReading>>;
 
@@ -227,3 +235,59 @@
     /// Age in milliseconds of the oldest report that the figures are from.
     pub age_ms: u64,
 }
+
+/// Answer of `GET /v1/workspaces`: the workspaces of the routes in force at the replica that
+/// answers, in the order of their configuration.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct WorkspacesBody {
+    /// The workspaces.
+    pub workspaces: Vec<WorkspaceStatus>,
+}
+
+/// A workspace, and its requests over all gateways that report. Rates are in requests per second
+/// and about a second old.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct WorkspaceStatus {
+    /// Its name.
+    pub name: Workspace,
+    /// Number of its keys.
+    pub keys: usize,
+    /// The only regions where its requests may run; empty allows all.
+    pub regions: Vec<Region>,
+    /// Priority of its requests, 0 the highest; `None` leaves it to the routes.
+    pub priority: Option<u8>,
+    /// Its allotment and the use of it; `None` if its requests aren't limited.
+    pub allotment: Option<AllotmentStatus>,
+    /// Its refused requests over the last seconds.
+    pub refused: Vec<RefusedStatus>,
+}
+
+/// The allotment of a workspace and its use.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct AllotmentStatus {
+    /// Requests per second that it may send.
+    pub rate: f64,
+    /// Requests that may exceed the rate at once.
+    pub burst: f64,
+    /// Requests per second that arrive.
+    pub offered: f64,
+    /// Requests per second that are sent to endpoints.
+    pub sent: f64,
+    /// Requests per second set aside for gateways that control has lost contact with.
+    pub reserved: f64,
+    /// The part of its requests that gateways send, from 0 to 1.
+    pub admitted: f64,
+}
+
+/// Requests of a workspace that were refused with one code.
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct RefusedStatus {
+    /// The code.
+    pub code: ResultCode,
+    /// Requests per second.
+    pub rate: f64,
+}
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -19,8 +19,8 @@
 mod tokens;
 
 pub use administration::{
-    Administration, AdministrationError, BoxFuture, EntryStatus, MembershipChange, ReplicaRole,
-    ReplicaStatus, RowReading, Status,
+    Administration, AdministrationError, AllotmentStatus, BoxFuture, EntryStatus, MembershipChange,
+    RefusedStatus, ReplicaRole, ReplicaStatus, RowReading, Status, WorkspaceStatus, WorkspacesBody,
 };
 pub use answer::{
     Answer, ConflictBody, DifferenceBody, HandOverBody, HandOverNote, HistoryBody, ProposalBody,
--- a/crates/operator/src/server/queries.rs
+++ b/crates/operator/src/server/queries.rs
@@ -33,6 +33,10 @@
         }
         return Ok(reply::document(ok, &status));
     }
+    if route == Route::Workspaces {
+        let workspaces = with_timeout(shared, shared.administration.workspaces()).await?;
+        return Ok(reply::document(ok, &workspaces));
+    }
     let table = read(shared).await?;
     match route {
         Route::Table => Ok(reply::document(ok, &TableBody::new(&table))),
--- a/crates/operator/src/server/route.rs
+++ b/crates/operator/src/server/route.rs
@@ -20,6 +20,7 @@
 pub(super) enum Route {
     Table,
     Status,
+    Workspaces,
     History,
     Proposals,
     Proposal(ProposalNumber),
@@ -42,6 +43,7 @@
         match self {
             Self::Table
             | Self::Status
+            | Self::Workspaces
             | Self::History
             | Self::Proposals
             | Self::Proposal(_)
@@ -69,6 +71,7 @@
         match parts {
             ["table"] => Some(Self::Table),
             ["status"] => Some(Self::Status),
+            ["workspaces"] => Some(Self::Workspaces),
             ["history"] => Some(Self::History),
             ["proposals"] => Some(Self::Proposals),
             ["proposals", number] => Some(Self::Proposal(parse(number)?)),
--- a/crates/operator/tests/common/mod.rs
+++ b/crates/operator/tests/common/mod.rs
@@ -10,7 +10,7 @@
 
 use filberthead_operator::{
     Administration, AdministrationError, BoxFuture, MembershipChange, ReplicaRole, ReplicaStatus,
-    RowReading, Server, ServerBuilder, Status,
+    RowReading, Server, ServerBuilder, Status, WorkspacesBody,
 };
 use filberthead_table::{Command, Outcome, Table};
 use filberthead_types::{Epoch, ReplicaId, Version};
@@ -133,6 +133,14 @@
         })
     }
 
+    fn workspaces(&self) -> BoxFuture<'_, Result<WorkspacesBody, AdministrationError>> {
+        Box::pin(async move {
+            Ok(WorkspacesBody {
+                workspaces: Vec::new(),
+            })
+        })
+    }
+
     fn readings(&self) -> BoxFuture<'_, Vec<RowReading>> {
         Box::pin(async move { self.readings.lock().unwrap().clone() })
     }
--- a/crates/peer/examples/cost.rs
+++ b/crates/peer/examples/cost.rs
@@ -56,6 +56,7 @@
         revisions: revisions(),
         demand: (0..3).map(demand).collect(),
         usage: Vec::new(),
+        refused: Vec::new(),
         link_milli: 456,
         id: u64::MAX,
     })
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -6,7 +6,16 @@
 
 /// All commands; the closest one is suggested for an unknown command.
 pub(super) const COMMANDS: &[&str] = &[
-    "check", "control", "explain", "help", "key", "report", "status", "table", "token",
+    "check",
+    "control",
+    "explain",
+    "help",
+    "key",
+    "report",
+    "status",
+    "table",
+    "token",
+    "workspaces",
 ];
 
 const GENERAL: &str = "\
@@ -14,6 +23,7 @@
 
   table ...          the table of weights and limits; see `filberthead help table`
   status             control replicas, entries and the version in force at each
+  workspaces [NAME]  workspaces, the use of their allotments, and what is refused
   control ...        the group of control replicas; see `filberthead help control`
   report [FILE]      service-level burn, from control replicas or, on the VM of one, from
                      its settings file; --html for a page with plots, --out FILE
@@ -102,7 +112,10 @@
 
 pub(super) fn run(args: &mut Args) -> Result<Exit> {
     let page = match args.optional_positional().as_deref() {
-        None | Some("help" | "status" | "report" | "check" | "explain" | "token") => GENERAL,
+        None
+        | Some("help" | "status" | "report" | "check" | "explain" | "token" | "workspaces") => {
+            GENERAL
+        }
         Some("table") => TABLE,
         Some("control") => CONTROL,
         Some("key") => KEY,
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -17,6 +17,7 @@
 mod table;
 mod text;
 mod token;
+mod workspaces;
 
 use std::ffi::OsString;
 use std::process::ExitCode;
@@ -57,7 +58,7 @@
         "key" => key::run(args, json),
         "token" => token::run(args, json),
         "report" => report(args, json),
-        command @ ("table" | "status" | "control") => remote(command, args, json),
+        command @ ("table" | "status" | "control" | "workspaces") => remote(command, args, json),
         other => Err(args::unknown_name("command", other, help::COMMANDS)),
     }
 }
@@ -82,6 +83,7 @@
         match command {
             "table" => table::run(&session, args).await,
             "status" => status::run(&session, args).await,
+            "workspaces" => workspaces::run(&session, args).await,
             "report" => report::from_replicas(&session, args).await,
             _ => control::run(&session, args).await,
         }
--- a/tests/all/workspaces.rs
+++ b/tests/all/workspaces.rs
@@ -1,6 +1,7 @@
 //! Workspaces: who may send requests, where they may run, and how many.
 
 use std::path::Path;
+use std::process::Command;
 use std::time::{Duration, Instant};
 
 use filberthead_testing::client::{Answer, Call, Connection};
@@ -299,6 +300,48 @@
     no_key_in(site.dir());
 }
 
+/// A workspace exceeds its allotment: operators must see its use and why requests are refused.
+#[test]
+fn operators_see_the_use_of_an_allotment() {
+    let mut limited = workspace("alpha", &[ALPHA]);
+    limited["rate_per_s"] = json!(5);
+    let site = start(&[limited, workspace("beta", &[BETA])]);
+    send_until(&site, &keyed("GET", "/catalogue/warm-up", "w", BETA), 200);
+    let started = Instant::now();
+    let shown = loop {
+        assert!(started.elapsed() < BOUND, "the refusals are shown");
+        send(&site, &keyed("GET", "/catalogue/one", "r", ALPHA));
+        let shown = workspaces(&site);
+        if shown["workspaces"][0]["refused"][0]["rate"].as_f64() > Some(1.0) {
+            break shown;
+        }
+    };
+    let alpha = &shown["workspaces"][0];
+    assert_eq!(alpha["name"], "alpha");
+    assert_eq!(alpha["refused"][0]["code"], 1213);
+    assert_eq!(alpha["allotment"]["rate"], 5.0);
+    let [offered, sent] = ["offered", "sent"].map(|name| alpha["allotment"][name].as_f64());
+    assert!(offered > sent && sent > Some(0.0), "{alpha}");
+    assert_eq!(shown["workspaces"][1]["allotment"], Value::Null);
+    let metrics = Call::get("/metrics").send(site.gateways[0].direct_addr("status"));
+    let metrics = metrics.expect("metrics").text().to_owned();
+    let series = r#"workspace="alpha",code="1213",result="allotment-used""#;
+    assert!(metrics.contains(series), "{metrics}");
+}
+
+/// Output of `filberthead workspaces`.
+fn workspaces(site: &Site) -> Value {
+    let control = site.controls[0].addr("operator").to_string();
+    let output = Command::new(env!("CARGO_BIN_EXE_filberthead"))
+        .args(["workspaces", "--json", "--control", &control])
+        .output()
+        .expect("the command line starts");
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(output.status.success(), "{text}");
+    assert!([ALPHA, BETA].iter().all(|key| !text.contains(key)));
+    serde_json::from_str(&text).expect("JSON")
+}
+
 #[track_caller]
 fn no_key_in(dir: &Path) {
     let logs = logs(dir);
