Priority of route and workspace decides who may be late under overload

Callers saw: with all slots taken, requests of low priority that had been refused once were kept until their deadlines and filled the endpoints' queues; urgent ones waited behind them. The priority of routes and workspaces was read by no decision.

Each gateway measures the shares of priorities among a service's recent requests. With no slot free, a caller's retry is kept until its deadline only if no more urgent requests compete with it (a twentieth or more); else it has to meet its objective like a first try. Where all requests of a service have one priority, nothing changes.

--- a/crates/bench/src/placement/simulation.rs
+++ b/crates/bench/src/placement/simulation.rs
@@ -230,7 +230,8 @@
     fn at_gateway(&mut self, request: usize) {
         let state = &self.requests[request];
         let service = state.spec.kind.service();
-        self.gateways[state.spec.gateway].record_request(ms(self.now), &service);
+        let priority = state.spec.kind.priority;
+        self.gateways[state.spec.gateway].record_request(ms(self.now), &service, priority);
         self.place(request);
     }
 
@@ -252,6 +253,7 @@
             large: false,
             objective: ms(kind.objective_ms),
             remaining: ms(remaining_ms),
+            priority: kind.priority,
             is_caller_retry: state.is_retry,
             homes: Homes::default(),
             excluded: state.attempts.excluded(),
--- a/crates/bench/src/placement/site.rs
+++ b/crates/bench/src/placement/site.rs
@@ -17,6 +17,8 @@
     /// Name, also of its route.
     pub name: &'static str,
     pub(super) service: &'static str,
+    /// 0 is the most urgent.
+    pub(super) priority: u8,
     /// Share of all requests.
     pub(super) share: f64,
     /// Mean service time where the object isn't cached, in milliseconds.
@@ -29,10 +31,10 @@
 
 /// The kinds of request: two for each of the two services.
 pub const KINDS: [KindOfRequest; 4] = [
-    kind("view", "desk", 0.55, 880.0, (600, 2000), 35),
-    kind("upload", "desk", 0.20, 1160.0, (800, 2500), 24),
-    kind("sign", "lock", 0.18, 600.0, (400, 1500), 24),
-    kind("close", "lock", 0.07, 720.0, (500, 2000), 24),
+    kind("view", ("desk", 1), 0.55, 880.0, (600, 2000), 35),
+    kind("upload", ("desk", 0), 0.20, 1160.0, (800, 2500), 24),
+    kind("sign", ("lock", 0), 0.18, 600.0, (400, 1500), 24),
+    kind("close", ("lock", 1), 0.07, 720.0, (500, 2000), 24),
 ];
 
 /// Factor on a request's service time where its object is cached.
@@ -54,7 +56,7 @@
 
 const fn kind(
     name: &'static str,
-    service: &'static str,
+    (service, priority): (&'static str, u8),
     share: f64,
     work_ms: f64,
     (objective_ms, timeout_ms): (u64, u64),
@@ -63,6 +65,7 @@
     KindOfRequest {
         name,
         service,
+        priority,
         share,
         work_ms,
         objective_ms,
@@ -134,7 +137,7 @@
         kind: Kind::Safe,
         timeout: Duration::from_millis(kind.timeout_ms),
         objective: Duration::from_millis(kind.objective_ms),
-        priority: 1,
+        priority: kind.priority,
         targets: vec![Target {
             service: kind.service(),
             weight: 1,
--- a/crates/filberthead/src/gateway/caller.rs
+++ b/crates/filberthead/src/gateway/caller.rs
@@ -66,6 +66,14 @@
         }
     }
 
+    /// Priority of the workspace, which takes precedence over that of the route.
+    pub(crate) fn priority(&self) -> Option<u8> {
+        match self {
+            Self::Anonymous => None,
+            Self::Known { workspace, .. } => workspace.priority,
+        }
+    }
+
     /// The only regions where the workspace's requests may run; empty allows all.
     pub(crate) fn regions(&self) -> &[Region] {
         match self {
--- a/crates/filberthead/src/gateway/forward.rs
+++ b/crates/filberthead/src/gateway/forward.rs
@@ -61,6 +61,8 @@
     head: &'a Parts,
     caller: &'a Caller,
     deadline: Deadline,
+    /// 0 is the most urgent.
+    priority: u8,
     /// Whether an earlier attempt of the caller has used part of its deadline.
     is_retry: bool,
     /// Version and revision of the routes that it was matched against.
@@ -108,9 +110,10 @@
         Ok(body) => body,
         Err(code) => return ctx.reject(code, None),
     };
+    let priority = caller.priority().unwrap_or(route.priority);
     core.placer
         .borrow_mut()
-        .record_request(core.now(), &target.service);
+        .record_request(core.now(), &target.service, priority);
     let kind = route.kind.as_str();
     let forwarding = Forwarding {
         core,
@@ -119,6 +122,7 @@
         head: &head,
         caller: &caller,
         deadline,
+        priority,
         is_retry: is_caller_retry(core, &head, route),
         version: active_routes.version,
         revision: active_routes.revision,
@@ -279,6 +283,7 @@
             large: self.route.kind == Kind::Download,
             objective: self.route.objective,
             remaining: self.deadline.remaining(),
+            priority: self.priority,
             is_caller_retry: self.is_retry,
             homes: Homes {
                 route: &self.route.regions,
--- a/crates/place/src/decide.rs
+++ b/crates/place/src/decide.rs
@@ -144,12 +144,14 @@
 
     /// Whether sending the request would only take capacity from others. With a free slot it
     /// is always sent. Otherwise a first attempt has to meet its objective; a caller's retry,
-    /// or a request that is pinned to its planned region, only its caller's deadline.
+    /// or a request that is pinned to its planned region, only its caller's deadline. A retry
+    /// may be late only if nothing more urgent waits behind it.
     fn is_too_late(&self, req: &Request<'_>, chosen: &Candidate, is_pinned: bool) -> bool {
         if chosen.wait <= 0.0 || !self.cfg.uses(Mechanism::Refusing) {
             return false;
         }
-        let waits_for_deadline = req.is_caller_retry && self.cfg.uses(Mechanism::Patience);
+        let is_patient = self.cfg.uses(Mechanism::Patience) && !self.yields(req);
+        let waits_for_deadline = req.is_caller_retry && is_patient;
         let limit = if waits_for_deadline || is_pinned {
             req.remaining
         } else {
@@ -158,6 +160,12 @@
         chosen.rtt + chosen.wait + chosen.response_time > limit.as_secs_f64()
     }
 
+    /// Whether more urgent requests of the service compete with this one.
+    fn yields(&self, req: &Request<'_>) -> bool {
+        let mix = self.priorities.get(req.service);
+        self.cfg.uses(Mechanism::Priority) && mix.is_some_and(|mix| mix.yields(req.priority))
+    }
+
     /// Counts the request at its endpoint, and returns the target.
     fn send(&mut self, now: Moment, object: Option<u64>, chosen: &Candidate) -> Decision {
         let share = self.cold_share(&self.endpoints[chosen.index]);
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -21,6 +21,7 @@
 //!   slowly, also when that region is overloaded.
 //! - *Cold endpoints* (`cold`): each receives no more requests per second than it can handle,
 //!   summed over all gateways, without communication between them.
+//! - *Priority* (`priority`): under overload only the most urgent requests may be late.
 //! - *Large responses* (`link`): they yield to short messages on a VM's own link.
 //! - *Admission* (`admission`): large responses beyond a share of the link are rejected.
 //! - *Connections* (`balance`): a gateway whose link is busier than those of its neighbours
@@ -42,6 +43,7 @@
 mod placer;
 mod plan;
 mod planning;
+mod priority;
 mod rank;
 mod request;
 mod retry_budget;
--- a/crates/place/src/mechanism.rs
+++ b/crates/place/src/mechanism.rs
@@ -34,11 +34,13 @@
     Patience,
     /// A rejected request may go to the same endpoint again.
     SameAgain,
+    /// Retries of callers may be late only if nothing more urgent competes with them.
+    Priority,
 }
 
 impl Mechanism {
     /// All mechanisms.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::Objects,
         Self::Routes,
         Self::Settling,
@@ -51,6 +53,7 @@
         Self::Refusing,
         Self::Patience,
         Self::SameAgain,
+        Self::Priority,
     ];
 
     /// Name in reports and options.
@@ -68,6 +71,7 @@
             Self::Refusing => "refusing",
             Self::Patience => "patience",
             Self::SameAgain => "same-again",
+            Self::Priority => "priority",
         }
     }
 }
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -12,6 +12,7 @@
 use crate::endpoint::TrackedEndpoint;
 use crate::plan::{Plan, SlotsByRegion};
 use crate::planning::OwnDemand;
+use crate::priority::PriorityMix;
 use crate::shift::RegionShares;
 use crate::{Config, Load, Mechanism, Outcome, RetryBudget, Target, rank};
 
@@ -27,6 +28,8 @@
     pub(crate) services: HashMap<ServiceName, Service>,
     pub(crate) response_times: HashMap<ServiceName, ResponseTimes>,
     pub(crate) plans: HashMap<ServiceName, Plan>,
+    /// Priorities of each service's recent requests.
+    pub(crate) priorities: HashMap<ServiceName, PriorityMix>,
     /// The regions where each service's requests run.
     pub(crate) region_shares: HashMap<ServiceName, RegionShares>,
     /// Busy slots that the callers of each region need, as summed up by control.
@@ -60,6 +63,7 @@
             services: HashMap::new(),
             response_times: HashMap::new(),
             plans: HashMap::new(),
+            priorities: HashMap::new(),
             region_shares: HashMap::new(),
             demand: BTreeMap::new(),
             demand_at: Moment::ZERO,
@@ -84,6 +88,8 @@
             .retain(|service, _| self.services.contains_key(service));
         self.region_shares
             .retain(|service, _| self.services.contains_key(service));
+        self.priorities
+            .retain(|service, _| self.services.contains_key(service));
         for (service, objective) in objectives(table) {
             let times = self.response_times.entry(service.clone());
             times.or_insert_with(|| ResponseTimes::new(objective));
@@ -194,7 +200,7 @@
     }
 
     /// Records the arrival of a caller's request.
-    pub fn record_request(&mut self, now: Moment, service: &ServiceName) {
+    pub fn record_request(&mut self, now: Moment, service: &ServiceName, priority: u8) {
         self.retry_budget.record_first(now, service);
         self.first_request_at.get_or_insert(now);
         if !self.own_demand.contains_key(service) {
@@ -203,6 +209,13 @@
         if let Some(own) = self.own_demand.get_mut(service) {
             own.requests += 1;
         }
+        if !self.priorities.contains_key(service) {
+            self.priorities
+                .insert(service.clone(), PriorityMix::default());
+        }
+        if let Some(mix) = self.priorities.get_mut(service) {
+            mix.record(priority);
+        }
     }
 
     /// Takes a retry from the budget if there is one left.
--- a/crates/place/src/request.rs
+++ b/crates/place/src/request.rs
@@ -80,6 +80,8 @@
     pub objective: Duration,
     /// Time until the caller's deadline.
     pub remaining: Duration,
+    /// Priority of the workspace, or else of the route; 0 is the most urgent.
+    pub priority: u8,
     /// Whether the caller repeats a request that was rejected before. It is then better served
     /// late than rejected again.
     pub is_caller_retry: bool,
--- a/crates/place/tests/all/bounds.rs
+++ b/crates/place/tests/all/bounds.rs
@@ -111,7 +111,7 @@
                 continue;
             }
             let gateway = rng.random_range(0..gateways.len());
-            gateways[gateway].record_request(ms(at), &service);
+            gateways[gateway].record_request(ms(at), &service, 0);
             first.push(at);
             while gateways[gateway].try_spend_retry(ms(at), &service) {
                 retries.push(at);
--- a/crates/place/tests/all/main.rs
+++ b/crates/place/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod bounds;
 mod link;
 mod objects;
+mod priorities;
 mod refusals;
 mod regions;
 mod restarts;
--- a/crates/place/tests/all/regions.rs
+++ b/crates/place/tests/all/regions.rs
@@ -24,7 +24,7 @@
     let mut south = 0;
     for number in 0..per_s {
         let now = from + ms(1000 * number / per_s);
-        placer.record_request(now, &service());
+        placer.record_request(now, &service(), 0);
         let target = place(placer, now, &format!("o-{}", number % 40)).expect("an endpoint");
         south += u64::from(target.id.starts_with('s'));
         record_served(placer, now, &target, ms(100) + target.overhead);
@@ -194,7 +194,7 @@
     placer.set_evacuated(ms(0), [domain("north-1")].into());
     for number in 0..400 {
         let now = ms(number * 20);
-        placer.record_request(now, &service());
+        placer.record_request(now, &service(), 0);
         let target = place(placer, now, "o").expect("an endpoint");
         record_served(placer, now, &target, ms(100 + rtt_ms));
     }
@@ -234,7 +234,7 @@
     let mut placer = placer("north-1", uneven_endpoints());
     let started_at = ms(8000);
     for number in 0..50 {
-        placer.record_request(started_at + ms(number * 10), &service());
+        placer.record_request(started_at + ms(number * 10), &service(), 0);
     }
     let reported = placer.take_demand(started_at + ms(500));
     let work = placer.estimates(started_at)[0].response_times.0;
@@ -284,7 +284,7 @@
                 set_demand(&mut placer, now, 9000, 4000);
                 placer.update_plans(now);
             }
-            placer.record_request(now, &service());
+            placer.record_request(now, &service(), 0);
             let object = format!("o-{}", number % 40);
             // A rejected request runs nowhere.
             let Some(target) = place(&mut placer, now, &object) else {
--- a/crates/place/tests/all/support.rs
+++ b/crates/place/tests/all/support.rs
@@ -122,6 +122,7 @@
         large: false,
         objective: ms(300),
         remaining: ms(1000),
+        priority: 0,
         is_caller_retry: false,
         homes: Homes::default(),
         excluded: &[],
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -3,6 +3,7 @@
 //! The comment of a failure test says which failure it guards against and how that comes
 //! about.
 
+mod allotments;
 mod bounds;
 mod control;
 mod crashing;
