--- a/crates/bench/src/placement/callers.rs
+++ b/crates/bench/src/placement/callers.rs
@@ -26,6 +26,8 @@
     pub(super) gateway: usize,
     /// Service time where the object isn't cached, in milliseconds.
     pub(super) work_ms: f64,
+    /// 0 is the most urgent.
+    pub(super) priority: u8,
 }
 
 /// Draws requests for every failure domain.
@@ -36,6 +38,7 @@
     regions_by_domain: Vec<Region>,
     requests_per_s: f64,
     amplitude: f64,
+    has_priorities: bool,
     /// Gateways in each failure domain.
     pub(super) gateways: usize,
     /// Factor on `requests_per_s`, set by [`Change::Rate`](super::pattern::Change::Rate).
@@ -55,6 +58,7 @@
             domains,
             requests_per_s: pattern.requests_per_s,
             amplitude: pattern.amplitude,
+            has_priorities: pattern.has_priorities,
             gateways: pattern.gateways,
             rate_factor: 1.0,
             moved: None,
@@ -92,6 +96,10 @@
             name: format!("{region}-{number}"),
             gateway: self.gateway(rng, domain),
             work_ms: kind.work_ms * (1.0 + spread),
+            priority: match self.has_priorities {
+                true => kind.priority,
+                false => 0,
+            },
         }
     }
 
--- a/crates/bench/src/placement/pattern.rs
+++ b/crates/bench/src/placement/pattern.rs
@@ -43,6 +43,8 @@
     pub(super) seconds: u64,
     /// Gateways in each failure domain.
     pub(super) gateways: usize,
+    /// Whether the kinds of request differ in priority; else all have the same.
+    pub(super) has_priorities: bool,
     /// Changes, each with its time in milliseconds since the start.
     pub(super) changes: Vec<(u64, Change)>,
 }
@@ -55,6 +57,7 @@
             amplitude: 0.3,
             seconds: 30,
             gateways: DEFAULT_GATEWAYS,
+            has_priorities: false,
             changes: changes.to_vec(),
         }
     }
@@ -69,6 +72,11 @@
         self
     }
 
+    fn with_priorities(mut self) -> Self {
+        self.has_priorities = true;
+        self
+    }
+
     /// Length of the simulation in seconds.
     pub fn seconds(&self) -> usize {
         self.seconds as usize
@@ -97,6 +105,7 @@
         Pattern::new("busy", BUSY_RATE, &[]),
         Pattern::new("waves", USUAL_RATE, &[]).with_amplitude(0.55),
         Pattern::new("overload", OVERLOAD_RATE, &[]),
+        Pattern::new("urgent-and-others-overload", OVERLOAD_RATE, &[]).with_priorities(),
         Pattern::new(
             "burst",
             BUSY_RATE,
--- a/crates/bench/src/placement/simulation.rs
+++ b/crates/bench/src/placement/simulation.rs
@@ -230,7 +230,7 @@
     fn at_gateway(&mut self, request: usize) {
         let state = &self.requests[request];
         let service = state.spec.kind.service();
-        let priority = state.spec.kind.priority;
+        let priority = state.spec.priority;
         self.gateways[state.spec.gateway].record_request(ms(self.now), &service, priority);
         self.place(request);
     }
@@ -253,7 +253,7 @@
             large: false,
             objective: ms(kind.objective_ms),
             remaining: ms(remaining_ms),
-            priority: kind.priority,
+            priority: state.spec.priority,
             is_caller_retry: state.is_retry,
             homes: Homes::default(),
             excluded: state.attempts.excluded(),
--- a/crates/bench/src/placement/site.rs
+++ b/crates/bench/src/placement/site.rs
@@ -17,7 +17,7 @@
     /// Name, also of its route.
     pub name: &'static str,
     pub(super) service: &'static str,
-    /// 0 is the most urgent.
+    /// Priority in patterns that have priorities; 0 is the most urgent.
     pub(super) priority: u8,
     /// Share of all requests.
     pub(super) share: f64,
--- a/crates/bench/tests/all/placement.rs
+++ b/crates/bench/tests/all/placement.rs
@@ -75,6 +75,18 @@
     assert!(with > without + 0.2, "{with}, without pressure {without}");
 }
 
+/// Demand exceeds the slots, and callers come back with whatever was refused. What is less urgent
+/// must not take the slots of what is urgent.
+#[test]
+fn an_overload_serves_urgent_requests_first() {
+    let credit = |kind: &'static str| move |figures: &Figures| figures.kinds[kind].credit();
+    let name = "urgent-and-others-overload";
+    for kind in ["upload", "sign"] {
+        let (with, without) = with_and_without(name, Mechanism::Priority, credit(kind));
+        assert!(with > without, "{kind}: {with}, without priority {without}");
+    }
+}
+
 /// No endpoint is slow, but the kinds of request of a service take different times. An
 /// endpoint that has run some of the longer ones must not be judged slow: its objects would
 /// move to endpoints that don't have them cached.
