Specify what a gateway reserves; use the least that control may count

- What a gateway uses without contact was the last reported rate that any notice came after.
Now it is the least of the last answered report and those since (LAST_ANSWERED).
- A notice for an earlier report was taken for the answer to the last one (ANY_ANSWER).
Now the notice's report number decides.
- A replica counted a report that had been held up after a later one (OLD_REPORT).
Reports are numbered within a process, so an overtaken one is told by its number.

Each has a test that fails without its rule, and only that one does: without_contact_a_gateway_uses_what_control_counts_at_least, only_the_answer_to_the_last_report_confirms_it, a_report_that_was_overtaken_is_not_counted.

--- a/crates/allot/src/limiter.rs
+++ b/crates/allot/src/limiter.rs
@@ -87,7 +87,8 @@
     reported_sent: (Moment, f64),
     /// Requests sent since.
     unreported: f64,
-    /// Reserved rate of the last report that control has answered. It is used without contact.
+    /// The least reserved rate of the last report that control has answered and of those since.
+    /// It is used without contact: control counts no less, whichever of them it has received.
     reserved: f64,
     /// When the requests that may be sent without contact were last counted, and their number;
     /// `None` while there is contact.
@@ -145,14 +146,6 @@
     pub fn set_ratios(&mut self, now: Moment, from: SocketAddr, ratios: &[AdmitRatio]) {
         self.ratios
             .retain(|_, ratios| now < ratios.received_at + RATIOS_TTL);
-        // A notice answers a report: control counts what was reported as reserved.
-        for meter in self
-            .meters
-            .values_mut()
-            .filter(|meter| meter.alone.is_none())
-        {
-            meter.reserved = meter.reported;
-        }
         let by_workspace = ratios.iter().map(|r| (r.workspace.clone(), r.clone()));
         let received = Ratios {
             received_at: now,
@@ -161,6 +154,15 @@
         self.ratios.insert(from, received);
     }
 
+    /// Control has answered the last report, so it counts what was reported as reserved.
+    pub fn confirm_report(&mut self) {
+        let in_contact = self
+            .meters
+            .values_mut()
+            .filter(|meter| meter.alone.is_none());
+        in_contact.for_each(|meter| meter.reserved = meter.reported);
+    }
+
     /// Decides about a request that has arrived, and counts it as sent if it is admitted.
     pub fn admit(&mut self, now: Moment, workspace: &WorkspaceName, contact: Contact) -> Admission {
         let Some(allotment) = self.allotments.get(workspace) else {
@@ -230,6 +232,8 @@
                 None => growth * meter.sent_slowly.get(now, RESERVED_AVERAGING),
                 Some(_) => meter.reserved,
             };
+            // Control may count this report although its answer is lost.
+            meter.reserved = meter.reserved.min(meter.reported);
             let sent = meter.sent.get(now, AVERAGING);
             meter.reported_sent = (now, sent);
             meter.unreported = 0.0;
--- a/crates/allot/tests/allotment.rs
+++ b/crates/allot/tests/allotment.rs
@@ -146,6 +146,7 @@
             gateway.reported = gateway.limiter.usage(self.now);
             let ratios = &self.ratios;
             gateway.limiter.set_ratios(self.now, replica(), ratios);
+            gateway.limiter.confirm_report();
         }
         if is_early || self.step.is_multiple_of(RELAY_STEPS) {
             self.add_up();
@@ -395,6 +396,46 @@
     assert!(waits.into_iter().all(|wait| !wait.is_zero()));
 }
 
+/// Reports whose answers are lost may have been counted or not: a gateway that loses contact may use
+/// no more than the least rate among them.
+#[test]
+fn without_contact_a_gateway_uses_what_control_counts_at_least() {
+    let rate = 20.0;
+    for (answered, later) in [(8.0, 2.0), (2.0, 8.0)] {
+        let mut limiter = limiter(7, allotment(rate));
+        let mut now = Moment::from_secs(100);
+        send(&mut limiter, &mut now, answered);
+        let counted = limiter.usage(now)[0].reserved_milli;
+        limiter.confirm_report();
+        send(&mut limiter, &mut now, later);
+        let least = counted.min(limiter.usage(now)[0].reserved_milli);
+        let alone = Contact::Alone { gateways: 4 };
+        let before = now;
+        let mut sent = 0;
+        while now < before + Duration::from_secs(20) {
+            now += STEP;
+            sent += usize::from(limiter.admit(now, &name(), alone) == Admission::Admitted);
+        }
+        // Two seconds of the rate may go at once.
+        let most = f64::from(least) / 1000.0 * 22.0;
+        assert!(
+            sent as f64 <= most,
+            "{sent} of {most}, {answered} then {later}"
+        );
+        assert!(sent > 0, "the gateway goes on");
+    }
+}
+
+/// Sends this many requests per second for twenty seconds, all of which are admitted.
+fn send(limiter: &mut Limiter, now: &mut Moment, per_s: f64) {
+    let interval = Duration::from_secs_f64(1.0 / per_s);
+    for _ in 0..(20.0 * per_s) as usize {
+        *now += interval;
+        let admission = limiter.admit(*now, &name(), Contact::Current);
+        assert_eq!(admission, Admission::Admitted);
+    }
+}
+
 /// Refusals are averaged by code, and forgotten once they have ended.
 #[test]
 fn refusals_are_reported_by_code_until_they_end() {
--- a/crates/bench/src/allotments/way.rs
+++ b/crates/bench/src/allotments/way.rs
@@ -216,6 +216,7 @@
         let limiter = &mut self.limiters[gateway];
         self.reported.insert(gateway, limiter.usage(now));
         limiter.set_ratios(now, control, &self.ratios);
+        limiter.confirm_report();
     }
 
     fn is_report_due(&self, gateway: usize) -> bool {
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -427,6 +427,7 @@
             }
             Update::Gateways(counts) => placer.set_gateways(&counts),
             Update::Demand(demand) => placer.set_demand(now, &demand),
+            Update::ReportAnswered => self.limiter.borrow_mut().confirm_report(),
             Update::Ratios(ratios) => self.limiter.borrow_mut().set_ratios(now, from, &ratios),
             Update::Links(milli) => {
                 let mean = milli.map(|milli| f64::from(milli) / 1000.0);
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -61,6 +61,8 @@
     Demand(Vec<(Region, ServiceName, u32)>),
     /// The part of its requests that may be sent, for each workspace near its allotment.
     Ratios(Vec<AdmitRatio>),
+    /// A replica has received the last report.
+    ReportAnswered,
     /// Mean link utilisation of the gateways in this failure domain, in thousandths.
     Links(Option<u32>),
 }
@@ -348,12 +350,16 @@
             } => {
                 self.contacts.record_notice(now, from, &replicas);
                 self.on_notice(now, from, revisions, (answered_report, proven_report));
-                let updates = vec![
+                let mut updates = vec![
                     Update::Gateways(gateways),
                     Update::Demand(demand),
                     Update::Ratios(ratios),
                     Update::Links(link_milli),
                 ];
+                let last_report = self.sent_reports.front().map(|(id, _)| *id);
+                if answered_report.is_some() && answered_report == last_report {
+                    updates.push(Update::ReportAnswered);
+                }
                 (self.pull(now, from, revisions), updates)
             }
             Message::Proof {
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -30,6 +30,8 @@
 
 /// Time between two reports of a gateway below which the later one is early.
 const EARLY_REPORT: Duration = Duration::from_millis(400);
+/// Numbers of reports below the last one that belong to the same process: those of some minutes.
+const MAX_OVERTAKEN: u64 = 10_000;
 /// How long totals over all gateways are cached: every answer to hundreds of reports contains
 /// them.
 const TOTALS_TTL: Duration = Duration::from_millis(100);
@@ -41,6 +43,8 @@
 #[derive(Clone, Copy, Debug)]
 struct DirectReport {
     addr: SocketAddr,
+    /// Its id. A gateway numbers its reports one by one, from a random number on.
+    id: u64,
     received_at: Moment,
     /// Revisions that the gateway holds, according to its report and the updates sent since.
     revisions: Revisions,
@@ -253,10 +257,14 @@
         proven: bool,
     ) -> Vec<Outbound> {
         let id = report.id;
+        if self.is_overtaken(&report) {
+            return Vec::new();
+        }
         let gateway = GatewayState {
             info: report.gateway,
             direct: Some(DirectReport {
                 addr: from,
+                id,
                 received_at: now,
                 revisions: report.revisions,
             }),
@@ -282,6 +290,14 @@
         vec![(from, self.notice(now, &domain, Some(id), proven_report))]
     }
 
+    /// Whether a later report of the same process has arrived before. Counting the earlier one
+    /// would take back what the gateway has reserved since.
+    fn is_overtaken(&self, report: &Report) -> bool {
+        let current = self.gateways.get(&report.gateway.name);
+        let last = current.and_then(|gateway| gateway.direct);
+        last.is_some_and(|last| (1..=MAX_OVERTAKEN).contains(&last.id.wrapping_sub(report.id)))
+    }
+
     /// Whether a report comes earlier than it is due.
     fn is_early(&self, report: &GatewayState) -> bool {
         let last = self.gateways.get(&report.info.name).and_then(|g| g.direct);
--- a/crates/fleet/tests/all/allotments.rs
+++ b/crates/fleet/tests/all/allotments.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use filberthead_allot::{AdmitRatio, RefusedRate, Usage};
-use filberthead_fleet::{Load, Member, Registry, Update};
+use filberthead_fleet::{Load, Member, Message, Registry, Update};
 use filberthead_route::{Allotment, Table, Workspace};
 use filberthead_types::{Moment, ResultCode};
 
@@ -129,3 +129,44 @@
     assert_eq!((later.totals.sent, later.totals.reserved), (0.0, 4.0));
     assert!(later.refused.is_empty());
 }
+
+/// A notice that answers an earlier report says nothing about the last one.
+#[test]
+fn only_the_answer_to_the_last_report_confirms_it() {
+    let (mut member, mut registry) = (gateway(), Registry::default());
+    let start = Moment::from_secs(1000);
+    let first = member.tick(start, Load::default).pop().expect("a report").1;
+    let late = registry.receive(start, addr(GATEWAY), first, true).pop();
+    let second = member.tick(start + ms(500), Load::default).pop();
+    let second = second.expect("a report").1;
+    let confirms = |member: &mut Member, notice: Message| {
+        let (_, updates) = member.receive(start + ms(520), addr(CONTROL), notice);
+        updates.contains(&Update::ReportAnswered)
+    };
+    assert!(!confirms(&mut member, late.expect("a notice").1));
+    let answer = registry.receive(start + ms(510), addr(GATEWAY), second, true);
+    let answer = answer.into_iter().next().expect("a notice").1;
+    assert!(confirms(&mut member, answer));
+}
+
+/// A report that was held up arrives after a later one.
+#[test]
+fn a_report_that_was_overtaken_is_not_counted() {
+    let (mut member, mut registry) = (gateway(), Registry::default());
+    let start = Moment::from_secs(1000);
+    registry.set_routes(start, 1, 1, limited_table());
+    let mut report_of = |now: Moment, per_s: u32| {
+        let load = || Load {
+            usage: vec![usage(per_s)],
+            ..Load::default()
+        };
+        member.tick(now, load).pop().expect("a report").1
+    };
+    let held_up = report_of(start, 1);
+    let later = report_of(start + ms(500), 6);
+    registry.receive(start + ms(510), addr(GATEWAY), later, true);
+    registry.receive(start + ms(520), addr(GATEWAY), held_up, true);
+    let silent = start + ms(5000);
+    let shown = registry.workspaces(silent).pop().expect("a workspace");
+    assert_eq!(shown.totals.reserved, 6.0);
+}
