Accept configurations of 10,000 workspaces

A configuration of 10,000 workspaces with three keys each is 1.73 MB and got 413. The limit is 2 MiB now.

At that size a resend storm showed: a configuration of 2 MiB took longer than the 850 ms for which an order waits (debug build), was answered 503 and resent, and each resend was logged again; after 60 s version 1 was still not acknowledged. An order that a committed one supersedes is acknowledged without being logged.

--- a/crates/filberthead/src/control/orders.rs
+++ b/crates/filberthead/src/control/orders.rs
@@ -127,6 +127,10 @@
     }
 
     async fn propose_order(&mut self, order: Order, reply_to: ReplyTo) {
+        if self.is_superseded(&order) {
+            self.finish_order(reply_to, Ok(()));
+            return;
+        }
         let Ok(buf) = postcard::to_stdvec(&Entry::Order(order)) else {
             warn!("can't encode an order");
             self.finish_order(reply_to, Err(OrderError::Busy));
@@ -137,6 +141,16 @@
         self.step(Event::Propose { token, proposal }).await;
     }
 
+    /// Whether a committed order makes this one have no effect. It isn't logged again: a long one
+    /// that is resent faster than it is committed would fill the log.
+    fn is_superseded(&self, order: &Order) -> bool {
+        let Order::Routes(change) = order else {
+            return false;
+        };
+        let newest = self.machine.routes.newest();
+        newest.is_some_and(|newest| newest.version >= change.version)
+    }
+
     /// Sends the result of an order.
     pub(super) fn finish_order(&mut self, reply_to: ReplyTo, result: Result<(), OrderError>) {
         match reply_to {
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -14,7 +14,7 @@
 use crate::Envelope;
 
 /// Maximum length of a message in bytes, header included.
-pub const MAX_MESSAGE_LEN: usize = 4 * 1024 * 1024;
+pub const MAX_MESSAGE_LEN: usize = 8 * 1024 * 1024;
 
 /// Format version; raised with every incompatible change of a message.
 const FORMAT: u8 = 5;
--- a/tests/all/workspaces.rs
+++ b/tests/all/workspaces.rs
@@ -5,13 +5,18 @@
 use std::time::{Duration, Instant};
 
 use filberthead_testing::client::{Answer, Call, Connection};
-use filberthead_testing::site::{Behaviour, Site, SiteEndpoint, config_with_workspaces, request};
+use filberthead_testing::cluster::Node;
+use filberthead_testing::site::{
+    Behaviour, Site, SiteEndpoint, config_with_workspaces, proven_version, request,
+};
 use filberthead_testing::{eventually, runtime, wait_until};
 use serde_json::{Value, json};
 
 use crate::groups::site;
 
 const BOUND: Duration = Duration::from_secs(60);
+/// Longest configuration that is accepted, in bytes.
+const MAX_CONFIG: usize = 2 * 1024 * 1024;
 const SERVICES: &[(&str, &str)] = &[("orders", "unsafe"), ("catalogue", "safe")];
 /// Key of the workspace `alpha`, and another one of it.
 const ALPHA: &str = "rbn4ryrbbkf83fgfwrz5";
@@ -362,3 +367,74 @@
     logs.map(|path| String::from_utf8_lossy(&read(path)).into_owned())
         .collect()
 }
+
+/// A configuration of 10,000 workspaces with three keys each must be accepted and served, and a
+/// change of one key must reach the gateway.
+#[test]
+fn ten_thousand_workspaces_are_served() {
+    let key = |workspace: usize, number: usize| format!("{:020}", workspace * 10 + number);
+    let names = 0..10_000_usize;
+    let mut workspaces: Vec<Value> = names
+        .map(|number| {
+            let keys = [0, 1, 2].map(|n| key(number, n));
+            let keys = keys.each_ref().map(String::as_str);
+            let mut workspace = workspace(&format!("workspace-{number}"), &keys);
+            workspace["rate_per_s"] = json!(16.5);
+            workspace["burst"] = json!(20.0);
+            workspace
+        })
+        .collect();
+    let mut site = site().start();
+    site.add_endpoint("catalogue", "zagreb-a");
+    assert_eq!(put(&site, 1, &workspaces).status, 200);
+    let last = key(9_999, 2);
+    send_until(&site, &keyed("GET", "/catalogue/one", "r-1", &last), 200);
+    assert_eq!(
+        received(&site.endpoints, "r-1", "x-tenant"),
+        ["workspace-9999"]
+    );
+    let sent = config_with_workspaces(1, SERVICES, &workspaces);
+    assert!(
+        site.order("config.get", "").text() == sent,
+        "as it was sent"
+    );
+    workspaces[9_999]["api_keys"] = json!([ALPHA]);
+    assert_eq!(put(&site, 2, &workspaces).status, 200);
+    send_until(&site, &keyed("GET", "/catalogue/one", "r-2", ALPHA), 200);
+    send_until(&site, &keyed("GET", "/catalogue/one", "r-3", &last), 401);
+}
+
+/// The longest configuration that is accepted must reach all replicas, whatever it consists of, also
+/// one that has lost its disk and receives it in a snapshot. One that is longer changes nothing.
+#[test]
+fn the_longest_configuration_reaches_all_replicas() {
+    let mut site = site().start();
+    site.add_endpoint("catalogue", "zagreb-a");
+    let with_prefix = |version: u64, length: usize| {
+        let config = config_with_workspaces(version, SERVICES, &[]);
+        let mut config: Value = serde_json::from_str(&config).expect("valid JSON");
+        config["routes"][0]["path_prefix"] = json!(format!("/{}", "a".repeat(length)));
+        config.to_string()
+    };
+    let fixed = with_prefix(1, 0).len();
+    // Several, so that the log is compacted.
+    for version in 1..=4 {
+        let longest = with_prefix(version, MAX_CONFIG - fixed);
+        assert_eq!(longest.len(), MAX_CONFIG);
+        assert_eq!(site.order("config.put", &longest).status, 200);
+    }
+    let wait_proven = |node: &Node| {
+        wait_until("the replica proves the version", BOUND, || {
+            proven_version(node) == Some(4)
+        });
+    };
+    site.controls.iter().for_each(wait_proven);
+    site.controls[1].kill();
+    site.controls[1].wipe();
+    site.controls[1].start();
+    wait_proven(&site.controls[1]);
+    let too_long = with_prefix(5, MAX_CONFIG - fixed + 1);
+    assert_eq!(site.order("config.put", &too_long).status, 413);
+    let longest = with_prefix(4, MAX_CONFIG - fixed);
+    assert!(site.order("config.get", "").text() == longest);
+}
