Log rosters before granting leases by them

Callers' requests exceeded a limit: with the two entries of a failure domain cut off from control, its leader killed and a third entry joining at the next leader, 7 requests of a row with the limit 4 ran at once.

Cause: rosters were known to the leader alone. The next one learns them from renewals, gets none from members that can't reach it, made a second roster of the joining entry and granted it the whole limit, while the others went on by each other's promises.

Fix: a changed roster is committed before a grant goes out by it (the waiting grant is dropped, the entry renews within half a second), and a new lessor begins with the logged rosters.

--- a/crates/filberthead/src/control/core.rs
+++ b/crates/filberthead/src/control/core.rs
@@ -19,7 +19,7 @@
 use filberthead_spread::Leader;
 use filberthead_steer::Message as Steer;
 use filberthead_table::{Command, Outcome, Table};
-use filberthead_types::{Moment, NodeName, ReplicaId};
+use filberthead_types::{FailureDomain, Moment, NodeName, ReplicaId};
 use log::{error, info, warn};
 use tokio::sync::oneshot;
 use tokio::time::{MissedTickBehavior, interval};
@@ -63,6 +63,8 @@
     RoutesRead(ReadReplyTo),
     /// A change that the leader proposes by itself and repeats until it is done.
     NoReply,
+    /// The roster of a failure domain. Entries renew again until they get a grant by it.
+    Roster(FailureDomain),
 }
 
 /// Identity of this replica, as shown to operators.
@@ -257,7 +259,7 @@
                 self.send_spread(out);
             }
             Body::Fleet(message) => self.handle_fleet_message(&origin, message).await,
-            Body::Steer(Steer::Renew(renew)) => self.handle_renewal(&origin, &renew),
+            Body::Steer(Steer::Renew(renew)) => self.handle_renewal(&origin, &renew).await,
             Body::Ledger(Message::Claim(claim)) => self.handle_claim(&origin, claim).await,
             // Samples are handled by a duty of their own.
             Body::Steer(_) | Body::Ledger(_) | Body::Quarantine(_) | Body::Samples(_) => {}
@@ -409,8 +411,13 @@
     fn apply_command(&mut self, index: u64, command: &machine::Entry) {
         let applied = self.machine.apply(index, command);
         self.distribute_orders(self.clock.now());
-        let Applied::Table(outcome) = applied else {
-            return;
+        let outcome = match applied {
+            Applied::Table(outcome) => outcome,
+            Applied::EntryForgotten(outcome, name) => {
+                self.shares.forget(&name);
+                outcome
+            }
+            Applied::Claim(_) | Applied::NoOutcome => return,
         };
         // Only requests made at this replica wait for outcomes.
         if !self.pending.is_empty() {
@@ -468,7 +475,10 @@
                 self.send_claim_result(to, &claim);
             }
             Some(Pending::Order(reply_to)) => self.finish_order(reply_to, Ok(())),
-            Some(Pending::Read(_) | Pending::RoutesRead(_) | Pending::NoReply) | None => {}
+            Some(
+                Pending::Read(_) | Pending::RoutesRead(_) | Pending::NoReply | Pending::Roster(_),
+            )
+            | None => {}
         }
     }
 
@@ -503,7 +513,7 @@
                 let _ = reply.send(Err(error));
             }
             // The entry repeats its claim, by then perhaps to the leader.
-            Some(Pending::Claim { .. } | Pending::NoReply) | None => {}
+            Some(Pending::Claim { .. } | Pending::NoReply | Pending::Roster(_)) | None => {}
         }
     }
 
--- a/crates/filberthead/src/control/machine.rs
+++ b/crates/filberthead/src/control/machine.rs
@@ -1,5 +1,5 @@
 //! The replicated state machine: the operators' table, results of claims on homes of idempotency
-//! keys, routes, evacuations and replica addresses.
+//! keys, routes, evacuations, replica addresses and rosters.
 //!
 //! All share the log because all need the same guarantee: what is committed is never undone.
 //! Claim results are separate from the table since they have no version and aren't distributed:
@@ -13,8 +13,9 @@
 use filberthead_fleet::Order;
 use filberthead_ledger::{Claim, ClaimResult, ClaimResults};
 use filberthead_route::{LatestChange, OfferResult};
-use filberthead_table::{Command, Outcome, Table};
-use filberthead_types::{FailureDomain, ReplicaId};
+use filberthead_steer::StoredRoster;
+use filberthead_table::{Command, Operation, Outcome, Table};
+use filberthead_types::{FailureDomain, NodeName, ReplicaId};
 use serde::{Deserialize, Serialize};
 
 /// Content of a log entry.
@@ -34,6 +35,8 @@
         /// Its address.
         addr: SocketAddr,
     },
+    /// The roster of a failure domain, before entries are granted leases by it.
+    Roster(StoredRoster),
 }
 
 /// Result of applying an entry.
@@ -41,9 +44,11 @@
 pub(crate) enum Applied {
     /// Of a command on the table.
     Table(Outcome),
+    /// Of an operator's word that this entry is gone, which was removed from its roster.
+    EntryForgotten(Outcome, NodeName),
     /// Of a claim.
     Claim(ClaimResult),
-    /// Of an order or an address, which always succeed.
+    /// Of an order, an address or a roster, which always succeed.
     NoOutcome,
 }
 
@@ -65,16 +70,15 @@
     pub(crate) evacuated_revision: u64,
     /// Addresses of replicas, for messages of peers.
     pub(crate) replica_addresses: BTreeMap<ReplicaId, SocketAddr>,
+    /// Rosters of failure domains, for the next leader's leases.
+    pub(crate) rosters: BTreeMap<FailureDomain, StoredRoster>,
 }
 
 impl Machine {
     /// Applies the entry at `index`, with the same result on every replica.
     pub(crate) fn apply(&mut self, index: u64, entry: &Entry) -> Applied {
         match entry {
-            Entry::Table(command) => {
-                let outcome = Arc::make_mut(&mut self.table).apply(command);
-                Applied::Table(outcome)
-            }
+            Entry::Table(command) => self.apply_command(command),
             Entry::Claim(claim) => Applied::Claim(self.claim_results.apply(claim)),
             Entry::Order(order) => {
                 self.apply_order(index, order);
@@ -84,6 +88,27 @@
                 self.replica_addresses.insert(*id, *addr);
                 Applied::NoOutcome
             }
+            Entry::Roster(stored) => {
+                let domain = stored.failure_domain.clone();
+                self.rosters.insert(domain, stored.clone());
+                Applied::NoOutcome
+            }
+        }
+    }
+
+    fn apply_command(&mut self, command: &Command) -> Applied {
+        let newest = |table: &Table| table.history().next_back().map(|record| record.serial);
+        let before = newest(&self.table);
+        let outcome = Arc::make_mut(&mut self.table).apply(command);
+        // A resend isn't recorded again. The entry may have been replaced since the first one.
+        let is_first = newest(&self.table) != before;
+        match &command.operation {
+            Operation::ForgetEntry(name) if is_first => {
+                let rosters = self.rosters.values_mut();
+                rosters.for_each(|stored| stored.forget(name));
+                Applied::EntryForgotten(outcome, name.clone())
+            }
+            _ => Applied::Table(outcome),
         }
     }
 
--- a/crates/filberthead/src/control/shares.rs
+++ b/crates/filberthead/src/control/shares.rs
@@ -8,13 +8,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use filberthead_consensus::{Event, Proposal};
 use filberthead_operator::RowReading;
 use filberthead_peer::{Body, Origin};
-use filberthead_steer::{LEASE_DURATION, Lessor, Message, Renew, ServiceDemand};
+use filberthead_steer::{LEASE_DURATION, Lessor, Message, Renew, ServiceDemand, StoredRoster};
 use filberthead_table::{RowKey, View};
 use filberthead_types::{Epoch, Moment, NodeName, Region};
+use log::warn;
 
-use super::core::Core;
+use super::core::{Core, Pending};
+use super::machine::{Entry, Machine};
 use super::spreading::Domains;
 
 /// Longest time that a request of a silent entry may go on running: the longest deadline that
@@ -23,6 +26,14 @@
 /// Age from which on an entry's renewal says nothing about its present usage.
 const STALE_AFTER: Duration = Duration::from_secs(10);
 
+/// What to do about an entry's renewal.
+enum Renewal {
+    /// Send this grant.
+    Grant(Message),
+    /// Log the roster that the grant is by. The entry renews again after that.
+    Log(StoredRoster),
+}
+
 /// What an entry uses, by its last renewal.
 #[derive(Debug)]
 struct Usage {
@@ -41,8 +52,8 @@
 
 impl Shares {
     /// Replaces the lessor when the term changes, and drops it for `None`, when this replica
-    /// doesn't lead.
-    fn set_term(&mut self, now: Moment, term: Option<Epoch>, view: impl FnOnce() -> Arc<View>) {
+    /// doesn't lead. A new one begins with what earlier leaders have logged.
+    fn set_term(&mut self, now: Moment, term: Option<Epoch>, machine: &Machine) {
         let Some(term) = term else {
             self.lessor = None;
             return;
@@ -55,7 +66,8 @@
             return;
         }
         let mut lessor = Lessor::new(now, term, MAX_REQUEST_DURATION);
-        lessor.set_table(view());
+        lessor.set_table(Arc::new(machine.table.view()));
+        lessor.restore(machine.rosters.values().cloned());
         self.lessor = Some((term, lessor));
         self.usage.clear();
     }
@@ -67,9 +79,30 @@
         }
     }
 
-    fn renew(&mut self, now: Moment, from: &NodeName, renew: &Renew) -> Option<Message> {
+    /// Removes an entry that an operator has declared gone, as the log has done.
+    pub(crate) fn forget(&mut self, name: &NodeName) {
+        if let Some((_, lessor)) = &mut self.lessor {
+            lessor.forget(name);
+        }
+    }
+
+    /// Answers a renewal. Guards against a leader that dies after a grant by a roster that only
+    /// it knew: the next one would grant its members' endpoints and parts to others.
+    fn renew(
+        &mut self,
+        now: Moment,
+        from: &NodeName,
+        renew: &Renew,
+        logged: Option<&StoredRoster>,
+    ) -> Option<Renewal> {
         let (_, lessor) = self.lessor.as_mut()?;
         let grant = lessor.renew(now, from, renew);
+        let roster = lessor.roster(&renew.failure_domain);
+        if roster.as_ref() != logged
+            && let Some(roster) = roster
+        {
+            return Some(Renewal::Log(roster));
+        }
         // A grant without a serial number replies to a renewal that was superseded.
         if grant.serial > 0 {
             let usage = Usage {
@@ -79,7 +112,7 @@
             };
             self.usage.insert(from.clone(), usage);
         }
-        Some(Message::Grant(grant))
+        Some(Renewal::Grant(Message::Grant(grant)))
     }
 
     /// Usage per row of the table, from recent renewals. `domains` holds all failure domains that
@@ -150,19 +183,36 @@
 
 impl Core {
     /// Replies to an entry's renewal, if this replica leads at this moment.
-    pub(super) fn handle_renewal(&mut self, origin: &Origin, renew: &Renew) {
+    pub(super) async fn handle_renewal(&mut self, origin: &Origin, renew: &Renew) {
         let now = self.clock.now();
         self.sync_lessor(now);
-        if let Some(grant) = self.shares.renew(now, &origin.name, renew) {
-            self.send(origin.addr, Body::Steer(grant));
+        let logged = self.machine.rosters.get(&renew.failure_domain);
+        match self.shares.renew(now, &origin.name, renew, logged) {
+            Some(Renewal::Grant(grant)) => self.send(origin.addr, Body::Steer(grant)),
+            Some(Renewal::Log(roster)) => self.propose_roster(roster).await,
+            None => {}
         }
     }
 
+    async fn propose_roster(&mut self, roster: StoredRoster) {
+        let domain = roster.failure_domain.clone();
+        let is_same = |p: &Pending| matches!(p, Pending::Roster(pending) if *pending == domain);
+        if self.pending.values().any(is_same) {
+            return;
+        }
+        let Ok(buf) = postcard::to_stdvec(&Entry::Roster(roster)) else {
+            warn!("can't encode a roster");
+            return;
+        };
+        let token = self.add_pending(Pending::Roster(domain));
+        let proposal = Proposal::Command(buf);
+        self.step(Event::Propose { token, proposal }).await;
+    }
+
     /// Aligns the lessor with this replica's lease.
     pub(super) fn sync_lessor(&mut self, now: Moment) {
         let leads = self.replica.lease_until(now).is_some();
         let term = leads.then(|| self.replica.status(now).term);
-        let table = &self.machine.table;
-        self.shares.set_term(now, term, || Arc::new(table.view()));
+        self.shares.set_term(now, term, &self.machine);
     }
 }
--- a/crates/operator/src/answer/history.rs
+++ b/crates/operator/src/answer/history.rs
@@ -139,6 +139,7 @@
         Operation::HandOver { note } => ("hand-over", note, none, None),
         Operation::RegisterReplica(_) => ("register-replica", "", none, None),
         Operation::ForgetReplica(_) => ("forget-replica", "", none, None),
+        Operation::ForgetEntry(_) => ("forget-entry", "", none, None),
     }
 }
 
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -28,8 +28,8 @@
 };
 pub use client::{Client, ClientBuilder, ClientError, Reply};
 pub use request::{
-    AcceptBody, AddReplicaBody, ChangeBody, EditBody, EditShapeError, NoteBody, ReplicaBody,
-    ReviewBody,
+    AcceptBody, AddReplicaBody, ChangeBody, EditBody, EditShapeError, ForgetEntryBody, NoteBody,
+    ReplicaBody, ReviewBody,
 };
 pub use server::{MAX_BODY_BYTES, Page, Server, ServerBuilder};
 pub use tokens::{NewToken, TokenSource, TokenSourceError, Tokens, TokensError};
--- a/crates/operator/src/server/operations.rs
+++ b/crates/operator/src/server/operations.rs
@@ -17,8 +17,8 @@
 use super::{Shared, queries};
 use crate::live::{self, LiveCheck};
 use crate::{
-    AcceptBody, AddReplicaBody, AdministrationError, Answer, ChangeBody, MembershipChange,
-    NoteBody, ReplicaBody, ReviewBody,
+    AcceptBody, AddReplicaBody, AdministrationError, Answer, ChangeBody, ForgetEntryBody,
+    MembershipChange, NoteBody, ReplicaBody, ReviewBody,
 };
 
 pub(super) async fn perform(
@@ -103,6 +103,10 @@
             let NoteBody { id, note } = parse(body)?;
             Ok((id, Operation::HandOver { note }))
         }
+        Route::ForgetEntry => {
+            let ForgetEntryBody { id, entry } = parse(body)?;
+            Ok((id, Operation::ForgetEntry(entry)))
+        }
         _ => Err(refuse(
             ResultCode::NoSuchRoute,
             "this route has no operation",
@@ -133,7 +137,8 @@
         | Operation::Withdraw { proposal, .. } => edits_of_proposal(shared, *proposal).await,
         Operation::HandOver { .. }
         | Operation::RegisterReplica(_)
-        | Operation::ForgetReplica(_) => Ok(Vec::new()),
+        | Operation::ForgetReplica(_)
+        | Operation::ForgetEntry(_) => Ok(Vec::new()),
     }
 }
 
--- a/crates/operator/src/server/route.rs
+++ b/crates/operator/src/server/route.rs
@@ -31,6 +31,7 @@
     Accept(ProposalNumber),
     Withdraw(ProposalNumber),
     HandOver,
+    ForgetEntry,
     Initialise,
     AddReplica,
     Promote,
@@ -51,6 +52,7 @@
             Self::Propose | Self::Review(_) | Self::Withdraw(_) | Self::HandOver => Role::Propose,
             Self::Change
             | Self::Accept(_)
+            | Self::ForgetEntry
             | Self::Initialise
             | Self::AddReplica
             | Self::Promote
@@ -88,6 +90,7 @@
             ["proposals", number, "accept"] => Some(Self::Accept(parse(number)?)),
             ["proposals", number, "withdraw"] => Some(Self::Withdraw(parse(number)?)),
             ["handover"] => Some(Self::HandOver),
+            ["entries", "forget"] => Some(Self::ForgetEntry),
             ["control", "initialise"] => Some(Self::Initialise),
             ["control", "add"] => Some(Self::AddReplica),
             ["control", "promote"] => Some(Self::Promote),
--- a/crates/steer/src/lease.rs
+++ b/crates/steer/src/lease.rs
@@ -51,6 +51,24 @@
     pub leaving: Option<NodeName>,
 }
 
+impl StoredRoster {
+    /// Removes an entry that is gone for good.
+    pub fn forget(&mut self, name: &NodeName) {
+        self.leaving.take_if(|leaving| leaving == name);
+        self.roster.forget(name);
+    }
+}
+
+impl Roster {
+    /// Removes a member that is gone for good.
+    pub(crate) fn forget(&mut self, name: &NodeName) {
+        if self.has(name) {
+            self.members.retain(|member| member != name);
+            self.epoch = self.epoch.next();
+        }
+    }
+}
+
 /// Smallest majority of a roster with this many members.
 pub(crate) fn majority(members: usize) -> usize {
     members / 2 + 1
--- a/crates/steer/src/lessor/mod.rs
+++ b/crates/steer/src/lessor/mod.rs
@@ -92,8 +92,13 @@
         self.view = view;
     }
 
-    /// The current rosters, for the next leader. Control must have a changed roster in its log
-    /// before it sends a grant by it.
+    /// The current roster of a failure domain, for the next leader; `None` if it has none yet.
+    /// Control must have a changed roster in its log before it sends a grant by it.
+    pub fn roster(&self, domain: &FailureDomain) -> Option<StoredRoster> {
+        self.rosters.get(domain)?.to_stored(domain)
+    }
+
+    /// All current rosters.
     pub fn rosters(&self) -> Vec<StoredRoster> {
         let rosters = self.rosters.iter();
         rosters
--- a/crates/steer/src/lessor/roster.rs
+++ b/crates/steer/src/lessor/roster.rs
@@ -183,11 +183,8 @@
         if self.awaiting_ack.as_ref() == Some(name) {
             self.awaiting_ack = None;
         }
-        if let Some(roster) = self.roster.as_mut()
-            && roster.has(name)
-        {
-            roster.members.retain(|member| member != name);
-            roster.epoch = roster.epoch.next();
+        if let Some(roster) = &mut self.roster {
+            roster.forget(name);
         }
     }
 
--- a/crates/table/src/command.rs
+++ b/crates/table/src/command.rs
@@ -165,6 +165,9 @@
     RegisterReplica(ReplicaInfo),
     /// Removes the addresses of a control replica.
     ForgetReplica(ReplicaId),
+    /// States that an entry is gone for good: none of its requests run any more. Changes
+    /// nothing in the table.
+    ForgetEntry(NodeName),
 }
 
 /// An entry of the replicated log.
--- a/crates/table/src/history.rs
+++ b/crates/table/src/history.rs
@@ -62,6 +62,7 @@
             info.name.as_str().len() + size_of::<crate::ReplicaInfo>()
         }
         Operation::ForgetReplica(_) => 0,
+        Operation::ForgetEntry(name) => name.as_str().len(),
     }
 }
 
--- a/crates/table/src/rules.rs
+++ b/crates/table/src/rules.rs
@@ -84,7 +84,9 @@
                 ensure!(!note.trim().is_empty(), MissingNoteSnafu);
                 check_note(note)
             }
-            Operation::RegisterReplica(_) | Operation::ForgetReplica(_) => Ok(()),
+            Operation::RegisterReplica(_)
+            | Operation::ForgetReplica(_)
+            | Operation::ForgetEntry(_) => Ok(()),
         }
     }
 }
--- a/crates/table/src/state.rs
+++ b/crates/table/src/state.rs
@@ -173,6 +173,7 @@
                 self.replicas.remove(id);
                 Outcome::Recorded
             }
+            Operation::ForgetEntry(_) => Outcome::Recorded,
         }
     }
 
--- a/src/cli/control.rs
+++ b/src/cli/control.rs
@@ -2,14 +2,23 @@
 
 use std::net::SocketAddr;
 
-use filberthead_operator::{AddReplicaBody, Answer, ReplicaBody, ReplicaStatus, Status};
+use filberthead_operator::{
+    AddReplicaBody, Answer, ForgetEntryBody, ReplicaBody, ReplicaStatus, Status,
+};
 use filberthead_types::{ChangeId, ReplicaId, ResultCode};
 
 use super::args::{self, Args};
 use super::error::{CliError, Exit, Result};
 use super::session::Session;
 
-const COMMANDS: &[&str] = &["add", "init", "promote", "remove", "replace"];
+const COMMANDS: &[&str] = &[
+    "add",
+    "forget-entry",
+    "init",
+    "promote",
+    "remove",
+    "replace",
+];
 
 pub(super) async fn run(session: &Session, mut args: Args) -> Result<Exit> {
     let command = args.positional("a command; see `filberthead help control`")?;
@@ -31,6 +40,14 @@
             let answer = post(session, "/v1/control/promote", id).await?;
             show_answer(session, &answer)
         }
+        "forget-entry" => {
+            let entry = args.parse_positional("the entry's name")?;
+            args.finish()?;
+            let id = change_id_or_random(session);
+            let body = ForgetEntryBody { id, entry };
+            let answer = session.send("/v1/entries/forget", id, &body).await?;
+            show_answer(session, &answer)
+        }
         "remove" => {
             let name = args.positional("the replica's name or id")?;
             args.finish()?;
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -91,6 +91,8 @@
   replace NAME|ID IP:PORT
                        add, wait until caught up, promote, remove the old one;
                        may be run again if it breaks off
+  forget-entry NAME    state that an entry's VM is gone for good: its endpoints and its
+                       parts of limits go to others. Only if nothing of it runs any more
 ";
 
 const KEY: &str = "\
--- a/tests/all/operators/mod.rs
+++ b/tests/all/operators/mod.rs
@@ -4,6 +4,7 @@
 mod fake;
 mod group;
 mod input;
+mod leases;
 mod limits;
 mod resend;
 mod session;
