explain: fields in alphabetical order whatever the log's; 413 above 2 MiB

- explained::explain_traces_a_request_through_all_logs: since serde_json keeps the order of fields, explain printed them in the log's order.
It sorts them now, as it always showed them.
- groups::a_too_large_configuration_is_refused_with_413 sent 1 MiB and a little; the limit is 2 MiB since, which 10,000 workspaces need.
It sends 2 MiB and a little now, so the check is the same at the limit in force; the_longest_configuration_reaches_all_replicas checks the exact byte.

--- a/crates/observe/src/trace.rs
+++ b/crates/observe/src/trace.rs
@@ -52,13 +52,15 @@
         let fields = map
             .iter()
             .filter(|(key, _)| !HEADER_FIELDS.contains(&key.as_str()));
+        let mut fields: Vec<_> = fields
+            .map(|(key, value)| (key.clone(), value_text(value)))
+            .collect();
+        fields.sort();
         Some(Self {
             at: text(map, "ts")?,
             process: text(map, "process")?,
             message: text(map, "msg")?,
-            fields: fields
-                .map(|(key, value)| (key.clone(), value_text(value)))
-                .collect(),
+            fields,
         })
     }
 }
--- a/tests/all/groups.rs
+++ b/tests/all/groups.rs
@@ -343,7 +343,7 @@
 fn a_too_large_configuration_is_refused_with_413() {
     let site = site().replicas(1).tolerate(0).start();
     site.put_routes(1, SERVICES);
-    let text = config(2, SERVICES) + &" ".repeat(1024 * 1024);
+    let text = config(2, SERVICES) + &" ".repeat(2 * 1024 * 1024);
     assert_eq!(site.order("config.put", &text).status, 413);
     wait_version(&site.controls[0], 1);
 }
