--- a/crates/allot/src/limiter.rs
+++ b/crates/allot/src/limiter.rs
@@ -26,7 +26,7 @@
 /// Part of rate and burst that a gateway may send beyond its reported rate before it reports
 /// again at once.
 const UNREPORTED_SHARE: f64 = 0.03;
-/// Requests that are chance and no surge, whatever the allotment.
+/// Unreported requests that don't count as a surge, whatever the allotment.
 const MIN_UNREPORTED: f64 = 3.0;
 /// Requests that may be sent at once without contact, as time of the reserved rate.
 const RESERVED_BURST: Duration = Duration::from_secs(2);
@@ -258,7 +258,7 @@
         ratios.map(AdmitRatio::ratio).min_by(f64::total_cmp)
     }
 
-    /// Time until the workspace has made up for what was sent too much, by the last word of each
+    /// Time until the workspace has made up for what was sent too much, by the last notice of each
     /// replica, however old.
     fn debt(&self, now: Moment, workspace: &WorkspaceName) -> Duration {
         let left = |ratios: &Ratios| {
--- a/crates/filberthead/src/control/machine.rs
+++ b/crates/filberthead/src/control/machine.rs
@@ -44,7 +44,7 @@
 pub(crate) enum Applied {
     /// Of a command on the table.
     Table(Outcome),
-    /// Of an operator's word that this entry is gone, which was removed from its roster.
+    /// Of a command that declares this entry gone; the entry was removed from its roster.
     EntryForgotten(Outcome, NodeName),
     /// Of a claim.
     Claim(ClaimResult),
--- a/crates/filberthead/src/control/shares.rs
+++ b/crates/filberthead/src/control/shares.rs
@@ -79,7 +79,8 @@
         }
     }
 
-    /// Removes an entry that an operator has declared gone, as the log has done.
+    /// Removes an entry that an operator has declared gone, as [`Machine::apply`] does for the
+    /// logged rosters.
     pub(crate) fn forget(&mut self, name: &NodeName) {
         if let Some((_, lessor)) = &mut self.lessor {
             lessor.forget(name);
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -30,7 +30,8 @@
 
 /// Time between two reports of a gateway below which the later one is early.
 const EARLY_REPORT: Duration = Duration::from_millis(400);
-/// Numbers of reports below the last one that belong to the same process: those of some minutes.
+/// How far below the last report's number a report of the same process can be. A restarted process
+/// begins at a random number.
 const MAX_OVERTAKEN: u64 = 10_000;
 /// How long totals over all gateways are cached: every answer to hundreds of reports contains
 /// them.
--- a/crates/spread/src/node/domain.rs
+++ b/crates/spread/src/node/domain.rs
@@ -304,7 +304,7 @@
         };
         let domain = &mut self.domain;
         let reported = domain.reports.remove(from);
-        // Members that reported through the sender need a moment to find another way.
+        // Members that reported through the sender first have to find another relay.
         let reported = reported.iter().flat_map(|last| last.roster.members());
         for member in reported.filter(|member| member.name != self.local.name) {
             domain.assume_live(now, member);
