Log and count what the retry budget grants and refuses

Neither logs nor metrics said what a gateway had spent of a service's retry budget, what it was refused, or by how many gateways it had divided the floor, so the hypotheses about retries beyond the budget couldn't be told apart on a machine that shows them. Each decision now has a line with these figures and the age of the number of gateways, a change of that number has one with the replica it came from, both show in `filberthead explain`, and metrics count decisions by service. No decision changes.

--- a/crates/bench/src/placement/simulation.rs
+++ b/crates/bench/src/placement/simulation.rs
@@ -378,7 +378,9 @@
         let next = state
             .attempts
             .record_refused(placer.may_retry_same_endpoint(true));
-        if next == NextAttempt::Allowed && placer.try_spend_retry(ms(self.now), &service) {
+        if next == NextAttempt::Allowed
+            && placer.try_spend_retry(ms(self.now), &service).is_granted()
+        {
             self.place(request);
         } else {
             self.reject(request, REFUSAL_RETRY_AFTER);
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -14,10 +14,10 @@
 use filberthead_fleet::{Load, Member, Outbound, Stamp, Update, UpdateDelay};
 use filberthead_observe::{GatewayMetrics, LogRateLimiter};
 use filberthead_peer::Body;
-use filberthead_place::{ConnectionBalancer, LargeResponseAdmission, Link, Placer};
+use filberthead_place::{ConnectionBalancer, LargeResponseAdmission, Link, Placer, RetryDecision};
 use filberthead_ring::Sender;
 use filberthead_route::{CallerBounds, KeyIndex, Matcher, Table};
-use filberthead_types::{Meaning, Moment, ResultCode, Workspace};
+use filberthead_types::{Meaning, Moment, ResultCode, ServiceName, Workspace};
 use log::{Level, debug, info, log_enabled, warn};
 use tokio::sync::watch;
 
@@ -131,6 +131,8 @@
     control_silent: Cell<bool>,
     /// When the endpoint list last changed.
     list_changed_at: Cell<Moment>,
+    /// When a replica last sent the number of gateways; `None` if none has.
+    gateways_counted_at: Cell<Option<Moment>>,
     /// Rate limit of the log lines about rejected requests, by result code.
     log_limiter: RefCell<LogRateLimiter<ResultCode>>,
 }
@@ -176,6 +178,7 @@
             seeds: RefCell::new(parts.seeds),
             control_silent: Cell::new(true),
             list_changed_at: Cell::new(Moment::ZERO),
+            gateways_counted_at: Cell::new(None),
             log_limiter: RefCell::new(LogRateLimiter::new(LOG_LINES_PER_SECOND)),
         })
     }
@@ -271,6 +274,22 @@
         admission
     }
 
+    /// Takes a retry from the service's budget if there is one left.
+    pub(crate) fn try_spend_retry(&self, service: &ServiceName) -> RetryDecision {
+        let decision = self
+            .placer
+            .borrow_mut()
+            .try_spend_retry(self.now(), service);
+        self.metrics.record_retry(service, decision.is_granted());
+        decision
+    }
+
+    /// Time since a replica last sent the number of gateways; `None` if none has.
+    pub(crate) fn gateways_age(&self) -> Option<Duration> {
+        let counted_at = self.gateways_counted_at.get()?;
+        Some(self.now().saturating_sub(counted_at))
+    }
+
     /// Counts a further attempt of an admitted request against its workspace's allotment.
     pub(crate) fn record_retry(&self, workspace: &Workspace) {
         let now = self.now();
@@ -425,7 +444,15 @@
                 self.close_connections(&replaced);
                 self.metrics.set_endpoints(placer.endpoint_count());
             }
-            Update::Gateways(counts) => placer.set_gateways(&counts),
+            Update::Gateways(counts) => {
+                let before = placer.gateway_count();
+                placer.set_gateways(&counts);
+                let gateways = placer.gateway_count();
+                if self.gateways_counted_at.replace(Some(now)).is_none() || gateways != before {
+                    info!(gateways, before, from:%; "number of gateways");
+                }
+                self.metrics.set_gateways(gateways);
+            }
             Update::Demand(demand) => placer.set_demand(now, &demand),
             Update::ReportAnswered => self.limiter.borrow_mut().confirm_report(),
             Update::Ratios(ratios) => self.limiter.borrow_mut().set_ratios(now, from, &ratios),
--- a/crates/filberthead/src/gateway/forward.rs
+++ b/crates/filberthead/src/gateway/forward.rs
@@ -7,8 +7,8 @@
 
 use filberthead_endpoint::RequestBody;
 use filberthead_place::{
-    Attempts, Decision, EndpointId, Homes, NextAttempt, Object, Refusal,
-    Request as PlacementRequest,
+    Attempts, BudgetUsage, Decision, EndpointId, Homes, NextAttempt, Object, Refusal,
+    Request as PlacementRequest, RetryDecision,
 };
 use filberthead_route::{Kind, Matched, Route};
 use filberthead_types::{ResultCode, ServiceName, Workspace as WorkspaceName, header};
@@ -350,11 +350,27 @@
         let expected = self.route.objective / 4;
         further == NextAttempt::Allowed
             && self.deadline.remaining() > expected
-            && self
-                .core
-                .placer
-                .borrow_mut()
-                .try_spend_retry(self.core.now(), self.service)
+            && self.try_spend_retry()
+    }
+
+    fn try_spend_retry(&self) -> bool {
+        let decision = self.core.try_spend_retry(self.service);
+        match decision {
+            RetryDecision::Granted(usage) => self.log_retry("retry granted", usage, 0),
+            RetryDecision::Refused(usage) => {
+                if let Some(omitted) = self.core.may_log(ResultCode::RetryBudgetSpent) {
+                    self.log_retry("retry budget spent", usage, omitted);
+                }
+            }
+        }
+        decision.is_granted()
+    }
+
+    fn log_retry(&self, event: &'static str, usage: BudgetUsage, omitted: u64) {
+        let counted_ms = self.core.gateways_age().map(|age| age.as_millis());
+        info!(request = self.request_id(), route = self.route.name.as_str(),
+            service:% = self.service, first = usage.first, retries = usage.retries,
+            allowed = usage.allowed, gateways = usage.gateways, counted_ms, omitted; "{event}");
     }
 
     fn reject(&mut self, code: ResultCode, retry_after: Duration) -> Next {
--- a/crates/observe/src/metrics/gateway.rs
+++ b/crates/observe/src/metrics/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use filberthead_types::{ResultCode, Workspace};
+use filberthead_types::{ResultCode, ServiceName, Workspace};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -34,6 +34,16 @@
     result: &'static str,
 }
 
+/// Labels of decisions about retries.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct RetryLabels {
+    service: String,
+    result: &'static str,
+}
+
+/// Services that get series of their own; all others share one.
+const MAX_SERVICES: usize = 256;
 /// Workspaces that get series of their own; all others share one.
 const MAX_WORKSPACES: usize = 256;
 
@@ -46,6 +56,9 @@
     workspace_requests: Family<WorkspaceLabels, Counter>,
     workspaces: BoundedValues<String>,
     attempts: Family<ReasonLabels, Counter>,
+    retries: Family<RetryLabels, Counter>,
+    services: BoundedValues<String>,
+    gateways: Gauge,
     running: Gauge,
     routes_version: Gauge,
     routes_proven: Gauge,
@@ -70,6 +83,9 @@
             workspace_requests: Family::default(),
             workspaces: BoundedValues::new(MAX_WORKSPACES),
             attempts: Family::default(),
+            retries: Family::default(),
+            services: BoundedValues::new(MAX_SERVICES),
+            gateways: Gauge::default(),
             running: Gauge::default(),
             routes_version: Gauge::default(),
             routes_proven: Gauge::default(),
@@ -99,6 +115,11 @@
         );
         let attempts = "Attempts at endpoints by how they ended";
         registry.register("gateway_attempts", attempts, self.attempts.clone());
+        let retries = "Retries granted and refused by the budget, by service, other beyond the first \
+            256";
+        registry.register("gateway_retries", retries, self.retries.clone());
+        let gateways = "Number of gateways that limits on a sum are divided by";
+        registry.register("gateway_gateways", gateways, self.gateways.clone());
         let running = "Requests without a final answer";
         registry.register("gateway_running", running, self.running.clone());
         let version = "Operators' number of the routes in force";
@@ -146,6 +167,21 @@
         self.attempts.get_or_create_owned(&labels).inc();
     }
 
+    /// Counts a retry that the budget of its service granted or refused.
+    pub fn record_retry(&self, service: &ServiceName, is_granted: bool) {
+        let name = service.as_str().to_owned();
+        let labels = RetryLabels {
+            service: self.services.admit(name).unwrap_or_else(other),
+            result: if is_granted { "granted" } else { "refused" },
+        };
+        self.retries.get_or_create_owned(&labels).inc();
+    }
+
+    /// Sets the number of gateways that limits on a sum are divided by.
+    pub fn set_gateways(&self, gateways: u32) {
+        set(&self.gateways, gateways.into());
+    }
+
     /// Sets how many requests have no final answer yet.
     pub fn set_running(&self, running: usize) {
         set(&self.running, running as u64);
--- a/crates/observe/src/trace.rs
+++ b/crates/observe/src/trace.rs
@@ -15,13 +15,14 @@
 const REQUEST_FIELD: &str = "request";
 /// Messages that log a part of a process's state, each with its topic. A later message
 /// replaces an earlier one of the same topic.
-const STATE_MESSAGES: [(&str, &str); 8] = [
+const STATE_MESSAGES: [(&str, &str); 9] = [
     ("routes in force", "routes"),
     ("list of endpoints", "endpoints"),
     ("list of endpoints changed", "endpoints"),
     ("evacuated failure domains", "evacuated"),
     ("control replica reachable", "control"),
     ("no control replica reachable", "control"),
+    ("number of gateways", "gateways"),
     ("planned stop begins", "stop"),
     ("leadership or membership", "leader"),
 ];
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -59,4 +59,4 @@
 pub use placer::Placer;
 pub use planning::ServiceEstimate;
 pub use request::{Config, Decision, Homes, Object, Refusal, Request, Target};
-pub use retry_budget::{RetryBudget, RetryBudgetConfig};
+pub use retry_budget::{BudgetUsage, RetryBudget, RetryBudgetConfig, RetryDecision};
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -14,7 +14,7 @@
 use crate::planning::OwnDemand;
 use crate::priority::PriorityMix;
 use crate::shift::RegionShares;
-use crate::{Config, Load, Mechanism, Outcome, RetryBudget, Target, rank};
+use crate::{Config, Load, Mechanism, Outcome, RetryBudget, RetryDecision, Target, rank};
 
 /// Weight of a new observation of a round trip: about the last fifty count, and half of a
 /// change is learned within as many responses.
@@ -219,7 +219,7 @@
     }
 
     /// Takes a retry from the budget if there is one left.
-    pub fn try_spend_retry(&mut self, now: Moment, service: &ServiceName) -> bool {
+    pub fn try_spend_retry(&mut self, now: Moment, service: &ServiceName) -> RetryDecision {
         let gateways = self.gateway_count();
         self.retry_budget.try_spend(now, service, gateways)
     }
--- a/crates/place/src/retry_budget.rs
+++ b/crates/place/src/retry_budget.rs
@@ -28,6 +28,35 @@
     pub window: Duration,
 }
 
+/// A service's budget at one gateway, at the moment of a decision.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetUsage {
+    /// First attempts within the window.
+    pub first: u32,
+    /// Retries spent within the window, including the one just granted.
+    pub retries: u32,
+    /// Retries that the window allows.
+    pub allowed: f64,
+    /// Number of gateways that the floor was divided by.
+    pub gateways: u32,
+}
+
+/// The decision about a retry.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum RetryDecision {
+    /// It is spent and may be sent.
+    Granted(BudgetUsage),
+    /// The budget has none left.
+    Refused(BudgetUsage),
+}
+
+impl RetryDecision {
+    /// Whether the retry may be sent.
+    pub fn is_granted(&self) -> bool {
+        matches!(self, Self::Granted(_))
+    }
+}
+
 /// Attempts in one slice of the window.
 #[derive(Clone, Copy, Debug, Default)]
 struct Bucket {
@@ -59,7 +88,22 @@
     }
 
     /// Spends a retry if this gateway, one of `gateways`, has one left.
-    pub fn try_spend(&mut self, now: Moment, service: &ServiceName, gateways: u32) -> bool {
+    pub fn try_spend(
+        &mut self,
+        now: Moment,
+        service: &ServiceName,
+        gateways: u32,
+    ) -> RetryDecision {
+        let mut usage = self.usage(now, service, gateways);
+        if f64::from(usage.retries) + 1.0 > usage.allowed {
+            return RetryDecision::Refused(usage);
+        }
+        self.bucket(now, service).retries += 1;
+        usage.retries += 1;
+        RetryDecision::Granted(usage)
+    }
+
+    fn usage(&self, now: Moment, service: &ServiceName, gateways: u32) -> BudgetUsage {
         let oldest = self.bucket_number(now).saturating_sub(BUCKETS as u64 - 1);
         let (mut first, mut retries) = (0, 0);
         if let Some(buckets) = self.services.get(service) {
@@ -68,13 +112,15 @@
                 retries += bucket.retries;
             }
         }
-        let floor = self.cfg.floor / f64::from(gateways.max(1));
+        let gateways = gateways.max(1);
+        let floor = self.cfg.floor / f64::from(gateways);
         let allowed = SAFETY_FACTOR * (self.cfg.ratio * f64::from(first) + floor);
-        if f64::from(retries) + 1.0 > allowed {
-            return false;
+        BudgetUsage {
+            first,
+            retries,
+            allowed,
+            gateways,
         }
-        self.bucket(now, service).retries += 1;
-        true
     }
 
     fn bucket_number(&self, now: Moment) -> u64 {
--- a/crates/place/tests/all/bounds.rs
+++ b/crates/place/tests/all/bounds.rs
@@ -113,7 +113,10 @@
             let gateway = rng.random_range(0..gateways.len());
             gateways[gateway].record_request(ms(at), &service, 0);
             first.push(at);
-            while gateways[gateway].try_spend_retry(ms(at), &service) {
+            while gateways[gateway]
+                .try_spend_retry(ms(at), &service)
+                .is_granted()
+            {
                 retries.push(at);
             }
         }
--- a/tests/all/explained.rs
+++ b/tests/all/explained.rs
@@ -144,3 +144,47 @@
     assert!(gateway.metric("gateway_routes_version") > 0.5);
     assert!(gateway.metric("gateway_ready") > 0.5);
 }
+
+/// A retry goes to another endpoint until the budget of one retry is spent; both decisions name
+/// the figures that they were made by.
+#[test]
+fn a_retry_that_the_budget_refused_is_explained() {
+    let mut site = start();
+    site.add_endpoint("catalogue", "zagreb-a");
+    site.add_endpoint("catalogue", "zagreb-a");
+    let gateway = &mut site.gateways[0];
+    gateway.settings().set("budgets", "retry_ratio", "0");
+    gateway.settings().set("budgets", "retry_floor", "2");
+    gateway.settings().set("budgets", "retry_window", "1h");
+    gateway.settings().set("log", "format", "json");
+    gateway.restart();
+    site.wait_serving(0);
+    wait_until("a reading is served", BOUND, || {
+        let answer = site.request(0, &request("GET", "/catalogue/one", "warm"));
+        answer.is_ok_and(|answer| answer.status == 200)
+    });
+    for endpoint in &site.endpoints {
+        endpoint.set_behaviour(Behaviour::Fails);
+    }
+    let mut refused = None;
+    wait_until("a retry is refused", BOUND, || {
+        let id = format!("r-{}", rand::random::<u32>());
+        let answer = site.request(0, &request("GET", "/catalogue/one", &id));
+        assert_eq!(answer.expect("an answer").status, 500);
+        let trace = explain(&site, &id);
+        refused = trace.contains("retry budget spent").then_some(trace);
+        refused.is_some()
+    });
+    let trace = refused.unwrap_or_default();
+    for field in ["service=catalogue", "gateways=1", "retries=1", "counted_ms"] {
+        assert!(trace.contains(field), "{field} in {trace}");
+    }
+    let gateway = &site.gateways[0];
+    assert!(
+        gateway.metric("gateway_retries_total{service=\"catalogue\",result=\"granted\"}") > 0.5
+    );
+    assert!(
+        gateway.metric("gateway_retries_total{service=\"catalogue\",result=\"refused\"}") > 0.5
+    );
+    assert!((gateway.metric("gateway_gateways") - 1.0).abs() < 1e-9);
+}
