Soak: retries of each service against their budget; two seeds listed

Callers and endpoints of real processes show what the users saw. The soak now sums, by service and over all gateways, the arrivals beyond the first of each request (also those that an endpoint rejects), and holds each window against the budget.

It found nothing at first, since no soak had ever retried a request: the routes' objective of 15 s asks for 3.75 s before the deadline, and requests had 1.5 s.

--- a/crates/testing/src/bin/soak.rs
+++ b/crates/testing/src/bin/soak.rs
@@ -12,12 +12,14 @@
 use lexopt::{Arg, ValueExt};
 
 const USAGE: &str = "usage: filberthead-soak [--seed FIRST] [--seeds COUNT] [--controls N] \
-[--gateways N] [--callers N] [--seconds N] [--show]";
+[--gateways N] [--callers N] [--seconds N] [--failing-endpoints] [--show]";
 
 struct Options {
     first: u64,
     seeds: u64,
     size: Size,
+    /// Whether endpoints fail and requests are few.
+    failing_endpoints: bool,
     /// Whether to print the plans instead of running them.
     show: bool,
 }
@@ -27,6 +29,7 @@
         first: 1,
         seeds: 1,
         size: Size::default(),
+        failing_endpoints: false,
         show: false,
     };
     let mut parser = lexopt::Parser::from_env();
@@ -40,6 +43,7 @@
             Arg::Long("seconds") => {
                 options.size.duration = Duration::from_secs(parser.value()?.parse()?);
             }
+            Arg::Long("failing-endpoints") => options.failing_endpoints = true,
             Arg::Long("show") => options.show = true,
             _ => return Err(arg.unexpected()),
         }
@@ -74,7 +78,10 @@
     };
     let mut broken = 0;
     for seed in options.first..options.first + options.seeds {
-        let plan = Plan::new(seed, options.size);
+        let plan = match options.failing_endpoints {
+            true => Plan::with_failing_endpoints(seed, options.size),
+            false => Plan::new(seed, options.size),
+        };
         if options.show {
             println!("{plan:#?}");
             continue;
--- a/crates/testing/src/soak/callers.rs
+++ b/crates/testing/src/soak/callers.rs
@@ -12,6 +12,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::history::{CallerRequest, RequestOutcome, RouteProbe};
+use super::plan::Load;
 use super::shared::{SharedState, probe_path};
 use super::workspaces;
 use crate::client::{Answer, Call, CallError, Connection};
@@ -24,8 +25,6 @@
 const CALLER_TIMEOUT: Duration = Duration::from_millis(2_500);
 const LOOKUP_TIMEOUT: Duration = Duration::from_secs(1);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Pause between two requests, in milliseconds.
-const PAUSE_MS: std::ops::Range<u64> = 5..60;
 /// Lengths of lessons: below and above the size that a gateway buffers completely.
 const LESSON_BYTES: [u64; 3] = [20_000, 300_000, 2_500_000];
 /// Number of distinct objects, which are the affinity keys of requests.
@@ -54,13 +53,28 @@
     workspace: Option<String>,
 }
 
+impl RequestSpec {
+    fn new(method: &'static str, path: String, object: u32) -> Self {
+        Self {
+            method,
+            path,
+            body: String::new(),
+            object,
+            probes: None,
+            key: String::new(),
+            workspace: None,
+        }
+    }
+}
+
 /// Sends requests until the soak is over.
-pub(super) async fn call(shared: Arc<SharedState>, number: usize, seed: u64) {
+pub(super) async fn call(shared: Arc<SharedState>, load: Load, number: usize, seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut connection = None;
     let mut count = 0;
     while !shared.is_over() {
-        sleep(Duration::from_millis(rng.random_range(PAUSE_MS))).await;
+        let pause_ms = rng.random_range(load.pause_ms());
+        sleep(Duration::from_millis(pause_ms)).await;
         if connection.is_none() {
             connection = connect(&shared, &mut rng).await;
         }
@@ -72,22 +86,26 @@
         let spec = RequestSpec {
             key,
             workspace,
-            ..random_request(&shared, &mut rng)
+            ..match load {
+                Load::Mixed => random_request(&shared, &mut rng),
+                Load::FewReads => random_read(&mut rng),
+            }
         };
         connection = send(&shared, open, format!("c{number}-{count}"), &spec).await;
     }
 }
 
+fn random_read(rng: &mut StdRng) -> RequestSpec {
+    let object = rng.random_range(0..OBJECTS);
+    RequestSpec::new("GET", format!("/catalogue/{object}?page=1"), object)
+}
+
 fn random_request(shared: &SharedState, rng: &mut StdRng) -> RequestSpec {
     let object = rng.random_range(0..OBJECTS);
     let spec = |method, path, body: &str, probes| RequestSpec {
-        method,
-        path,
         body: body.to_owned(),
-        object,
         probes,
-        key: String::new(),
-        workspace: None,
+        ..RequestSpec::new(method, path, object)
     };
     match rng.random_range(0..20) {
         0..=6 => spec("POST", format!("/orders/{object}"), "two packs", None),
@@ -181,6 +199,7 @@
         history.requests.push(CallerRequest {
             id,
             request_line: format!("{} {}", spec.method, spec.path),
+            sent,
             workspace: spec.workspace.clone(),
             idempotent: spec.method == "GET",
             gateway: connection.gateway,
--- a/crates/testing/src/soak/history.rs
+++ b/crates/testing/src/soak/history.rs
@@ -29,6 +29,8 @@
     pub id: String,
     /// Its method and path.
     pub request_line: String,
+    /// When it was sent.
+    pub sent: Instant,
     /// The workspace that holds its key; `None` if none does.
     pub workspace: Option<String>,
     /// Whether it may run more than once.
--- a/crates/testing/src/soak/mod.rs
+++ b/crates/testing/src/soak/mod.rs
@@ -17,12 +17,14 @@
 mod nodes;
 mod operators;
 mod plan;
+mod retries;
 mod runner;
 mod shared;
 mod violations;
 mod workspaces;
 
 pub use history::{CallerRequest, History, RequestOutcome, RouteProbe, RoutesChange, RoutesRead};
-pub use plan::{Plan, Size, Step, Target, TimedStep};
+pub use plan::{Load, Plan, Size, Step, Target, TimedStep};
+pub use retries::{ServiceArrival, WorstWindow};
 pub use runner::{Report, run_plan};
-pub use violations::{EndpointRun, Violation, find_violations};
+pub use violations::{EndpointRun, Limits, Violation, find_violations};
--- a/crates/testing/src/soak/plan.rs
+++ b/crates/testing/src/soak/plan.rs
@@ -27,6 +27,44 @@
     Behaviour::Truncates,
 ];
 
+/// Behaviours of endpoints after which a read is retried.
+const RETRIED_BEHAVIOURS: [Behaviour; 3] =
+    [Behaviour::Fails, Behaviour::LosesAnswer, Behaviour::Sheds];
+/// Time that a process is down, and until the next one is killed, in a series of restarts, in
+/// milliseconds.
+const SHORT_MS: std::ops::Range<u64> = 50..400;
+/// Duration of a cut between failure domains, in milliseconds: from one that nobody notices to one
+/// after which gateways on the other side aren't counted any more.
+const LONG_CUT_MS: std::ops::Range<u64> = 2_000..45_000;
+
+/// What the callers of a soak ask for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Load {
+    /// Requests to all services, one after the other.
+    Mixed,
+    /// A few reads of one service.
+    FewReads,
+}
+
+impl Load {
+    /// Pause of a caller between two requests, in milliseconds.
+    pub(super) fn pause_ms(self) -> std::ops::Range<u64> {
+        match self {
+            Self::Mixed => 5..60,
+            Self::FewReads => 100..500,
+        }
+    }
+
+    /// Retries of a service in each window beyond the ratio, over all gateways: the default of the
+    /// settings, or what a deployment of eight gateways allows.
+    pub fn retry_floor(self) -> u32 {
+        match self {
+            Self::Mixed => 10,
+            Self::FewReads => 56,
+        }
+    }
+}
+
 /// Size of a soak.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Size {
@@ -133,6 +171,8 @@
     pub seed: u64,
     /// Size of the system and duration.
     pub size: Size,
+    /// What its callers ask for.
+    pub load: Load,
     /// Whether it contains only planned work.
     pub planned_only: bool,
     /// The steps, sorted by time.
@@ -144,12 +184,7 @@
     pub fn new(seed: u64, size: Size) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let planned_only = rng.random_bool(PLANNED_ONLY_PROBABILITY);
-        let mut generator = Generator {
-            rng,
-            size,
-            drained: false,
-            steps: Vec::new(),
-        };
+        let mut generator = Generator::new(rng, size);
         let mut at = INITIAL_DELAY;
         while at < size.duration {
             if planned_only {
@@ -159,13 +194,37 @@
             }
             at += Duration::from_millis(generator.rng.random_range(FAULT_INTERVAL_MS));
         }
-        let mut steps = generator.steps;
-        steps.sort_by_key(|timed| timed.at);
         Self {
             seed,
             size,
+            load: Load::Mixed,
             planned_only,
-            steps,
+            steps: generator.into_steps(),
+        }
+    }
+
+    /// Generates a plan in which retries are many and requests few: endpoints fail at first and
+    /// again and again, while processes are restarted in series, paused or cut off.
+    pub fn with_failing_endpoints(seed: u64, size: Size) -> Self {
+        let mut generator = Generator::new(StdRng::seed_from_u64(seed), size);
+        generator.fail_all_endpoints(Duration::ZERO);
+        let mut at = INITIAL_DELAY;
+        while at < size.duration {
+            at = match generator.rng.random_range(0..10) {
+                0..=3 => generator.restart_series(at, Target::Gateway, size.gateways),
+                4 | 5 => generator.restart_series(at, Target::Control, size.controls),
+                6 => generator.pause_gateways(at),
+                7 => generator.cut_off_half(at),
+                8 => generator.fail_all_endpoints(at),
+                _ => generator.recover_endpoints(at),
+            };
+        }
+        Self {
+            seed,
+            size,
+            load: Load::FewReads,
+            planned_only: false,
+            steps: generator.into_steps(),
         }
     }
 }
@@ -180,6 +239,21 @@
 }
 
 impl Generator {
+    fn new(rng: StdRng, size: Size) -> Self {
+        Self {
+            rng,
+            size,
+            drained: false,
+            steps: Vec::new(),
+        }
+    }
+
+    /// The steps added so far, sorted by time.
+    fn into_steps(mut self) -> Vec<TimedStep> {
+        self.steps.sort_by_key(|timed| timed.at);
+        self.steps
+    }
+
     fn push(&mut self, at: Duration, step: Step) {
         self.steps.push(TimedStep { at, step });
     }
@@ -205,9 +279,74 @@
 
     /// Index of an endpoint that exists from the start.
     fn endpoint(&mut self) -> usize {
-        let domains_and_services = 2 * super::shared::SERVICES.len();
-        self.rng
-            .random_range(0..self.size.endpoints * domains_and_services)
+        let count = self.endpoint_count();
+        self.rng.random_range(0..count)
+    }
+
+    fn millis(&mut self, range: std::ops::Range<u64>) -> Duration {
+        Duration::from_millis(self.rng.random_range(range))
+    }
+
+    fn endpoint_count(&self) -> usize {
+        2 * super::shared::SERVICES.len() * self.size.endpoints
+    }
+
+    /// Makes every endpoint fail in a way that a read is retried after. Returns when to go on.
+    fn fail_all_endpoints(&mut self, at: Duration) -> Duration {
+        for endpoint in 0..self.endpoint_count() {
+            let behaviour = RETRIED_BEHAVIOURS[self.rng.random_range(0..RETRIED_BEHAVIOURS.len())];
+            self.push(at, Step::SetBehaviour(endpoint, behaviour));
+        }
+        at
+    }
+
+    /// Lets the endpoints serve for a moment. Returns when they fail again.
+    fn recover_endpoints(&mut self, at: Duration) -> Duration {
+        for endpoint in 0..self.endpoint_count() {
+            self.push(at, Step::SetBehaviour(endpoint, Behaviour::Serves));
+        }
+        let end = at + self.millis(FAULT_INTERVAL_MS);
+        self.fail_all_endpoints(end)
+    }
+
+    /// Kills and restarts these processes one after the other. Returns when the series is over.
+    fn restart_series(
+        &mut self,
+        at: Duration,
+        target: impl Fn(usize) -> Target,
+        count: usize,
+    ) -> Duration {
+        let mut at = at;
+        for number in 0..count {
+            let down_for = self.millis(SHORT_MS);
+            self.push(at, Step::Kill(target(number)));
+            self.push(at + down_for, Step::Start(target(number)));
+            at += down_for + self.millis(SHORT_MS);
+        }
+        at + self.millis(FAULT_INTERVAL_MS)
+    }
+
+    /// Pauses some gateways at the same moment. Returns when they have been resumed.
+    fn pause_gateways(&mut self, at: Duration) -> Duration {
+        let end = at + self.millis(FAULT_DURATION_MS);
+        for gateway in 0..self.size.gateways {
+            if self.rng.random_bool(0.5) {
+                self.push(at, Step::Freeze(Target::Gateway(gateway)));
+                self.push(end, Step::Resume(Target::Gateway(gateway)));
+            }
+        }
+        end
+    }
+
+    /// Cuts every second process off from the others: those of one failure domain. Returns when to
+    /// go on; the cut may last longer.
+    fn cut_off_half(&mut self, at: Duration) -> Duration {
+        let controls = (1..self.size.controls).step_by(2).map(Target::Control);
+        let gateways = (1..self.size.gateways).step_by(2).map(Target::Gateway);
+        self.push(at, Step::Partition(controls.chain(gateways).collect()));
+        let lasts = self.millis(LONG_CUT_MS);
+        self.push(at + lasts, Step::Heal);
+        at + self.millis(FAULT_INTERVAL_MS)
     }
 
     /// Adds planned work: stops, reloads, and endpoints that join, drain or are evacuated.
--- a/crates/testing/src/soak/runner.rs
+++ b/crates/testing/src/soak/runner.rs
@@ -9,9 +9,10 @@
 
 use super::history::{CallerRequest, RequestOutcome};
 use super::nodes::Nodes;
-use super::plan::{Plan, Step, Target};
+use super::plan::{Load, Plan, Step, Target};
+use super::retries::{ServiceArrival, WorstWindow, worst_windows};
 use super::shared::{SERVICES, SharedState, probe_path};
-use super::violations::{EndpointRun, Violation, find_violations};
+use super::violations::{EndpointRun, Limits, Violation, find_violations};
 use super::{callers, operators, workspaces};
 use crate::proxy::{Direction, FaultProxy, Flow};
 use crate::runtime;
@@ -50,6 +51,8 @@
     pub accepted: usize,
     /// Number of successful reads of routes by operators.
     pub shown: usize,
+    /// The window of each service that came closest to its retry budget.
+    pub retries: Vec<WorstWindow>,
     /// Violated guarantees.
     pub violations: Vec<Violation>,
     /// Folder with settings, logs and data; it is kept if there are violations.
@@ -69,6 +72,17 @@
             self.shown,
             self.violations.len()
         )?;
+        for window in &self.retries {
+            let WorstWindow {
+                service,
+                retries,
+                allowed,
+            } = window;
+            write!(
+                f,
+                "\n  {service}: {retries} of {allowed} retries in a window"
+            )?;
+        }
         for violation in &self.violations {
             write!(f, "\n  {violation}")?;
         }
@@ -113,6 +127,7 @@
             .seeds(size.controls.min(3))
             .gateways(size.gateways)
             .stop_grace(STOP_GRACE)
+            .retry_floor(plan.load.retry_floor())
             .start();
         for domain in DOMAINS {
             for (service, _) in SERVICES {
@@ -135,15 +150,20 @@
             sent_requests: 0,
             violations: Vec::new(),
         };
-        runner.begin_traffic(size.callers);
+        runner.begin_traffic(size.callers, plan.load);
         runner
     }
 
-    fn begin_traffic(&mut self, callers: usize) {
+    fn begin_traffic(&mut self, callers: usize, load: Load) {
         let seed = self.seed;
         for number in 0..callers {
             let shared = Arc::clone(&self.shared);
-            self.spawn(callers::call(shared, number, seed ^ (number as u64 + 1)));
+            self.spawn(callers::call(
+                shared,
+                load,
+                number,
+                seed ^ (number as u64 + 1),
+            ));
         }
         // Two operators change routes concurrently, and one reads.
         for number in 100..102 {
@@ -339,6 +359,7 @@
 
     fn is_served(&mut self, gateway: usize, path: &str) -> bool {
         self.sent_requests += 1;
+        let sent = Instant::now();
         let id = format!("end-{}", self.sent_requests);
         let method = if path.starts_with("/orders") {
             "POST"
@@ -363,6 +384,7 @@
             self.shared.history().requests.push(CallerRequest {
                 id,
                 request_line: format!("{method} {path}"),
+                sent,
                 workspace,
                 idempotent: method == "GET",
                 gateway,
@@ -412,6 +434,20 @@
         got.map(|(e, _)| *e).collect()
     }
 
+    /// All requests that reached endpoints.
+    fn arrivals(&self) -> Vec<ServiceArrival> {
+        let endpoints = self.nodes.site.endpoints.iter();
+        let arrivals = endpoints.flat_map(|endpoint| {
+            let arrived = endpoint.arrivals().into_iter();
+            arrived.map(|arrival| ServiceArrival {
+                service: endpoint.service().to_owned(),
+                id: arrival.id,
+                at: arrival.at,
+            })
+        });
+        arrivals.collect()
+    }
+
     fn report(mut self, plan: &Plan) -> Report {
         let endpoints = self.nodes.site.endpoints.iter().enumerate();
         let ran: Vec<EndpointRun> = endpoints
@@ -426,12 +462,17 @@
                 })
             })
             .collect();
+        let arrivals = self.arrivals();
         let history = self.shared.history().clone();
         self.violations.extend(find_violations(
             &history,
             &ran,
-            MAX_ATTEMPTS,
-            plan.planned_only,
+            &arrivals,
+            Limits {
+                max_attempts: MAX_ATTEMPTS,
+                retry_floor: plan.load.retry_floor(),
+                planned_only: plan.planned_only,
+            },
         ));
         let is_served = |request: &&CallerRequest| {
             matches!(
@@ -453,6 +494,7 @@
                 .filter(|t| t.accepted.is_some())
                 .count(),
             shown: history.reads.len(),
+            retries: worst_windows(&history.requests, &arrivals, plan.load.retry_floor()),
             violations: self.violations,
             dir: self.nodes.site.dir().to_owned(),
         }
--- a/crates/testing/src/soak/shared.rs
+++ b/crates/testing/src/soak/shared.rs
@@ -16,6 +16,10 @@
     ("lessons", "download"),
 ];
 
+/// Latency objective of the routes. A quarter of it must be left before the deadline for a request to
+/// be retried.
+const OBJECTIVE_MS: u64 = 1_000;
+
 /// Addresses of the processes, and the history so far.
 #[derive(Debug)]
 pub(super) struct SharedState {
@@ -109,6 +113,9 @@
     let text = config_with_workspaces(version, SERVICES, &workspaces::all());
     let mut value: serde_json::Value = serde_json::from_str(&text).expect("it was made as JSON");
     if let Some(routes) = value["routes"].as_array_mut() {
+        for route in routes.iter_mut() {
+            route["target_latency_ms"] = OBJECTIVE_MS.into();
+        }
         let mut route = routes[1].clone();
         route["name"] = format!("r-only-{version}").into();
         route["path_prefix"] = probe_path(version).into();
--- a/crates/testing/src/soak/violations.rs
+++ b/crates/testing/src/soak/violations.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use super::history::{CallerRequest, History, RequestOutcome};
+use super::retries::{self, ServiceArrival, WorstWindow};
 use super::workspaces;
 
 /// Statuses that guarantee that the request has not run and never will.
@@ -49,6 +50,9 @@
     /// More requests of the workspace with this name ran within a window than its allotment
     /// allows.
     AllotmentExceeded(String, usize),
+    /// Endpoints of a service got more retries within a window than its budget allows, summed over
+    /// all gateways.
+    RetryBudgetExceeded(WorstWindow),
     /// A caller got a successful answer that isn't the one to its request.
     WrongAnswer(String),
     /// A valid request got a status that no valid request may get.
@@ -92,13 +96,23 @@
     }
 }
 
-/// Checks the history against the runs on endpoints. `max_attempts` is the number of
-/// attempts that every route allows.
+/// What the system under test was told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Attempts that every route allows.
+    pub max_attempts: usize,
+    /// Retries of a service in each window beyond the ratio, over all gateways.
+    pub retry_floor: u32,
+    /// Whether the plan had only planned work.
+    pub planned_only: bool,
+}
+
+/// Checks the history against the runs on endpoints and all arrivals there.
 pub fn find_violations(
     history: &History,
     runs: &[EndpointRun],
-    max_attempts: usize,
-    planned_only: bool,
+    arrivals: &[ServiceArrival],
+    limits: Limits,
 ) -> Vec<Violation> {
     let mut runs_by_id: BTreeMap<&str, Vec<&EndpointRun>> = BTreeMap::new();
     for run in runs {
@@ -107,9 +121,13 @@
     let mut violations = Vec::new();
     for request in &history.requests {
         let runs = runs_by_id.remove(request.id.as_str()).unwrap_or_default();
-        violations.extend(check_runs(request, &runs, max_attempts));
+        violations.extend(check_runs(request, &runs, limits.max_attempts));
         violations.extend(check_workspace(request, &runs));
-        violations.extend(check_outcome(request, !runs.is_empty(), planned_only));
+        violations.extend(check_outcome(
+            request,
+            !runs.is_empty(),
+            limits.planned_only,
+        ));
     }
     violations.extend(
         runs_by_id
@@ -117,6 +135,7 @@
             .map(|id| Violation::UnknownRequest(id.to_owned())),
     );
     violations.extend(check_allotments(runs));
+    violations.extend(check_retries(history, arrivals, limits.retry_floor));
     violations.extend(check_routes(history));
     violations.extend(check_gateways(history));
     violations
@@ -174,6 +193,12 @@
     moments.into_iter().filter_map(exceeded).collect()
 }
 
+fn check_retries(history: &History, arrivals: &[ServiceArrival], floor: u32) -> Vec<Violation> {
+    let windows = retries::worst_windows(&history.requests, arrivals, floor);
+    let exceeded = windows.into_iter().filter(WorstWindow::is_exceeded);
+    exceeded.map(Violation::RetryBudgetExceeded).collect()
+}
+
 fn check_outcome(request: &CallerRequest, has_run: bool, planned_only: bool) -> Option<Violation> {
     let id = request.id.clone();
     match request.outcome {
--- a/crates/testing/tests/soak.rs
+++ b/crates/testing/tests/soak.rs
@@ -3,11 +3,15 @@
 use std::time::{Duration, Instant};
 
 use filberthead_testing::soak::{
-    CallerRequest, EndpointRun, History, Plan, RequestOutcome, RouteProbe, RoutesChange,
-    RoutesRead, Size, Violation, find_violations,
+    CallerRequest, EndpointRun, History, Limits, Plan, RequestOutcome, RouteProbe, RoutesChange,
+    RoutesRead, ServiceArrival, Size, Violation, WorstWindow, find_violations,
 };
 
-const ATTEMPTS: usize = 2;
+const LIMITS: Limits = Limits {
+    max_attempts: 2,
+    retry_floor: 10,
+    planned_only: false,
+};
 /// A workspace whose requests are limited in a soak.
 const WORKSPACE: &str = "workspace-3";
 
@@ -15,6 +19,7 @@
     CallerRequest {
         id: id.to_owned(),
         request_line: "GET /catalogue/1".to_owned(),
+        sent: Instant::now(),
         workspace: Some(WORKSPACE.to_owned()),
         idempotent,
         gateway: 0,
@@ -47,7 +52,11 @@
         requests: vec![request],
         ..History::default()
     };
-    find_violations(&history, &runs, ATTEMPTS, planned_only)
+    let limits = Limits {
+        planned_only,
+        ..LIMITS
+    };
+    find_violations(&history, &runs, &[], limits)
 }
 
 #[test]
@@ -108,7 +117,7 @@
     );
     let history = History::default();
     assert_eq!(
-        find_violations(&history, &[ran(0, "nobody's")], ATTEMPTS, false),
+        find_violations(&history, &[ran(0, "nobody's")], &[], LIMITS),
         [Violation::UnknownRequest("nobody's".to_owned())]
     );
 }
@@ -134,7 +143,7 @@
             reads,
             ..History::default()
         };
-        find_violations(&history, &[], ATTEMPTS, false)
+        find_violations(&history, &[], &[], LIMITS)
     };
     let accepted = || vec![change(5, true, true, None)];
     assert_eq!(violations(accepted(), vec![read(5, true)]), []);
@@ -176,7 +185,7 @@
             probes,
             ..History::default()
         };
-        find_violations(&history, &[], ATTEMPTS, false)
+        find_violations(&history, &[], &[], LIMITS)
     };
     assert_eq!(violations(vec![probe(1, 7, 0), probe(1, 8, 10)]), []);
     assert_eq!(violations(vec![probe(1, 8, 0), probe(2, 7, 10)]), []);
@@ -206,7 +215,7 @@
         requests: vec![request],
         ..History::default()
     };
-    find_violations(&history, &[run], ATTEMPTS, false)
+    find_violations(&history, &[run], &[], LIMITS)
 }
 
 #[test]
@@ -261,7 +270,7 @@
             ..History::default()
         };
         let runs: Vec<_> = runs.collect();
-        find_violations(&history, &runs, ATTEMPTS, false)
+        find_violations(&history, &runs, &[], LIMITS)
     };
     // 20 a second over 5 s and a burst of 20, a tenth more, and 20: 152.
     assert_eq!(found(152, Duration::ZERO), []);
@@ -269,3 +278,59 @@
     let exceeded = Violation::AllotmentExceeded(WORKSPACE.to_owned(), 153);
     assert_eq!(found(153, Duration::ZERO), [exceeded]);
 }
+
+/// Violations found when requests arrive twice each, `gap` apart, and others aren't retried.
+fn violations_of_retries(retried: usize, others: usize, gap: Duration) -> Vec<Violation> {
+    let start = Instant::now();
+    let moment = |number: usize| start + gap * u32::try_from(number).expect("a small number");
+    let sent = |number: usize| CallerRequest {
+        sent: moment(number),
+        ..request(&number.to_string(), true, answered(200))
+    };
+    let arrival = |number: usize| ServiceArrival {
+        service: "catalogue".to_owned(),
+        id: number.to_string(),
+        at: moment(number),
+    };
+    let history = History {
+        requests: (0..retried + others).map(sent).collect(),
+        ..History::default()
+    };
+    let arrivals: Vec<_> = (0..retried)
+        .flat_map(|n| [arrival(n), arrival(n)])
+        .collect();
+    find_violations(&history, &[], &arrivals, LIMITS)
+}
+
+#[test]
+fn an_exceeded_retry_budget_is_found() {
+    let exceeded = |retries, allowed| {
+        Violation::RetryBudgetExceeded(WorstWindow {
+            service: "catalogue".to_owned(),
+            retries,
+            allowed,
+        })
+    };
+    // A fifth of 15 requests, and the floor of 10.
+    assert_eq!(violations_of_retries(13, 2, Duration::ZERO), []);
+    assert_eq!(
+        violations_of_retries(14, 1, Duration::ZERO),
+        [exceeded(14, 13)]
+    );
+    assert_eq!(violations_of_retries(14, 6, Duration::ZERO), []);
+    // 12 of them, of 12 requests, are within a window.
+    assert_eq!(
+        violations_of_retries(100, 0, Duration::from_millis(834)),
+        []
+    );
+    let found = violations_of_retries(100, 0, Duration::from_millis(760));
+    assert_eq!(found, [exceeded(14, 12)]);
+}
+
+#[test]
+fn plans_with_failing_endpoints_depend_only_on_their_seed() {
+    let plan = |seed| Plan::with_failing_endpoints(seed, Size::default());
+    assert_eq!(plan(3), plan(3));
+    assert_ne!(plan(3).steps, plan(4).steps);
+    assert!(plan(3).steps.is_sorted_by_key(|timed| timed.at));
+}
--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -1,6 +1,7 @@
 //! Short randomised soak runs; `filberthead-soak` does more and longer ones.
 
 use std::path::PathBuf;
+use std::time::Duration;
 
 use filberthead_testing::site::SitePrograms;
 use filberthead_testing::soak::{Plan, Size, run_plan};
@@ -28,13 +29,31 @@
 /// peers, or heard no peer any more.
 const CRASHING_SEEDS: [u64; 2] = [94_010, 94_044];
 
+/// Seed in which gateways are restarted one after the other while endpoints fail.
+const RESTARTS_SEED: u64 = 40;
+/// Seed in which a failure domain is cut off until its gateways aren't counted any more.
+const LONG_CUT_SEED: u64 = 30;
+/// As many gateways as a small deployment has, and few requests at each.
+const FAILING_ENDPOINTS: Size = Size {
+    controls: 3,
+    gateways: 6,
+    endpoints: 2,
+    callers: 24,
+    duration: Duration::from_secs(25),
+};
+
 #[track_caller]
 fn play_seed(seed: u64) {
+    play(&Plan::new(seed, Size::default()));
+}
+
+#[track_caller]
+fn play(plan: &Plan) {
     let programs = SitePrograms {
         control: PathBuf::from(env!("CARGO_BIN_EXE_filberthead-control")),
         gateway: PathBuf::from(env!("CARGO_BIN_EXE_filberthead-gateway")),
     };
-    let report = run_plan(programs, &Plan::new(seed, Size::default()));
+    let report = run_plan(programs, plan);
     assert!(report.violations.is_empty(), "{report}");
     // Without any service the checks above would hold trivially.
     assert!(report.served > 0, "{report}");
@@ -67,3 +86,19 @@
 fn no_process_ends_by_itself() {
     CRASHING_SEEDS.into_iter().for_each(play_seed);
 }
+
+#[test]
+fn restarted_gateways_keep_the_retry_budget() {
+    play(&Plan::with_failing_endpoints(
+        RESTARTS_SEED,
+        FAILING_ENDPOINTS,
+    ));
+}
+
+#[test]
+fn gateways_beyond_a_cut_keep_the_retry_budget() {
+    play(&Plan::with_failing_endpoints(
+        LONG_CUT_SEED,
+        FAILING_ENDPOINTS,
+    ));
+}
