Don't send a request whose deadline passed while its process was paused

What callers and endpoints saw: after a pause of a gateway, requests arrived at endpoints that nobody waited for any more, retries among them, in another window than the one that they were counted in.

Cause: the timeout of a connect yields a connection that has become ready meanwhile, also when the deadline has passed; the request was then written, and given up at once as timed out. The test failed before: the request was sent.

--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -87,6 +87,11 @@
             }
             Err(_) => return SendOutcome::NotSent(req),
         };
+        // The timeout above yields a connection that is ready although the deadline has passed.
+        if Instant::now() >= deadline {
+            connection.release();
+            return SendOutcome::NotSent(req);
+        }
         let method = req.method().clone();
         let sending = connection.sender.try_send_request(req);
         let response = match timeout_at(deadline, sending).await {
--- /dev/null
+++ b/crates/endpoint/tests/client.rs
@@ -0,0 +1,70 @@
+//! When a request is sent, and when not.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use filberthead_endpoint::{AnswerCheck, Client, RequestBody, Reuse, SendOutcome};
+use http::{HeaderName, HeaderValue, Request};
+use http_body_util::BodyExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+use tokio::time::Instant;
+
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+const BOUND: Duration = Duration::from_secs(60);
+
+/// Answers every request on one connection, and counts the bytes that it received.
+async fn serve(listener: TcpListener, received: watch::Sender<usize>) {
+    let (mut stream, _) = listener.accept().await.expect("a connection");
+    let mut buf = [0; 4096];
+    while let Ok(read) = stream.read(&mut buf).await {
+        if read == 0 {
+            return;
+        }
+        received.send_modify(|bytes| *bytes += read);
+        let _ = stream.write_all(ANSWER).await;
+    }
+}
+
+async fn send(client: &Client, addr: SocketAddr, deadline: Instant) -> SendOutcome {
+    let mut req = Request::new(RequestBody::Buffered(Bytes::new()));
+    *req.uri_mut() = "/one".parse().expect("a path");
+    let check = AnswerCheck::Echo {
+        name: &HeaderName::from_static("x-request-id"),
+        value: &HeaderValue::from_static(""),
+    };
+    client
+        .send(addr, check, Reuse::Allowed, deadline, req)
+        .await
+}
+
+/// A process that was paused finds its connection ready and the deadline passed.
+#[tokio::test(flavor = "current_thread")]
+async fn a_request_is_not_sent_after_its_deadline() {
+    LocalSet::new()
+        .run_until(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let addr = listener.local_addr().expect("an address");
+            let (counter, received) = watch::channel(0);
+            tokio::task::spawn_local(serve(listener, counter));
+            let client = Client::with_connect_timeout(BOUND);
+            let first = send(&client, addr, Instant::now() + BOUND).await;
+            let SendOutcome::Answer(answer) = first else {
+                panic!("{first:?}");
+            };
+            let body = answer.response.into_body().collect().await;
+            assert_eq!(body.expect("a body").to_bytes(), "ok");
+            answer.connection.release();
+            let before = *received.borrow();
+
+            let late = send(&client, addr, Instant::now()).await;
+            assert!(matches!(late, SendOutcome::NotSent(_)), "{late:?}");
+            let again = send(&client, addr, Instant::now() + BOUND).await;
+            assert!(matches!(again, SendOutcome::Answer(_)), "{again:?}");
+            assert_eq!(*received.borrow(), 2 * before, "one more request arrived");
+        })
+        .await;
+}
