Divide the rate of cold endpoints by the largest number of gateways heard lately

What endpoints saw (step tests; not seen with real processes): a cold endpoint got 16 requests in a second where 14.3 are allowed, from a region of thirty gateways.

The rate is divided by a number that a control replica announces, and one that has just started hears of the gateways one by one: the n-th is told that there are n. With up to a dozen gateways in a region the margins of the limit bear it.

A gateway now goes by the largest number of the last ten seconds, and one that has just started sends nothing to cold endpoints for the first three report periods, until the others have reported. The number without contact of an allotment's first requests is the same one. Both tests failed before.

--- a/crates/bench/src/placement/simulation.rs
+++ b/crates/bench/src/placement/simulation.rs
@@ -160,7 +160,7 @@
             let mut placer = Placer::new(cfg);
             placer.set_routes(&site::table());
             placer.set_endpoints(ms(self.now), site::endpoints());
-            placer.set_gateways(&counts);
+            placer.set_gateways(ms(self.now), &counts);
             placer.update_plans(ms(self.now));
             self.gateways.push(placer);
         }
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -267,7 +267,7 @@
         let contact = match self.member.borrow().has_current_totals(now) {
             true => Contact::Current,
             false => Contact::Alone {
-                gateways: self.placer.borrow().gateway_count(),
+                gateways: self.placer.borrow().gateway_count(now),
             },
         };
         let mut limiter = self.limiter.borrow_mut();
@@ -473,7 +473,7 @@
                 self.close_connections(&replaced);
                 self.metrics.set_endpoints(placer.endpoint_count());
             }
-            Update::Gateways(counts) => placer.set_gateways(&counts),
+            Update::Gateways(counts) => placer.set_gateways(now, &counts),
             Update::Demand(demand) => placer.set_demand(now, &demand),
             Update::Proven { asked_at, gateways } => {
                 self.record_proof(&mut placer, now, asked_at, gateways);
--- a/crates/place/src/decide.rs
+++ b/crates/place/src/decide.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use filberthead_types::{FailureDomain, Moment, Region, ServiceName};
+use filberthead_types::{Moment, Region, ServiceName};
 
 use crate::cold::ColdShare;
 use crate::cost::{self, Affinity, ResponseTimes};
@@ -168,7 +168,7 @@
 
     /// Counts the request at its endpoint, and returns the target.
     fn send(&mut self, now: Moment, object: Option<u64>, chosen: &Candidate) -> Decision {
-        let share = self.cold_share(&self.endpoints[chosen.index]);
+        let share = self.cold_share(now, &self.endpoints[chosen.index]);
         let state = &mut self.endpoints[chosen.index];
         state.record_sent(
             now,
@@ -294,14 +294,16 @@
     /// Whether the endpoint is warm, or this gateway may send it another request while it is cold.
     fn cold_limit_allows(&self, now: Moment, e: &TrackedEndpoint) -> bool {
         let in_region = e.region.as_ref() == Some(&self.cfg.region);
-        !e.cold.is_cold(now) || (in_region && e.cold.allows(now, self.cold_share(e)))
+        let may_send = || e.cold.allows(now, self.cold_share(now, e));
+        !e.cold.is_cold(now) || (in_region && self.knows_gateways(now) && may_send())
     }
 
     /// This gateway's share of the rate that a cold endpoint can handle.
-    fn cold_share(&self, e: &TrackedEndpoint) -> ColdShare {
+    fn cold_share(&self, now: Moment, e: &TrackedEndpoint) -> ColdShare {
         let service = self.services.get(&e.service);
         let per_s = service.map_or(1.0, |service| service.cold_per_s);
-        let gateways = gateways_in(&self.gateways, &self.cfg.regions, e.region.as_ref());
+        let gateways = self.gateways_of(now, e.region.as_ref());
+        let gateways = gateways.unwrap_or(DEFAULT_GATEWAY_COUNT);
         let own = rank::hash_name(self.cfg.gateway.as_str().as_bytes());
         let phase = rank::unit_position(rank::score(own, &e.id));
         ColdShare::new(per_s, gateways, phase)
@@ -452,16 +454,3 @@
     }
     regions
 }
-
-/// Number of gateways that share the cold endpoints of a region: all gateways of that region.
-fn gateways_in(
-    gateways: &BTreeMap<FailureDomain, u32>,
-    regions: &BTreeMap<FailureDomain, Region>,
-    region: Option<&Region>,
-) -> u32 {
-    let in_region = gateways
-        .iter()
-        .filter(|(domain, _)| regions.get(*domain) == region);
-    let sum: u32 = in_region.map(|(_, count)| *count).sum();
-    if sum == 0 { DEFAULT_GATEWAY_COUNT } else { sum }
-}
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -13,6 +13,7 @@
 use crate::plan::{Plan, SlotsByRegion};
 use crate::planning::OwnDemand;
 use crate::priority::PriorityMix;
+use crate::sharing::Peak;
 use crate::shift::RegionShares;
 use crate::{
     Config, LimitShare, Load, Mechanism, Outcome, RetryBudget, RetryDecision, Target, rank,
@@ -22,6 +23,13 @@
 /// change is learned within as many responses.
 const RTT_EWMA_WEIGHT: f64 = 0.02;
 
+/// Time for which numbers of gateways count after smaller ones have followed: several times what a
+/// replica that has just started takes to hear of all gateways.
+const COUNTS_KEPT: Duration = Duration::from_secs(10);
+/// Time after the first number of gateways until it is believed: three report periods, after which
+/// gateways that started together all have reported.
+const COUNTS_SETTLE: Duration = Duration::from_millis(1500);
+
 /// Places the requests of a gateway on endpoints.
 #[derive(Clone, Debug)]
 pub struct Placer {
@@ -52,6 +60,10 @@
     pub(crate) request_counter: u64,
     pub(crate) evacuated: BTreeSet<FailureDomain>,
     pub(crate) gateways: BTreeMap<FailureDomain, u32>,
+    /// Numbers of gateways received lately.
+    gateway_peaks: BTreeMap<FailureDomain, Peak>,
+    /// When a number of gateways was first received.
+    gateways_known_at: Option<Moment>,
     /// This gateway's part of the retry floor.
     floor_share: LimitShare,
     pub(crate) retry_budget: RetryBudget,
@@ -78,6 +90,8 @@
             request_counter: rank::hash_name(cfg.gateway.as_str().as_bytes()),
             evacuated: BTreeSet::new(),
             gateways: BTreeMap::new(),
+            gateway_peaks: BTreeMap::new(),
+            gateways_known_at: None,
             floor_share: LimitShare::new(cfg.retry_budget.window),
             retry_budget: RetryBudget::new(cfg.retry_budget),
             rtts: HashMap::new(),
@@ -188,9 +202,20 @@
         self.evacuated = domains;
     }
 
-    /// Sets the number of gateways in each failure domain.
-    pub fn set_gateways(&mut self, counts: &[(FailureDomain, u32)]) {
+    /// Sets the number of gateways in each failure domain, as a control replica counts them.
+    pub fn set_gateways(&mut self, now: Moment, counts: &[(FailureDomain, u32)]) {
+        self.gateways_known_at.get_or_insert(now);
         self.gateways = counts.iter().cloned().collect();
+        for (domain, count) in counts {
+            let peak = self.gateway_peaks.entry(domain.clone()).or_default();
+            peak.record(now, *count, COUNTS_KEPT);
+        }
+        // A domain that was left out had no gateways.
+        for (domain, peak) in &mut self.gateway_peaks {
+            if !self.gateways.contains_key(domain) {
+                peak.record(now, 0, COUNTS_KEPT);
+            }
+        }
     }
 
     /// Records a proof of contact with control's leader; see [`LimitShare::record_proof`].
@@ -244,9 +269,27 @@
         self.floor_share.divisor(now)
     }
 
-    /// Number of gateways, this one included, as last reported; at least 1.
-    pub fn gateway_count(&self) -> u32 {
-        self.gateways.values().sum::<u32>().max(1)
+    /// Number of gateways, this one included: the largest of those received lately, as a replica
+    /// that has just started counts too few; at least 1.
+    pub fn gateway_count(&self, now: Moment) -> u32 {
+        let peaks = self.gateway_peaks.values();
+        let counts = peaks.filter_map(|peak| peak.get(now, COUNTS_KEPT));
+        counts.sum::<u32>().max(1)
+    }
+
+    /// The largest number of gateways of a region received lately; `None` if none was.
+    pub(crate) fn gateways_of(&self, now: Moment, region: Option<&Region>) -> Option<u32> {
+        let peaks = self.gateway_peaks.iter();
+        let of_region = peaks.filter(|(domain, _)| self.cfg.regions.get(*domain) == region);
+        let counts = of_region.filter_map(|(_, peak)| peak.get(now, COUNTS_KEPT));
+        Some(counts.sum()).filter(|sum| *sum > 0)
+    }
+
+    /// Whether the numbers of gateways have been received for so long that all replicas count this
+    /// gateway and its neighbours.
+    pub(crate) fn knows_gateways(&self, now: Moment) -> bool {
+        self.gateways_known_at
+            .is_none_or(|at| now >= at + COUNTS_SETTLE)
     }
 
     /// Whether a request may be sent again to an endpoint that rejected it.
--- a/crates/place/tests/all/bounds.rs
+++ b/crates/place/tests/all/bounds.rs
@@ -38,19 +38,55 @@
     );
 }
 
+/// Gateways start together with a control replica, which hears of them one by one: the n-th is told
+/// that there are n. The next notice is lost.
+#[test]
+fn gateways_that_are_counted_one_by_one_keep_the_limit_of_a_cold_endpoint() {
+    let most = max_while_counted_one_by_one(0);
+    assert!(most > 0, "the endpoint never warms up");
+}
+
+/// The same happens to gateways that have served for long when a control replica restarts.
+#[test]
+fn a_control_replica_that_restarts_does_not_raise_the_limit_of_a_cold_endpoint() {
+    let most = max_while_counted_one_by_one(1700);
+    assert!(most > 0, "the endpoint never warms up");
+}
+
+/// The most that a cold endpoint receives within a second from thirty gateways if the n-th is told
+/// for a second that there are n.
+fn max_while_counted_one_by_one(from: u64) -> usize {
+    let mut cold = endpoint("a", "north-1");
+    cold.cold_left = ms(3000);
+    let gateway = |number| named_placer(&format!("g-{number}"), "north-1", vec![cold.clone()]);
+    let mut gateways: Vec<Placer> = (0..30).map(gateway).collect();
+    let wrong = from..from + 1000;
+    max_of(&mut gateways, |at, number| match at {
+        _ if wrong.contains(&at) => (at == from).then_some(number as u32 + 1),
+        _ => (at % 100 == 0).then_some(30),
+    })
+}
+
 /// Lets gateways, each of which was given `counted` as their number, send as many requests as
 /// they can to a cold endpoint. Returns the most that it received within a second.
 fn max_per_second(cold: &Endpoint, gateways: usize, counted: u32) -> usize {
     let gateway = |number| named_placer(&format!("g-{number}"), "north-1", vec![cold.clone()]);
     let mut gateways: Vec<Placer> = (0..gateways).map(gateway).collect();
-    for gateway in &mut gateways {
-        gateway.set_gateways(&[(domain("north-1"), counted)]);
-    }
+    max_of(&mut gateways, |at, _| (at == 0).then_some(counted))
+}
+
+/// Lets gateways send as many requests as they can to a cold endpoint; `counted` is what a gateway
+/// is told of their number, by the time in milliseconds and its own. Returns the most that the
+/// endpoint received within a second.
+fn max_of(gateways: &mut [Placer], counted: impl Fn(u64, usize) -> Option<u32>) -> usize {
     let mut max = 0;
     let mut sent = VecDeque::new();
     let bound = COLD_PER_S * 1.5 + 5.0;
     for at in 0..3000 {
-        for gateway in &mut gateways {
+        for (number, gateway) in gateways.iter_mut().enumerate() {
+            if let Some(count) = counted(at, number) {
+                gateway.set_gateways(ms(at), &[(domain("north-1"), count)]);
+            }
             if let Some(target) = place(gateway, ms(at), "o") {
                 record_served(gateway, ms(at), &target, ms(1));
                 sent.push_back(at);
--- a/crates/place/tests/all/regions.rs
+++ b/crates/place/tests/all/regions.rs
@@ -15,7 +15,7 @@
 }
 
 fn set_gateways(placer: &mut Placer) {
-    placer.set_gateways(&[(domain("north-1"), 1), (domain("south-1"), 1)]);
+    placer.set_gateways(ms(0), &[(domain("north-1"), 1), (domain("south-1"), 1)]);
 }
 
 /// Runs the requests of one second, each of which ends before the next one. Returns how many
