Count gateways that are gone for 30 s at most, whether anything is announced or not

What callers saw: retries that the budget allows were refused, and cold endpoints warmed more slowly, long after gateways had been replaced under other names. Found while comparing ways of dividing the budget.

Cause: a gateway was removed 30 s after its last report only when routes, evacuations or endpoints were announced. Until then it counted for the number that limits are divided by, and stayed in memory. The test failed before: 2 instead of 1.

--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -344,6 +344,8 @@
     /// The message that relays reports to the other replicas: those received here since the
     /// last call; `None` if there are none.
     pub fn roster(&mut self, now: Moment) -> Option<Message> {
+        self.gateways
+            .retain(|_, gateway| now < gateway.last_seen + REMOVED_AFTER);
         let since = std::mem::replace(&mut self.last_roster, now);
         let reported = |gateway: &&GatewayState| {
             gateway
@@ -430,8 +432,6 @@
     /// long ones only a notice, since each gateway receives it from several replicas and pulls
     /// from one.
     fn announce(&mut self, now: Moment) -> Vec<Outbound> {
-        self.gateways
-            .retain(|_, gateway| now < gateway.last_seen + REMOVED_AFTER);
         let mut notices: BTreeMap<FailureDomain, Message> = BTreeMap::new();
         let mut cache: Vec<(Revisions, Vec<Message>)> = Vec::new();
         let mut out = Vec::new();
@@ -514,7 +514,7 @@
     fn totals(&self, now: Moment) -> Totals {
         Totals {
             computed_at: now,
-            gateways: self.gateway_counts(),
+            gateways: self.gateway_counts(now),
             demand: self.demand(now),
             ratios: self.ratios(now),
             links: self.link_means(now),
@@ -581,14 +581,20 @@
     pub fn counted_gateways(&self, now: Moment) -> Option<u32> {
         let started_at = self.started_at?;
         let is_complete = now >= started_at + COUNT_COMPLETE_AFTER;
-        is_complete.then_some(self.gateways.len() as u32)
+        is_complete.then(|| self.remembered_gateways(now).count() as u32)
+    }
+
+    /// The gateways that haven't been silent for so long that they are to be removed.
+    fn remembered_gateways(&self, now: Moment) -> impl Iterator<Item = &GatewayState> {
+        let gateways = self.gateways.values();
+        gateways.filter(move |gateway| now < gateway.last_seen + REMOVED_AFTER)
     }
 
     /// Number of gateways by failure domain. Lately silent ones are included: they may be cut
     /// off from this replica and still be sending requests to endpoints.
-    fn gateway_counts(&self) -> Vec<(FailureDomain, u32)> {
+    fn gateway_counts(&self, now: Moment) -> Vec<(FailureDomain, u32)> {
         let mut counts = BTreeMap::new();
-        for gateway in self.gateways.values() {
+        for gateway in self.remembered_gateways(now) {
             *counts.entry(gateway.info.domain.clone()).or_insert(0) += 1;
         }
         counts.into_iter().collect()
--- a/crates/fleet/tests/all/reporting.rs
+++ b/crates/fleet/tests/all/reporting.rs
@@ -345,3 +345,20 @@
     }
     assert!(member.is_proven(ms(7)));
 }
+
+/// A gateway is lost for good, and no routes or endpoints change since: nothing is announced.
+#[test]
+fn a_gateway_that_is_gone_is_not_counted_for_ever() {
+    let mut registry = Registry::default();
+    let mut gone = Member::new(info(1), [replica_addr(0)], 100);
+    let mut left = Member::new(info(2), [replica_addr(0)], 200);
+    let report = gone.tick(ms(0), Load::default).remove(0).1;
+    registry.receive(ms(0), gateway_addr(1), report, true);
+    for now in (0..40_000).step_by(500) {
+        for (_, report) in left.tick(ms(now), Load::default) {
+            registry.receive(ms(now), gateway_addr(2), report, true);
+        }
+    }
+    assert_eq!(registry.counted_gateways(ms(29_000)), Some(2));
+    assert_eq!(registry.counted_gateways(ms(40_000)), Some(1));
+}
