Hold the ratio of retries over the last moments too, not only over the window

Cause: each gateway counts the first attempts of its own last window.

As sums now hold without it, 0.9 of the budget is spent instead of 0.85.

--- a/crates/place/src/retry_budget.rs
+++ b/crates/place/src/retry_budget.rs
@@ -13,14 +13,18 @@
 
 /// Slices that the window is divided into.
 const SLICES: u64 = 20;
+/// Slices of the shortest part of the window that the ratio holds for. Callers may move to other
+/// gateways, whose windows then have their requests too. So a gateway may not spend at once what its
+/// requests of the whole window allow.
+const MIN_SLICES: u64 = 3;
 /// Further slices for which a retry counts as spent. A retry at the end of a slice is that much
 /// younger than the slice, and attempts are counted when they are sent but observed when they
 /// arrive.
 const EXTRA_SLICES: u64 = 2;
 const BUCKETS: usize = (SLICES + EXTRA_SLICES) as usize;
-/// Share of the ratio and the floor that is spent. The windows of two gateways differ, so first
-/// attempts of callers that move from one to the other count at both.
-const SAFETY_FACTOR: f64 = 0.85;
+/// Share of the ratio and the floor that is spent: within [`MIN_SLICES`], first attempts of callers
+/// that move from one gateway to another count at both.
+const SAFETY_FACTOR: f64 = 0.9;
 
 /// Limits of retries.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -33,19 +37,28 @@
     pub window: Duration,
 }
 
-/// A service's budget at one gateway, at the moment of a decision.
+/// A service's budget at one gateway, at the moment of a decision, in the part of the window that
+/// leaves least.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BudgetUsage {
-    /// First attempts within the window.
+    /// Length of that part, up to the whole window.
+    pub within: Duration,
+    /// First attempts within it.
     pub first: u32,
-    /// Retries spent within the window, including the one just granted.
+    /// Retries spent within it, including the one just granted.
     pub retries: u32,
-    /// Retries that the window allows.
+    /// Retries that it allows.
     pub allowed: f64,
     /// Number of gateways that the floor was divided by; `None` if this gateway has no part of it.
     pub gateways: Option<u32>,
 }
 
+impl BudgetUsage {
+    fn left(&self) -> f64 {
+        self.allowed - f64::from(self.retries)
+    }
+}
+
 /// The decision about a retry.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum RetryDecision {
@@ -101,7 +114,7 @@
         gateways: Option<u32>,
     ) -> RetryDecision {
         let mut usage = self.usage(now, service, gateways);
-        if f64::from(usage.retries) + 1.0 > usage.allowed {
+        if usage.left() < 1.0 {
             return RetryDecision::Refused(usage);
         }
         self.bucket(now, service).retries += 1;
@@ -122,25 +135,45 @@
     }
 
     fn usage(&self, now: Moment, service: &ServiceName, gateways: Option<u32>) -> BudgetUsage {
+        let floor = gateways.map_or(0.0, |gateways| self.cfg.floor / f64::from(gateways.max(1)));
+        let parts = (MIN_SLICES..=SLICES).map(|slices| {
+            let (first, retries) = self.counts(now, service, slices);
+            // With few requests, a fraction of a retry adds up over the window.
+            let least = if slices < SLICES { 1.0 } else { 0.0 };
+            BudgetUsage {
+                within: self.cfg.window.mul_f64(slices as f64 / SLICES as f64),
+                first,
+                retries,
+                allowed: (SAFETY_FACTOR * (self.cfg.ratio * f64::from(first) + floor)).max(least),
+                gateways,
+            }
+        });
+        let least = parts.min_by(|a, b| a.left().total_cmp(&b.left()));
+        least.unwrap_or(BudgetUsage {
+            within: self.cfg.window,
+            first: 0,
+            retries: 0,
+            allowed: 0.0,
+            gateways,
+        })
+    }
+
+    /// First attempts of the last slices, and the retries that count as spent in them. Those of the
+    /// whole window count for longer.
+    fn counts(&self, now: Moment, service: &ServiceName, slices: u64) -> (u32, u32) {
         let current = self.bucket_number(now);
+        let extra = if slices == SLICES { EXTRA_SLICES } else { 0 };
         let (mut first, mut retries) = (0, 0);
         for bucket in self.services.get(service).into_iter().flatten() {
             let age = current.saturating_sub(bucket.number);
-            if age < SLICES {
+            if age < slices {
                 first += bucket.first;
             }
-            if age < SLICES + EXTRA_SLICES {
+            if age < slices + extra {
                 retries += bucket.retries;
             }
         }
-        let floor = gateways.map_or(0.0, |gateways| self.cfg.floor / f64::from(gateways.max(1)));
-        let allowed = SAFETY_FACTOR * (self.cfg.ratio * f64::from(first) + floor);
-        BudgetUsage {
-            first,
-            retries,
-            allowed,
-            gateways,
-        }
+        (first, retries)
     }
 
     fn bucket_number(&self, now: Moment) -> u64 {
