--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod allotments;
 pub mod experiment;
 pub mod placement;
+pub mod retries;
