--- a/crates/filberthead/src/gateway/forward.rs
+++ b/crates/filberthead/src/gateway/forward.rs
@@ -379,8 +379,9 @@
     fn log_retry(&self, event: &'static str, usage: BudgetUsage, omitted: u64) {
         let proven_ms = self.core.leader_proof_age().map(|age| age.as_millis());
         info!(request = self.request_id(), route = self.route.name.as_str(),
-            service:% = self.service, first = usage.first, retries = usage.retries,
-            allowed = usage.allowed, gateways = usage.gateways, proven_ms, omitted; "{event}");
+            service:% = self.service, within_ms = usage.within.as_millis(), first = usage.first,
+            retries = usage.retries, allowed = usage.allowed, gateways = usage.gateways, proven_ms,
+            omitted; "{event}");
     }
 
     /// Returns a retry to the budget that no endpoint was sent.
