Store samples at a planned stop also when the transport ends first

What operators saw: after the planned stop of a control replica, the burn report lacked what the replica had received since its last write. Listed as report::reported_samples_survive_a_restart_and_show_in_every_format, seen once.

Cause: the samples duty stores what it holds when it is told to stop, and returned at once when its queue is closed. The transport closes the queue as it ends; beside heavy load both have happened when the duty runs again, and it took either.

The entry leaves the list.

--- a/crates/filberthead/src/control/samples.rs
+++ b/crates/filberthead/src/control/samples.rs
@@ -80,7 +80,8 @@
             tokio::select! {
                 received = rx.recv() => match received {
                     Some(received) => self.record(received),
-                    None => return,
+                    // The transport has stopped before this duty.
+                    None => break,
                 },
                 _ = ticks.tick() => self.close_periods(unix_seconds()),
                 () = stop.wait() => break,
