Check when parts of a limit lapse against when a leader names a number

At compile time: a leader that has just started names no number of gateways while one that it hasn't heard of may have a part.

--- a/crates/bench/tests/all/main.rs
+++ b/crates/bench/tests/all/main.rs
@@ -2,3 +2,4 @@
 
 mod experiment;
 mod placement;
+mod retries;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -34,4 +34,4 @@
     Outbound, Part, RelayedReport, Report, Revision, Revisions, Stamp,
 };
 pub use member::{Load, Member, Update, UpdateDelay};
-pub use registry::{ProofRequest, Registry, WorkspaceUsage};
+pub use registry::{COUNT_COMPLETE_AFTER, ProofRequest, Registry, WorkspaceUsage};
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -30,7 +30,7 @@
 /// Time after which a replica that has started counts all gateways that have a part of a limit: for
 /// as long as one that is cut off keeps it, and until gateways in touch have reported to some
 /// replica and been relayed.
-const COUNT_COMPLETE_AFTER: Duration = Duration::from_secs(7);
+pub const COUNT_COMPLETE_AFTER: Duration = Duration::from_secs(7);
 
 /// Time between two reports of a gateway below which the later one is early.
 const EARLY_REPORT: Duration = Duration::from_millis(400);
--- a/crates/place/src/sharing.rs
+++ b/crates/place/src/sharing.rs
@@ -13,11 +13,19 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use filberthead_fleet::COUNT_COMPLETE_AFTER;
 use filberthead_types::Moment;
 
 /// Time for which a gateway keeps its part after it asked for the last proof that it is counted:
 /// longer than an election of control, and much shorter than control counts silent gateways.
 pub const HELD_FOR: Duration = Duration::from_secs(4);
+/// Time that a report takes at most to reach the leader through another replica.
+const RELAYED_WITHIN: Duration = Duration::from_secs(2);
+
+// A leader that has just started names no number while a gateway may have a part that it has not
+// heard of.
+const _: () =
+    assert!(HELD_FOR.as_millis() + RELAYED_WITHIN.as_millis() < COUNT_COMPLETE_AFTER.as_millis());
 
 /// The largest of the values received within a time.
 #[derive(Clone, Debug, Default)]
