--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -279,8 +279,7 @@
     }
 
     /// Takes a retry from the service's budget if there is one left.
-    pub(crate) fn try_spend_retry(&self, service: &ServiceName) -> RetryDecision {
-        let now = self.now();
+    pub(crate) fn try_spend_retry(&self, now: Moment, service: &ServiceName) -> RetryDecision {
         let decision = self.placer.borrow_mut().try_spend_retry(now, service);
         self.metrics.record_retry(service, decision.is_granted());
         decision
--- a/crates/filberthead/src/gateway/forward.rs
+++ b/crates/filberthead/src/gateway/forward.rs
@@ -361,10 +361,11 @@
     }
 
     fn try_spend_retry(&mut self) -> bool {
-        let decision = self.core.try_spend_retry(self.service);
+        let now = self.core.now();
+        let decision = self.core.try_spend_retry(now, self.service);
         match decision {
             RetryDecision::Granted(usage) => {
-                self.unsent_retry = Some(self.core.now());
+                self.unsent_retry = Some(now);
                 self.log_retry("retry granted", usage, 0);
             }
             RetryDecision::Refused(usage) => {
--- a/crates/place/src/retry_budget.rs
+++ b/crates/place/src/retry_budget.rs
@@ -138,13 +138,13 @@
         let floor = gateways.map_or(0.0, |gateways| self.cfg.floor / f64::from(gateways.max(1)));
         let parts = (MIN_SLICES..=SLICES).map(|slices| {
             let (first, retries) = self.counts(now, service, slices);
-            // With few requests, a fraction of a retry adds up over the window.
-            let least = if slices < SLICES { 1.0 } else { 0.0 };
+            // With few requests, fractions of a retry add up over the whole window only.
+            let minimum = if slices < SLICES { 1.0 } else { 0.0 };
             BudgetUsage {
                 within: self.cfg.window.mul_f64(slices as f64 / SLICES as f64),
                 first,
                 retries,
-                allowed: (SAFETY_FACTOR * (self.cfg.ratio * f64::from(first) + floor)).max(least),
+                allowed: (SAFETY_FACTOR * (self.cfg.ratio * f64::from(first) + floor)).max(minimum),
                 gateways,
             }
         });
--- a/crates/place/src/sharing.rs
+++ b/crates/place/src/sharing.rs
@@ -1,9 +1,8 @@
 //! The number of gateways that a limit on a sum is divided by.
 //!
 //! Each gateway takes an equal part of such a limit. The parts add up to no more than the limit
-//! only if nobody divides by too small a number, and if a part isn't used twice: by a gateway that
-//! is cut off and by the others, or by a process and by its predecessor, which its memory of what
-//! was spent was lost with.
+//! only if nobody divides by too small a number, and if no part is used twice: by a gateway that is
+//! cut off and by the others, or by a process and by its predecessor, whose memory is lost.
 //!
 //! So a gateway has a part of a limit only while control's leader has lately proved to count it,
 //! for [`HELD_FOR`], and only once it has counted it for so long that nothing that was spent
