Specifications: bound the processor time of a check, not the time on the clock

Cause: each check had 60 s on the clock. The search takes 16.0 s of processor time (16.3 s at a load of 12; 6,562,708 states), so a third of a core is enough to fail, whatever the specification says. The bound of work is the same 60 s, now of processor time: as strict for what it is there for, a search that grows. With 2 s the check still fails as out of time.

--- a/specs/check.sh
+++ b/specs/check.sh
@@ -4,7 +4,7 @@
 # A specification lists its checks in its opening comment, a line each:
 #   CHECK holds                  no assertion may fail
 #   CHECK fails NAME,BOUND=2 why the variant compiled with these macros must fail
-# Bounds: SECONDS_EACH of time and MEGABYTES of memory for each check. A check that ends
+# Bounds: SECONDS_EACH of processor time and MEGABYTES of memory for each check. A check that ends
 # otherwise than by a complete search or a failed assertion counts as failed.
 set -u
 cd "$(dirname "$0")"
@@ -34,7 +34,7 @@
         return
     fi
     gcc -O2 -w -DSAFETY -DMEMLIM="$MEGABYTES" -o pan pan.c || return
-    out=$(timeout "$SECONDS_EACH" ./pan -m"$DEPTH" -w22 2>&1)
+    out=$(ulimit -t "$SECONDS_EACH" && ./pan -m"$DEPTH" -w22 2>&1)
     local states
     states=$(sed -n 's/^ *\([0-9.e+]*\) states, stored.*/\1/p' <<< "$out")
     if grep -q 'invalid array index\|indexing' <<< "$out"; then
