Log which attempt of a request ended, and how long after its decision it was sent

What a gateway decided about a retry was logged, and how an attempt ended unless it was served; not which attempt of its request it was, when it was sent, or that it never was. Every attempt beyond the first now has its line. The number of lines is bounded by the budget.

--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -78,6 +78,20 @@
         reuse: Reuse,
         deadline: Instant,
         req: Request<RequestBody>,
+    ) -> SendOutcome {
+        self.send_noting(addr, check, reuse, deadline, req, || {})
+            .await
+    }
+
+    /// Like [`send`](Self::send), and calls `on_send` just before the first byte may leave.
+    pub async fn send_noting(
+        &self,
+        addr: SocketAddr,
+        check: AnswerCheck<'_>,
+        reuse: Reuse,
+        deadline: Instant,
+        req: Request<RequestBody>,
+        on_send: impl FnOnce(),
     ) -> SendOutcome {
         let mut connection = match timeout_at(deadline, self.pool.connection(addr, reuse)).await {
             Ok(Ok(connection)) => connection,
@@ -93,6 +107,7 @@
             return SendOutcome::NotSent(req);
         }
         let method = req.method().clone();
+        on_send();
         let sending = connection.sender.try_send_request(req);
         let response = match timeout_at(deadline, sending).await {
             Ok(Ok(response)) => response,
--- a/crates/filberthead/src/gateway/attempt.rs
+++ b/crates/filberthead/src/gateway/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt to run a request at one endpoint.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -67,6 +68,8 @@
     pub(crate) kind: Kind,
     pub(crate) service: &'a ServiceName,
     pub(crate) deadline: Deadline,
+    /// Number of this attempt of the request, from 1.
+    pub(crate) number: u32,
 }
 
 /// A running attempt. Dropping it records the outcome and releases the endpoint's slot.
@@ -74,7 +77,10 @@
     core: &'a Core,
     service: &'a ServiceName,
     target: &'a Target,
+    number: u32,
     started: Moment,
+    /// When the first byte may have left; `None` if none has.
+    sent_at: Cell<Option<Moment>>,
     outcome: Outcome,
     request: &'a str,
     /// Affinity key, for logs.
@@ -99,8 +105,13 @@
                 self.core.client.close_idle(self.target.addr);
             }
         }
+        let served_level = if self.number > 1 {
+            Level::Info
+        } else {
+            Level::Debug
+        };
         let (level, name) = match self.outcome {
-            Outcome::Served(_) => (Level::Debug, "served"),
+            Outcome::Served(_) => (served_level, "served"),
             Outcome::Failed => (Level::Info, "failed"),
             Outcome::Full => (Level::Info, "full"),
             Outcome::Gone => (Level::Info, "gone"),
@@ -108,8 +119,11 @@
             Outcome::Abandoned(_) => (Level::Info, "abandoned"),
         };
         self.core.metrics.record_attempt(name);
+        let sent_at = self.sent_at.get();
+        let sent_after_ms = sent_at.map(|at| at.saturating_sub(self.started).as_millis());
         log!(level, request = self.request, service:% = self.service, object = self.object,
-            endpoint:% = self.target.id, route = self.route, known:? = self.target.affinity,
+            endpoint:% = self.target.id, route = self.route, attempt = self.number, sent_after_ms,
+            known:? = self.target.affinity,
             expected_ms = self.target.expected.as_millis(),
             overhead_ms = self.target.overhead.as_millis(),
             took_ms = now.saturating_sub(self.started).as_millis(), outcome:? = self.outcome;
@@ -131,7 +145,9 @@
         core,
         service: job.service,
         target,
+        number: job.number,
         started: core.now(),
+        sent_at: Cell::new(None),
         outcome: Outcome::Abandoned(Duration::ZERO),
         request: header_text(&job.head.headers, &core.protocol.request_id),
         object: header_text(&job.head.headers, &core.protocol.affinity_key),
@@ -150,7 +166,9 @@
     let deadline = job.deadline.respond_by;
     match core
         .client
-        .send(target.addr, check, reuse, deadline, req)
+        .send_noting(target.addr, check, reuse, deadline, req, || {
+            in_flight.sent_at.set(Some(core.now()));
+        })
         .await
     {
         SendOutcome::NotSent(req) => {
--- a/crates/filberthead/src/gateway/forward.rs
+++ b/crates/filberthead/src/gateway/forward.rs
@@ -236,6 +236,7 @@
             kind: self.route.kind,
             service: self.service,
             deadline: self.deadline,
+            number: self.attempts.made(),
         };
         let attempted = attempt(self.core, &job, body, &target).await;
         if !matches!(attempted, Attempt::NotSent(_)) {
--- a/tests/all/explained.rs
+++ b/tests/all/explained.rs
@@ -175,6 +175,7 @@
         refused = is_wanted.then_some(trace);
         refused.is_some()
     });
+    wait_logged(&site, "attempt ended", &["\"attempt\":2", "sent_after_ms"]);
     let trace = refused.unwrap_or_default();
     for field in ["service=catalogue", "gateways=", "allowed=", "proven_ms"] {
         assert!(trace.contains(field), "{field} in {trace}");
