--- a/crates/testing/src/bin/soak.rs
+++ b/crates/testing/src/bin/soak.rs
@@ -3,16 +3,23 @@
 //! Exits with 1 if there is any violation; the folder with logs and data of that seed is then
 //! kept, and its path printed.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
 
 use filberthead_testing::site::SitePrograms;
+use filberthead_testing::soak::deployed::{
+    ALL_TROUBLES, DeployedPlan, Deployment, SoakPrograms, TroubleKind, run_deployed,
+};
 use filberthead_testing::soak::{Plan, Size, run_plan};
 use lexopt::{Arg, ValueExt};
 
 const USAGE: &str = "usage: filberthead-soak [--seed FIRST] [--seeds COUNT] [--controls N] \
-[--gateways N] [--callers N] [--seconds N] [--failing-endpoints] [--show]";
+[--gateways N] [--callers N] [--seconds N] [--failing-endpoints] [--deployment FILE] \
+[--faults KIND,...] [--every MILLISECONDS] [--programs DIR] [--show]";
+
+/// What `--faults` takes for a soak without any.
+const NO_FAULTS: &str = "none";
 
 struct Options {
     first: u64,
@@ -20,6 +27,15 @@
     size: Size,
     /// Whether endpoints fail and requests are few.
     failing_endpoints: bool,
+    /// Description of the deployment whose processes, limits and requests are played; the sizes above
+    /// don't apply to it, but for the duration.
+    deployment: Option<PathBuf>,
+    /// Kinds of faults that a deployment gets; `None` for all.
+    faults: Option<Vec<TroubleKind>>,
+    /// Mean time between the starts of two of them.
+    interval: Duration,
+    /// Folder of the programs under test; that of this program if it isn't given.
+    programs: Option<PathBuf>,
     /// Whether to print the plans instead of running them.
     show: bool,
 }
@@ -30,6 +46,10 @@
         seeds: 1,
         size: Size::default(),
         failing_endpoints: false,
+        deployment: None,
+        faults: None,
+        interval: Duration::from_millis(850),
+        programs: None,
         show: false,
     };
     let mut parser = lexopt::Parser::from_env();
@@ -44,6 +64,16 @@
                 options.size.duration = Duration::from_secs(parser.value()?.parse()?);
             }
             Arg::Long("failing-endpoints") => options.failing_endpoints = true,
+            Arg::Long("deployment") => options.deployment = Some(parser.value()?.into()),
+            Arg::Long("faults") => {
+                let kinds = parser.value()?.string()?;
+                let kinds = kinds.split(',').filter(|kind| *kind != NO_FAULTS);
+                options.faults = Some(kinds.map(str::parse).collect::<Result<_, _>>()?);
+            }
+            Arg::Long("every") => {
+                options.interval = Duration::from_millis(parser.value()?.parse()?);
+            }
+            Arg::Long("programs") => options.programs = Some(parser.value()?.into()),
             Arg::Long("show") => options.show = true,
             _ => return Err(arg.unexpected()),
         }
@@ -51,31 +81,46 @@
     Ok(options)
 }
 
-/// The programs in the folder of the current executable.
-fn programs() -> std::io::Result<SitePrograms> {
+/// The programs under test in this folder, or in that of the current executable, and the stand-in
+/// for endpoints in the latter.
+fn programs(dir: Option<&Path>) -> std::io::Result<SoakPrograms> {
     let own = std::env::current_exe()?;
     let beside = |name: &str| -> PathBuf { own.with_file_name(name) };
-    Ok(SitePrograms {
-        control: beside("filberthead-control"),
-        gateway: beside("filberthead-gateway"),
+    let under_test = |name: &str| dir.map_or_else(|| beside(name), |dir| dir.join(name));
+    Ok(SoakPrograms {
+        site: SitePrograms {
+            control: under_test("filberthead-control"),
+            gateway: under_test("filberthead-gateway"),
+        },
+        endpoint: beside("filberthead-site-endpoint"),
     })
 }
 
-fn main() -> ExitCode {
-    let options = match options() {
-        Ok(options) => options,
-        Err(e) => {
-            eprintln!("{e}\n{USAGE}");
-            return ExitCode::from(2);
+/// Plays or shows the soaks of a deployment. Returns the number of seeds with violations.
+fn play_deployment(options: &Options, file: &Path, programs: &SoakPrograms) -> Result<u64, String> {
+    let deployment = Deployment::load(file).map_err(|e| format!("{}: {e}", file.display()))?;
+    let all = ALL_TROUBLES.iter().map(|(_, kind)| *kind).collect();
+    let kinds: Vec<TroubleKind> = options.faults.clone().unwrap_or(all);
+    let mut broken = 0;
+    for seed in options.first..options.first + options.seeds {
+        let times = (options.size.duration, options.interval);
+        let plan = DeployedPlan::new(seed, deployment.clone(), times, &kinds);
+        if options.show {
+            println!("{plan:#?}");
+            continue;
         }
-    };
-    let programs = match programs() {
-        Ok(programs) => programs,
-        Err(e) => {
-            eprintln!("the programs can't be found: {e}");
-            return ExitCode::from(2);
+        let report = run_deployed(programs, &plan);
+        println!("{report}");
+        if !report.violations.is_empty() {
+            println!("  logs: {}", report.dir.display());
+            broken += 1;
         }
-    };
+    }
+    Ok(broken)
+}
+
+/// Plays or shows the soaks of a small site. Returns the number of seeds with violations.
+fn play_site(options: &Options, programs: &SitePrograms) -> u64 {
     let mut broken = 0;
     for seed in options.first..options.first + options.seeds {
         let plan = match options.failing_endpoints {
@@ -93,6 +138,34 @@
             broken += 1;
         }
     }
+    broken
+}
+
+fn main() -> ExitCode {
+    let options = match options() {
+        Ok(options) => options,
+        Err(e) => {
+            eprintln!("{e}\n{USAGE}");
+            return ExitCode::from(2);
+        }
+    };
+    let programs = match programs(options.programs.as_deref()) {
+        Ok(programs) => programs,
+        Err(e) => {
+            eprintln!("the programs can't be found: {e}");
+            return ExitCode::from(2);
+        }
+    };
+    let broken = match &options.deployment {
+        Some(file) => match play_deployment(&options, file, &programs) {
+            Ok(broken) => broken,
+            Err(e) => {
+                eprintln!("{e}");
+                return ExitCode::from(2);
+            }
+        },
+        None => play_site(&options, &programs.site),
+    };
     if broken > 0 {
         println!("{broken} of {} seeds had violations", options.seeds);
         return ExitCode::FAILURE;
--- a/crates/testing/src/cluster/node.rs
+++ b/crates/testing/src/cluster/node.rs
@@ -49,6 +49,14 @@
         }
     }
 
+    /// Replaces the proxies in front of these addresses, which only the test connects to, by some that
+    /// don't look up who connects: that takes long with many connections.
+    pub(crate) fn with_unlinked(mut self, keys: &[&'static str]) -> Self {
+        let unlinked = keys.iter().map(|&key| (key, FaultProxy::start()));
+        self.proxies.extend(unlinked);
+        self
+    }
+
     /// Name of the process.
     pub fn name(&self) -> &str {
         self.process.name()
--- a/crates/testing/src/process.rs
+++ b/crates/testing/src/process.rs
@@ -4,7 +4,7 @@
 use std::ffi::OsString;
 use std::fmt;
 use std::fs::File;
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdout, Command, ExitStatus, Stdio};
@@ -26,6 +26,7 @@
     program: PathBuf,
     args: Vec<OsString>,
     log: PathBuf,
+    takes_commands: bool,
     child: Option<Child>,
     addrs: BTreeMap<String, SocketAddr>,
 }
@@ -47,11 +48,28 @@
             program: program.to_owned(),
             args: args.iter().map(OsString::from).collect(),
             log: log.to_owned(),
+            takes_commands: false,
             child: None,
             addrs: BTreeMap::new(),
         }
     }
 
+    /// Connects its standard input, so that [`command`](Self::command) reaches it.
+    #[must_use]
+    pub fn with_commands(mut self) -> Self {
+        self.takes_commands = true;
+        self
+    }
+
+    /// Writes a line to its standard input. A suspended process reads it when it goes on.
+    pub fn command(&mut self, line: &str) {
+        let stdin = self.child.as_mut().and_then(|child| child.stdin.as_mut());
+        if let Some(stdin) = stdin {
+            // Fails only if the process has already ended.
+            let _ = writeln!(stdin, "{line}");
+        }
+    }
+
     /// Starts it without waiting for it, and returns its process id.
     ///
     /// # Panics
@@ -62,7 +80,10 @@
         let log = File::options().create(true).append(true).open(&self.log);
         let child = Command::new(&self.program)
             .args(&self.args)
-            .stdin(Stdio::null())
+            .stdin(match self.takes_commands {
+                true => Stdio::piped(),
+                false => Stdio::null(),
+            })
             .stdout(Stdio::piped())
             .stderr(log.expect("the log file can be opened"))
             .spawn();
--- a/crates/testing/src/site/endpoint.rs
+++ b/crates/testing/src/site/endpoint.rs
@@ -16,6 +16,8 @@
 use tokio::sync::Notify;
 
 use super::Line;
+use super::journal::Journal;
+use super::slots::{Entry, Slots};
 use crate::standin::{AnswerBody, Payload};
 
 /// A short text, or a payload of the length that the request asks for.
@@ -91,6 +93,36 @@
     deadlines: Vec<u64>,
     /// Ids of requests whose connection closed while they ran.
     dropped: Vec<String>,
+    /// Share of the requests that `behaviour` applies to, others being served; `None` for all.
+    share: Option<f64>,
+    /// The limits on what runs at once; `None` for none.
+    slots: Option<Arc<Slots>>,
+    /// Receives what arrives and runs, instead of `arrived` and `ran`.
+    journal: Option<Journal>,
+}
+
+impl State {
+    /// How the next request is handled.
+    fn next_behaviour(&self) -> Behaviour {
+        match self.share {
+            Some(share) if !rand::random_bool(share) => Behaviour::Serves,
+            _ => self.behaviour,
+        }
+    }
+
+    fn record_arrival(&mut self, arrival: Arrival) {
+        match &mut self.journal {
+            Some(journal) => journal.record_arrival(&arrival),
+            None => self.arrived.push(arrival),
+        }
+    }
+
+    fn record_run(&mut self, run: Run) {
+        match &mut self.journal {
+            Some(journal) => journal.record_run(&run),
+            None => self.ran.push(run),
+        }
+    }
 }
 
 /// An endpoint of a [`Site`](super::Site); it runs until the process ends.
@@ -105,7 +137,7 @@
 }
 
 impl SiteEndpoint {
-    pub(super) fn start(id: &str, service: &str, domain: &str) -> Self {
+    pub(crate) fn start(id: &str, service: &str, domain: &str) -> Self {
         let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
         let listener = listener.expect("a loopback port can be bound");
         let addr = listener.local_addr().expect("a bound port is known");
@@ -149,6 +181,23 @@
         self.lock().behaviour = behaviour;
     }
 
+    /// Sets how it handles this share of the requests; it serves the others.
+    pub fn set_behaviour_of_share(&self, behaviour: Behaviour, share: f64) {
+        let mut state = self.lock();
+        state.behaviour = behaviour;
+        state.share = Some(share.clamp(0.0, 1.0));
+    }
+
+    /// Runs at most `slots` requests at once, lets `queue` wait and rejects those beyond.
+    pub fn limit(&self, slots: u32, queue: u32) {
+        self.lock().slots = Some(Arc::new(Slots::new(slots, queue)));
+    }
+
+    /// Records what arrives and runs in a journal, instead of in memory.
+    pub fn journal_to(&self, journal: Journal) {
+        self.lock().journal = Some(journal);
+    }
+
     /// Sets how long a request runs. Initially no time.
     pub fn set_run_time(&self, run_time: Duration) {
         self.lock().run_time = run_time;
@@ -222,7 +271,7 @@
     }
 
     /// Its own listening address.
-    pub(super) fn addr(&self) -> SocketAddr {
+    pub fn addr(&self) -> SocketAddr {
         self.addr
     }
 
@@ -305,21 +354,30 @@
         value.unwrap_or_default().to_owned()
     };
     let id = text(&head.headers, "x-request-id");
-    endpoint.lock().arrived.push(Arrival {
+    endpoint.lock().record_arrival(Arrival {
         id: id.clone(),
         at: Instant::now(),
     });
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
-    let (instance_id, behaviour, run_time) = {
+    let (instance_id, behaviour, run_time, slots) = {
         let state = endpoint.lock();
-        (state.id.clone(), state.behaviour, state.run_time)
+        let behaviour = state.next_behaviour();
+        (
+            state.id.clone(),
+            behaviour,
+            state.run_time,
+            state.slots.clone(),
+        )
     };
+    let load = slots
+        .as_ref()
+        .map_or_else(|| "0,0,3".to_owned(), |s| s.load());
     let answer = |status: StatusCode, body: SiteBody| {
         Response::builder()
             .status(status)
             .header("x-request-id", &id)
             .header("x-instance-id", &instance_id)
-            .header("x-server-load", "0,0,3")
+            .header("x-server-load", &load)
             .body(body)
             .map_err(io::Error::other)
     };
@@ -331,16 +389,26 @@
     if text(&head.headers, "x-target-instance") != instance_id {
         return answer(StatusCode::MISDIRECTED_REQUEST, short(Bytes::new()));
     }
-    if behaviour == Behaviour::Sheds {
+    let not_executed = || {
         let mut answer = answer(StatusCode::SERVICE_UNAVAILABLE, short(Bytes::new()))?;
         answer
             .headers_mut()
             .insert("x-not-executed", http::HeaderValue::from_static("1"));
-        return Ok(answer);
-    }
+        Ok(answer)
+    };
+    if behaviour == Behaviour::Sheds {
+        return not_executed();
+    }
+    let _slot = match &slots {
+        Some(slots) => match slots.enter().await {
+            Entry::Running(slot) => Some(slot),
+            Entry::Full => return not_executed(),
+        },
+        None => None,
+    };
     {
         let mut state = endpoint.lock();
-        state.ran.push(Run {
+        state.record_run(Run {
             id: id.clone(),
             request_line: format!("{} {}", head.method, head.uri),
             headers: head.headers.clone(),
--- /dev/null
+++ b/crates/testing/src/site/journal.rs
@@ -0,0 +1,134 @@
+//! What an endpoint that runs as a process of its own records, readable while it is suspended and
+//! after it was killed.
+//!
+//! A line is `started NANOS`, `arrived NANOS ID` or `ran NANOS ID WORKSPACE KEY METHOD PATH`: the time on the
+//! machine's monotonic clock, `-` for no workspace, and whether the request had a key.
+
+use std::fs::File;
+use std::io::{self, Write};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use http::HeaderMap;
+use rustix::time::{ClockId, clock_gettime};
+
+use super::endpoint::{Arrival, Run};
+
+/// Converts between [`Instant`] and the monotonic clock that all processes of a machine share.
+#[derive(Clone, Copy, Debug)]
+pub struct JournalClock {
+    instant: Instant,
+    since_boot: Duration,
+}
+
+/// The journal of one start of an endpoint.
+#[derive(Debug)]
+pub struct Journal {
+    file: File,
+    clock: JournalClock,
+}
+
+/// What a journal contains.
+#[derive(Clone, Debug, Default)]
+pub struct Records {
+    /// When the endpoint started.
+    pub started: Option<Instant>,
+    /// The requests that arrived, in order.
+    pub arrivals: Vec<Arrival>,
+    /// The requests that ran, in order, each with its workspace's name and whether it had a key.
+    pub runs: Vec<(Run, Option<String>, bool)>,
+}
+
+impl JournalClock {
+    /// Reads both clocks.
+    pub fn now() -> Self {
+        let now = clock_gettime(ClockId::Monotonic);
+        let nanos = u32::try_from(now.tv_nsec).unwrap_or(0);
+        Self {
+            instant: Instant::now(),
+            since_boot: Duration::new(now.tv_sec.unsigned_abs(), nanos),
+        }
+    }
+
+    fn nanos(&self, at: Instant) -> u128 {
+        (self.since_boot + at.saturating_duration_since(self.instant)).as_nanos()
+    }
+
+    fn instant(&self, nanos: u64) -> Instant {
+        let at = Duration::from_nanos(nanos);
+        match at.checked_sub(self.since_boot) {
+            Some(later) => self.instant + later,
+            None => self
+                .instant
+                .checked_sub(self.since_boot - at)
+                .unwrap_or(self.instant),
+        }
+    }
+}
+
+impl Journal {
+    /// Begins a journal.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file can't be created.
+    pub fn create(path: &Path) -> io::Result<Self> {
+        let mut journal = Self {
+            file: File::create(path)?,
+            clock: JournalClock::now(),
+        };
+        let at = journal.clock.nanos(Instant::now());
+        journal.write(&format!("started {at}\n"));
+        Ok(journal)
+    }
+
+    /// Reads a journal; lines that aren't complete are left out.
+    pub fn read(path: &Path, clock: &JournalClock) -> Records {
+        let bytes = std::fs::read(path).unwrap_or_default();
+        let text = String::from_utf8_lossy(&bytes);
+        let mut records = Records::default();
+        for line in text.split_inclusive('\n').filter(|l| l.ends_with('\n')) {
+            let words: Vec<&str> = line.split_whitespace().collect();
+            match words[..] {
+                ["started", at] => {
+                    records.started = Some(clock.instant(at.parse().unwrap_or(0)));
+                }
+                ["arrived", at, id] => records.arrivals.push(Arrival {
+                    id: id.to_owned(),
+                    at: clock.instant(at.parse().unwrap_or(0)),
+                }),
+                ["ran", at, id, workspace, key, method, path] => {
+                    let run = Run {
+                        id: id.to_owned(),
+                        request_line: format!("{method} {path}"),
+                        headers: HeaderMap::new(),
+                        at: clock.instant(at.parse().unwrap_or(0)),
+                    };
+                    let workspace = (workspace != "-").then(|| workspace.to_owned());
+                    records.runs.push((run, workspace, key == "true"));
+                }
+                _ => {}
+            }
+        }
+        records
+    }
+
+    pub(super) fn record_arrival(&mut self, arrival: &Arrival) {
+        let at = self.clock.nanos(arrival.at);
+        self.write(&format!("arrived {at} {}\n", arrival.id));
+    }
+
+    pub(super) fn record_run(&mut self, run: &Run) {
+        let at = self.clock.nanos(run.at);
+        let workspace = run.headers.get("x-tenant").and_then(|v| v.to_str().ok());
+        let key = run.headers.contains_key("api-key");
+        let workspace = workspace.unwrap_or("-");
+        let line = &run.request_line;
+        self.write(&format!("ran {at} {} {workspace} {key} {line}\n", run.id));
+    }
+
+    fn write(&mut self, line: &str) {
+        let written = self.file.write_all(line.as_bytes());
+        written.expect("the journal can be written");
+    }
+}
--- a/crates/testing/src/site/mod.rs
+++ b/crates/testing/src/site/mod.rs
@@ -5,7 +5,10 @@
 //! replica can restart on another port.
 
 mod endpoint;
+mod journal;
 mod list;
+mod process_endpoint;
+mod slots;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -13,7 +16,9 @@
 use std::time::Duration;
 
 pub use endpoint::{Arrival, Behaviour, Run, SiteEndpoint, is_answer};
+pub use journal::{Journal, JournalClock, Records};
 pub use list::{Line, SiteList};
+pub use process_endpoint::{EndpointCommand, EndpointSpec, ProcessEndpoint, run_endpoint};
 
 use crate::client::{Answer, Call, CallError};
 use crate::cluster::{Ini, Node, Place};
@@ -40,6 +45,9 @@
 pub struct SiteBuilder {
     programs: SitePrograms,
     places: Vec<Place>,
+    control_places: Vec<Place>,
+    gateway_places: Vec<Place>,
+    gateway_settings: Vec<(&'static str, &'static str, String)>,
     replicas: usize,
     gateways: usize,
     seeds: usize,
@@ -76,6 +84,9 @@
                 Place::new("zagreb", "zagreb-a"),
                 Place::new("split", "split-a"),
             ],
+            control_places: Vec::new(),
+            gateway_places: Vec::new(),
+            gateway_settings: Vec::new(),
             replicas: 3,
             gateways: 1,
             seeds: 1,
@@ -302,6 +313,37 @@
         self
     }
 
+    /// Places control replicas and gateways here, one in each, instead of round-robin over two
+    /// failure domains.
+    #[must_use]
+    pub fn placed(mut self, controls: Vec<Place>, gateways: Vec<Place>) -> Self {
+        self.replicas = controls.len();
+        self.gateways = gateways.len();
+        let all = controls.iter().chain(&gateways).cloned();
+        self.places = all.fold(Vec::new(), |mut places, place| {
+            if !places.contains(&place) {
+                places.push(place);
+            }
+            places
+        });
+        self.control_places = controls;
+        self.gateway_places = gateways;
+        self
+    }
+
+    /// Sets a key in the settings of all gateways.
+    #[must_use]
+    pub fn gateway_setting(
+        mut self,
+        section: &'static str,
+        key: &'static str,
+        value: impl std::fmt::Display,
+    ) -> Self {
+        self.gateway_settings
+            .push((section, key, value.to_string()));
+        self
+    }
+
     /// Number of replicas that are seeds. Default 1.
     #[must_use]
     pub fn seeds(mut self, seeds: usize) -> Self {
@@ -379,7 +421,9 @@
         let name = format!("control-{number}");
         let keys = &["peer", "operator", "orders", "lookups"];
         let program = &self.builder.programs.control;
-        let mut node = self.node(&name, number, "control", program, keys);
+        let place = self.place(&self.builder.control_places, number);
+        let node = self.node(&name, place, "control", program, keys);
+        let mut node = node.with_unlinked(&["lookups"]);
         let data = node.data().display().to_string();
         let (peer, operator) = (node.addr("peer"), node.addr("operator"));
         let places = self.builder.places.iter();
@@ -404,7 +448,9 @@
         let name = format!("gateway-{number}");
         let keys = &["peer", "caller"];
         let program = &self.builder.programs.gateway;
-        let mut node = self.node(&name, number, "gateway", program, keys);
+        let place = self.place(&self.builder.gateway_places, number);
+        let node = self.node(&name, place, "gateway", program, keys);
+        let mut node = node.with_unlinked(&["caller"]);
         let (peer, caller) = (node.addr("peer"), node.addr("caller"));
         node.settings()
             .set("peers", "listen", ANY_PORT)
@@ -421,6 +467,9 @@
         if let Some(floor) = self.builder.retry_floor {
             node.settings().set("budgets", "retry_floor", floor);
         }
+        for (section, key, value) in &self.builder.gateway_settings {
+            node.settings().set(section, key, value);
+        }
         // The seeds' own ports are right, so the `port` setting, which replaces them, is left out.
         for place in &self.builder.places {
             let section = format!("failure_domain {}", place.failure_domain);
@@ -429,16 +478,22 @@
         node
     }
 
+    /// Where the process with this number, from 1, runs: round-robin over all places if `own` names
+    /// none for it.
+    fn place(&self, own: &[Place], number: usize) -> Place {
+        let places = &self.builder.places;
+        let round_robin = &places[(number - 1) % places.len()];
+        own.get(number - 1).unwrap_or(round_robin).clone()
+    }
+
     fn node(
         &self,
         name: &str,
-        number: usize,
+        place: Place,
         role: &str,
         program: &Path,
         keys: &[&'static str],
     ) -> Node {
-        let places = &self.builder.places;
-        let place = places[(number - 1) % places.len()].clone();
         let folder = self.dir().file_name().unwrap_or_default();
         let cluster = folder.to_string_lossy().to_ascii_lowercase();
         let mut node = Node::new(name, program, self.dir(), place, &self.network, keys);
--- a/crates/testing/src/soak/callers.rs
+++ b/crates/testing/src/soak/callers.rs
@@ -16,6 +16,7 @@
 use super::shared::{SharedState, probe_path};
 use super::workspaces;
 use crate::client::{Answer, Call, CallError, Connection};
+use crate::cluster::Place;
 use crate::site::{HOST, is_answer};
 
 /// The deadline that a request carries.
@@ -27,6 +28,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Lengths of lessons: below and above the size that a gateway buffers completely.
 const LESSON_BYTES: [u64; 3] = [20_000, 300_000, 2_500_000];
+/// Failure domains of the callers.
+const DOMAINS: [&str; 2] = ["zagreb-a", "split-a"];
 /// Number of distinct objects, which are the affinity keys of requests.
 const OBJECTS: u32 = 40;
 /// Workspace that every caller claims to belong to.
@@ -35,9 +38,9 @@
 const RECENT_VERSIONS: u64 = 6;
 
 /// A connection to a gateway.
-struct GatewayConnection {
-    gateway: usize,
-    connection: Connection,
+pub(super) struct GatewayConnection {
+    pub(super) gateway: usize,
+    pub(super) connection: Connection,
 }
 
 /// Contents of a request.
@@ -76,7 +79,8 @@
         let pause_ms = rng.random_range(load.pause_ms());
         sleep(Duration::from_millis(pause_ms)).await;
         if connection.is_none() {
-            connection = connect(&shared, &mut rng).await;
+            let domain = DOMAINS[rng.random_range(0..DOMAINS.len())];
+            connection = connect(&shared, &mut rng, &Place::new("zagreb", domain)).await;
         }
         let Some(open) = connection.take() else {
             continue;
@@ -130,10 +134,15 @@
     addresses: Vec<SocketAddr>,
 }
 
-async fn connect(shared: &SharedState, rng: &mut StdRng) -> Option<GatewayConnection> {
+/// Looks up the gateways for a caller at this place at a random replica, and connects to one.
+pub(super) async fn connect(
+    shared: &SharedState,
+    rng: &mut StdRng,
+    caller: &Place,
+) -> Option<GatewayConnection> {
     let replica = shared.lookups[rng.random_range(0..shared.lookups.len())];
-    let domain = ["zagreb-a", "split-a"][rng.random_range(0..2)];
-    let path = format!("/-/resolve?name={HOST}&region=zagreb&zone={domain}");
+    let (region, domain) = (&caller.region, &caller.failure_domain);
+    let path = format!("/-/resolve?name={HOST}&region={region}&zone={domain}");
     let call = Call::get(&path).bound(LOOKUP_TIMEOUT);
     let found: LookupAnswer =
         serde_json::from_slice(&call.send_async(replica).await.ok()?.body).ok()?;
@@ -176,7 +185,7 @@
     let result = result.unwrap_or(Err(CallError::TimedOut));
     let same_incarnation =
         shared.incarnations[connection.gateway].load(Ordering::SeqCst) == incarnation;
-    let outcome = outcome_of(&result, spec);
+    let outcome = outcome_of(&result, spec.method, &spec.path, &spec.body);
     let reusable = matches!(&result, Ok(answer) if answer.header("connection") != "close");
     let is_unknown = matches!(outcome, RequestOutcome::Answered { status: 404, .. });
     let mut history = shared.history();
@@ -219,12 +228,17 @@
     }
 }
 
-fn outcome_of(result: &Result<Answer, CallError>, spec: &RequestSpec) -> RequestOutcome {
+pub(super) fn outcome_of(
+    result: &Result<Answer, CallError>,
+    method: &str,
+    path: &str,
+    body: &str,
+) -> RequestOutcome {
     match result {
         Ok(answer) => RequestOutcome::Answered {
             status: answer.status.as_u16(),
             matches: answer.header("x-response-signature") == "signed"
-                && is_answer(spec.method, &spec.path, spec.body.as_bytes(), &answer.body),
+                && is_answer(method, path, body.as_bytes(), &answer.body),
         },
         Err(CallError::Connect(_)) => RequestOutcome::ConnectFailed,
         Err(CallError::NoAnswer(_)) => RequestOutcome::Closed,
--- /dev/null
+++ b/crates/testing/src/soak/deployed/callers.rs
@@ -0,0 +1,286 @@
+//! Callers of a deployment: each sends requests at its rate, whether earlier ones were answered late
+//! or not, and repeats those that failed.
+
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tokio::time::{sleep, sleep_until, timeout};
+
+use super::deployment::{Deployment, ServiceSpec};
+use super::plan::LoadChange;
+use crate::client::{Answer, Call, CallError};
+use crate::cluster::Place;
+use crate::site::HOST;
+use crate::soak::callers::{GatewayConnection, connect, outcome_of};
+use crate::soak::history::{CallerRequest, RequestOutcome};
+use crate::soak::shared::SharedState;
+use crate::soak::violations::NOT_RUN;
+use crate::soak::workspaces;
+
+/// Number of distinct objects of a service.
+const OBJECTS: u32 = 50;
+/// Time that a caller waits beyond its deadline.
+const PATIENCE: Duration = Duration::from_millis(100);
+/// A caller that is later than this leaves out the requests that it is behind.
+const MAX_BEHIND: Duration = Duration::from_secs(2);
+/// Pause of a caller that finds no gateway.
+const NO_GATEWAY_PAUSE: Duration = Duration::from_millis(200);
+/// One caller in this many repeats at once and often while callers abuse retries.
+const ABUSER_EVERY: usize = 3;
+/// Times that such a caller repeats a request, and any other.
+const ABUSIVE_REPEATS: u32 = 4;
+const REPEATS: u32 = 1;
+/// One caller in this many leaves early while callers leave.
+const LEAVER_EVERY: usize = 5;
+/// One caller in this many belongs to the workspace with an allotment.
+const LIMITED_EVERY: usize = 12;
+/// Number of workspaces without one.
+const UNLIMITED: usize = 3;
+
+/// What callers currently do.
+#[derive(Debug)]
+pub(super) struct LoadState {
+    factor_milli: AtomicU32,
+    abuse: AtomicBool,
+    leave: AtomicBool,
+    moved: Mutex<Option<(usize, usize)>>,
+}
+
+impl Default for LoadState {
+    fn default() -> Self {
+        Self {
+            factor_milli: AtomicU32::new(1000),
+            abuse: AtomicBool::new(false),
+            leave: AtomicBool::new(false),
+            moved: Mutex::new(None),
+        }
+    }
+}
+
+impl LoadState {
+    pub(super) fn apply(&self, change: LoadChange) {
+        match change {
+            LoadChange::Factor(factor) => {
+                self.factor_milli
+                    .store((factor * 1000.0) as u32, Ordering::Relaxed);
+            }
+            LoadChange::Abuse(abuse) => self.abuse.store(abuse, Ordering::Relaxed),
+            LoadChange::Leave(leave) => self.leave.store(leave, Ordering::Relaxed),
+            LoadChange::Move(moved) => {
+                *self.moved.lock().unwrap_or_else(PoisonError::into_inner) = moved;
+            }
+        }
+    }
+
+    fn factor(&self) -> f64 {
+        f64::from(self.factor_milli.load(Ordering::Relaxed)) / 1000.0
+    }
+
+    /// The failure domain that callers of this one look up gateways for.
+    fn domain(&self, own: usize) -> usize {
+        let moved = *self.moved.lock().unwrap_or_else(PoisonError::into_inner);
+        match moved {
+            Some((from, to)) if from == own => to,
+            _ => own,
+        }
+    }
+}
+
+/// A caller.
+pub(super) struct Caller {
+    pub(super) shared: Arc<SharedState>,
+    pub(super) deployment: Arc<Deployment>,
+    pub(super) load: Arc<LoadState>,
+    /// Index of its failure domain.
+    pub(super) domain: usize,
+    /// Its number among all callers.
+    pub(super) number: usize,
+    pub(super) rng: StdRng,
+}
+
+/// A request of a caller, which may be sent several times under ids of their own.
+struct Wanted<'a> {
+    service: &'a ServiceSpec,
+    path: String,
+    object: String,
+    key: String,
+    workspace: Option<String>,
+    deadline: Instant,
+}
+
+impl Caller {
+    pub(super) fn new(
+        shared: &Arc<SharedState>,
+        deployment: &Arc<Deployment>,
+        load: &Arc<LoadState>,
+        (domain, number): (usize, usize),
+        seed: u64,
+    ) -> Self {
+        Self {
+            shared: Arc::clone(shared),
+            deployment: Arc::clone(deployment),
+            load: Arc::clone(load),
+            domain,
+            number,
+            rng: StdRng::seed_from_u64(seed ^ (number as u64 + 1)),
+        }
+    }
+
+    /// Sends requests until the soak is over.
+    pub(super) async fn run(mut self) {
+        let deployment = Arc::clone(&self.deployment);
+        let domain = &deployment.domains[self.domain];
+        let interval = domain.callers as f64 / domain.requests;
+        let mut connection = None;
+        let mut due = Instant::now();
+        let mut count = 0;
+        while !self.shared.is_over() {
+            let chance = 1.0 - self.rng.random::<f64>();
+            due += Duration::from_secs_f64(-chance.ln() * interval / self.load.factor());
+            due = due.max(Instant::now().checked_sub(MAX_BEHIND).unwrap_or(due));
+            sleep_until(due.into()).await;
+            count += 1;
+            let wanted = self.draw(&deployment, count);
+            connection = self.serve(connection, &wanted, count).await;
+        }
+    }
+
+    fn draw<'a>(&mut self, deployment: &'a Deployment, count: usize) -> Wanted<'a> {
+        let mut left = self.rng.random::<f64>();
+        let services = &deployment.services;
+        let found = services.iter().find(|service| {
+            left -= service.share;
+            left < 0.0
+        });
+        let service = found.unwrap_or(&services[0]);
+        let object = self.rng.random_range(0..OBJECTS);
+        let query = match service.bytes {
+            0 => "page=1".to_owned(),
+            bytes => format!("bytes={bytes}"),
+        };
+        let limited = self.number % LIMITED_EVERY == LIMITED_EVERY - 1;
+        let member = if limited {
+            UNLIMITED
+        } else {
+            self.number % UNLIMITED
+        };
+        let (key, workspace) = workspaces::key(member, count);
+        Wanted {
+            service,
+            path: format!("/{}/{object}?{query}", service.name),
+            object: object.to_string(),
+            key,
+            workspace,
+            deadline: Instant::now() + service.deadline,
+        }
+    }
+
+    /// Sends a request until it is served, can't be repeated or has been often enough. Returns the
+    /// connection if it can be reused.
+    async fn serve(
+        &mut self,
+        mut connection: Option<GatewayConnection>,
+        wanted: &Wanted<'_>,
+        count: usize,
+    ) -> Option<GatewayConnection> {
+        let abuses =
+            self.number.is_multiple_of(ABUSER_EVERY) && self.load.abuse.load(Ordering::Relaxed);
+        let repeats = if abuses { ABUSIVE_REPEATS } else { REPEATS };
+        for repeat in 0..=repeats {
+            let open = match connection.take() {
+                Some(open) => open,
+                None => match self.connect().await {
+                    Some(open) => open,
+                    None => {
+                        sleep(NO_GATEWAY_PAUSE).await;
+                        return None;
+                    }
+                },
+            };
+            let id = format!("c{}-{count}-{repeat}", self.number);
+            let (reusable, outcome, retry_after) = self.send(open, wanted, id).await;
+            if !may_repeat(wanted.service, outcome) {
+                return reusable;
+            }
+            let left = wanted.deadline.saturating_duration_since(Instant::now());
+            if left.is_zero() || self.shared.is_over() {
+                return None;
+            }
+            if !abuses {
+                sleep(retry_after.min(left / 3)).await;
+            }
+        }
+        None
+    }
+
+    async fn connect(&mut self) -> Option<GatewayConnection> {
+        let place: &Place = &self.deployment.domains[self.load.domain(self.domain)].place;
+        connect(&self.shared, &mut self.rng, place).await
+    }
+
+    async fn send(
+        &self,
+        mut open: GatewayConnection,
+        wanted: &Wanted<'_>,
+        id: String,
+    ) -> (Option<GatewayConnection>, RequestOutcome, Duration) {
+        let service = wanted.service;
+        let left = wanted.deadline.saturating_duration_since(Instant::now());
+        let body = if service.method() == "POST" {
+            "two packs"
+        } else {
+            ""
+        };
+        let call = Call::new(service.method(), &wanted.path)
+            .header("host", HOST)
+            .header("x-request-id", &id)
+            .header("x-affinity-key", &wanted.object)
+            .header("x-deadline-ms", &left.as_millis().to_string())
+            .header("api-key", &wanted.key)
+            .body(body);
+        let leaves =
+            self.number.is_multiple_of(LEAVER_EVERY) && self.load.leave.load(Ordering::Relaxed);
+        let bound = if leaves {
+            service.objective / 2
+        } else {
+            left + PATIENCE
+        };
+        let sent = Instant::now();
+        let result = timeout(bound, open.connection.send(&call)).await;
+        let result = result.unwrap_or(Err(CallError::TimedOut));
+        let outcome = outcome_of(&result, service.method(), &wanted.path, body);
+        self.shared.history().requests.push(CallerRequest {
+            id,
+            request_line: format!("{} {}", service.method(), wanted.path),
+            sent,
+            workspace: wanted.workspace.clone(),
+            idempotent: service.method() == "GET",
+            gateway: open.gateway,
+            outcome,
+        });
+        let retry_after = result.as_ref().map_or(Duration::ZERO, retry_after);
+        let reusable = matches!(&result, Ok(answer) if answer.header("connection") != "close");
+        (reusable.then_some(open), outcome, retry_after)
+    }
+}
+
+/// The time that an answer asks the caller to wait; none if it doesn't.
+fn retry_after(answer: &Answer) -> Duration {
+    let seconds = answer.header("retry-after").parse::<f64>().unwrap_or(0.0);
+    Duration::try_from_secs_f64(seconds).unwrap_or_default()
+}
+
+/// Whether a request with this outcome may be sent again.
+fn may_repeat(service: &ServiceSpec, outcome: RequestOutcome) -> bool {
+    let idempotent = service.method() == "GET";
+    match outcome {
+        RequestOutcome::Answered { status, .. } if NOT_RUN.contains(&status) => true,
+        RequestOutcome::Answered { status, .. } => idempotent && status >= 500,
+        RequestOutcome::ConnectFailed => true,
+        RequestOutcome::Closed | RequestOutcome::Cut => idempotent,
+        RequestOutcome::TimedOut => false,
+    }
+}
--- /dev/null
+++ b/crates/testing/src/soak/deployed/mod.rs
@@ -0,0 +1,19 @@
+//! Soaks of a whole deployment: as many gateways, control replicas and endpoints as its description
+//! says, with its rates, deadlines and limits, each as a process of its own.
+//!
+//! Endpoints are processes too, so that they can be suspended, starved and killed while their
+//! kernel's buffers hold requests that they haven't read. A [`DeployedPlan`] is generated from a
+//! seed: faults of all kinds that start at any moment and overlap. What is checked is what callers
+//! and endpoints have seen, by the same checks as in the other soaks.
+
+mod callers;
+mod cold;
+mod deployment;
+mod plan;
+mod runner;
+mod trouble;
+
+pub use deployment::{Deployment, DeploymentError, DeploymentLimits, DomainSpec, ServiceSpec};
+pub use plan::{Action, DeployedPlan, EndpointAction, LoadChange, TimedAction};
+pub use runner::{DeployedReport, ServiceRetries, SoakPrograms, run_deployed};
+pub use trouble::{ALL_TROUBLES, TroubleKind};
--- /dev/null
+++ b/crates/testing/src/soak/deployed/runner.rs
@@ -0,0 +1,563 @@
+//! Starts a deployment, applies a plan to it and checks the result.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use tokio::task::JoinHandle;
+
+use super::callers::{Caller, LoadState};
+use super::cold::most_while_cold;
+use super::deployment::{Deployment, ServiceSpec};
+use super::plan::{Action, DeployedPlan, EndpointAction, endpoints};
+use crate::client::Call;
+use crate::proxy::{Direction, Flow};
+use crate::runtime;
+use crate::site::{
+    Behaviour, EndpointCommand, EndpointSpec, HOST, JournalClock, ProcessEndpoint, Records, Site,
+    SitePrograms, request,
+};
+use crate::soak::history::{CallerRequest, History, RequestOutcome};
+use crate::soak::nodes::Nodes;
+use crate::soak::operators;
+use crate::soak::retries::{
+    Retry, ServiceArrival, WorstWindow, is_within, retries_by_service, worst_windows_with_starts,
+};
+use crate::soak::shared::SharedState;
+use crate::soak::violations::{EndpointRun, Limits, Violation, find_violations};
+use crate::soak::workspaces;
+
+/// Requests that wait at an endpoint before it rejects others.
+const QUEUE: u32 = 9;
+/// Requests that an endpoint runs at once.
+const SLOTS: u32 = 3;
+const MAX_CONNECTIONS: u32 = 330;
+/// Time until a change of an endpoint shows on the list, at most; endpoints warm up there too.
+const LIST_INTERVAL: Duration = Duration::from_millis(800);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Pause between two changes of routes.
+const CHANGE_MS: std::ops::Range<u64> = 1_500..5_000;
+/// Time in which the deployment must recover once all faults are over.
+const RECOVERY_BOUND: Duration = Duration::from_secs(60);
+/// A retry arrives late if its request was sent longer before than its deadline and this.
+const LATE_AFTER: Duration = Duration::from_millis(100);
+
+/// Paths of the programs of a deployment.
+#[derive(Clone, Debug)]
+pub struct SoakPrograms {
+    /// The programs under test.
+    pub site: SitePrograms,
+    /// `filberthead-site-endpoint`.
+    pub endpoint: PathBuf,
+}
+
+/// The retries of a service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServiceRetries {
+    /// The window in which they came closest to the budget, or exceeded it most.
+    pub worst: WorstWindow,
+    /// Those in that window that arrived after their request's deadline.
+    pub late: usize,
+    /// All of them.
+    pub total: usize,
+}
+
+/// Result of a soak of a deployment.
+#[derive(Debug)]
+pub struct DeployedReport {
+    /// Seed of its plan.
+    pub seed: u64,
+    /// Number of faults.
+    pub troubles: usize,
+    /// Number of requests, and of those answered with 200.
+    pub requests: (usize, usize),
+    /// Number of requests by outcome: the status, or how it failed.
+    pub outcomes: BTreeMap<String, usize>,
+    /// The retries of each service that got any.
+    pub retries: Vec<ServiceRetries>,
+    /// Most requests that a cold endpoint got within a second, and the bound.
+    pub cold: (usize, usize),
+    /// Violated guarantees.
+    pub violations: Vec<Violation>,
+    /// Folder with settings, logs, journals and data; it is kept if there are violations.
+    pub dir: PathBuf,
+}
+
+impl fmt::Display for DeployedReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "seed {}: {} faults, {} requests, {} served, cold {} of {}, {} violations",
+            self.seed,
+            self.troubles,
+            self.requests.0,
+            self.requests.1,
+            self.cold.0,
+            self.cold.1,
+            self.violations.len()
+        )?;
+        let outcomes = self
+            .outcomes
+            .iter()
+            .map(|(name, count)| format!("{name}: {count}"));
+        write!(f, "\n  {}", outcomes.collect::<Vec<_>>().join(", "))?;
+        for service in &self.retries {
+            let worst = &service.worst;
+            let part = worst.retries as f64 / worst.allowed.max(1) as f64;
+            write!(
+                f,
+                "\n  {}: {} of {} retries in a window ({part:.2}), {} of them late; {} in all",
+                worst.service, worst.retries, worst.allowed, service.late, service.total
+            )?;
+        }
+        for violation in &self.violations {
+            write!(f, "\n  {violation}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Applies a plan and checks the result.
+///
+/// # Panics
+///
+/// Panics if a process can't be started.
+pub fn run_deployed(programs: &SoakPrograms, plan: &DeployedPlan) -> DeployedReport {
+    let mut runner = Runner::start(programs, plan);
+    let start = Instant::now();
+    for timed in &plan.actions {
+        runner.wait_until(start + timed.at);
+        runner.apply(&timed.action);
+    }
+    runner.wait_until(start + plan.duration);
+    runner.end_faults();
+    runner.check_recovery();
+    runner.report(plan)
+}
+
+struct Runner {
+    nodes: Nodes,
+    shared: Arc<SharedState>,
+    deployment: Arc<Deployment>,
+    load: Arc<LoadState>,
+    endpoints: Vec<ProcessEndpoint>,
+    clock: JournalClock,
+    /// When the list next shows what endpoints have become.
+    list_due: Instant,
+    tasks: Vec<JoinHandle<()>>,
+    checks: usize,
+    violations: Vec<Violation>,
+}
+
+impl Runner {
+    fn start(programs: &SoakPrograms, plan: &DeployedPlan) -> Self {
+        let deployment = Arc::new(plan.deployment.clone());
+        let site = start_site(&programs.site, &deployment);
+        let mut endpoints = new_endpoints(programs, &deployment, &site);
+        endpoints.iter_mut().for_each(ProcessEndpoint::spawn);
+        endpoints.iter_mut().for_each(ProcessEndpoint::wait_ready);
+        let routes = Arc::clone(&deployment);
+        let make_routes = Box::new(move |version| make_routes(version, &routes));
+        let shared = Arc::new(SharedState::with_routes(&site, make_routes));
+        let (_, first) = shared.next_routes(1);
+        let mut runner = Self {
+            nodes: Nodes::new(site, Arc::clone(&shared)),
+            shared,
+            deployment,
+            load: Arc::new(LoadState::default()),
+            endpoints,
+            clock: JournalClock::now(),
+            list_due: Instant::now(),
+            tasks: Vec::new(),
+            checks: 0,
+            violations: Vec::new(),
+        };
+        runner.show_list();
+        let site = &runner.nodes.site;
+        let accepted = site.order("config.put", &first);
+        assert!(accepted.status.is_success(), "the first routes are valid");
+        (0..site.gateways.len()).for_each(|gateway| site.wait_serving(gateway));
+        // Endpoints are warm when traffic begins.
+        std::thread::sleep(runner.deployment.limits.warmup);
+        runner.begin_traffic(plan.seed);
+        runner
+    }
+
+    fn begin_traffic(&mut self, seed: u64) {
+        let mut number = 0;
+        let deployment = Arc::clone(&self.deployment);
+        for (domain, spec) in deployment.domains.iter().enumerate() {
+            for _ in 0..spec.callers {
+                let place = (domain, number);
+                let caller = Caller::new(&self.shared, &deployment, &self.load, place, seed);
+                self.spawn(caller.run());
+                number += 1;
+            }
+        }
+        let shared = Arc::clone(&self.shared);
+        self.spawn(operators::change_every(shared, CHANGE_MS, seed ^ (1 << 32)));
+    }
+
+    fn spawn(&mut self, task: impl Future<Output = ()> + Send + 'static) {
+        self.tasks.push(runtime::handle().spawn(task));
+    }
+
+    fn wait_until(&mut self, due: Instant) {
+        loop {
+            self.violations.extend(self.nodes.restart_ended());
+            if self.list_due <= Instant::now() {
+                self.show_list();
+            }
+            let left = due.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return;
+            }
+            std::thread::sleep(left.min(POLL_INTERVAL));
+        }
+    }
+
+    fn show_list(&mut self) {
+        self.list_due = Instant::now() + LIST_INTERVAL;
+        let lines = self.endpoints.iter().filter_map(ProcessEndpoint::line);
+        self.nodes.site.list.set(lines.collect());
+    }
+
+    fn apply(&mut self, action: &Action) {
+        match action {
+            Action::Process(step) => {
+                self.nodes.apply(step);
+            }
+            Action::Endpoint(endpoint, action) => self.apply_to_endpoint(*endpoint, *action),
+            Action::Load(change) => self.load.apply(*change),
+        }
+    }
+
+    fn apply_to_endpoint(&mut self, number: usize, action: EndpointAction) {
+        let other = match action {
+            EndpointAction::TakenOverBy(other) => self.endpoints[other].addr(),
+            _ => None,
+        };
+        let endpoint = &mut self.endpoints[number];
+        match action {
+            EndpointAction::Kill => endpoint.kill(),
+            EndpointAction::Start => {
+                endpoint.spawn();
+                endpoint.wait_ready();
+            }
+            EndpointAction::Freeze => {
+                endpoint.process().into_iter().for_each(|p| p.suspend());
+            }
+            EndpointAction::Resume => {
+                endpoint.process().into_iter().for_each(|p| p.resume());
+            }
+            EndpointAction::Command(command) => endpoint.command(command),
+            EndpointAction::Hold => endpoint.link().hold(),
+            EndpointAction::Delay(ms) => {
+                let delay = Flow::Delay(Duration::from_millis(ms));
+                endpoint.link().set(Direction::ToServer, delay);
+            }
+            EndpointAction::Pass => {
+                endpoint.link().heal();
+                if let Some(own) = endpoint.addr() {
+                    endpoint.link().retarget(own);
+                }
+            }
+            EndpointAction::Reset => endpoint.link().cut(),
+            EndpointAction::Drain => endpoint.drain(),
+            EndpointAction::TakenOverBy(_) => {
+                if let Some(other) = other {
+                    endpoint.link().retarget(other);
+                    endpoint.link().cut();
+                }
+            }
+        }
+    }
+
+    /// Reverts all faults, restarts all processes that are down, and ends traffic.
+    fn end_faults(&mut self) {
+        self.nodes.site.network.heal();
+        for endpoint in &mut self.endpoints {
+            endpoint.process().into_iter().for_each(|p| p.resume());
+            endpoint.spawn();
+            endpoint.wait_ready();
+            endpoint.command(EndpointCommand::Behave(Behaviour::Serves, 1.0));
+            let usual = endpoint.spec().run_time;
+            endpoint.command(EndpointCommand::RunFor(usual));
+            endpoint.link().heal();
+            if let Some(own) = endpoint.addr() {
+                endpoint.link().retarget(own);
+            }
+        }
+        for target in self.nodes.targets() {
+            self.nodes.resume(target);
+            self.nodes.start(target);
+        }
+        self.show_list();
+        while self.nodes.is_any_stopping() {
+            self.wait_until(Instant::now() + POLL_INTERVAL);
+        }
+        self.shared.finish();
+        let tasks = std::mem::take(&mut self.tasks);
+        runtime::wait(async move {
+            for task in tasks {
+                task.await.expect("no task of the soak panics");
+            }
+        });
+    }
+
+    /// Waits until each gateway serves each service again.
+    fn check_recovery(&mut self) {
+        for gateway in 0..self.nodes.site.gateways.len() {
+            for service in 0..self.deployment.services.len() {
+                let end = Instant::now() + RECOVERY_BOUND;
+                while !self.is_served(gateway, service) {
+                    if Instant::now() >= end {
+                        let name = &self.deployment.services[service].name;
+                        let what = format!("gateway {gateway} serves {name}");
+                        self.violations.push(Violation::NotRecovered(what));
+                        break;
+                    }
+                    std::thread::sleep(POLL_INTERVAL);
+                }
+            }
+        }
+    }
+
+    fn is_served(&mut self, gateway: usize, service: usize) -> bool {
+        self.checks += 1;
+        let spec = &self.deployment.services[service];
+        let (method, path) = (spec.method(), format!("/{}/end", spec.name));
+        let id = format!("end-{}", self.checks);
+        let (key, workspace) = workspaces::key(0, 1);
+        let call: Call = request(method, &path, &id).header("api-key", &key);
+        let sent = Instant::now();
+        let result = self.nodes.site.request(gateway, &call);
+        let outcome = crate::soak::callers::outcome_of(&result, method, &path, "");
+        self.shared.history().requests.push(CallerRequest {
+            id,
+            request_line: format!("{method} {path}"),
+            sent,
+            workspace,
+            idempotent: method == "GET",
+            gateway,
+            outcome,
+        });
+        matches!(outcome, RequestOutcome::Answered { status: 200, .. })
+    }
+
+    fn report(mut self, plan: &DeployedPlan) -> DeployedReport {
+        let limits = self.deployment.limits;
+        let records: Vec<Vec<Records>> = self
+            .endpoints
+            .iter()
+            .map(|endpoint| endpoint.records(&self.clock))
+            .collect();
+        let arrivals = self.arrivals(&records);
+        let history = self.shared.history().clone();
+        self.violations.extend(find_violations(
+            &history,
+            &endpoint_runs(&records),
+            &arrivals,
+            Limits {
+                max_attempts: limits.max_attempts,
+                retry_floor: limits.retry_floor,
+                planned_only: false,
+            },
+        ));
+        let cold = self.check_cold(&records);
+        if !self.violations.is_empty() {
+            self.nodes.site.keep();
+        }
+        let is_served =
+            |r: &&CallerRequest| matches!(r.outcome, RequestOutcome::Answered { status: 200, .. });
+        let served = history.requests.iter().filter(is_served).count();
+        DeployedReport {
+            seed: plan.seed,
+            troubles: plan.troubles.len(),
+            requests: (history.requests.len(), served),
+            outcomes: outcomes(&history.requests),
+            retries: self.service_retries(&history, &arrivals),
+            cold: (cold, limits.cold_bound()),
+            violations: self.violations,
+            dir: self.nodes.site.dir().to_owned(),
+        }
+    }
+
+    /// All requests that reached endpoints.
+    fn arrivals(&self, records: &[Vec<Records>]) -> Vec<ServiceArrival> {
+        let endpoints = self.endpoints.iter().zip(records);
+        let arrivals = endpoints.flat_map(|(endpoint, starts)| {
+            let arrived = starts.iter().flat_map(|start| &start.arrivals);
+            arrived.map(|arrival| ServiceArrival {
+                service: endpoint.spec().service.clone(),
+                id: arrival.id.clone(),
+                at: arrival.at,
+            })
+        });
+        arrivals.collect()
+    }
+
+    /// Adds the endpoints that got too many requests while they were cold to the violations, and
+    /// returns the most that one got.
+    fn check_cold(&mut self, records: &[Vec<Records>]) -> usize {
+        let limits = self.deployment.limits;
+        let mut most = 0;
+        for (endpoint, starts) in self.endpoints.iter().zip(records) {
+            let got = starts.iter().map(|s| most_while_cold(s, limits.warmup));
+            let got = got.max().unwrap_or(0);
+            if got > limits.cold_bound() {
+                let name = endpoint.spec().name.clone();
+                self.violations
+                    .push(Violation::ColdLimitExceeded(name, got));
+            }
+            most = most.max(got);
+        }
+        most
+    }
+
+    fn service_retries(
+        &self,
+        history: &History,
+        arrivals: &[ServiceArrival],
+    ) -> Vec<ServiceRetries> {
+        let requests = &history.requests;
+        let floor = self.deployment.limits.retry_floor;
+        let worst = worst_windows_with_starts(requests, arrivals, floor);
+        let sent: BTreeMap<&str, Instant> =
+            requests.iter().map(|r| (r.id.as_str(), r.sent)).collect();
+        let by_service = retries_by_service(arrivals);
+        let of_service = |(start, worst): (Instant, WorstWindow)| {
+            let mut services = self.deployment.services.iter();
+            let spec = services.find(|spec| spec.name == worst.service);
+            let patience = spec.map_or(Duration::ZERO, |spec| spec.deadline) + LATE_AFTER;
+            let all = by_service.get(worst.service.as_str());
+            let all = all.map_or(&[][..], Vec::as_slice);
+            let is_late = |retry: &&Retry<'_>| {
+                let sent = sent.get(retry.id);
+                sent.is_some_and(|sent| retry.at > *sent + patience)
+            };
+            let within = all.iter().filter(|retry| is_within(start, retry.at));
+            ServiceRetries {
+                late: within.filter(is_late).count(),
+                total: all.len(),
+                worst,
+            }
+        };
+        worst.into_iter().map(of_service).collect()
+    }
+}
+
+fn outcomes(requests: &[CallerRequest]) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for request in requests {
+        let name = match request.outcome {
+            RequestOutcome::Answered { status, .. } => status.to_string(),
+            failed => format!("{failed:?}"),
+        };
+        *counts.entry(name).or_default() += 1;
+    }
+    counts
+}
+
+fn start_site(programs: &SitePrograms, deployment: &Deployment) -> Site {
+    let limits = deployment.limits;
+    let controls = deployment.controls();
+    Site::builder(programs.clone())
+        .seeds(controls.len().min(3))
+        .placed(controls, deployment.gateways())
+        .tolerate(limits.tolerate)
+        .stop_grace(limits.stop_grace)
+        .retry_floor(limits.retry_floor)
+        .gateway_setting("budgets", "retry_ratio", limits.retry_ratio)
+        .gateway_setting(
+            "budgets",
+            "retry_window",
+            format_args!("{}s", limits.retry_window.as_secs()),
+        )
+        .gateway_setting("log", "level", "info")
+        .start()
+}
+
+fn new_endpoints(
+    programs: &SoakPrograms,
+    deployment: &Deployment,
+    site: &Site,
+) -> Vec<ProcessEndpoint> {
+    let placed = endpoints(deployment).into_iter().enumerate();
+    let endpoint = |(number, (service, domain)): (usize, (usize, String))| {
+        let service = &deployment.services[service];
+        let spec = EndpointSpec {
+            name: format!("endpoint-{number}"),
+            service: service.name.clone(),
+            domain,
+            slots: SLOTS,
+            queue: QUEUE,
+            run_time: service.work,
+            warmup: deployment.limits.warmup,
+        };
+        ProcessEndpoint::new(spec, &programs.endpoint, site.dir())
+    };
+    placed.map(endpoint).collect()
+}
+
+fn endpoint_runs(records: &[Vec<Records>]) -> Vec<EndpointRun> {
+    let endpoints = records.iter().enumerate();
+    let runs = endpoints.flat_map(|(endpoint, starts)| {
+        let ran = starts.iter().flat_map(|start| &start.runs);
+        ran.map(move |(run, workspace, has_key)| EndpointRun {
+            endpoint,
+            id: run.id.clone(),
+            request_line: run.request_line.clone(),
+            workspace: workspace.clone(),
+            has_key: *has_key,
+            at: run.at,
+        })
+    });
+    runs.collect()
+}
+
+/// Routes of a version in the platform's JSON format. Versions differ by a route that nobody uses.
+fn make_routes(version: u64, deployment: &Deployment) -> String {
+    let limits = deployment.limits;
+    let ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+    let route = |name: String, prefix: String, service: &ServiceSpec| {
+        json!({
+            "name": name, "host": HOST, "path_prefix": prefix, "kind": service.kind,
+            "timeout_ms": ms(service.timeout), "target_latency_ms": ms(service.objective),
+            "priority": 1, "service": service.name, "max_attempts": limits.max_attempts,
+            "sticky_sessions": true, "allowed_regions": [],
+        })
+    };
+    let services = &deployment.services;
+    let in_use = services.iter().map(|service| {
+        route(
+            format!("r-{}", service.name),
+            format!("/{}/", service.name),
+            service,
+        )
+    });
+    let only = route(
+        format!("r-only-{version}"),
+        format!("/only-{version}/"),
+        &services[0],
+    );
+    let routes: Vec<Value> = in_use.chain([only]).collect();
+    let services = services.iter().map(|service| {
+        json!({
+            "name": service.name, "health_path": "/healthz", "max_connections": MAX_CONNECTIONS,
+            "warmup_s": limits.warmup.as_secs_f64(), "warmup_per_s": limits.warmup_per_s,
+        })
+    });
+    json!({
+        "version": version,
+        "routes": routes,
+        "services": services.collect::<Vec<_>>(),
+        "tenants": workspaces::all(),
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 67_108_864,
+            "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+    })
+    .to_string()
+}
--- /dev/null
+++ b/crates/testing/src/soak/deployed/trouble.rs
@@ -0,0 +1,455 @@
+//! The kinds of faults, and the actions that bring each about.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::plan::{Action, EndpointAction, Generator, LoadChange};
+use crate::site::{Behaviour, EndpointCommand};
+use crate::soak::plan::{Step, Target};
+
+/// Duration of a fault, in milliseconds.
+const FAULT_MS: std::ops::Range<u64> = 300..8_000;
+/// Duration of the suspension of an endpoint, in milliseconds: up to longer than a window of the
+/// retry budget.
+const PAUSE_MS: std::ops::Range<u64> = 300..13_000;
+/// Duration of the suspension of a gateway, in milliseconds: most are shorter than a deadline.
+const GATEWAY_PAUSE_MS: std::ops::Range<u64> = 50..2_500;
+/// Time that a process is down, in milliseconds.
+const DOWN_MS: std::ops::Range<u64> = 50..4_000;
+/// Time between the restarts of a series, in milliseconds.
+const SERIES_GAP_MS: std::ops::Range<u64> = 200..1_300;
+/// Duration of a cut between processes, in milliseconds.
+const CUT_MS: std::ops::Range<u64> = 1_000..20_000;
+/// Time between two suspensions of a starved process.
+const STARVED_PERIOD: Duration = Duration::from_millis(100);
+
+/// A kind of fault.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TroubleKind {
+    /// Endpoints of a service fail a share of their requests, in one of several ways.
+    EndpointsFail,
+    /// All endpoints of a service fail most of their requests.
+    ServiceFails,
+    /// Endpoints take several times as long.
+    EndpointsSlow,
+    /// Endpoints' processes are suspended.
+    EndpointsPaused,
+    /// Endpoints' processes get a part of the processor only.
+    EndpointsStarved,
+    /// Endpoints crash and start again.
+    EndpointsCrash,
+    /// Links to endpoints forward nothing for a while.
+    EndpointLinksHeld,
+    /// Links to endpoints are slow.
+    EndpointLinksSlow,
+    /// Endpoints are replaced one after the other.
+    Release,
+    /// Addresses of endpoints are taken over by endpoints of any service.
+    AddressesTakenOver,
+    /// Some endpoints fail at once while others of the service are suspended, and all fail once
+    /// these go on.
+    FailuresBesidePauses,
+    /// Gateways are killed and restarted.
+    GatewaysKilled,
+    /// Gateways are stopped and restarted one after the other.
+    GatewaysStopped,
+    /// More than half of the gateways are killed at once.
+    GatewaysKilledTogether,
+    /// Gateways are suspended, most for less than a deadline.
+    GatewaysPaused,
+    /// Gateways get a part of the processor only.
+    GatewaysStarved,
+    /// Connections of gateways are reset.
+    GatewayConnectionsReset,
+    /// A failure domain's gateways and control replicas are cut off from the others.
+    DomainCutOff,
+    /// A failure domain loses power, with its endpoints.
+    DomainLost,
+    /// A control replica is killed.
+    ControlKilled,
+    /// Control replicas are restarted in series.
+    ControlRestarted,
+    /// All control replicas are killed at once.
+    ControlKilledTogether,
+    /// A control replica is suspended.
+    ControlPaused,
+    /// Links between all processes are slow.
+    LinksSlow,
+    /// More requests come.
+    Burst,
+    /// Callers use the gateways of another failure domain.
+    CallersMove,
+    /// Some callers repeat at once and often.
+    CallersAbuse,
+    /// Some callers leave before their deadline.
+    CallersLeave,
+}
+
+/// All kinds with their names.
+pub const ALL_TROUBLES: [(&str, TroubleKind); 28] = [
+    ("endpoints-fail", TroubleKind::EndpointsFail),
+    ("service-fails", TroubleKind::ServiceFails),
+    ("endpoints-slow", TroubleKind::EndpointsSlow),
+    ("endpoints-paused", TroubleKind::EndpointsPaused),
+    ("endpoints-starved", TroubleKind::EndpointsStarved),
+    ("endpoints-crash", TroubleKind::EndpointsCrash),
+    ("endpoint-links-held", TroubleKind::EndpointLinksHeld),
+    ("endpoint-links-slow", TroubleKind::EndpointLinksSlow),
+    ("release", TroubleKind::Release),
+    ("addresses-taken-over", TroubleKind::AddressesTakenOver),
+    ("failures-beside-pauses", TroubleKind::FailuresBesidePauses),
+    ("gateways-killed", TroubleKind::GatewaysKilled),
+    ("gateways-stopped", TroubleKind::GatewaysStopped),
+    (
+        "gateways-killed-together",
+        TroubleKind::GatewaysKilledTogether,
+    ),
+    ("gateways-paused", TroubleKind::GatewaysPaused),
+    ("gateways-starved", TroubleKind::GatewaysStarved),
+    (
+        "gateway-connections-reset",
+        TroubleKind::GatewayConnectionsReset,
+    ),
+    ("domain-cut-off", TroubleKind::DomainCutOff),
+    ("domain-lost", TroubleKind::DomainLost),
+    ("control-killed", TroubleKind::ControlKilled),
+    ("control-restarted", TroubleKind::ControlRestarted),
+    (
+        "control-killed-together",
+        TroubleKind::ControlKilledTogether,
+    ),
+    ("control-paused", TroubleKind::ControlPaused),
+    ("links-slow", TroubleKind::LinksSlow),
+    ("burst", TroubleKind::Burst),
+    ("callers-move", TroubleKind::CallersMove),
+    ("callers-abuse", TroubleKind::CallersAbuse),
+    ("callers-leave", TroubleKind::CallersLeave),
+];
+
+impl FromStr for TroubleKind {
+    type Err = String;
+
+    fn from_str(name: &str) -> Result<Self, String> {
+        let kind = ALL_TROUBLES.iter().find(|(known, _)| *known == name);
+        kind.map(|(_, kind)| *kind)
+            .ok_or_else(|| format!("`{name}` isn't a kind of fault"))
+    }
+}
+
+/// Ways in which endpoints fail so that a read is sent again.
+const FAILURES: [Behaviour; 5] = [
+    Behaviour::Fails,
+    Behaviour::LosesAnswer,
+    Behaviour::Sheds,
+    Behaviour::WrongRequestId,
+    Behaviour::Truncates,
+];
+
+/// Adds a fault of this kind that begins at `at`.
+pub(super) fn add(g: &mut Generator, kind: TroubleKind, at: Duration) {
+    match kind {
+        TroubleKind::EndpointsFail
+        | TroubleKind::ServiceFails
+        | TroubleKind::EndpointsSlow
+        | TroubleKind::FailuresBesidePauses => failing_endpoints(g, kind, at),
+        TroubleKind::EndpointsPaused
+        | TroubleKind::EndpointsStarved
+        | TroubleKind::EndpointLinksHeld
+        | TroubleKind::EndpointLinksSlow => late_endpoints(g, kind, at),
+        TroubleKind::EndpointsCrash | TroubleKind::Release | TroubleKind::AddressesTakenOver => {
+            replaced_endpoints(g, kind, at);
+        }
+        TroubleKind::GatewaysKilled
+        | TroubleKind::GatewaysStopped
+        | TroubleKind::GatewaysKilledTogether
+        | TroubleKind::GatewaysPaused
+        | TroubleKind::GatewaysStarved
+        | TroubleKind::GatewayConnectionsReset => gateways(g, kind, at),
+        TroubleKind::DomainCutOff | TroubleKind::DomainLost => domain(g, kind, at),
+        TroubleKind::ControlKilled
+        | TroubleKind::ControlRestarted
+        | TroubleKind::ControlKilledTogether
+        | TroubleKind::ControlPaused
+        | TroubleKind::LinksSlow => control(g, kind, at),
+        TroubleKind::Burst
+        | TroubleKind::CallersMove
+        | TroubleKind::CallersAbuse
+        | TroubleKind::CallersLeave => load(g, kind, at),
+    }
+}
+
+fn failing_endpoints(g: &mut Generator, kind: TroubleKind, at: Duration) {
+    let end = at + g.millis(FAULT_MS);
+    match kind {
+        TroubleKind::EndpointsFail => {
+            let share = g.rng.random_range(0.1..0.9);
+            for endpoint in g.draw_endpoints(0.4) {
+                fail(g, (at, end), endpoint, share);
+            }
+        }
+        TroubleKind::ServiceFails => {
+            let share = g.rng.random_range(0.5..1.0);
+            for endpoint in g.draw_endpoints(1.0) {
+                fail(g, (at, end), endpoint, share);
+            }
+        }
+        TroubleKind::EndpointsSlow => {
+            for endpoint in g.draw_endpoints(0.3) {
+                let usual = g.run_times[g.services[endpoint]];
+                let slow = EndpointCommand::RunFor(usual * 5);
+                g.endpoint(at, endpoint, EndpointAction::Command(slow));
+                let usual = EndpointCommand::RunFor(usual);
+                g.endpoint(end, endpoint, EndpointAction::Command(usual));
+            }
+        }
+        _ => failures_beside_pauses(g, at),
+    }
+}
+
+/// Lets an endpoint fail a share of its requests during `span`.
+fn fail(g: &mut Generator, span: (Duration, Duration), endpoint: usize, share: f64) {
+    let how = FAILURES[g.rng.random_range(0..FAILURES.len())];
+    let command =
+        |behaviour, share| EndpointAction::Command(EndpointCommand::Behave(behaviour, share));
+    g.endpoint(span.0, endpoint, command(how, share));
+    g.endpoint(span.1, endpoint, command(Behaviour::Serves, 1.0));
+}
+
+/// Half of a service's endpoints fail, and retries go to the other half. That is suspended, part
+/// after part, and reads them when it goes on, a window later; then all fail.
+fn failures_beside_pauses(g: &mut Generator, at: Duration) {
+    const SPREAD_MS: std::ops::Range<u64> = 0..9_000;
+    const FAILS_ON_FOR: Duration = Duration::from_secs(9);
+    let lasts = g.millis(9_500..12_500);
+    let end = at + lasts + FAILS_ON_FOR;
+    for (number, endpoint) in g.draw_endpoints(1.0).into_iter().enumerate() {
+        fail(g, (at, end), endpoint, 1.0);
+        if !number.is_multiple_of(2) {
+            let paused_at = at + g.millis(SPREAD_MS);
+            g.endpoint(paused_at, endpoint, EndpointAction::Freeze);
+            g.endpoint(at + lasts, endpoint, EndpointAction::Resume);
+        }
+    }
+}
+
+fn late_endpoints(g: &mut Generator, kind: TroubleKind, at: Duration) {
+    let share = [0.15, 0.5, 1.0][g.rng.random_range(0..3)];
+    let endpoints = g.draw_endpoints(share);
+    let end = at + g.millis(PAUSE_MS);
+    let delay = g.rng.random_range(50..800);
+    for endpoint in endpoints {
+        match kind {
+            TroubleKind::EndpointsPaused => {
+                g.endpoint(at, endpoint, EndpointAction::Freeze);
+                g.endpoint(end, endpoint, EndpointAction::Resume);
+            }
+            TroubleKind::EndpointsStarved => starve(g, (at, end), |g, at, frozen| {
+                let action = match frozen {
+                    true => EndpointAction::Freeze,
+                    false => EndpointAction::Resume,
+                };
+                g.endpoint(at, endpoint, action);
+            }),
+            TroubleKind::EndpointLinksHeld => {
+                g.endpoint(at, endpoint, EndpointAction::Hold);
+                g.endpoint(end, endpoint, EndpointAction::Pass);
+            }
+            _ => {
+                g.endpoint(at, endpoint, EndpointAction::Delay(delay));
+                g.endpoint(end, endpoint, EndpointAction::Pass);
+            }
+        }
+    }
+}
+
+/// Suspends a process for most of each period during `span`.
+fn starve(
+    g: &mut Generator,
+    span: (Duration, Duration),
+    mut set: impl FnMut(&mut Generator, Duration, bool),
+) {
+    let frozen_for = STARVED_PERIOD.mul_f64(g.rng.random_range(0.5..0.95));
+    let mut at = span.0;
+    while at < span.1 {
+        set(g, at, true);
+        set(g, at + frozen_for, false);
+        at += STARVED_PERIOD;
+    }
+}
+
+fn replaced_endpoints(g: &mut Generator, kind: TroubleKind, at: Duration) {
+    match kind {
+        TroubleKind::EndpointsCrash => {
+            let end = at + g.millis(DOWN_MS);
+            for endpoint in g.draw_endpoints(0.2) {
+                g.endpoint(at, endpoint, EndpointAction::Kill);
+                g.endpoint(end, endpoint, EndpointAction::Start);
+            }
+        }
+        TroubleKind::Release => {
+            const DRAINED_FOR: Duration = Duration::from_secs(2);
+            let mut at = at;
+            for endpoint in g.draw_endpoints(0.4) {
+                g.endpoint(at, endpoint, EndpointAction::Drain);
+                g.endpoint(at + DRAINED_FOR, endpoint, EndpointAction::Kill);
+                g.endpoint(at + DRAINED_FOR, endpoint, EndpointAction::Start);
+                at += g.millis(SERIES_GAP_MS);
+            }
+        }
+        _ => {
+            let end = at + g.millis(FAULT_MS);
+            for endpoint in g.draw_endpoints(0.2) {
+                let other = g.rng.random_range(0..g.services.len());
+                g.endpoint(at, endpoint, EndpointAction::TakenOverBy(other));
+                g.endpoint(end, endpoint, EndpointAction::Pass);
+            }
+        }
+    }
+}
+
+fn gateways(g: &mut Generator, kind: TroubleKind, at: Duration) {
+    let gateway = g.rng.random_range(0..g.gateways);
+    let target = Target::Gateway(gateway);
+    let mut at = at;
+    match kind {
+        TroubleKind::GatewaysKilled => {
+            for number in 0..g.rng.random_range(1..=g.gateways) {
+                let target = Target::Gateway((gateway + number) % g.gateways);
+                let down_for = g.millis(DOWN_MS) / 4;
+                g.process(at, Step::Kill(target));
+                g.process(at + down_for, Step::Start(target));
+                at += g.millis(SERIES_GAP_MS);
+            }
+        }
+        TroubleKind::GatewaysStopped => {
+            for number in 0..g.rng.random_range(1..=g.gateways) {
+                let target = Target::Gateway((gateway + number) % g.gateways);
+                g.process(at, Step::Stop(target));
+                at += g.millis(SERIES_GAP_MS);
+            }
+        }
+        TroubleKind::GatewaysKilledTogether => {
+            let down_for = g.millis(DOWN_MS) / 2;
+            for number in 0..g.gateways {
+                if g.rng.random_bool(0.6) {
+                    g.process(at, Step::Kill(Target::Gateway(number)));
+                    g.process(at + down_for, Step::Start(Target::Gateway(number)));
+                }
+            }
+        }
+        TroubleKind::GatewaysPaused => {
+            let end = at + g.millis(GATEWAY_PAUSE_MS);
+            for number in 0..g.gateways {
+                if g.rng.random_bool(0.5) {
+                    g.process(at, Step::Freeze(Target::Gateway(number)));
+                    g.process(end, Step::Resume(Target::Gateway(number)));
+                }
+            }
+        }
+        TroubleKind::GatewaysStarved => {
+            let end = at + g.millis(FAULT_MS);
+            for number in 0..g.gateways {
+                if g.rng.random_bool(0.4) {
+                    let target = Target::Gateway(number);
+                    starve(g, (at, end), |g, at, frozen| {
+                        g.process(
+                            at,
+                            if frozen {
+                                Step::Freeze(target)
+                            } else {
+                                Step::Resume(target)
+                            },
+                        );
+                    });
+                }
+            }
+        }
+        _ => {
+            g.process(at, Step::Reset(target));
+            g.process(at, Step::HangUp(target));
+        }
+    }
+}
+
+fn domain(g: &mut Generator, kind: TroubleKind, at: Duration) {
+    let domain = g.rng.random_range(0..g.domains.count);
+    let of = |domains: &[usize]| -> Vec<usize> {
+        (0..domains.len())
+            .filter(|n| domains[*n] == domain)
+            .collect()
+    };
+    let controls = of(&g.domains.controls);
+    let gateways = of(&g.domains.gateways);
+    let endpoints = of(&g.domains.endpoints);
+    let controls = controls.into_iter().map(Target::Control);
+    let processes: Vec<Target> = controls
+        .chain(gateways.into_iter().map(Target::Gateway))
+        .collect();
+    if kind == TroubleKind::DomainCutOff {
+        let lasts = g.millis(CUT_MS);
+        g.process(at, Step::Partition(processes));
+        g.process(at + lasts, Step::Heal);
+        return;
+    }
+    let end = at + g.millis(FAULT_MS);
+    for process in processes {
+        g.process(at, Step::Kill(process));
+        g.process(end, Step::Start(process));
+    }
+    for endpoint in endpoints {
+        g.endpoint(at, endpoint, EndpointAction::Kill);
+        g.endpoint(end, endpoint, EndpointAction::Start);
+    }
+}
+
+fn control(g: &mut Generator, kind: TroubleKind, at: Duration) {
+    let control = Target::Control(g.rng.random_range(0..g.controls));
+    let end = at + g.millis(DOWN_MS);
+    match kind {
+        TroubleKind::ControlKilled => {
+            g.process(at, Step::Kill(control));
+            g.process(end, Step::Start(control));
+        }
+        TroubleKind::ControlRestarted => {
+            let mut at = at;
+            for number in 0..g.controls {
+                g.process(at, Step::Kill(Target::Control(number)));
+                let up_at = at + g.millis(SERIES_GAP_MS);
+                g.process(up_at, Step::Start(Target::Control(number)));
+                at = up_at + g.millis(SERIES_GAP_MS);
+            }
+        }
+        TroubleKind::ControlKilledTogether => g.process(at, Step::PowerCut(None)),
+        TroubleKind::ControlPaused => {
+            g.process(at, Step::Freeze(control));
+            g.process(end, Step::Resume(control));
+        }
+        _ => {
+            let ms = g.rng.random_range(5..300);
+            g.process(at, Step::Slow(ms));
+            let lasts = g.millis(FAULT_MS);
+            g.process(at + lasts, Step::Heal);
+        }
+    }
+}
+
+fn load(g: &mut Generator, kind: TroubleKind, at: Duration) {
+    let end = at + g.millis(FAULT_MS);
+    let (begin, over) = match kind {
+        TroubleKind::Burst => {
+            let factor = g.rng.random_range(1.3..2.5);
+            (LoadChange::Factor(factor), LoadChange::Factor(1.0))
+        }
+        TroubleKind::CallersMove => {
+            let from = g.rng.random_range(0..g.domains.count);
+            let to = g.rng.random_range(0..g.domains.count);
+            (LoadChange::Move(Some((from, to))), LoadChange::Move(None))
+        }
+        TroubleKind::CallersAbuse => (LoadChange::Abuse(true), LoadChange::Abuse(false)),
+        _ => (LoadChange::Leave(true), LoadChange::Leave(false)),
+    };
+    g.push(at, Action::Load(begin));
+    g.push(end, Action::Load(over));
+}
--- a/crates/testing/src/soak/mod.rs
+++ b/crates/testing/src/soak/mod.rs
@@ -13,6 +13,7 @@
 //! seed doesn't.
 
 mod callers;
+pub mod deployed;
 mod history;
 mod nodes;
 mod operators;
--- a/crates/testing/src/soak/nodes.rs
+++ b/crates/testing/src/soak/nodes.rs
@@ -7,10 +7,11 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use super::plan::Target;
+use super::plan::{Step, Target};
 use super::shared::SharedState;
 use super::violations::Violation;
 use crate::cluster::Node;
+use crate::proxy::{Direction, FaultProxy, Flow};
 use crate::site::{Site, proven_version};
 
 /// Time in which a process that was asked to stop must end: its grace period and a generous
@@ -71,6 +72,67 @@
         }
     }
 
+    /// Applies a step that concerns only the processes and the links between them. Returns false
+    /// for any other.
+    pub(super) fn apply(&mut self, step: &Step) -> bool {
+        match step {
+            Step::Kill(target) => self.kill(*target),
+            Step::Start(target) => self.start(*target),
+            Step::Stop(target) => self.stop(*target),
+            Step::HangUp(target) => self.hang_up(*target),
+            Step::Freeze(target) => self.freeze(*target),
+            Step::Resume(target) => self.resume(*target),
+            Step::Tear(control) => self.tear(*control),
+            Step::Wipe(control) => {
+                self.wipe(*control);
+            }
+            Step::PowerCut(lost) => self.power_cut(*lost),
+            Step::Partition(targets) => self.partition(targets),
+            Step::OneWay(from, to) => {
+                let (from, to) = (self.name(*from), self.name(*to));
+                self.site.network.cut_one_way(&from, &to);
+            }
+            Step::Slow(ms) => self.slow(Duration::from_millis(*ms)),
+            Step::Heal => self.site.network.heal(),
+            Step::Reset(target) => self.for_each_proxy(*target, FaultProxy::cut),
+            Step::Silence(target) => self.for_each_proxy(*target, FaultProxy::silence),
+            Step::HoldAnswers(control) => {
+                let orders = self.site.controls[*control].proxy("orders");
+                orders.set(Direction::ToClient, Flow::Hold);
+            }
+            Step::PassAnswers(control) => self.site.controls[*control].proxy("orders").heal(),
+            _ => return false,
+        }
+        true
+    }
+
+    fn partition(&mut self, targets: &[Target]) {
+        let all = self.targets();
+        let mut names = |inside: bool| -> Vec<String> {
+            let side = all.iter().filter(|t| targets.contains(t) == inside);
+            side.map(|t| self.name(*t)).collect()
+        };
+        let (inside, outside) = (names(true), names(false));
+        let inside: Vec<&str> = inside.iter().map(String::as_str).collect();
+        let outside: Vec<&str> = outside.iter().map(String::as_str).collect();
+        self.site.network.partition(&[&inside, &outside]);
+    }
+
+    fn slow(&mut self, by: Duration) {
+        let all = self.targets();
+        let names: Vec<String> = all.iter().map(|t| self.name(*t)).collect();
+        let alone: Vec<[&str; 1]> = names.iter().map(|name| [name.as_str()]).collect();
+        let groups: Vec<&[&str]> = alone.iter().map(<[&str; 1]>::as_slice).collect();
+        self.site.network.set_between(&groups, Flow::Delay(by));
+    }
+
+    fn for_each_proxy(&mut self, target: Target, action: impl Fn(&FaultProxy)) {
+        let node = self.node(target);
+        for key in Self::keys(target) {
+            action(node.proxy(key));
+        }
+    }
+
     fn state(&self, target: Target) -> State {
         self.states.get(&target).copied().unwrap_or(State::Down)
     }
--- a/crates/testing/src/soak/operators.rs
+++ b/crates/testing/src/soak/operators.rs
@@ -23,6 +23,20 @@
 /// Share of the changes that are invalid.
 const INVALID: f64 = 0.15;
 
+/// Changes routes validly, with pauses of this range in milliseconds, until the soak is over.
+pub(super) async fn change_every(
+    shared: Arc<SharedState>,
+    pause_ms: std::ops::Range<u64>,
+    seed: u64,
+) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    while !shared.is_over() {
+        let (version, body) = shared.next_routes(1);
+        put_routes(&shared, version, body, true, &mut rng).await;
+        sleep(Duration::from_millis(rng.random_range(pause_ms.clone()))).await;
+    }
+}
+
 /// Changes routes until the soak is over.
 pub(super) async fn change(shared: Arc<SharedState>, seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
--- a/crates/testing/src/soak/retries.rs
+++ b/crates/testing/src/soak/retries.rs
@@ -41,6 +41,12 @@
     }
 }
 
+/// An arrival beyond the first of its request.
+pub(super) struct Retry<'a> {
+    pub(super) id: &'a str,
+    pub(super) at: Instant,
+}
+
 /// The worst window of each service that got any retry. `floor` is what its budget allows beyond the
 /// ratio.
 pub(super) fn worst_windows(
@@ -48,6 +54,21 @@
     arrivals: &[ServiceArrival],
     floor: u32,
 ) -> Vec<WorstWindow> {
+    let worst = worst_windows_with_starts(requests, arrivals, floor);
+    worst.into_iter().map(|(_, worst)| worst).collect()
+}
+
+/// Whether a moment is within the window that begins at `start`.
+pub(super) fn is_within(start: Instant, at: Instant) -> bool {
+    at >= start && at < start + WINDOW
+}
+
+/// Like [`worst_windows`], each with its first moment.
+pub(super) fn worst_windows_with_starts(
+    requests: &[CallerRequest],
+    arrivals: &[ServiceArrival],
+    floor: u32,
+) -> Vec<(Instant, WorstWindow)> {
     let mut sent: BTreeMap<&str, Vec<Instant>> = BTreeMap::new();
     for request in requests {
         let service = sent.entry(service_of(&request.request_line));
@@ -55,28 +76,35 @@
     }
     sent.values_mut().for_each(|sent| sent.sort_unstable());
     let retries = retries_by_service(arrivals);
-    let worst = |(service, retries): (&str, Vec<Instant>)| {
+    let worst = |(service, retries): (&str, Vec<Retry<'_>>)| {
+        let retries: Vec<Instant> = retries.into_iter().map(|retry| retry.at).collect();
         let sent = sent.get(service).map_or(&[][..], Vec::as_slice);
-        let windows = retries.iter().map(|start| WorstWindow {
-            service: service.to_owned(),
-            retries: count(&retries, Some(*start)),
-            allowed: allowed(sent, *start, floor),
+        let windows = retries.iter().map(|start| {
+            let window = WorstWindow {
+                service: service.to_owned(),
+                retries: count(&retries, Some(*start)),
+                allowed: allowed(sent, *start, floor),
+            };
+            (*start, window)
         });
-        windows.max_by_key(|window| window.retries as i64 - window.allowed as i64)
+        windows.max_by_key(|(_, window)| window.retries as i64 - window.allowed as i64)
     };
     retries.into_iter().filter_map(worst).collect()
 }
 
-/// Moments of the arrivals beyond the first of each request, in order.
-fn retries_by_service(arrivals: &[ServiceArrival]) -> BTreeMap<&str, Vec<Instant>> {
+/// The arrivals beyond the first of each request, in order.
+pub(super) fn retries_by_service(arrivals: &[ServiceArrival]) -> BTreeMap<&str, Vec<Retry<'_>>> {
     let mut arrivals: Vec<&ServiceArrival> = arrivals.iter().collect();
     arrivals.sort_by_key(|arrival| arrival.at);
     let mut seen = BTreeSet::new();
-    let mut retries: BTreeMap<&str, Vec<Instant>> = BTreeMap::new();
+    let mut retries: BTreeMap<&str, Vec<Retry<'_>>> = BTreeMap::new();
     for arrival in arrivals {
         if !seen.insert(&arrival.id) {
-            let moments = retries.entry(&arrival.service).or_default();
-            moments.push(arrival.at);
+            let of_service = retries.entry(&arrival.service).or_default();
+            of_service.push(Retry {
+                id: &arrival.id,
+                at: arrival.at,
+            });
         }
     }
     retries
--- a/crates/testing/src/soak/runner.rs
+++ b/crates/testing/src/soak/runner.rs
@@ -9,12 +9,12 @@
 
 use super::history::{CallerRequest, RequestOutcome};
 use super::nodes::Nodes;
-use super::plan::{Load, Plan, Step, Target};
+use super::plan::{Load, Plan, Step};
 use super::retries::{ServiceArrival, WorstWindow, worst_windows};
 use super::shared::{SERVICES, SharedState, probe_path};
 use super::violations::{EndpointRun, Limits, Violation, find_violations};
 use super::{callers, operators, workspaces};
-use crate::proxy::{Direction, FaultProxy, Flow};
+use crate::proxy::FaultProxy;
 use crate::runtime;
 use crate::site::{Behaviour, Site, SitePrograms, is_answer, proven_version, request};
 
@@ -188,33 +188,8 @@
     }
 
     fn apply(&mut self, step: &Step) {
-        match step {
-            Step::Kill(target) => self.nodes.kill(*target),
-            Step::Start(target) => self.nodes.start(*target),
-            Step::Stop(target) => self.nodes.stop(*target),
-            Step::HangUp(target) => self.nodes.hang_up(*target),
-            Step::Freeze(target) => self.nodes.freeze(*target),
-            Step::Resume(target) => self.nodes.resume(*target),
-            Step::Tear(control) => self.nodes.tear(*control),
-            Step::Wipe(control) => {
-                self.nodes.wipe(*control);
-            }
-            Step::PowerCut(lost) => self.nodes.power_cut(*lost),
-            Step::Partition(targets) => self.partition(targets),
-            Step::OneWay(from, to) => {
-                let (from, to) = (self.nodes.name(*from), self.nodes.name(*to));
-                self.nodes.site.network.cut_one_way(&from, &to);
-            }
-            Step::Slow(ms) => self.slow(Duration::from_millis(*ms)),
-            Step::Heal => self.nodes.site.network.heal(),
-            Step::Reset(target) => self.for_each_proxy(*target, FaultProxy::cut),
-            Step::Silence(target) => self.for_each_proxy(*target, FaultProxy::silence),
-            Step::HoldAnswers(control) => {
-                let orders = self.nodes.site.controls[*control].proxy("orders");
-                orders.set(Direction::ToClient, Flow::Hold);
-            }
-            Step::PassAnswers(control) => self.nodes.site.controls[*control].proxy("orders").heal(),
-            _ => self.apply_external(step),
+        if !self.nodes.apply(step) {
+            self.apply_external(step);
         }
     }
 
@@ -250,36 +225,6 @@
         }
     }
 
-    fn partition(&mut self, targets: &[Target]) {
-        let all = self.nodes.targets();
-        let mut names = |inside: bool| -> Vec<String> {
-            let side = all.iter().filter(|t| targets.contains(t) == inside);
-            side.map(|t| self.nodes.name(*t)).collect()
-        };
-        let (inside, outside) = (names(true), names(false));
-        let inside: Vec<&str> = inside.iter().map(String::as_str).collect();
-        let outside: Vec<&str> = outside.iter().map(String::as_str).collect();
-        self.nodes.site.network.partition(&[&inside, &outside]);
-    }
-
-    fn slow(&mut self, by: Duration) {
-        let all = self.nodes.targets();
-        let names: Vec<String> = all.iter().map(|t| self.nodes.name(*t)).collect();
-        let alone: Vec<[&str; 1]> = names.iter().map(|name| [name.as_str()]).collect();
-        let groups: Vec<&[&str]> = alone.iter().map(<[&str; 1]>::as_slice).collect();
-        self.nodes
-            .site
-            .network
-            .set_between(&groups, Flow::Delay(by));
-    }
-
-    fn for_each_proxy(&mut self, target: Target, action: impl Fn(&FaultProxy)) {
-        let node = self.nodes.node(target);
-        for key in Nodes::keys(target) {
-            action(node.proxy(key));
-        }
-    }
-
     /// Reverts all faults, restarts all processes that are down, and ends traffic.
     fn end_faults(&mut self) {
         let site = &self.nodes.site;
--- a/crates/testing/src/soak/shared.rs
+++ b/crates/testing/src/soak/shared.rs
@@ -20,8 +20,10 @@
 /// be retried.
 const OBJECTIVE_MS: u64 = 1_000;
 
+/// Makes the routes of a version.
+type MakeRoutes = Box<dyn Fn(u64) -> String + Send + Sync>;
+
 /// Addresses of the processes, and the history so far.
-#[derive(Debug)]
 pub(super) struct SharedState {
     /// Gateways' addresses for callers.
     pub(super) gateways: Vec<SocketAddr>,
@@ -31,6 +33,7 @@
     pub(super) orders: Vec<SocketAddr>,
     /// Number of starts and kills of each gateway: it changes whenever a gateway loses its state.
     pub(super) incarnations: Vec<AtomicU32>,
+    make_routes: MakeRoutes,
     newest: AtomicU64,
     sent_bodies: Mutex<BTreeMap<u64, String>>,
     history: Mutex<History>,
@@ -39,6 +42,11 @@
 
 impl SharedState {
     pub(super) fn new(site: &Site) -> Self {
+        Self::with_routes(site, Box::new(routes))
+    }
+
+    /// State of a soak in which operators change between these routes.
+    pub(super) fn with_routes(site: &Site, make_routes: MakeRoutes) -> Self {
         let addrs = |nodes: &[crate::cluster::Node], key: &str| {
             nodes.iter().map(|node| node.addr(key)).collect::<Vec<_>>()
         };
@@ -47,6 +55,7 @@
             lookups: addrs(&site.controls, "lookups"),
             orders: addrs(&site.controls, "orders"),
             incarnations: site.gateways.iter().map(|_| AtomicU32::new(0)).collect(),
+            make_routes,
             newest: AtomicU64::new(0),
             sent_bodies: Mutex::default(),
             history: Mutex::default(),
@@ -77,7 +86,7 @@
     /// only this version has.
     pub(super) fn next_routes(&self, step: u64) -> (u64, String) {
         let version = self.newest.fetch_add(step, Ordering::Relaxed) + step;
-        let body = routes(version);
+        let body = (self.make_routes)(version);
         let mut sent_bodies = self
             .sent_bodies
             .lock()
--- a/crates/testing/src/soak/violations.rs
+++ b/crates/testing/src/soak/violations.rs
@@ -9,7 +9,7 @@
 use super::workspaces;
 
 /// Statuses that guarantee that the request has not run and never will.
-const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+pub(super) const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 /// Further failures that a valid request may get: the endpoint's own, and those that say that
 /// the request may have run.
 const MAY_HAVE_RUN: [u16; 3] = [500, 502, 504];
@@ -50,6 +50,9 @@
     /// More requests of the workspace with this name ran within a window than its allotment
     /// allows.
     AllotmentExceeded(String, usize),
+    /// The endpoint with this name got more requests within a second than it can take while it is
+    /// cold.
+    ColdLimitExceeded(String, usize),
     /// Endpoints of a service got more retries within a window than its budget allows, summed over
     /// all gateways.
     RetryBudgetExceeded(WorstWindow),
