Count a retry until it is known to have arrived, and for a window from then on

Cause: a retry was counted for 10.5 to 11 s from the moment at which it was decided, while the budget is about arrivals. One that ended without a response (deadline passed, caller gone) can still be read by an endpoint that was suspended, when it goes on: retries of two windows then arrive in one. Nothing bounded how many.

Now a retry counts from its grant until a window after it is known to have arrived: by a response, or by the end of the connection on the endpoint's side. One that the gateway gave up on counts until that start of the endpoint has answered something that was sent later, or has left the list; for 60 s at most. Why it holds: of the retries that arrive in a window, at the grant of the last one all others are counted, since each was granted earlier and had not arrived a window before. The first attempt of a request that is sent again has always been settled, so it can't be the late one.

The number of unanswered retries is in the log lines of decisions and in a metric. A retry that isn't sent is given back also if its caller leaves meanwhile.

Existing tests settle their retries at once; their bounds are as they were.

--- a/crates/bench/src/placement/simulation.rs
+++ b/crates/bench/src/placement/simulation.rs
@@ -6,9 +6,9 @@
 
 use filberthead_place::{
     Attempts, Decision, EndpointId, Homes, Load, Mechanism, NextAttempt, Object, Outcome, Placer,
-    Request, Target,
+    Request, RetryDecision, RetryEnd, Target,
 };
-use filberthead_types::{Region, ServiceName};
+use filberthead_types::{Moment, Region, ServiceName};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -378,9 +378,7 @@
         let next = state
             .attempts
             .record_refused(placer.may_retry_same_endpoint(true));
-        if next == NextAttempt::Allowed
-            && placer.try_spend_retry(ms(self.now), &service).is_granted()
-        {
+        if next == NextAttempt::Allowed && spend_retry(placer, ms(self.now), &service) {
             self.place(request);
         } else {
             self.reject(request, REFUSAL_RETRY_AFTER);
@@ -506,3 +504,14 @@
         self.start_gateways();
     }
 }
+
+/// Takes a retry from the budget; it arrives at once.
+fn spend_retry(placer: &mut Placer, now: Moment, service: &ServiceName) -> bool {
+    match placer.try_spend_retry(now, service) {
+        RetryDecision::Granted(id, _) => {
+            placer.end_retry(now, service, id, RetryEnd::Settled);
+            true
+        }
+        RetryDecision::Refused(_) => false,
+    }
+}
--- a/crates/bench/src/retries/way.rs
+++ b/crates/bench/src/retries/way.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use filberthead_fleet::Update;
-use filberthead_place::{LimitShare, RetryBudget, RetryBudgetConfig};
+use filberthead_place::{LimitShare, RetryBudget, RetryBudgetConfig, RetryDecision, RetryEnd};
 use filberthead_types::{Moment, ServiceName};
 
 /// Slices of the window in which [`Announced`] counts.
@@ -149,8 +149,14 @@
 
     fn try_spend(&mut self, now: Moment) -> bool {
         let gateways = self.share.divisor(now);
-        let decision = self.budget.try_spend(now, &self.service, gateways);
-        decision.is_granted()
+        match self.budget.try_spend(now, &self.service, gateways) {
+            RetryDecision::Granted(id, _) => {
+                let arrived = RetryEnd::Settled;
+                self.budget.record_end(now, &self.service, id, arrived);
+                true
+            }
+            RetryDecision::Refused(_) => false,
+        }
     }
 
     fn apply(&mut self, now: Moment, update: &Update) {
--- a/crates/filberthead/src/gateway/attempt.rs
+++ b/crates/filberthead/src/gateway/attempt.rs
@@ -7,7 +7,7 @@
 use filberthead_endpoint::{
     Answer, AnswerCheck, RequestBody, Reuse, SendOutcome, remove_hop_by_hop,
 };
-use filberthead_place::{Load, Outcome, Target};
+use filberthead_place::{Load, Outcome, RetryEnd, Target};
 use filberthead_route::Kind;
 use filberthead_types::{Moment, ServiceName, Workspace};
 use http::header::{CONTENT_LENGTH, EXPECT};
@@ -21,6 +21,7 @@
 use super::core::Core;
 use super::deadline::Deadline;
 use super::response::ResponseBody;
+use super::retry::GrantedRetry;
 use super::streamed::StreamedBody;
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
@@ -70,6 +71,8 @@
     pub(crate) deadline: Deadline,
     /// Number of this attempt of the request, from 1.
     pub(crate) number: u32,
+    /// The retry that this attempt is, if it is one.
+    pub(crate) retry: &'a GrantedRetry<'a>,
 }
 
 /// A running attempt. Dropping it records the outcome and releases the endpoint's slot.
@@ -78,6 +81,7 @@
     service: &'a ServiceName,
     target: &'a Target,
     number: u32,
+    retry: &'a GrantedRetry<'a>,
     started: Moment,
     /// When the first byte may have left; `None` if none has.
     sent_at: Cell<Option<Moment>>,
@@ -93,6 +97,28 @@
         let took = self.core.now().saturating_sub(self.started);
         self.outcome = Outcome::Served(took);
     }
+
+    /// Whether the endpoint that the request was for has answered it.
+    fn is_answered(&self) -> bool {
+        matches!(
+            self.outcome,
+            Outcome::Served(_) | Outcome::Failed | Outcome::Full
+        )
+    }
+
+    /// What is known of the request's arrival if it is a retry that was sent.
+    fn retry_end(&self) -> RetryEnd {
+        match self.outcome {
+            Outcome::Abandoned(_) => {
+                RetryEnd::Unanswered(self.target.id.clone(), self.target.incarnation)
+            }
+            Outcome::Served(_)
+            | Outcome::Failed
+            | Outcome::Full
+            | Outcome::Gone
+            | Outcome::Broken => RetryEnd::Settled,
+        }
+    }
 }
 
 impl Drop for InFlight<'_> {
@@ -130,6 +156,12 @@
             "attempt ended");
         let mut placer = self.core.placer.borrow_mut();
         placer.record_outcome(now, self.service, self.target, self.outcome);
+        let Some(sent_at) = sent_at else { return };
+        if self.is_answered() {
+            placer.record_answer(now, self.service, self.target, sent_at);
+        }
+        drop(placer);
+        self.retry.end(self.retry_end());
     }
 }
 
@@ -146,6 +178,7 @@
         service: job.service,
         target,
         number: job.number,
+        retry: job.retry,
         started: core.now(),
         sent_at: Cell::new(None),
         outcome: Outcome::Abandoned(Duration::ZERO),
@@ -172,6 +205,7 @@
         .await
     {
         SendOutcome::NotSent(req) => {
+            in_flight.sent_at.set(None);
             in_flight.outcome = Outcome::Broken;
             Attempt::NotSent(req.into_body())
         }
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -14,7 +14,9 @@
 use filberthead_fleet::{Load, Member, Outbound, Stamp, Update, UpdateDelay};
 use filberthead_observe::{GatewayMetrics, LogRateLimiter};
 use filberthead_peer::Body;
-use filberthead_place::{ConnectionBalancer, LargeResponseAdmission, Link, Placer, RetryDecision};
+use filberthead_place::{
+    ConnectionBalancer, LargeResponseAdmission, Link, Placer, RetryDecision, RetryEnd, RetryId,
+};
 use filberthead_ring::Sender;
 use filberthead_route::{CallerBounds, KeyIndex, Matcher, Table};
 use filberthead_types::{Meaning, Moment, ResultCode, ServiceName, Workspace};
@@ -285,9 +287,10 @@
         decision
     }
 
-    /// Returns a retry to the budget that was granted at `granted_at` and not sent.
-    pub(crate) fn refund_retry(&self, granted_at: Moment, service: &ServiceName) {
-        self.placer.borrow_mut().refund_retry(granted_at, service);
+    /// Records how a retry ended that was granted.
+    pub(crate) fn end_retry(&self, service: &ServiceName, id: RetryId, end: RetryEnd) {
+        let now = self.now();
+        self.placer.borrow_mut().end_retry(now, service, id, end);
     }
 
     /// Age of the last proof of contact with control's leader; `None` without one.
@@ -510,6 +513,8 @@
         self.metrics.set_routes_proven(member.is_proven(now));
         self.metrics.set_running(self.running.get());
         self.log_floor_divisor(self.placer.borrow().floor_divisor(now));
+        let unanswered = self.placer.borrow().unanswered_retries();
+        self.metrics.set_unanswered_retries(unanswered);
         let placer = &self.placer;
         let out = member.tick(now, || {
             let mut placer = placer.borrow_mut();
--- a/crates/filberthead/src/gateway/forward.rs
+++ b/crates/filberthead/src/gateway/forward.rs
@@ -11,7 +11,7 @@
     Request as PlacementRequest, RetryDecision,
 };
 use filberthead_route::{Kind, Matched, Route};
-use filberthead_types::{Moment, ResultCode, ServiceName, Workspace as WorkspaceName, header};
+use filberthead_types::{ResultCode, ServiceName, Workspace as WorkspaceName, header};
 use http::request::Parts;
 use http::{Request, Response};
 use http_body_util::BodyExt;
@@ -26,6 +26,7 @@
 use super::core::{ActiveRoutes, Core};
 use super::deadline::Deadline;
 use super::response::{ResponseBody, gateway_response};
+use super::retry::GrantedRetry;
 
 /// Bodies up to this size in bytes are read before the request is sent, so that it can be
 /// retried. Larger ones are streamed, and sent once.
@@ -69,8 +70,8 @@
     version: u64,
     revision: u64,
     attempts: Attempts,
-    /// When a retry was granted that hasn't been sent yet.
-    unsent_retry: Option<Moment>,
+    /// The retry that the next attempt is.
+    retry: GrantedRetry<'a>,
     /// Response of an endpoint that ran the request and failed. The caller gets it if no further
     /// attempt can be made.
     failed_response: Option<Response<ResponseBody>>,
@@ -129,7 +130,7 @@
         version: active_routes.version,
         revision: active_routes.revision,
         attempts: Attempts::new(route.max_attempts),
-        unsent_retry: None,
+        retry: GrantedRetry::none(core, &target.service),
         failed_response: None,
     };
     let response = forwarding.run(body).await;
@@ -237,12 +238,9 @@
             service: self.service,
             deadline: self.deadline,
             number: self.attempts.made(),
+            retry: &self.retry,
         };
-        let attempted = attempt(self.core, &job, body, &target).await;
-        if !matches!(attempted, Attempt::NotSent(_)) {
-            self.unsent_retry = None;
-        }
-        match attempted {
+        match attempt(self.core, &job, body, &target).await {
             Attempt::Answered(response) => Next::respond(response),
             Attempt::NotSent(body) => {
                 charge.restore();
@@ -365,8 +363,8 @@
         let now = self.core.now();
         let decision = self.core.try_spend_retry(now, self.service);
         match decision {
-            RetryDecision::Granted(usage) => {
-                self.unsent_retry = Some(now);
+            RetryDecision::Granted(id, usage) => {
+                self.retry.set(id);
                 self.log_retry("retry granted", usage, 0);
             }
             RetryDecision::Refused(usage) => {
@@ -382,15 +380,8 @@
         let proven_ms = self.core.leader_proof_age().map(|age| age.as_millis());
         info!(request = self.request_id(), route = self.route.name.as_str(),
             service:% = self.service, within_ms = usage.within.as_millis(), first = usage.first,
-            retries = usage.retries, allowed = usage.allowed, gateways = usage.gateways, proven_ms,
-            omitted; "{event}");
-    }
-
-    /// Returns a retry to the budget that no endpoint was sent.
-    fn refund_unsent_retry(&mut self) {
-        if let Some(granted_at) = self.unsent_retry.take() {
-            self.core.refund_retry(granted_at, self.service);
-        }
+            retries = usage.retries, unanswered = usage.unanswered, allowed = usage.allowed,
+            gateways = usage.gateways, proven_ms, omitted; "{event}");
     }
 
     fn reject(&mut self, code: ResultCode, retry_after: Duration) -> Next {
@@ -404,7 +395,6 @@
         code: ResultCode,
         retry_after: Duration,
     ) -> Response<ResponseBody> {
-        self.refund_unsent_retry();
         let left = self.deadline.remaining().as_millis();
         let (list_ms, control_ms) = self.core.data_ages();
         info!(request = self.request_id(), route = self.route.name.as_str(),
--- a/crates/filberthead/src/gateway/mod.rs
+++ b/crates/filberthead/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod protocol;
 mod readiness;
 mod response;
+mod retry;
 mod serve;
 mod stop;
 mod streamed;
--- a/crates/observe/src/metrics/gateway.rs
+++ b/crates/observe/src/metrics/gateway.rs
@@ -59,6 +59,7 @@
     retries: Family<RetryLabels, Counter>,
     services: BoundedValues<String>,
     floor_divisor: Gauge,
+    unanswered_retries: Gauge,
     running: Gauge,
     routes_version: Gauge,
     routes_proven: Gauge,
@@ -86,6 +87,7 @@
             retries: Family::default(),
             services: BoundedValues::new(MAX_SERVICES),
             floor_divisor: Gauge::default(),
+            unanswered_retries: Gauge::default(),
             running: Gauge::default(),
             routes_version: Gauge::default(),
             routes_proven: Gauge::default(),
@@ -121,6 +123,12 @@
         let divisor =
             "Number of gateways that the retry floor is divided by, 0 without a part of it";
         registry.register("gateway_floor_divisor", divisor, self.floor_divisor.clone());
+        let unanswered = "Retries that ended without a response and may still arrive";
+        registry.register(
+            "gateway_unanswered_retries",
+            unanswered,
+            self.unanswered_retries.clone(),
+        );
         let running = "Requests without a final answer";
         registry.register("gateway_running", running, self.running.clone());
         let version = "Operators' number of the routes in force";
@@ -178,6 +186,11 @@
         self.retries.get_or_create_owned(&labels).inc();
     }
 
+    /// Sets the number of retries that ended without a response and may still arrive.
+    pub fn set_unanswered_retries(&self, retries: u32) {
+        set(&self.unanswered_retries, retries.into());
+    }
+
     /// Sets the number of gateways that the retry floor is divided by; 0 if this one has no part.
     pub fn set_floor_divisor(&self, gateways: u32) {
         set(&self.floor_divisor, gateways.into());
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -62,5 +62,7 @@
 pub use placer::Placer;
 pub use planning::ServiceEstimate;
 pub use request::{Config, Decision, Homes, Object, Refusal, Request, Target};
-pub use retry_budget::{BudgetUsage, RetryBudget, RetryBudgetConfig, RetryDecision};
+pub use retry_budget::{
+    BudgetUsage, RetryBudget, RetryBudgetConfig, RetryDecision, RetryEnd, RetryId,
+};
 pub use sharing::{HELD_FOR, LimitShare};
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -16,7 +16,8 @@
 use crate::sharing::Peak;
 use crate::shift::RegionShares;
 use crate::{
-    Config, LimitShare, Load, Mechanism, Outcome, RetryBudget, RetryDecision, Target, rank,
+    Config, LimitShare, Load, Mechanism, Outcome, RetryBudget, RetryDecision, RetryEnd, RetryId,
+    Target, rank,
 };
 
 /// Weight of a new observation of a round trip: about the last fifty count, and half of a
@@ -133,9 +134,20 @@
         }
         // A request may still be running at an endpoint that is no longer listed; its outcome
         // is ignored.
+        self.settle_retries(now);
         replaced
     }
 
+    /// Settles the retries to starts of endpoints that aren't listed any more.
+    fn settle_retries(&mut self, now: Moment) {
+        let endpoints = &self.endpoints;
+        self.retry_budget.settle_unknown(now, |id, incarnation| {
+            endpoints
+                .iter()
+                .any(|e| e.id == *id && e.incarnation == incarnation)
+        });
+    }
+
     /// Applies a change of the list of endpoints. Returns the same as [`Self::set_endpoints`].
     pub fn change_endpoints(&mut self, now: Moment, change: EndpointChange) -> Vec<SocketAddr> {
         self.endpoints_known_at.get_or_insert(now);
@@ -155,6 +167,7 @@
                 }
             }
         }
+        self.settle_retries(now);
         replaced
     }
 
@@ -259,9 +272,26 @@
         self.retry_budget.try_spend(now, service, gateways)
     }
 
-    /// Returns a retry to the budget that was granted at `granted_at` and not sent.
-    pub fn refund_retry(&mut self, granted_at: Moment, service: &ServiceName) {
-        self.retry_budget.refund(granted_at, service);
+    /// Records how a retry ended that was granted.
+    pub fn end_retry(&mut self, now: Moment, service: &ServiceName, id: RetryId, end: RetryEnd) {
+        self.retry_budget.record_end(now, service, id, end);
+    }
+
+    /// Records that an endpoint has answered a request that was sent at `sent_at`.
+    pub fn record_answer(
+        &mut self,
+        now: Moment,
+        service: &ServiceName,
+        target: &Target,
+        sent_at: Moment,
+    ) {
+        let from = (&target.id, target.incarnation);
+        self.retry_budget.record_answer(now, service, from, sent_at);
+    }
+
+    /// Retries that ended without a response and may still arrive.
+    pub fn unanswered_retries(&self) -> u32 {
+        self.retry_budget.unanswered()
     }
 
     /// Number of gateways that the retry floor is divided by; `None` if this one has no part of it.
--- a/crates/place/src/retry_budget.rs
+++ b/crates/place/src/retry_budget.rs
@@ -5,11 +5,19 @@
 //! to its own requests, plus its part of the floor (see [`LimitShare`](crate::LimitShare)). A
 //! gateway that is cut off from control has no part of the floor, and one that has just started
 //! doesn't have it until what its predecessor spent is out of the window.
+//!
+//! What is limited are arrivals at endpoints, and when a retry arrives is known only afterwards. So a
+//! retry counts from the moment at which it is granted until a window has passed since it is known to
+//! have arrived: by a response, or by the end of the connection on the endpoint's side. One that the
+//! gateway gave up on without either may still be in the buffers of a suspended endpoint. It
+//! counts until that start of the endpoint has answered something that was sent later, or is gone.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use filberthead_types::{Moment, ServiceName};
+use filberthead_types::{Incarnation, Moment, ServiceName};
+
+use crate::EndpointId;
 
 /// Slices that the window is divided into.
 const SLICES: u64 = 20;
@@ -17,14 +25,14 @@
 /// gateways, whose windows then have their requests too. So a gateway may not spend at once what its
 /// requests of the whole window allow.
 const MIN_SLICES: u64 = 3;
-/// Further slices for which a retry counts as spent. A retry at the end of a slice is that much
-/// younger than the slice, and attempts are counted when they are sent but observed when they
-/// arrive.
-const EXTRA_SLICES: u64 = 2;
-const BUCKETS: usize = (SLICES + EXTRA_SLICES) as usize;
 /// Share of the ratio and the floor that is spent: within [`MIN_SLICES`], first attempts of callers
 /// that move from one gateway to another count at both.
 const SAFETY_FACTOR: f64 = 0.9;
+/// Time that an endpoint may take to read everything that it has received, once it answers again.
+const CATCH_UP: Duration = Duration::from_millis(500);
+/// Time after which a retry without a response is taken to be lost. An endpoint that is silent for
+/// longer is taken off the list.
+const LOST_AFTER: Duration = Duration::from_secs(60);
 
 /// Limits of retries.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -49,6 +57,8 @@
     pub retries: u32,
     /// Retries that it allows.
     pub allowed: f64,
+    /// Retries that ended without a response and may still arrive.
+    pub unanswered: u32,
     /// Number of gateways that the floor was divided by; `None` if this gateway has no part of it.
     pub gateways: Option<u32>,
 }
@@ -59,11 +69,26 @@
     }
 }
 
+/// A retry that was granted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RetryId(u64);
+
+/// How a retry ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RetryEnd {
+    /// No byte of it was sent.
+    NotSent,
+    /// It has arrived, or never will: there was a response, or the endpoint closed the connection.
+    Settled,
+    /// The gateway gave up on it; this start of an endpoint may still read it.
+    Unanswered(EndpointId, Option<Incarnation>),
+}
+
 /// The decision about a retry.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum RetryDecision {
-    /// It is spent and may be sent.
-    Granted(BudgetUsage),
+    /// It is spent and may be sent. Its end has to be reported.
+    Granted(RetryId, BudgetUsage),
     /// The budget has none left.
     Refused(BudgetUsage),
 }
@@ -71,7 +96,7 @@
 impl RetryDecision {
     /// Whether the retry may be sent.
     pub fn is_granted(&self) -> bool {
-        matches!(self, Self::Granted(_))
+        matches!(self, Self::Granted(..))
     }
 }
 
@@ -81,14 +106,82 @@
     /// Index of the slice since time zero.
     number: u64,
     first: u32,
-    retries: u32,
+    granted: u32,
+}
+
+/// What is known of the arrival of a retry.
+#[derive(Clone, Debug)]
+enum Arrival {
+    /// It is being sent, or a response is awaited.
+    Pending,
+    /// It ended without a response at `since`; the endpoint may still read it.
+    Unanswered {
+        since: Moment,
+        endpoint: EndpointId,
+        incarnation: Option<Incarnation>,
+    },
+    /// By then it had arrived, or never will.
+    Settled(Moment),
+}
+
+#[derive(Clone, Debug)]
+struct Retry {
+    granted_at: Moment,
+    arrival: Arrival,
+}
+
+impl Retry {
+    /// Whether it may have arrived within the window before `now`, or later.
+    fn counts(&self, now: Moment, window: Duration) -> bool {
+        match &self.arrival {
+            Arrival::Pending => true,
+            Arrival::Unanswered { since, .. } => now < *since + LOST_AFTER + window,
+            Arrival::Settled(at) => now < *at + window,
+        }
+    }
+}
+
+/// Attempts for one service.
+#[derive(Clone, Debug, Default)]
+struct ServiceAttempts {
+    buckets: [Bucket; SLICES as usize],
+    /// Retries that count against the whole window.
+    retries: BTreeMap<RetryId, Retry>,
+}
+
+impl ServiceAttempts {
+    fn bucket(&mut self, number: u64) -> &mut Bucket {
+        let bucket = &mut self.buckets[(number % SLICES) as usize];
+        if bucket.number != number {
+            *bucket = Bucket {
+                number,
+                ..Bucket::default()
+            };
+        }
+        bucket
+    }
+
+    /// First attempts, and retries granted, in the last slices up to `current`.
+    fn counts(&self, current: u64, slices: u64) -> (u32, u32) {
+        let recent = self.buckets.iter();
+        let recent = recent.filter(|bucket| current.saturating_sub(bucket.number) < slices);
+        recent.fold((0, 0), |(first, granted), bucket| {
+            (first + bucket.first, granted + bucket.granted)
+        })
+    }
+
+    fn unanswered(&self) -> u32 {
+        let is_unanswered = |r: &&Retry| matches!(r.arrival, Arrival::Unanswered { .. });
+        self.retries.values().filter(is_unanswered).count() as u32
+    }
 }
 
 /// Counts first attempts and retries of each service.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     cfg: RetryBudgetConfig,
-    services: HashMap<ServiceName, [Bucket; BUCKETS]>,
+    services: HashMap<ServiceName, ServiceAttempts>,
+    granted: u64,
 }
 
 impl RetryBudget {
@@ -97,12 +190,14 @@
         Self {
             cfg,
             services: HashMap::new(),
+            granted: 0,
         }
     }
 
     /// Records the first attempt of a request.
     pub fn record_first(&mut self, now: Moment, service: &ServiceName) {
-        self.bucket(now, service).first += 1;
+        let number = self.bucket_number(now);
+        self.attempts(service).bucket(number).first += 1;
     }
 
     /// Spends a retry if this gateway has one left. `gateways` is the number that the floor is
@@ -113,69 +208,140 @@
         service: &ServiceName,
         gateways: Option<u32>,
     ) -> RetryDecision {
+        let (number, window) = (self.bucket_number(now), self.cfg.window);
+        let attempts = self.attempts(service);
+        attempts
+            .retries
+            .retain(|_, retry| retry.counts(now, window));
         let mut usage = self.usage(now, service, gateways);
         if usage.left() < 1.0 {
             return RetryDecision::Refused(usage);
         }
-        self.bucket(now, service).retries += 1;
+        self.granted += 1;
+        let id = RetryId(self.granted);
+        let attempts = self.attempts(service);
+        attempts.bucket(number).granted += 1;
+        let retry = Retry {
+            granted_at: now,
+            arrival: Arrival::Pending,
+        };
+        attempts.retries.insert(id, retry);
         usage.retries += 1;
-        RetryDecision::Granted(usage)
+        RetryDecision::Granted(id, usage)
     }
 
-    /// Takes back a retry that was granted at `granted_at` and not sent.
-    pub fn refund(&mut self, granted_at: Moment, service: &ServiceName) {
-        let number = self.bucket_number(granted_at);
-        let Some(buckets) = self.services.get_mut(service) else {
+    /// Records how a retry ended.
+    pub fn record_end(&mut self, now: Moment, service: &ServiceName, id: RetryId, end: RetryEnd) {
+        if end == RetryEnd::NotSent {
+            self.refund(service, id);
+            return;
+        }
+        if let Some(retry) = self.attempts(service).retries.get_mut(&id) {
+            retry.arrival = match end {
+                RetryEnd::Unanswered(endpoint, incarnation) => Arrival::Unanswered {
+                    since: now,
+                    endpoint,
+                    incarnation,
+                },
+                RetryEnd::Settled | RetryEnd::NotSent => Arrival::Settled(now),
+            };
+        }
+    }
+
+    /// Records that a start of an endpoint has answered a request that was sent at `sent_at`: it has
+    /// read what was sent to it before.
+    pub fn record_answer(
+        &mut self,
+        now: Moment,
+        service: &ServiceName,
+        from: (&EndpointId, Option<Incarnation>),
+        sent_at: Moment,
+    ) {
+        let Some(attempts) = self.services.get_mut(service) else {
+            return;
+        };
+        for retry in attempts.retries.values_mut() {
+            if let Arrival::Unanswered {
+                since,
+                endpoint,
+                incarnation,
+            } = &retry.arrival
+                && (endpoint, *incarnation) == from
+                && *since <= sent_at
+            {
+                retry.arrival = Arrival::Settled(now + CATCH_UP);
+            }
+        }
+    }
+
+    /// Settles the retries without a response whose endpoint isn't known any more.
+    pub fn settle_unknown(
+        &mut self,
+        now: Moment,
+        is_known: impl Fn(&EndpointId, Option<Incarnation>) -> bool,
+    ) {
+        let attempts = self.services.values_mut();
+        for retry in attempts.flat_map(|attempts| attempts.retries.values_mut()) {
+            if let Arrival::Unanswered {
+                endpoint,
+                incarnation,
+                ..
+            } = &retry.arrival
+                && !is_known(endpoint, *incarnation)
+            {
+                retry.arrival = Arrival::Settled(now);
+            }
+        }
+    }
+
+    /// Retries of all services that ended without a response and may still arrive.
+    pub fn unanswered(&self) -> u32 {
+        self.services
+            .values()
+            .map(ServiceAttempts::unanswered)
+            .sum()
+    }
+
+    /// Takes back a retry that was not sent.
+    fn refund(&mut self, service: &ServiceName, id: RetryId) {
+        let Some(retry) = self.attempts(service).retries.remove(&id) else {
             return;
         };
+        let number = self.bucket_number(retry.granted_at);
+        let buckets = &mut self.attempts(service).buckets;
         let bucket = buckets.iter_mut().find(|bucket| bucket.number == number);
         if let Some(bucket) = bucket {
-            bucket.retries = bucket.retries.saturating_sub(1);
+            bucket.granted = bucket.granted.saturating_sub(1);
         }
     }
 
     fn usage(&self, now: Moment, service: &ServiceName, gateways: Option<u32>) -> BudgetUsage {
         let floor = gateways.map_or(0.0, |gateways| self.cfg.floor / f64::from(gateways.max(1)));
-        let parts = (MIN_SLICES..=SLICES).map(|slices| {
-            let (first, retries) = self.counts(now, service, slices);
-            // With few requests, fractions of a retry add up over the whole window only.
-            let minimum = if slices < SLICES { 1.0 } else { 0.0 };
+        let current = self.bucket_number(now);
+        let attempts = self.services.get(service);
+        let counts = |slices| attempts.map_or((0, 0), |attempts| attempts.counts(current, slices));
+        let unanswered = attempts.map_or(0, ServiceAttempts::unanswered);
+        let within = |slices, retries, minimum| {
+            let (first, _) = counts(slices);
             BudgetUsage {
                 within: self.cfg.window.mul_f64(slices as f64 / SLICES as f64),
                 first,
                 retries,
                 allowed: (SAFETY_FACTOR * (self.cfg.ratio * f64::from(first) + floor)).max(minimum),
+                unanswered,
                 gateways,
             }
-        });
-        let least = parts.min_by(|a, b| a.left().total_cmp(&b.left()));
-        least.unwrap_or(BudgetUsage {
-            within: self.cfg.window,
-            first: 0,
-            retries: 0,
-            allowed: 0.0,
-            gateways,
+        };
+        let counted = attempts.map_or(0, |attempts| attempts.retries.len() as u32);
+        let whole = within(SLICES, counted, 0.0);
+        // With few requests, fractions of a retry add up over the whole window only.
+        let parts = (MIN_SLICES..SLICES).map(|slices| within(slices, counts(slices).1, 1.0));
+        parts.fold(whole, |least, part| match part.left() < least.left() {
+            true => part,
+            false => least,
         })
     }
 
-    /// First attempts of the last slices, and the retries that count as spent in them. Those of the
-    /// whole window count for longer.
-    fn counts(&self, now: Moment, service: &ServiceName, slices: u64) -> (u32, u32) {
-        let current = self.bucket_number(now);
-        let extra = if slices == SLICES { EXTRA_SLICES } else { 0 };
-        let (mut first, mut retries) = (0, 0);
-        for bucket in self.services.get(service).into_iter().flatten() {
-            let age = current.saturating_sub(bucket.number);
-            if age < slices {
-                first += bucket.first;
-            }
-            if age < slices + extra {
-                retries += bucket.retries;
-            }
-        }
-        (first, retries)
-    }
-
     fn bucket_number(&self, now: Moment) -> u64 {
         let width = self
             .cfg
@@ -186,19 +352,11 @@
         (now.as_micros() / width) as u64
     }
 
-    fn bucket(&mut self, now: Moment, service: &ServiceName) -> &mut Bucket {
-        let number = self.bucket_number(now);
+    fn attempts(&mut self, service: &ServiceName) -> &mut ServiceAttempts {
         if !self.services.contains_key(service) {
-            self.services.insert(service.clone(), Default::default());
+            self.services
+                .insert(service.clone(), ServiceAttempts::default());
         }
-        let buckets = self.services.entry(service.clone()).or_default();
-        let bucket = &mut buckets[(number % (SLICES + EXTRA_SLICES)) as usize];
-        if bucket.number != number {
-            *bucket = Bucket {
-                number,
-                ..Bucket::default()
-            };
-        }
-        bucket
+        self.services.entry(service.clone()).or_default()
     }
 }
--- a/crates/place/tests/all/retries.rs
+++ b/crates/place/tests/all/retries.rs
@@ -1,11 +1,13 @@
 //! The retry budget: a limit on the sum over all gateways.
 
-use filberthead_place::{HELD_FOR, Placer};
+use filberthead_place::{EndpointId, HELD_FOR, Placer, RetryDecision, RetryEnd, RetryId};
 use filberthead_types::Moment;
 use rand::rngs::StdRng;
 use rand::{Rng as _, SeedableRng};
 
-use crate::support::{RETRY_FLOOR, RETRY_RATIO, RETRY_WINDOW, endpoint, ms, placer, service};
+use crate::support::{
+    RETRY_FLOOR, RETRY_RATIO, RETRY_WINDOW, endpoint, ms, place, placer, service,
+};
 
 /// Time between two proofs of contact with control's leader, in milliseconds.
 const PROOF_PERIOD_MS: u64 = 500;
@@ -14,16 +16,37 @@
     placer("north-1", vec![endpoint("a", "north-1")])
 }
 
+/// Asks for a retry; it has its response at once if it is granted.
+fn try_retry(gateway: &mut Placer, now: Moment) -> bool {
+    let service = service();
+    match gateway.try_spend_retry(now, &service) {
+        RetryDecision::Granted(id, _) => {
+            gateway.end_retry(now, &service, id, RetryEnd::Settled);
+            true
+        }
+        RetryDecision::Refused(_) => false,
+    }
+}
+
 /// Retries that a gateway may send at this moment.
 fn spend_all(gateway: &mut Placer, now: Moment) -> u32 {
-    let service = service();
     let mut spent = 0;
-    while gateway.try_spend_retry(now, &service).is_granted() {
+    while try_retry(gateway, now) {
         spent += 1;
     }
     spent
 }
 
+/// Ids of the retries that a gateway may send at this moment; none has ended.
+fn grant_all(gateway: &mut Placer, now: Moment) -> Vec<RetryId> {
+    let service = service();
+    let granted = std::iter::from_fn(|| match gateway.try_spend_retry(now, &service) {
+        RetryDecision::Granted(id, _) => Some(id),
+        RetryDecision::Refused(_) => None,
+    });
+    granted.collect()
+}
+
 /// Proves to a gateway, from one moment to another, that the leader counts this many gateways.
 fn prove(gateway: &mut Placer, from_ms: u64, until_ms: u64, count: u32) {
     for at in (from_ms..=until_ms).step_by(PROOF_PERIOD_MS as usize) {
@@ -123,11 +146,11 @@
 fn a_retry_that_was_not_sent_can_be_granted_again() {
     let mut gateway = gateway();
     prove(&mut gateway, 0, 30_000, 1);
-    let spent = spend_all(&mut gateway, ms(30_000));
-    for _ in 0..spent {
-        gateway.refund_retry(ms(30_000), &service());
+    let granted = grant_all(&mut gateway, ms(30_000));
+    for id in &granted {
+        gateway.end_retry(ms(30_050), &service(), *id, RetryEnd::NotSent);
     }
-    assert_eq!(spend_all(&mut gateway, ms(30_100)), spent);
+    assert_eq!(grant_all(&mut gateway, ms(30_100)).len(), granted.len());
 }
 
 /// Every request fails, and every failure is retried as often as the budget permits, at eleven
@@ -189,10 +212,7 @@
     for at in (50_000..60_000).step_by(5) {
         left.record_request(ms(at), &service, 0);
     }
-    let retried = |gateway: &mut Placer, at| {
-        let decision = gateway.try_spend_retry(ms(at), &service);
-        usize::from(decision.is_granted())
-    };
+    let retried = |gateway: &mut Placer, at| usize::from(try_retry(gateway, ms(at)));
     let mut retries: usize = (0..200).map(|_| retried(&mut left, 60_000)).sum();
     for at in (60_000..70_000).step_by(5) {
         reached.record_request(ms(at), &service, 0);
@@ -201,3 +221,72 @@
     let allowed = RETRY_RATIO * 2000.0 + RETRY_FLOOR;
     assert!(retries as f64 <= allowed, "{retries} of {allowed}");
 }
+
+/// An endpoint that is suspended reads the retries of several windows when it goes on.
+#[test]
+fn retries_that_arrive_late_and_together_stay_within_the_budget() {
+    let window = RETRY_WINDOW.as_millis() as u64;
+    let mut gateway = gateway();
+    prove(&mut gateway, 0, 60_000, 1);
+    let suspended: EndpointId = "a".into();
+    let early = grant_all(&mut gateway, ms(30_000));
+    for id in &early {
+        let end = RetryEnd::Unanswered(suspended.clone(), None);
+        gateway.end_retry(ms(31_000), &service(), *id, end);
+    }
+    // The endpoint may go on at any moment from here on.
+    assert_eq!(spend_all(&mut gateway, ms(31_000 + window)), 0);
+    assert_eq!(spend_all(&mut gateway, ms(31_000 + 2 * window)), 0);
+}
+
+#[test]
+fn a_retry_without_a_response_counts_until_its_endpoint_has_answered_something_later() {
+    let window = RETRY_WINDOW.as_millis() as u64;
+    let mut gateway = gateway();
+    prove(&mut gateway, 0, 80_000, 1);
+    let target = place(&mut gateway, ms(30_000), "object").expect("an endpoint");
+    let early = grant_all(&mut gateway, ms(30_000));
+    for id in &early {
+        let end = RetryEnd::Unanswered(target.id.clone(), target.incarnation);
+        gateway.end_retry(ms(31_000), &service(), *id, end);
+    }
+    // What was sent before proves nothing.
+    gateway.record_answer(ms(31_500), &service(), &target, ms(30_500));
+    assert_eq!(spend_all(&mut gateway, ms(32_500 + window)), 0);
+    gateway.record_answer(ms(43_000), &service(), &target, ms(42_900));
+    assert_eq!(spend_all(&mut gateway, ms(43_000 + window - 1)), 0);
+    let spent = spend_all(&mut gateway, ms(44_000 + window));
+    assert_eq!(spent as usize, early.len());
+}
+
+/// An endpoint that left the list never reads what it was sent.
+#[test]
+fn a_retry_without_a_response_counts_for_a_window_once_its_endpoint_is_gone() {
+    let window = RETRY_WINDOW.as_millis() as u64;
+    let mut gateway = gateway();
+    prove(&mut gateway, 0, 80_000, 1);
+    let target = place(&mut gateway, ms(30_000), "object").expect("an endpoint");
+    let early = grant_all(&mut gateway, ms(30_000));
+    for id in &early {
+        let end = RetryEnd::Unanswered(target.id.clone(), target.incarnation);
+        gateway.end_retry(ms(31_000), &service(), *id, end);
+    }
+    gateway.set_endpoints(ms(32_000), vec![endpoint("b", "north-1")]);
+    assert_eq!(spend_all(&mut gateway, ms(32_000 + window - 1)), 0);
+    let spent = spend_all(&mut gateway, ms(32_000 + window));
+    assert_eq!(spent as usize, early.len());
+}
+
+/// Response times lie between the decision about a retry and the proof that it has arrived.
+#[test]
+fn retries_that_wait_for_a_response_count_for_a_window_from_it() {
+    let window = RETRY_WINDOW.as_millis() as u64;
+    let mut gateway = gateway();
+    prove(&mut gateway, 0, 60_000, 1);
+    let early = grant_all(&mut gateway, ms(30_000));
+    for id in early {
+        gateway.end_retry(ms(32_000), &service(), id, RetryEnd::Settled);
+    }
+    assert_eq!(spend_all(&mut gateway, ms(32_000 + window - 1)), 0);
+    assert!(spend_all(&mut gateway, ms(32_000 + window)) > 0);
+}
