Reset the connection of a request that was given up

Cause: a closed socket goes on sending what is in its buffer, for minutes. A request that was given up while the link to its endpoint was down would reach it once the link is back, though the gateway had long counted something else in its place, and an answer that proves that the endpoint reads again (sent on a new connection) doesn't prove that the old buffer is empty. Now such a socket is reset, which discards the buffer; also if the process is killed. Connections with nothing outstanding are closed as before.

a_connection_whose_request_was_given_up_is_reset failed before (a clean end).

--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -108,6 +108,7 @@
         }
         let method = req.method().clone();
         on_send();
+        connection.outstanding.set(true);
         let sending = connection.sender.try_send_request(req);
         let response = match timeout_at(deadline, sending).await {
             Ok(Ok(response)) => response,
--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -14,6 +14,7 @@
 mod pool;
 mod probe;
 mod resume;
+mod stream;
 
 pub use body::RequestBody;
 pub use client::{Answer, AnswerCheck, Client, SendOutcome};
--- a/crates/endpoint/src/pool.rs
+++ b/crates/endpoint/src/pool.rs
@@ -17,6 +17,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::RequestBody;
+use crate::stream::{EndpointStream, Outstanding};
 
 /// Maximum number of bytes buffered per connection of an answer that isn't read yet; also the
 /// maximum length of an answer's head.
@@ -90,6 +91,7 @@
 pub struct Connection {
     addr: SocketAddr,
     pub(crate) sender: SendRequest<RequestBody>,
+    pub(crate) outstanding: Outstanding,
     task: JoinHandle<()>,
     pool: Rc<Pool>,
     idle_since: Instant,
@@ -122,6 +124,7 @@
     /// its end.
     pub fn release(mut self) {
         let pool = Rc::clone(&self.pool);
+        self.outstanding.set(false);
         if self.sender.is_closed() {
             return;
         }
@@ -147,7 +150,7 @@
 
 impl Drop for Connection {
     fn drop(&mut self) {
-        // Closes the connection with any data that may still arrive on it: the answer to an
+        // Ends the connection with any data that may still arrive on it: the answer to an
         // abandoned request must not be taken for the answer to a later one.
         self.task.abort();
         self.pool.record_closed(self.addr);
@@ -216,7 +219,9 @@
         let stream = TcpStream::connect(addr)
             .await
             .context(RefusedSnafu { addr })?;
-        stream.set_nodelay(true).context(RefusedSnafu { addr })?;
+        let outstanding = Outstanding::default();
+        let stream = EndpointStream::new(stream, outstanding.clone());
+        let stream = stream.context(RefusedSnafu { addr })?;
         let (sender, conn) = http1::Builder::new()
             .max_buf_size(MAX_BUF)
             .handshake(TokioIo::new(stream))
@@ -231,6 +236,7 @@
         Ok(Connection {
             addr,
             sender,
+            outstanding,
             task,
             pool: Rc::clone(self),
             idle_since: Instant::now(),
--- a/crates/endpoint/tests/client.rs
+++ b/crates/endpoint/tests/client.rs
@@ -1,5 +1,6 @@
 //! When a request is sent, and when not.
 
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -8,7 +9,7 @@
 use http::{HeaderName, HeaderValue, Request};
 use http_body_util::BodyExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 use tokio::time::Instant;
@@ -68,3 +69,65 @@
         })
         .await;
 }
+
+/// What is left to read of a connection until it ends: the number of bytes, and how it ended.
+async fn read_to_end(mut stream: TcpStream) -> (usize, io::Result<()>) {
+    let mut bytes = 0;
+    let mut buf = [0; 4096];
+    loop {
+        match stream.read(&mut buf).await {
+            Ok(0) => return (bytes, Ok(())),
+            Ok(read) => bytes += read,
+            Err(e) => return (bytes, Err(e)),
+        }
+    }
+}
+
+/// A link that is down resends what is in a closed connection's buffer once it is back.
+#[tokio::test(flavor = "current_thread")]
+async fn a_connection_whose_request_was_given_up_is_reset() {
+    LocalSet::new()
+        .run_until(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let addr = listener.local_addr().expect("an address");
+            let client = Client::with_connect_timeout(BOUND);
+            let given_up = send(&client, addr, Instant::now() + Duration::from_millis(50)).await;
+            assert!(matches!(given_up, SendOutcome::TimedOut), "{given_up:?}");
+            let (stream, _) = listener.accept().await.expect("a connection");
+            let (_, end) = read_to_end(stream).await;
+            let end = end.expect_err("a reset");
+            assert_eq!(end.kind(), io::ErrorKind::ConnectionReset);
+        })
+        .await;
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn a_connection_whose_answer_was_read_is_closed() {
+    LocalSet::new()
+        .run_until(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let addr = listener.local_addr().expect("an address");
+            let client = Client::with_connect_timeout(BOUND);
+            let server = async {
+                let (mut stream, _) = listener.accept().await.expect("a connection");
+                let mut buf = [0; 4096];
+                let read = stream.read(&mut buf).await.expect("a request");
+                assert!(read > 0);
+                stream.write_all(ANSWER).await.expect("the answer is sent");
+                stream
+            };
+            let sent = send(&client, addr, Instant::now() + BOUND);
+            let (answered, stream) = tokio::join!(sent, server);
+            let SendOutcome::Answer(answer) = answered else {
+                panic!("{answered:?}");
+            };
+            let body = answer.response.into_body().collect().await;
+            assert_eq!(body.expect("a body").to_bytes(), "ok");
+            answer.connection.release();
+            client.close_idle(addr);
+            let (bytes, end) = read_to_end(stream).await;
+            assert_eq!(bytes, 0);
+            end.expect("a clean end");
+        })
+        .await;
+}
