--- a/crates/testing/src/soak/deployed/trouble.rs
+++ b/crates/testing/src/soak/deployed/trouble.rs
@@ -217,8 +217,8 @@
     g.endpoint(span.1, endpoint, command(Behaviour::Serves, 1.0));
 }
 
-/// Half of a service's endpoints fail, and retries go to the other half. That is suspended, part
-/// after part, and reads them when it goes on, a window later; then all fail.
+/// A service's endpoints fail, and most of them are suspended, one after the other. Retries go to
+/// those that don't fail at once, and are read when these go on, a window later.
 fn failures_beside_pauses(g: &mut Generator, at: Duration) {
     const SPREAD_MS: std::ops::Range<u64> = 0..9_000;
     const FAILS_ON_FOR: Duration = Duration::from_secs(9);
@@ -226,7 +226,7 @@
     let end = at + lasts + FAILS_ON_FOR;
     for (number, endpoint) in g.draw_endpoints(1.0).into_iter().enumerate() {
         fail(g, (at, end), endpoint, 1.0);
-        if !number.is_multiple_of(2) {
+        if !number.is_multiple_of(3) {
             let paused_at = at + g.millis(SPREAD_MS);
             g.endpoint(paused_at, endpoint, EndpointAction::Freeze);
             g.endpoint(at + lasts, endpoint, EndpointAction::Resume);
