Ask the allotment for a retry before it is sent

Cause: a further attempt was charged to the allotment after it was decided, and never refused. What repeats used was made up for only by later requests, once totals showed it, and a surge of repeats wasn't reported at once as a surge of requests is.

Now a further attempt of a request of which an earlier one may have run is asked for: none is sent while a part of the workspace's requests is rejected, none beyond the gateway's own bucket, and without contact it draws on the reserved rate. It counts as offered and sent, so it takes part in the totals. Attempts after one that didn't run use the charge that this one gave back, as before.

--- a/crates/allot/src/limiter.rs
+++ b/crates/allot/src/limiter.rs
@@ -201,11 +201,40 @@
         self.is_surging
     }
 
-    /// Counts a further attempt of a request that was admitted before.
-    pub fn record_retry(&mut self, now: Moment, workspace: &WorkspaceName) {
-        if let Some(meter) = self.meters.get_mut(workspace) {
+    /// Decides about a further attempt of a request of which an earlier one may have run, and counts it
+    /// as sent if it is admitted. It has no claim to what the allotment leaves to other requests:
+    /// while a part of the workspace's requests is rejected, none is sent again.
+    pub fn admit_retry(
+        &mut self,
+        now: Moment,
+        workspace: &WorkspaceName,
+        contact: Contact,
+    ) -> Admission {
+        if !self.allotments.contains_key(workspace) {
+            return Admission::Admitted;
+        }
+        let is_rationed = self.ratio(now, workspace).is_some_and(|ratio| ratio < 1.0);
+        let debt = self.debt(now, workspace);
+        let Some(meter) = self.meters.get_mut(workspace) else {
+            return Admission::Admitted;
+        };
+        let refused = Admission::Refused {
+            retry_after: RETRY_AFTER_ALONE,
+        };
+        let admission = match contact {
+            Contact::Current if is_rationed => refused,
+            Contact::Current => match meter.bucket.wait(now, &meter.allotment) {
+                Some(_) => refused,
+                None => Admission::Admitted,
+            },
+            Contact::Alone { .. } => meter.admit_reserved(now, 0.0, debt),
+        };
+        if admission == Admission::Admitted {
+            meter.offered.record(now, 1.0, AVERAGING);
             meter.record_sent(now, 1.0);
+            self.is_surging |= meter.is_surging(now);
         }
+        admission
     }
 
     /// Takes back the count of an attempt that no endpoint has run.
--- a/crates/allot/tests/allotment.rs
+++ b/crates/allot/tests/allotment.rs
@@ -72,6 +72,8 @@
     used: Vec<usize>,
     sent: Vec<Moment>,
     offered: usize,
+    /// Further attempts that each request asks for once it was sent.
+    retries: usize,
 }
 
 impl Fleet {
@@ -92,6 +94,7 @@
             used: (0..8).collect(),
             sent: Vec::new(),
             offered: 0,
+            retries: 0,
         }
     }
 
@@ -129,6 +132,11 @@
         self.offered += 1;
         if gateway.limiter.admit(self.now, &name(), contact) == Admission::Admitted {
             self.sent.push(self.now);
+            for _ in 0..self.retries {
+                if gateway.limiter.admit_retry(self.now, &name(), contact) == Admission::Admitted {
+                    self.sent.push(self.now);
+                }
+            }
         }
     }
 
@@ -346,6 +354,33 @@
     }
 }
 
+/// Endpoints begin to fail while a workspace uses its allotment and gateways restart.
+#[test]
+fn retries_keep_to_the_allotment_too() {
+    for seed in 0..4 {
+        for rate in [16.0, 160.0] {
+            let mut fleet = Fleet::new(seed, allotment(rate));
+            fleet.run(Duration::from_secs(8), 0.9 * rate);
+            fleet.retries = 2;
+            for number in 0..GATEWAYS / 4 {
+                let (seed, allotment) = (1000 + number as u64, fleet.allotment);
+                fleet.gateways[number].limiter = limiter(seed, allotment);
+                fleet.run(Duration::from_millis(400), 0.9 * rate);
+            }
+            fleet.check(Moment::ZERO);
+        }
+    }
+}
+
+/// A workspace far below its allotment has its requests retried.
+#[test]
+fn retries_below_the_allotment_are_sent() {
+    let mut fleet = Fleet::new(1, allotment(160.0));
+    fleet.retries = 1;
+    fleet.run(Duration::from_secs(8), 40.0);
+    assert_eq!(fleet.sent.len(), 2 * fleet.offered);
+}
+
 /// A request that no endpoint has run doesn't count against the allotment.
 #[test]
 fn a_request_that_did_not_run_is_given_back() {
--- a/crates/filberthead/src/gateway/caller.rs
+++ b/crates/filberthead/src/gateway/caller.rs
@@ -113,12 +113,20 @@
         }
     }
 
-    /// Spends it on an attempt. Further attempts are charged too.
+    /// Spends it on an attempt.
     pub(crate) fn spend(&mut self) {
+        self.is_unspent = false;
+    }
+
+    /// Takes another one from the allotment for a further attempt, unless the last attempt left this
+    /// one unspent. Returns false if there is none.
+    pub(crate) fn renew(&mut self) -> bool {
         if let Some(workspace) = self.workspace.filter(|_| !self.is_unspent) {
-            self.core.record_retry(workspace);
+            self.is_unspent = self.core.admit_retry(workspace) == Admission::Admitted;
+        } else {
+            self.is_unspent = true;
         }
-        self.is_unspent = false;
+        self.is_unspent
     }
 
     /// Takes it back after an attempt that no endpoint has run.
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -265,6 +265,18 @@
 
     /// Decides whether a workspace's allotment has room for a request.
     pub(crate) fn admit(&self, workspace: &Workspace) -> Admission {
+        self.admit_by(|limiter, now, contact| limiter.admit(now, workspace, contact))
+    }
+
+    /// Decides whether a workspace's allotment has room for a further attempt of a request.
+    pub(crate) fn admit_retry(&self, workspace: &Workspace) -> Admission {
+        self.admit_by(|limiter, now, contact| limiter.admit_retry(now, workspace, contact))
+    }
+
+    fn admit_by(
+        &self,
+        decide: impl FnOnce(&mut Limiter, Moment, Contact) -> Admission,
+    ) -> Admission {
         let now = self.now();
         let contact = match self.member.borrow().has_current_totals(now) {
             true => Contact::Current,
@@ -273,7 +285,7 @@
             },
         };
         let mut limiter = self.limiter.borrow_mut();
-        let admission = limiter.admit(now, workspace, contact);
+        let admission = decide(&mut limiter, now, contact);
         if limiter.is_report_due() {
             self.member.borrow_mut().hasten_report();
         }
@@ -321,12 +333,6 @@
         self.metrics.set_floor_divisor(divisor.unwrap_or(0));
     }
 
-    /// Counts a further attempt of an admitted request against its workspace's allotment.
-    pub(crate) fn record_retry(&self, workspace: &Workspace) {
-        let now = self.now();
-        self.limiter.borrow_mut().record_retry(now, workspace);
-    }
-
     /// Takes an attempt that no endpoint has run off its workspace's allotment.
     pub(crate) fn refund(&self, workspace: &Workspace) {
         self.limiter.borrow_mut().refund(self.now(), workspace);
--- a/crates/filberthead/src/gateway/forward.rs
+++ b/crates/filberthead/src/gateway/forward.rs
@@ -248,10 +248,10 @@
             }
             Attempt::NotRun { load_reported } => {
                 charge.restore();
-                self.after_not_run(load_reported, retry_body)
+                self.after_not_run(load_reported, retry_body, charge)
             }
-            Attempt::Failed(response) => self.after_failure(response, retry_body),
-            Attempt::Lost => self.after_loss(&target.id, retry_body),
+            Attempt::Failed(response) => self.after_failure(response, retry_body, charge),
+            Attempt::Lost => self.after_loss(&target.id, retry_body, charge),
             Attempt::TimedOut => {
                 self.attempts.record_ran();
                 self.log_attempt("deadline passed before the endpoint responded", &target.id);
@@ -310,14 +310,19 @@
     }
 
     /// The endpoint refused to run the request.
-    fn after_not_run(&mut self, load_reported: bool, retry_body: Option<RequestBody>) -> Next {
+    fn after_not_run(
+        &mut self,
+        load_reported: bool,
+        retry_body: Option<RequestBody>,
+        charge: &mut Charge<'_>,
+    ) -> Next {
         let same = self
             .core
             .placer
             .borrow()
             .may_retry_same_endpoint(load_reported);
         let further = self.attempts.record_refused(same);
-        match retry_body.filter(|_| self.may_retry(further)) {
+        match retry_body.filter(|_| self.may_retry(further, charge)) {
             Some(body) => Next::Retry(body),
             None => self.reject(ResultCode::Overloaded, RETRY_AFTER_REFUSED),
         }
@@ -328,10 +333,11 @@
         &mut self,
         response: Response<ResponseBody>,
         retry_body: Option<RequestBody>,
+        charge: &mut Charge<'_>,
     ) -> Next {
         let further = self.attempts.record_ran();
         let idempotent = self.route.kind.is_idempotent();
-        match retry_body.filter(|_| idempotent && self.may_retry(further)) {
+        match retry_body.filter(|_| idempotent && self.may_retry(further, charge)) {
             Some(body) => {
                 self.failed_response = Some(response);
                 Next::Retry(body)
@@ -341,21 +347,28 @@
     }
 
     /// The connection broke; the request may have run.
-    fn after_loss(&mut self, endpoint: &EndpointId, retry_body: Option<RequestBody>) -> Next {
+    fn after_loss(
+        &mut self,
+        endpoint: &EndpointId,
+        retry_body: Option<RequestBody>,
+        charge: &mut Charge<'_>,
+    ) -> Next {
         let further = self.attempts.record_ran();
         self.log_attempt("lost with the request at it", endpoint);
         let idempotent = self.route.kind.is_idempotent();
-        match retry_body.filter(|_| idempotent && self.may_retry(further)) {
+        match retry_body.filter(|_| idempotent && self.may_retry(further, charge)) {
             Some(body) => Next::Retry(body),
             None => Next::respond(gateway_response(ResultCode::EndpointLost, None)),
         }
     }
 
-    /// Whether another attempt is allowed, has enough time left and fits the retry budget.
-    fn may_retry(&mut self, further: NextAttempt) -> bool {
+    /// Whether another attempt is allowed, has enough time left and fits the caller's allotment and
+    /// the retry budget.
+    fn may_retry(&mut self, further: NextAttempt, charge: &mut Charge<'_>) -> bool {
         let expected = self.route.objective / 4;
         further == NextAttempt::Allowed
             && self.deadline.remaining() > expected
+            && charge.renew()
             && self.try_spend_retry()
     }
 
