Entries start with five retries, not with a full budget

Cause: each start of an entry granted 50 retries at once, so entries that are restarted again and again had no limit on a sum that operators can rely on. The same class as the retry budget of gateways.

One design for both programs was weighed. A gateway's floor is divided by a number that control's leader proves; entries have no such proof, and their retries are between callers that hold idempotency keys and slots that are leased. So the entries' budget stays a bucket, with a bound on the sum: a tenth of all requests, five for each start, and what was left over, up to 50 each.

--- a/crates/filberthead/src/entry/forward/core.rs
+++ b/crates/filberthead/src/entry/forward/core.rs
@@ -14,14 +14,14 @@
 use filberthead_peer::Body;
 use filberthead_ring::Sender;
 use filberthead_steer::{
-    Action, Decision, EndpointInfo, Event, FinishKind, Reading, RequestInfo, ServiceUsage, Steering,
+    Action, Decision, EndpointInfo, Event, FinishKind, Reading, RequestInfo, RetryBudget,
+    ServiceUsage, Steering,
 };
 use filberthead_types::{Incarnation, NodeName, RequestId, ResultCode, ServiceName};
 use log::{debug, info};
 use tokio::sync::{Semaphore, oneshot, watch};
 use tokio::time::Instant;
 
-use super::budget::RetryBudget;
 use super::context::RequestContext;
 use super::crash_tracking::{CrashTracker, EndpointRun};
 use crate::Clock;
--- a/crates/filberthead/src/entry/forward/mod.rs
+++ b/crates/filberthead/src/entry/forward/mod.rs
@@ -13,7 +13,6 @@
 //!   with an explicit end, so that a cut answer shows as a broken connection.
 
 mod attempt;
-mod budget;
 mod context;
 mod core;
 mod crash_tracking;
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -30,6 +30,7 @@
 mod queue;
 mod region;
 mod renewal;
+mod retry_budget;
 mod round_robin;
 mod shares;
 mod shift;
@@ -48,5 +49,6 @@
 pub use lessor::Lessor;
 pub use ownership::Ownership;
 pub use policy::Policy;
+pub use retry_budget::RetryBudget;
 pub use round_robin::RoundRobin;
 pub use shares::LeasedShares;
