--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -1,9 +1,12 @@
 //! Short randomised soak runs; `filberthead-soak` does more and longer ones.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use filberthead_testing::site::SitePrograms;
+use filberthead_testing::soak::deployed::{
+    DeployedPlan, Deployment, SoakPrograms, TroubleKind, run_deployed,
+};
 use filberthead_testing::soak::{Plan, Size, run_plan};
 
 /// Seeds of the two basic runs: planned work only, and faults.
@@ -42,6 +45,31 @@
     duration: Duration::from_secs(25),
 };
 
+/// Seed in which endpoints that are suspended one after the other hold retries for longer than a
+/// window.
+const LATE_RETRIES_SEED: u64 = 501;
+/// Duration of that soak, and the mean time between its faults.
+const LATE_RETRIES: (Duration, Duration) = (Duration::from_secs(45), Duration::from_secs(22));
+
+fn programs() -> SitePrograms {
+    SitePrograms {
+        control: PathBuf::from(env!("CARGO_BIN_EXE_filberthead-control")),
+        gateway: PathBuf::from(env!("CARGO_BIN_EXE_filberthead-gateway")),
+    }
+}
+
+/// The stand-in for endpoints, which is built with the workspace.
+fn endpoint_program() -> PathBuf {
+    let program = programs()
+        .gateway
+        .with_file_name("filberthead-site-endpoint");
+    assert!(
+        program.exists(),
+        "cargo build --workspace makes {program:?}"
+    );
+    program
+}
+
 #[track_caller]
 fn play_seed(seed: u64) {
     play(&Plan::new(seed, Size::default()));
@@ -49,11 +77,7 @@
 
 #[track_caller]
 fn play(plan: &Plan) {
-    let programs = SitePrograms {
-        control: PathBuf::from(env!("CARGO_BIN_EXE_filberthead-control")),
-        gateway: PathBuf::from(env!("CARGO_BIN_EXE_filberthead-gateway")),
-    };
-    let report = run_plan(programs, plan);
+    let report = run_plan(programs(), plan);
     assert!(report.violations.is_empty(), "{report}");
     // Without any service the checks above would hold trivially.
     assert!(report.served > 0, "{report}");
@@ -102,3 +126,19 @@
         FAILING_ENDPOINTS,
     ));
 }
+
+#[test]
+fn late_retries_keep_the_retry_budget() {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("config/soak/few-endpoints.ini");
+    let deployment = Deployment::load(&file).expect("a valid description");
+    let kinds = [TroubleKind::FailuresBesidePauses];
+    let plan = DeployedPlan::new(LATE_RETRIES_SEED, deployment, LATE_RETRIES, &kinds);
+    let programs = SoakPrograms {
+        site: programs(),
+        endpoint: endpoint_program(),
+    };
+    let report = run_deployed(&programs, &plan);
+    assert!(report.violations.is_empty(), "{report}");
+    // Without a retry that arrived late the check above would hold trivially.
+    assert!(report.retries.iter().any(|r| r.late > 0), "{report}");
+}
