Leave retries what the totals have room for, and nothing of the requests of others

Now the notice of a workspace near its rate says how much more than is offered may be sent; a gateway sends that many further attempts for each request. Retries don't count as offered. The budget is asked first, and gets a retry back that the allotment has no room for, with a log line.

The field of the message keeps its place: gateways that don't know of more than 1000 thousandths use 1000.

The metric of unanswered retries no longer counts those that have lapsed.

--- a/crates/allot/src/limiter.rs
+++ b/crates/allot/src/limiter.rs
@@ -33,6 +33,8 @@
 /// Shortest and longest time after which a rejected caller is asked to retry.
 const RETRY_AFTER_RANGE: (Duration, Duration) =
     (Duration::from_millis(100), Duration::from_secs(5));
+/// Further attempts of a workspace near its rate that a gateway may send at once.
+const MAX_RETRY_CREDIT: f64 = 2.0;
 /// Time after which a caller that a gateway without contact rejects may try another gateway.
 const RETRY_AFTER_ALONE: Duration = Duration::from_millis(100);
 
@@ -79,6 +81,8 @@
     sent_slowly: Rate,
     /// Requests that may be sent by the ratio; one is sent when it reaches 1.
     credit: f64,
+    /// Further attempts that may be sent while the workspace is near its rate.
+    retry_credit: f64,
     /// Requests that this gateway may send by the allotment, whatever others send.
     bucket: TokenBucket,
     /// Reserved rate of the last report.
@@ -169,6 +173,7 @@
             return Admission::Admitted;
         };
         let ratio = self.ratio(now, workspace).unwrap_or(1.0);
+        let headroom = self.headroom(now, workspace);
         let debt = self.debt(now, workspace);
         let cfg = self.cfg;
         if !self.meters.contains_key(workspace) {
@@ -179,6 +184,7 @@
             return Admission::Admitted;
         };
         meter.offered.record(now, 1.0, AVERAGING);
+        meter.retry_credit = (meter.retry_credit + headroom).min(MAX_RETRY_CREDIT);
         let admission = match contact {
             Contact::Current => {
                 meter.alone = None;
@@ -202,8 +208,9 @@
     }
 
     /// Decides about a further attempt of a request of which an earlier one may have run, and counts it
-    /// as sent if it is admitted. It has no claim to what the allotment leaves to other requests:
-    /// while a part of the workspace's requests is rejected, none is sent again.
+    /// as sent if it is admitted. Of a workspace that is near its rate only as many are sent again as the
+    /// totals leave room for. They don't count as offered, so that they never make other requests be
+    /// rejected.
     pub fn admit_retry(
         &mut self,
         now: Moment,
@@ -213,7 +220,7 @@
         if !self.allotments.contains_key(workspace) {
             return Admission::Admitted;
         }
-        let is_rationed = self.ratio(now, workspace).is_some_and(|ratio| ratio < 1.0);
+        let is_near = self.ratio(now, workspace).is_some();
         let debt = self.debt(now, workspace);
         let Some(meter) = self.meters.get_mut(workspace) else {
             return Admission::Admitted;
@@ -222,15 +229,13 @@
             retry_after: RETRY_AFTER_ALONE,
         };
         let admission = match contact {
-            Contact::Current if is_rationed => refused,
-            Contact::Current => match meter.bucket.wait(now, &meter.allotment) {
-                Some(_) => refused,
-                None => Admission::Admitted,
+            Contact::Current => match meter.admit_further(now, is_near) {
+                true => Admission::Admitted,
+                false => refused,
             },
             Contact::Alone { .. } => meter.admit_reserved(now, 0.0, debt),
         };
         if admission == Admission::Admitted {
-            meter.offered.record(now, 1.0, AVERAGING);
             meter.record_sent(now, 1.0);
             self.is_surging |= meter.is_surging(now);
         }
@@ -287,6 +292,18 @@
         ratios.map(AdmitRatio::ratio).min_by(f64::total_cmp)
     }
 
+    /// Further attempts that may be sent for each request, by the replica that leaves least; none while
+    /// no replica mentions the workspace, as all may be sent then.
+    fn headroom(&self, now: Moment, workspace: &WorkspaceName) -> f64 {
+        let current = self
+            .ratios
+            .values()
+            .filter(|ratios| now < ratios.received_at + RATIOS_TTL);
+        let ratios = current.filter_map(|ratios| ratios.by_workspace.get(workspace));
+        let least = ratios.map(AdmitRatio::headroom).min_by(f64::total_cmp);
+        least.unwrap_or(0.0)
+    }
+
     /// Time until the workspace has made up for what was sent too much, by the last notice of each
     /// replica, however old.
     fn debt(&self, now: Moment, workspace: &WorkspaceName) -> Duration {
@@ -318,6 +335,7 @@
             sent: Rate::default(),
             sent_slowly: Rate::default(),
             credit,
+            retry_credit: 0.0,
             bucket: TokenBucket::default(),
             reported: 0.0,
             reported_sent: (Moment::ZERO, 0.0),
@@ -370,6 +388,21 @@
         }
     }
 
+    /// Whether a further attempt may be sent; of a workspace near its rate only for credit.
+    fn admit_further(&mut self, now: Moment, is_near: bool) -> bool {
+        if self.bucket.wait(now, &self.allotment).is_some() {
+            return false;
+        }
+        if !is_near {
+            return true;
+        }
+        let is_admitted = self.retry_credit >= 1.0;
+        if is_admitted {
+            self.retry_credit -= 1.0;
+        }
+        is_admitted
+    }
+
     /// Admits requests at the reserved rate, once the workspace has made up for its debt. `first`
     /// may be sent at once in addition.
     fn admit_reserved(&mut self, now: Moment, first: f64, debt: Duration) -> Admission {
--- a/crates/allot/src/pool.rs
+++ b/crates/allot/src/pool.rs
@@ -142,8 +142,11 @@
             return None;
         }
         let ratio = (allowed / sums.steady_offered().max(f64::MIN_POSITIVE)).min(1.0);
+        // Only what isn't chance leaves room for further attempts.
+        let ratio = ratio.max(allowed / sums.offered.max(f64::MIN_POSITIVE));
         Some(AdmitRatio {
             workspace: workspace.clone(),
+            // Saturates at 65 times what is offered.
             ratio_milli: (ratio * 1000.0) as u16,
             debt_ms: (debt * 1000.0) as u16,
         })
--- a/crates/allot/src/usage.rs
+++ b/crates/allot/src/usage.rs
@@ -28,7 +28,8 @@
 pub struct AdmitRatio {
     /// The workspace.
     pub workspace: Workspace,
-    /// The part in thousandths; at most 1000.
+    /// The part in thousandths. What is beyond 1000 is left to further attempts of requests, as a part
+    /// of the requests.
     pub ratio_milli: u16,
     /// Milliseconds in which the workspace would make up for what was sent too much if it sent
     /// nothing.
@@ -41,6 +42,11 @@
         f64::from(self.ratio_milli.min(1000)) / 1000.0
     }
 
+    /// Further attempts that may be sent for each request.
+    pub fn headroom(&self) -> f64 {
+        f64::from(self.ratio_milli.saturating_sub(1000)) / 1000.0
+    }
+
     /// Time in which the workspace would make up for what was sent too much if it sent nothing.
     pub fn debt(&self) -> Duration {
         Duration::from_millis(u64::from(self.debt_ms))
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -519,7 +519,7 @@
         self.metrics.set_routes_proven(member.is_proven(now));
         self.metrics.set_running(self.running.get());
         self.log_floor_divisor(self.placer.borrow().floor_divisor(now));
-        let unanswered = self.placer.borrow().unanswered_retries();
+        let unanswered = self.placer.borrow().unanswered_retries(now);
         self.metrics.set_unanswered_retries(unanswered);
         let placer = &self.placer;
         let out = member.tick(now, || {
--- a/crates/filberthead/src/gateway/forward.rs
+++ b/crates/filberthead/src/gateway/forward.rs
@@ -8,7 +8,7 @@
 use filberthead_endpoint::RequestBody;
 use filberthead_place::{
     Attempts, BudgetUsage, Decision, EndpointId, Homes, NextAttempt, Object, Refusal,
-    Request as PlacementRequest, RetryDecision,
+    Request as PlacementRequest, RetryDecision, RetryEnd,
 };
 use filberthead_route::{Kind, Matched, Route};
 use filberthead_types::{ResultCode, ServiceName, Workspace as WorkspaceName, header};
@@ -362,14 +362,29 @@
         }
     }
 
-    /// Whether another attempt is allowed, has enough time left and fits the caller's allotment and
-    /// the retry budget.
+    /// Whether another attempt is allowed, has enough time left and fits the retry budget and the
+    /// caller's allotment.
     fn may_retry(&mut self, further: NextAttempt, charge: &mut Charge<'_>) -> bool {
         let expected = self.route.objective / 4;
         further == NextAttempt::Allowed
             && self.deadline.remaining() > expected
-            && charge.renew()
             && self.try_spend_retry()
+            && self.renew_charge(charge)
+    }
+
+    /// Takes room for a further attempt from the caller's allotment. Without any, the retry that was
+    /// granted is given back.
+    fn renew_charge(&self, charge: &mut Charge<'_>) -> bool {
+        let renewed = charge.renew();
+        if !renewed {
+            self.retry.end(RetryEnd::NotSent);
+            if let Some(omitted) = self.core.may_log(ResultCode::AllotmentUsed) {
+                info!(request = self.request_id(), route = self.route.name.as_str(),
+                    workspace = self.caller.workspace().map(WorkspaceName::as_str), omitted;
+                    "no retry, the allotment is used");
+            }
+        }
+        renewed
     }
 
     fn try_spend_retry(&mut self) -> bool {
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -290,8 +290,8 @@
     }
 
     /// Retries that ended without a response and may still arrive.
-    pub fn unanswered_retries(&self) -> u32 {
-        self.retry_budget.unanswered()
+    pub fn unanswered_retries(&self, now: Moment) -> u32 {
+        self.retry_budget.unanswered(now)
     }
 
     /// Number of gateways that the retry floor is divided by; `None` if this one has no part of it.
--- a/crates/place/src/retry_budget.rs
+++ b/crates/place/src/retry_budget.rs
@@ -170,8 +170,11 @@
         })
     }
 
-    fn unanswered(&self) -> u32 {
-        let is_unanswered = |r: &&Retry| matches!(r.arrival, Arrival::Unanswered { .. });
+    /// Retries without a response that still count.
+    fn unanswered(&self, now: Moment, window: Duration) -> u32 {
+        let is_unanswered = |retry: &&Retry| {
+            matches!(retry.arrival, Arrival::Unanswered { .. }) && retry.counts(now, window)
+        };
         self.retries.values().filter(is_unanswered).count() as u32
     }
 }
@@ -295,11 +298,10 @@
     }
 
     /// Retries of all services that ended without a response and may still arrive.
-    pub fn unanswered(&self) -> u32 {
-        self.services
-            .values()
-            .map(ServiceAttempts::unanswered)
-            .sum()
+    pub fn unanswered(&self, now: Moment) -> u32 {
+        let services = self.services.values();
+        let unanswered = services.map(|attempts| attempts.unanswered(now, self.cfg.window));
+        unanswered.sum()
     }
 
     /// Takes back a retry that was not sent.
@@ -320,7 +322,7 @@
         let current = self.bucket_number(now);
         let attempts = self.services.get(service);
         let counts = |slices| attempts.map_or((0, 0), |attempts| attempts.counts(current, slices));
-        let unanswered = attempts.map_or(0, ServiceAttempts::unanswered);
+        let unanswered = attempts.map_or(0, |a| a.unanswered(now, self.cfg.window));
         let within = |slices, retries, minimum| {
             let (first, _) = counts(slices);
             BudgetUsage {
