--- a/crates/place/tests/all/retries.rs
+++ b/crates/place/tests/all/retries.rs
@@ -1,6 +1,6 @@
 //! The retry budget: a limit on the sum over all gateways.
 
-use filberthead_place::{EndpointId, HELD_FOR, Placer, RetryDecision, RetryEnd, RetryId};
+use filberthead_place::{HELD_FOR, Placer, RetryDecision, RetryEnd, RetryId, Target};
 use filberthead_types::Moment;
 use rand::rngs::StdRng;
 use rand::{Rng as _, SeedableRng};
@@ -222,18 +222,25 @@
     assert!(retries as f64 <= allowed, "{retries} of {allowed}");
 }
 
+/// A gateway that has the floor to itself, and whose retries at 30 s all end at 31 s without a response
+/// from an endpoint; that endpoint, and their number.
+fn unanswered() -> (Placer, Target, usize) {
+    let mut gateway = gateway();
+    prove(&mut gateway, 0, 80_000, 1);
+    let target = place(&mut gateway, ms(30_000), "object").expect("an endpoint");
+    let granted = grant_all(&mut gateway, ms(30_000));
+    for id in &granted {
+        let end = RetryEnd::Unanswered(target.id.clone(), target.incarnation);
+        gateway.end_retry(ms(31_000), &service(), *id, end);
+    }
+    (gateway, target, granted.len())
+}
+
 /// An endpoint that is suspended reads the retries of several windows when it goes on.
 #[test]
 fn retries_that_arrive_late_and_together_stay_within_the_budget() {
     let window = RETRY_WINDOW.as_millis() as u64;
-    let mut gateway = gateway();
-    prove(&mut gateway, 0, 60_000, 1);
-    let suspended: EndpointId = "a".into();
-    let early = grant_all(&mut gateway, ms(30_000));
-    for id in &early {
-        let end = RetryEnd::Unanswered(suspended.clone(), None);
-        gateway.end_retry(ms(31_000), &service(), *id, end);
-    }
+    let (mut gateway, _, _) = unanswered();
     // The endpoint may go on at any moment from here on.
     assert_eq!(spend_all(&mut gateway, ms(31_000 + window)), 0);
     assert_eq!(spend_all(&mut gateway, ms(31_000 + 2 * window)), 0);
@@ -242,39 +249,25 @@
 #[test]
 fn a_retry_without_a_response_counts_until_its_endpoint_has_answered_something_later() {
     let window = RETRY_WINDOW.as_millis() as u64;
-    let mut gateway = gateway();
-    prove(&mut gateway, 0, 80_000, 1);
-    let target = place(&mut gateway, ms(30_000), "object").expect("an endpoint");
-    let early = grant_all(&mut gateway, ms(30_000));
-    for id in &early {
-        let end = RetryEnd::Unanswered(target.id.clone(), target.incarnation);
-        gateway.end_retry(ms(31_000), &service(), *id, end);
-    }
+    let (mut gateway, target, early) = unanswered();
     // What was sent before proves nothing.
     gateway.record_answer(ms(31_500), &service(), &target, ms(30_500));
     assert_eq!(spend_all(&mut gateway, ms(32_500 + window)), 0);
     gateway.record_answer(ms(43_000), &service(), &target, ms(42_900));
     assert_eq!(spend_all(&mut gateway, ms(43_000 + window - 1)), 0);
     let spent = spend_all(&mut gateway, ms(44_000 + window));
-    assert_eq!(spent as usize, early.len());
+    assert_eq!(spent as usize, early);
 }
 
 /// An endpoint that left the list never reads what it was sent.
 #[test]
 fn a_retry_without_a_response_counts_for_a_window_once_its_endpoint_is_gone() {
     let window = RETRY_WINDOW.as_millis() as u64;
-    let mut gateway = gateway();
-    prove(&mut gateway, 0, 80_000, 1);
-    let target = place(&mut gateway, ms(30_000), "object").expect("an endpoint");
-    let early = grant_all(&mut gateway, ms(30_000));
-    for id in &early {
-        let end = RetryEnd::Unanswered(target.id.clone(), target.incarnation);
-        gateway.end_retry(ms(31_000), &service(), *id, end);
-    }
+    let (mut gateway, _, early) = unanswered();
     gateway.set_endpoints(ms(32_000), vec![endpoint("b", "north-1")]);
     assert_eq!(spend_all(&mut gateway, ms(32_000 + window - 1)), 0);
     let spent = spend_all(&mut gateway, ms(32_000 + window));
-    assert_eq!(spent as usize, early.len());
+    assert_eq!(spent as usize, early);
 }
 
 /// Response times lie between the decision about a retry and the proof that it has arrived.
--- a/crates/testing/src/runtime.rs
+++ b/crates/testing/src/runtime.rs
@@ -8,6 +8,7 @@
 use std::sync::mpsc;
 
 use tokio::runtime::{Builder, Handle, Runtime};
+use tokio::task::JoinHandle;
 
 const WORKERS: usize = 4;
 
@@ -37,3 +38,16 @@
     });
     rx.recv().expect("a task of the harness panicked")
 }
+
+/// Blocks this thread until all tasks have ended.
+///
+/// # Panics
+///
+/// Panics if one of them has panicked.
+pub fn join(tasks: Vec<JoinHandle<()>>) {
+    wait(async move {
+        for task in tasks {
+            task.await.expect("no task of the harness panics");
+        }
+    });
+}
--- a/crates/testing/src/soak/deployed/plan.rs
+++ b/crates/testing/src/soak/deployed/plan.rs
@@ -34,8 +34,6 @@
     Delay(u64),
     /// Its link works again, and its address leads to it again.
     Pass,
-    /// Connections to it are reset.
-    Reset,
     /// It is marked as draining on the list.
     Drain,
     /// Its address leads to the endpoint with this index.
--- a/crates/testing/src/soak/deployed/runner.rs
+++ b/crates/testing/src/soak/deployed/runner.rs
@@ -265,7 +265,6 @@
                     endpoint.link().retarget(own);
                 }
             }
-            EndpointAction::Reset => endpoint.link().cut(),
             EndpointAction::Drain => endpoint.drain(),
             EndpointAction::TakenOverBy(_) => {
                 if let Some(other) = other {
@@ -291,21 +290,13 @@
                 endpoint.link().retarget(own);
             }
         }
-        for target in self.nodes.targets() {
-            self.nodes.resume(target);
-            self.nodes.start(target);
-        }
+        self.nodes.resume_all();
         self.show_list();
         while self.nodes.is_any_stopping() {
             self.wait_until(Instant::now() + POLL_INTERVAL);
         }
         self.shared.finish();
-        let tasks = std::mem::take(&mut self.tasks);
-        runtime::wait(async move {
-            for task in tasks {
-                task.await.expect("no task of the soak panics");
-            }
-        });
+        runtime::join(std::mem::take(&mut self.tasks));
     }
 
     /// Waits until each gateway serves each service again.
@@ -371,9 +362,7 @@
         if !self.violations.is_empty() {
             self.nodes.site.keep();
         }
-        let is_served =
-            |r: &&CallerRequest| matches!(r.outcome, RequestOutcome::Answered { status: 200, .. });
-        let served = history.requests.iter().filter(is_served).count();
+        let served = history.served();
         DeployedReport {
             seed: plan.seed,
             troubles: plan.troubles.len(),
--- a/crates/testing/src/soak/history.rs
+++ b/crates/testing/src/soak/history.rs
@@ -96,3 +96,14 @@
     /// Requests on routes of a single version.
     pub probes: Vec<RouteProbe>,
 }
+
+impl History {
+    /// Number of requests that were answered with 200.
+    pub fn served(&self) -> usize {
+        let is_served = |request: &&CallerRequest| {
+            let outcome = request.outcome;
+            matches!(outcome, RequestOutcome::Answered { status: 200, .. })
+        };
+        self.requests.iter().filter(is_served).count()
+    }
+}
--- a/crates/testing/src/soak/nodes.rs
+++ b/crates/testing/src/soak/nodes.rs
@@ -191,6 +191,14 @@
         }
     }
 
+    /// Resumes all processes that are suspended, and starts all that are down.
+    pub(super) fn resume_all(&mut self) {
+        for target in self.targets() {
+            self.resume(target);
+            self.start(target);
+        }
+    }
+
     /// Restarts processes that have stopped. Returns violations for those that don't stop in
     /// time and those that ended by themselves, and restarts these too.
     pub(super) fn restart_ended(&mut self) -> Vec<Violation> {
--- a/crates/testing/src/soak/runner.rs
+++ b/crates/testing/src/soak/runner.rs
@@ -237,20 +237,12 @@
         for node in &site.controls {
             node.proxy("orders").heal();
         }
-        for target in self.nodes.targets() {
-            self.nodes.resume(target);
-            self.nodes.start(target);
-        }
+        self.nodes.resume_all();
         while self.nodes.is_any_stopping() {
             self.wait_until(Instant::now() + POLL_INTERVAL);
         }
         self.shared.finish();
-        let tasks = std::mem::take(&mut self.tasks);
-        runtime::wait(async move {
-            for task in tasks {
-                task.await.expect("no task of the soak panics");
-            }
-        });
+        runtime::join(std::mem::take(&mut self.tasks));
     }
 
     /// Waits until all replicas and gateways have recovered, and checks that removed endpoints
@@ -419,12 +411,6 @@
                 planned_only: plan.planned_only,
             },
         ));
-        let is_served = |request: &&CallerRequest| {
-            matches!(
-                request.outcome,
-                RequestOutcome::Answered { status: 200, .. }
-            )
-        };
         if !self.violations.is_empty() {
             self.nodes.site.keep();
         }
@@ -432,7 +418,7 @@
             seed: plan.seed,
             steps: plan.steps.len(),
             requests: history.requests.len(),
-            served: history.requests.iter().filter(is_served).count(),
+            served: history.served(),
             accepted: history
                 .changes
                 .iter()
