--- a/crates/steer/src/retry_budget.rs
+++ b/crates/steer/src/retry_budget.rs
@@ -14,8 +14,8 @@
 ///
 /// Without it, endpoints that fail under overload would receive each request several times,
 /// which adds to the overload. All entries together make at most a tenth as many retries as they get
-/// requests, plus [`INITIAL_RETRIES`] for each start, plus, at one time, what they had left over: up to
-/// [`MAX_RETRIES`] each.
+/// requests, plus `INITIAL_RETRIES` for each start, plus, at one time, what they had left over: up to
+/// `MAX_RETRIES` each.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     available: f64,
