--- a/crates/testing/src/soak/deployed/deployment.rs
+++ b/crates/testing/src/soak/deployed/deployment.rs
@@ -44,7 +44,7 @@
     pub warmup: Duration,
     /// Requests per second that a cold endpoint can take.
     pub warmup_per_s: f64,
-    /// Factor by which a second may exceed that, and requests in addition.
+    /// Factor by which one second may exceed that.
     pub warmup_overage: f64,
     /// Requests in addition.
     pub warmup_slack: f64,
