Log why an attempt wasn't sent, and how many endpoints a gateway avoids

The logs of gateways that had lost their links to endpoints couldn't tell a connect that timed out from one that was refused, nor whether a request that was refused for want of an endpoint (1202) had any that were merely avoided. `attempt ended` gets `unsent`, `refused` gets `listed`, `avoided` and `answered_ms`. No decision changes.

--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -20,7 +20,7 @@
     /// The head of the answer was received and passed its check.
     Answer(Answer),
     /// No byte of the request reached the other side; returns the request.
-    NotSent(Request<RequestBody>),
+    NotSent(Request<RequestBody>, Unsent),
     /// The connection broke after sending began, or the answer failed its check: the request
     /// may have run.
     Lost,
@@ -29,6 +29,34 @@
     TimedOut,
 }
 
+/// Why nothing of a request was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unsent {
+    /// The deadline passed before a connection was ready.
+    DeadlinePassed,
+    /// Connecting timed out.
+    ConnectTimedOut,
+    /// The other side refused the connection.
+    ConnectRefused,
+    /// Connecting failed in another way.
+    ConnectFailed,
+    /// The connection ended before the request was written.
+    ConnectionEnded,
+}
+
+impl Unsent {
+    /// Short stable name, for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::DeadlinePassed => "deadline-passed",
+            Self::ConnectTimedOut => "connect-timed-out",
+            Self::ConnectRefused => "connect-refused",
+            Self::ConnectFailed => "connect-failed",
+            Self::ConnectionEnded => "connection-ended",
+        }
+    }
+}
+
 /// How an answer is checked to belong to its request.
 #[derive(Clone, Copy, Debug)]
 pub enum AnswerCheck<'a> {
@@ -97,14 +125,14 @@
             Ok(Ok(connection)) => connection,
             Ok(Err(e)) => {
                 debug!(addr:%, request:? = check, error:% = e; "request not sent");
-                return SendOutcome::NotSent(req);
+                return SendOutcome::NotSent(req, e.unsent());
             }
-            Err(_) => return SendOutcome::NotSent(req),
+            Err(_) => return SendOutcome::NotSent(req, Unsent::DeadlinePassed),
         };
         // The timeout above yields a connection that is ready although the deadline has passed.
         if Instant::now() >= deadline {
             connection.release();
-            return SendOutcome::NotSent(req);
+            return SendOutcome::NotSent(req, Unsent::DeadlinePassed);
         }
         let method = req.method().clone();
         on_send();
@@ -115,9 +143,10 @@
             Ok(Err(mut e)) => {
                 debug!(addr:%, request:? = check, error:% = e.error(); "sending a request failed");
                 // hyper returns the request only if it had not begun to write it.
-                return e
-                    .take_message()
-                    .map_or(SendOutcome::Lost, SendOutcome::NotSent);
+                return match e.take_message() {
+                    Some(req) => SendOutcome::NotSent(req, Unsent::ConnectionEnded),
+                    None => SendOutcome::Lost,
+                };
             }
             Err(_) => return SendOutcome::TimedOut,
         };
--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -17,7 +17,7 @@
 mod stream;
 
 pub use body::RequestBody;
-pub use client::{Answer, AnswerCheck, Client, SendOutcome};
+pub use client::{Answer, AnswerCheck, Client, SendOutcome, Unsent};
 pub use headers::{Hop, KeyHop, answer_headers, remove_hop_by_hop, request_headers};
 pub use pool::{Connection, Reuse};
 pub use probe::{Health, ProbeError, probe};
--- a/crates/endpoint/src/pool.rs
+++ b/crates/endpoint/src/pool.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,8 +17,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
 
-use crate::RequestBody;
 use crate::stream::{EndpointStream, Outstanding};
+use crate::{RequestBody, Unsent};
 
 /// Maximum number of bytes buffered per connection of an answer that isn't read yet; also the
 /// maximum length of an answer's head.
@@ -86,6 +87,20 @@
     },
 }
 
+impl ConnectError {
+    /// What it means for the request that the connection was for.
+    pub(crate) fn unsent(&self) -> Unsent {
+        match self {
+            Self::TimedOut { .. } => Unsent::ConnectTimedOut,
+            Self::Refused { source, .. } if source.kind() == ErrorKind::ConnectionRefused => {
+                Unsent::ConnectRefused
+            }
+            Self::Refused { .. } => Unsent::ConnectFailed,
+            Self::Ended { .. } => Unsent::ConnectionEnded,
+        }
+    }
+}
+
 /// A connection in use. Closed when dropped, unless released to the pool.
 #[derive(Debug)]
 pub struct Connection {
--- a/crates/endpoint/tests/client.rs
+++ b/crates/endpoint/tests/client.rs
@@ -62,7 +62,7 @@
             let before = *received.borrow();
 
             let late = send(&client, addr, Instant::now()).await;
-            assert!(matches!(late, SendOutcome::NotSent(_)), "{late:?}");
+            assert!(matches!(late, SendOutcome::NotSent(..)), "{late:?}");
             let again = send(&client, addr, Instant::now() + BOUND).await;
             assert!(matches!(again, SendOutcome::Answer(_)), "{again:?}");
             assert_eq!(*received.borrow(), 2 * before, "one more request arrived");
--- a/crates/filberthead/src/entry/forward/attempt.rs
+++ b/crates/filberthead/src/entry/forward/attempt.rs
@@ -188,7 +188,7 @@
         () = &mut abandoned => return Attempt::Abandoned,
     };
     match sent {
-        SendOutcome::NotSent(req) => {
+        SendOutcome::NotSent(req, _) => {
             slot.finish(FinishKind::ConnectFailed);
             Attempt::NotSent(req.into_body())
         }
--- a/crates/filberthead/src/gateway/attempt.rs
+++ b/crates/filberthead/src/gateway/attempt.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use filberthead_endpoint::{
-    Answer, AnswerCheck, RequestBody, Reuse, SendOutcome, remove_hop_by_hop,
+    Answer, AnswerCheck, RequestBody, Reuse, SendOutcome, Unsent, remove_hop_by_hop,
 };
 use filberthead_place::{Load, Outcome, RetryEnd, Target};
 use filberthead_route::Kind;
@@ -86,6 +86,8 @@
     /// When the first byte may have left; `None` if none has.
     sent_at: Cell<Option<Moment>>,
     outcome: Outcome,
+    /// Why it wasn't sent, if it wasn't.
+    unsent: Option<Unsent>,
     request: &'a str,
     /// Affinity key, for logs.
     object: &'a str,
@@ -152,12 +154,14 @@
             known:? = self.target.affinity,
             expected_ms = self.target.expected.as_millis(),
             overhead_ms = self.target.overhead.as_millis(),
-            took_ms = now.saturating_sub(self.started).as_millis(), outcome:? = self.outcome;
+            took_ms = now.saturating_sub(self.started).as_millis(), outcome:? = self.outcome,
+            unsent = self.unsent.map(Unsent::as_str);
             "attempt ended");
         let mut placer = self.core.placer.borrow_mut();
         placer.record_outcome(now, self.service, self.target, self.outcome);
         let Some(sent_at) = sent_at else { return };
         if self.is_answered() {
+            self.core.record_answered();
             placer.record_answer(now, self.service, self.target, sent_at);
         }
         drop(placer);
@@ -182,6 +186,7 @@
         started: core.now(),
         sent_at: Cell::new(None),
         outcome: Outcome::Abandoned(Duration::ZERO),
+        unsent: None,
         request: header_text(&job.head.headers, &core.protocol.request_id),
         object: header_text(&job.head.headers, &core.protocol.affinity_key),
         route: job.route,
@@ -204,8 +209,9 @@
         })
         .await
     {
-        SendOutcome::NotSent(req) => {
+        SendOutcome::NotSent(req, unsent) => {
             in_flight.sent_at.set(None);
+            in_flight.unsent = Some(unsent);
             in_flight.outcome = Outcome::Broken;
             Attempt::NotSent(req.into_body())
         }
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -136,6 +136,8 @@
     /// Number of gateways that the retry floor was last divided by; `None` if this one had no part
     /// of it.
     floor_divisor: Cell<Option<u32>>,
+    /// When an endpoint last answered; `None` if none has.
+    answered_at: Cell<Option<Moment>>,
     /// When the last proof of contact with control's leader was asked for; `None` without one.
     leader_proven_at: Cell<Option<Moment>>,
     /// Rate limit of the log lines about rejected requests, by result code.
@@ -184,6 +186,7 @@
             control_silent: Cell::new(true),
             list_changed_at: Cell::new(Moment::ZERO),
             floor_divisor: Cell::new(None),
+            answered_at: Cell::new(None),
             leader_proven_at: Cell::new(None),
             log_limiter: RefCell::new(LogRateLimiter::new(LOG_LINES_PER_SECOND)),
         })
@@ -354,6 +357,17 @@
         Some(self.now().saturating_sub(proven_at))
     }
 
+    /// Records that an endpoint has answered.
+    pub(crate) fn record_answered(&self) {
+        self.answered_at.set(Some(self.now()));
+    }
+
+    /// Time since an endpoint last answered; `None` if none has.
+    pub(crate) fn since_answered(&self) -> Option<Duration> {
+        let answered_at = self.answered_at.get()?;
+        Some(self.now().saturating_sub(answered_at))
+    }
+
     /// Subscribes to the request bounds of the active routes.
     pub(crate) fn bounds(&self) -> Bounds {
         self.bounds.subscribe()
--- a/crates/filberthead/src/gateway/forward.rs
+++ b/crates/filberthead/src/gateway/forward.rs
@@ -425,10 +425,14 @@
     ) -> Response<ResponseBody> {
         let left = self.deadline.remaining().as_millis();
         let (list_ms, control_ms) = self.core.data_ages();
+        let now = self.core.now();
+        let available = self.core.placer.borrow().availability(now, self.service);
+        let answered_ms = self.core.since_answered().map(|since| since.as_millis());
         info!(request = self.request_id(), route = self.route.name.as_str(),
             workspace = self.caller.workspace().map(WorkspaceName::as_str), code:%, left,
             tried = self.attempts.made(), returned = self.is_retry, version = self.version,
-            list_ms, control_ms, retry_after_ms = retry_after.as_millis(); "refused");
+            list_ms, control_ms, listed = available.listed, avoided = available.avoided,
+            answered_ms, retry_after_ms = retry_after.as_millis(); "refused");
         if let Some(response) = self.failed_response.take() {
             return response;
         }
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -59,7 +59,7 @@
 pub use endpoint::{EndpointId, Load, Outcome};
 pub use link::Link;
 pub use mechanism::{Mechanism, UnknownMechanism};
-pub use placer::Placer;
+pub use placer::{Availability, Placer};
 pub use planning::ServiceEstimate;
 pub use request::{Config, Decision, Homes, Object, Refusal, Request, Target};
 pub use retry_budget::{
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -31,6 +31,15 @@
 /// gateways that started together all have reported.
 const COUNTS_SETTLE: Duration = Duration::from_millis(1500);
 
+/// How many endpoints of a service there are, and how many of them get no requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Availability {
+    /// Those on the platform's list.
+    pub listed: usize,
+    /// Those of them that are draining, or avoided after failures.
+    pub avoided: usize,
+}
+
 /// Places the requests of a gateway on endpoints.
 #[derive(Clone, Debug)]
 pub struct Placer {
@@ -199,6 +208,16 @@
         self.endpoints.len()
     }
 
+    /// The endpoints of a service, as this gateway sees them.
+    pub fn availability(&self, now: Moment, service: &ServiceName) -> Availability {
+        let of_service = self.endpoints.iter().filter(|e| e.service == *service);
+        let avoided = of_service.clone().filter(|e| !e.is_usable(now));
+        Availability {
+            listed: of_service.count(),
+            avoided: avoided.count(),
+        }
+    }
+
     /// Sets the evacuated failure domains. Endpoints of a domain that is no longer evacuated
     /// may have become cold in the meantime.
     pub fn set_evacuated(&mut self, now: Moment, domains: BTreeSet<FailureDomain>) {
