--- a/crates/testing/src/proxy/link.rs
+++ b/crates/testing/src/proxy/link.rs
@@ -55,6 +55,19 @@
         rules.flows(self.client.as_deref()).get(self.direction)
     }
 
+    /// Waits until the connection is to be reset.
+    async fn reset(mut self) {
+        loop {
+            self.rules.mark_unchanged();
+            if self.flow() == Flow::Reset {
+                return;
+            }
+            if self.rules.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+
     /// Waits until bytes aren't held, and returns the flow that applies.
     async fn open(&mut self) -> Flow {
         loop {
@@ -98,6 +111,9 @@
         rules,
         direction: Direction::ToServer,
     };
+    if matches!(gate.flow(), Flow::Reset | Flow::Refuse) {
+        return;
+    }
     // While bytes to the server are held, its side of the connection isn't opened either: on a
     // real link the first packet of the handshake wouldn't arrive.
     gate.clone().open().await;
@@ -113,9 +129,12 @@
     };
     let (client_rx, client_tx) = client.into_split();
     let (server_rx, server_tx) = server.into_split();
-    let to_server = relay_direction(client_rx, server_tx, gate);
+    let to_server = relay_direction(client_rx, server_tx, gate.clone());
     let to_client = relay_direction(server_rx, client_tx, return_gate);
-    run_both(to_server, to_client).await;
+    tokio::select! {
+        () = run_both(to_server, to_client) => {}
+        () = gate.reset() => {}
+    }
 }
 
 /// Name of the connecting process; `None` if it can't be identified or the proxy doesn't belong
@@ -200,7 +219,7 @@
 fn delay(flow: Flow) -> Duration {
     match flow {
         Flow::Delay(delay) => delay,
-        Flow::Pass | Flow::Hold | Flow::Throttle(_) => Duration::ZERO,
+        Flow::Pass | Flow::Hold | Flow::Throttle(_) | Flow::Reset | Flow::Refuse => Duration::ZERO,
     }
 }
 
--- a/crates/testing/src/proxy/mod.rs
+++ b/crates/testing/src/proxy/mod.rs
@@ -34,6 +34,10 @@
     Hold,
     /// Forwarded at this rate, in bytes per second.
     Throttle(u64),
+    /// Connections are reset, open ones and new ones.
+    Reset,
+    /// New connections are reset; on open ones bytes are forwarded at once.
+    Refuse,
 }
 
 /// A direction through the proxy.
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -5,6 +5,7 @@
 
 mod allotments;
 mod bounds;
+mod contact;
 mod control;
 mod crashing;
 mod entries;
