Soak: gateways cut off from endpoints, and the rule that their callers are served

Deployments get the fault gateways-cut-off-from-endpoints: one gateway, or all of a failure domain, to all endpoints, for 2 to 13 s, once or twice in a row; connections hang, are reset, or live on while new ones are refused. Tries beside other faults of processes don't count. A third of the callers look gateways up again every 2 s, the others keep theirs.

--- a/crates/testing/src/proxy/network.rs
+++ b/crates/testing/src/proxy/network.rs
@@ -79,6 +79,31 @@
         });
     }
 
+    /// Sets how all bytes between these processes are forwarded, in both directions.
+    pub fn set_links(&self, links: &[(&str, &str)], flow: Flow) {
+        self.update(|shared| {
+            for (a, b) in links {
+                shared.set(a, b, flow);
+                shared.set(b, a, flow);
+            }
+        });
+    }
+
+    /// A network of other links between the same processes: a change of one leaves the other alone.
+    #[must_use]
+    pub fn separate(&self) -> Self {
+        Self {
+            owners: self.owners.clone(),
+            shared: Arc::default(),
+        }
+    }
+
+    /// Whether any link has a rule.
+    pub fn has_rules(&self) -> bool {
+        let shared = self.shared.lock().unwrap_or_else(PoisonError::into_inner);
+        !shared.links.is_empty()
+    }
+
     /// Removes the rules of all links.
     pub fn heal(&self) {
         self.update(|shared| shared.links.clear());
--- a/crates/testing/src/site/process_endpoint.rs
+++ b/crates/testing/src/site/process_endpoint.rs
@@ -108,13 +108,14 @@
 }
 
 impl ProcessEndpoint {
-    /// An endpoint of this program that isn't started yet. Its journals and logs are in `dir`.
-    pub fn new(spec: EndpointSpec, program: &Path, dir: &Path) -> Self {
+    /// An endpoint of this program behind this proxy that isn't started yet. Its journals and logs are
+    /// in `dir`.
+    pub fn new(spec: EndpointSpec, program: &Path, dir: &Path, link: FaultProxy) -> Self {
         Self {
             spec,
             program: program.to_owned(),
             dir: dir.to_owned(),
-            link: FaultProxy::start(),
+            link,
             process: None,
             starts: 0,
             started_ms: 0,
--- a/crates/testing/src/soak/deployed/callers.rs
+++ b/crates/testing/src/soak/deployed/callers.rs
@@ -35,6 +35,9 @@
 const REPEATS: u32 = 1;
 /// One caller in this many leaves early while callers leave.
 const LEAVER_EVERY: usize = 5;
+/// One caller in this many looks gateways up again after this time.
+const FOLLOWER_EVERY: usize = 3;
+const LOOKUP_TTL: Duration = Duration::from_secs(2);
 /// One caller in this many belongs to the workspace with an allotment.
 const LIMITED_EVERY: usize = 12;
 /// Number of workspaces without one.
@@ -135,6 +138,7 @@
         let domain = &deployment.domains[self.domain];
         let interval = domain.callers as f64 / domain.requests;
         let mut connection = None;
+        let mut looked_up = Instant::now();
         let mut due = Instant::now();
         let mut count = 0;
         while !self.shared.is_over() {
@@ -144,10 +148,21 @@
             sleep_until(due.into()).await;
             count += 1;
             let wanted = self.draw(&deployment, count);
+            if self.follows_lookups() && looked_up.elapsed() >= LOOKUP_TTL {
+                connection = None;
+            }
+            if connection.is_none() {
+                looked_up = Instant::now();
+            }
             connection = self.serve(connection, &wanted, count).await;
         }
     }
 
+    /// Whether it looks gateways up again and again. Others keep their gateway while it answers.
+    fn follows_lookups(&self) -> bool {
+        self.number.is_multiple_of(FOLLOWER_EVERY)
+    }
+
     fn draw<'a>(&mut self, deployment: &'a Deployment, count: usize) -> Wanted<'a> {
         let mut left = self.rng.random::<f64>();
         let services = &deployment.services;
--- a/crates/testing/src/soak/deployed/mod.rs
+++ b/crates/testing/src/soak/deployed/mod.rs
@@ -8,11 +8,13 @@
 
 mod callers;
 mod cold;
+mod contact;
 mod deployment;
 mod plan;
 mod runner;
 mod trouble;
 
+pub use contact::{EndpointCut, Tries, find_unserved, tries_during};
 pub use deployment::{Deployment, DeploymentError, DeploymentLimits, DomainSpec, ServiceSpec};
 pub use plan::{Action, DeployedPlan, EndpointAction, LoadChange, TimedAction};
 pub use runner::{DeployedReport, ServiceRetries, SoakPrograms, run_deployed};
--- a/crates/testing/src/soak/deployed/plan.rs
+++ b/crates/testing/src/soak/deployed/plan.rs
@@ -7,6 +7,7 @@
 
 use super::deployment::Deployment;
 use super::trouble::{self, TroubleKind};
+use crate::proxy::Flow;
 use crate::site::EndpointCommand;
 use crate::soak::plan::Step;
 
@@ -63,6 +64,8 @@
     Endpoint(usize, EndpointAction),
     /// To what callers do.
     Load(LoadChange),
+    /// To the links between these gateways and all endpoints.
+    EndpointLinks(Vec<usize>, Flow),
 }
 
 /// An action and its time.
--- a/crates/testing/src/soak/deployed/runner.rs
+++ b/crates/testing/src/soak/deployed/runner.rs
@@ -11,10 +11,11 @@
 
 use super::callers::{Caller, LoadState};
 use super::cold::most_while_cold;
+use super::contact::{EndpointCut, Tries, find_unserved, tries_during};
 use super::deployment::{Deployment, ServiceSpec};
 use super::plan::{Action, DeployedPlan, EndpointAction, endpoints};
 use crate::client::Call;
-use crate::proxy::{Direction, Flow};
+use crate::proxy::{Direction, Flow, Network};
 use crate::runtime;
 use crate::site::{
     Behaviour, EndpointCommand, EndpointSpec, HOST, JournalClock, ProcessEndpoint, Records, Site,
@@ -80,6 +81,9 @@
     pub retries: Vec<ServiceRetries>,
     /// Most requests that a cold endpoint got within a second, and the bound.
     pub cold: (usize, usize),
+    /// First tries during each cut between gateways and endpoints, at the gateways cut off and at the
+    /// others.
+    pub cuts: Vec<(Tries, Tries)>,
     /// Violated guarantees.
     pub violations: Vec<Violation>,
     /// Folder with settings, logs, journals and data; it is kept if there are violations.
@@ -113,6 +117,13 @@
                 worst.service, worst.retries, worst.allowed, service.late, service.total
             )?;
         }
+        for (cut_off, others) in self.cuts.iter().filter(|(cut_off, _)| cut_off.sent > 0) {
+            write!(
+                f,
+                "\n  cut off from endpoints: {} of {} first tries served, elsewhere {} of {}",
+                cut_off.served, cut_off.sent, others.served, others.sent
+            )?;
+        }
         for violation in &self.violations {
             write!(f, "\n  {violation}")?;
         }
@@ -144,6 +155,13 @@
     deployment: Arc<Deployment>,
     load: Arc<LoadState>,
     endpoints: Vec<ProcessEndpoint>,
+    /// The links between gateways and endpoints.
+    endpoint_network: Network,
+    /// Cuts between gateways and endpoints that last, and those that are over.
+    open_cuts: Vec<EndpointCut>,
+    cuts: Vec<EndpointCut>,
+    /// Times during which processes or the links between them were disturbed.
+    disturbed: Vec<(Instant, Instant)>,
     clock: JournalClock,
     /// When the list next shows what endpoints have become.
     list_due: Instant,
@@ -156,7 +174,9 @@
     fn start(programs: &SoakPrograms, plan: &DeployedPlan) -> Self {
         let deployment = Arc::new(plan.deployment.clone());
         let site = start_site(&programs.site, &deployment);
-        let mut endpoints = new_endpoints(programs, &deployment, &site);
+        // Faults of links between processes come and go without these.
+        let endpoint_network = site.network.separate();
+        let mut endpoints = new_endpoints(programs, &deployment, &site, &endpoint_network);
         endpoints.iter_mut().for_each(ProcessEndpoint::spawn);
         endpoints.iter_mut().for_each(ProcessEndpoint::wait_ready);
         let routes = Arc::clone(&deployment);
@@ -169,6 +189,10 @@
             deployment,
             load: Arc::new(LoadState::default()),
             endpoints,
+            endpoint_network,
+            open_cuts: Vec::new(),
+            cuts: Vec::new(),
+            disturbed: Vec::new(),
             clock: JournalClock::now(),
             list_due: Instant::now(),
             tasks: Vec::new(),
@@ -208,6 +232,8 @@
     fn wait_until(&mut self, due: Instant) {
         loop {
             self.violations.extend(self.nodes.restart_ended());
+            let is_disturbed = !self.nodes.is_calm();
+            self.record_disturbance(is_disturbed);
             if self.list_due <= Instant::now() {
                 self.show_list();
             }
@@ -229,9 +255,49 @@
         match action {
             Action::Process(step) => {
                 self.nodes.apply(step);
+                self.record_disturbance(true);
             }
             Action::Endpoint(endpoint, action) => self.apply_to_endpoint(*endpoint, *action),
             Action::Load(change) => self.load.apply(*change),
+            Action::EndpointLinks(gateways, flow) => self.set_endpoint_links(gateways, *flow),
+        }
+    }
+
+    /// Cuts gateways off from all endpoints, or ends that.
+    fn set_endpoint_links(&mut self, gateways: &[usize], flow: Flow) {
+        let site = &self.nodes.site;
+        let names = gateways.iter().map(|number| site.gateways[*number].name());
+        let links: Vec<(&str, &str)> = names
+            .flat_map(|gateway| {
+                let endpoints = self.endpoints.iter();
+                endpoints.map(move |endpoint| (gateway, endpoint.spec().name.as_str()))
+            })
+            .collect();
+        self.endpoint_network.set_links(&links, flow);
+        let now = Instant::now();
+        let ended = self.open_cuts.extract_if(.., |cut| {
+            cut.gateways
+                .iter()
+                .any(|gateway| gateways.contains(gateway))
+        });
+        self.cuts
+            .extend(ended.map(|cut| EndpointCut { to: now, ..cut }));
+        if flow != Flow::Pass {
+            self.open_cuts.push(EndpointCut {
+                gateways: gateways.to_vec(),
+                from: now,
+                to: now,
+            });
+        }
+    }
+
+    /// Notes whether processes are disturbed otherwise.
+    fn record_disturbance(&mut self, is_disturbed: bool) {
+        let now = Instant::now();
+        match self.disturbed.last_mut() {
+            Some(last) if is_disturbed && now < last.1 + POLL_INTERVAL * 5 => last.1 = now,
+            _ if is_disturbed => self.disturbed.push((now, now)),
+            _ => {}
         }
     }
 
@@ -278,6 +344,9 @@
     /// Reverts all faults, restarts all processes that are down, and ends traffic.
     fn end_faults(&mut self) {
         self.nodes.site.network.heal();
+        let all: Vec<usize> = (0..self.nodes.site.gateways.len()).collect();
+        self.set_endpoint_links(&all, Flow::Pass);
+        self.endpoint_network.heal();
         for endpoint in &mut self.endpoints {
             endpoint.process().into_iter().for_each(|p| p.resume());
             endpoint.spawn();
@@ -358,6 +427,11 @@
                 planned_only: false,
             },
         ));
+        let requests = &history.requests;
+        self.violations
+            .extend(find_unserved(&self.cuts, requests, &self.disturbed));
+        let tries = |cut| tries_during(cut, requests, &self.disturbed);
+        let cuts = self.cuts.iter().map(tries).collect();
         let cold = self.check_cold(&records);
         if !self.violations.is_empty() {
             self.nodes.site.keep();
@@ -370,6 +444,7 @@
             outcomes: outcomes(&history.requests),
             retries: self.service_retries(&history, &arrivals),
             cold: (cold, limits.cold_bound()),
+            cuts,
             violations: self.violations,
             dir: self.nodes.site.dir().to_owned(),
         }
@@ -474,6 +549,7 @@
     programs: &SoakPrograms,
     deployment: &Deployment,
     site: &Site,
+    network: &Network,
 ) -> Vec<ProcessEndpoint> {
     let placed = endpoints(deployment).into_iter().enumerate();
     let endpoint = |(number, (service, domain)): (usize, (usize, String))| {
@@ -487,7 +563,8 @@
             run_time: service.work,
             warmup: deployment.limits.warmup,
         };
-        ProcessEndpoint::new(spec, &programs.endpoint, site.dir())
+        let link = network.proxy(&spec.name);
+        ProcessEndpoint::new(spec, &programs.endpoint, site.dir(), link)
     };
     placed.map(endpoint).collect()
 }
--- a/crates/testing/src/soak/deployed/trouble.rs
+++ b/crates/testing/src/soak/deployed/trouble.rs
@@ -6,6 +6,7 @@
 use rand::Rng;
 
 use super::plan::{Action, EndpointAction, Generator, LoadChange};
+use crate::proxy::Flow;
 use crate::site::{Behaviour, EndpointCommand};
 use crate::soak::plan::{Step, Target};
 
@@ -22,6 +23,8 @@
 const SERIES_GAP_MS: std::ops::Range<u64> = 200..1_300;
 /// Duration of a cut between processes, in milliseconds.
 const CUT_MS: std::ops::Range<u64> = 1_000..20_000;
+/// Duration of a cut between gateways and endpoints, in milliseconds.
+const ENDPOINT_CUT_MS: std::ops::Range<u64> = 2_000..13_000;
 /// Time between two suspensions of a starved process.
 const STARVED_PERIOD: Duration = Duration::from_millis(100);
 
@@ -63,6 +66,9 @@
     GatewaysStarved,
     /// Connections of gateways are reset.
     GatewayConnectionsReset,
+    /// One gateway, or some or all of a failure domain, are cut off from all endpoints, but neither from
+    /// callers nor from other processes.
+    GatewaysCutOffFromEndpoints,
     /// A failure domain's gateways and control replicas are cut off from the others.
     DomainCutOff,
     /// A failure domain loses power, with its endpoints.
@@ -88,7 +94,7 @@
 }
 
 /// All kinds with their names.
-pub const ALL_TROUBLES: [(&str, TroubleKind); 28] = [
+pub const ALL_TROUBLES: [(&str, TroubleKind); 29] = [
     ("endpoints-fail", TroubleKind::EndpointsFail),
     ("service-fails", TroubleKind::ServiceFails),
     ("endpoints-slow", TroubleKind::EndpointsSlow),
@@ -112,6 +118,10 @@
         "gateway-connections-reset",
         TroubleKind::GatewayConnectionsReset,
     ),
+    (
+        "gateways-cut-off-from-endpoints",
+        TroubleKind::GatewaysCutOffFromEndpoints,
+    ),
     ("domain-cut-off", TroubleKind::DomainCutOff),
     ("domain-lost", TroubleKind::DomainLost),
     ("control-killed", TroubleKind::ControlKilled),
@@ -167,6 +177,7 @@
         | TroubleKind::GatewaysPaused
         | TroubleKind::GatewaysStarved
         | TroubleKind::GatewayConnectionsReset => gateways(g, kind, at),
+        TroubleKind::GatewaysCutOffFromEndpoints => endpoint_links(g, at),
         TroubleKind::DomainCutOff | TroubleKind::DomainLost => domain(g, kind, at),
         TroubleKind::ControlKilled
         | TroubleKind::ControlRestarted
@@ -373,6 +384,29 @@
     }
 }
 
+/// Cuts some gateways off from all endpoints, in one of the ways in which links fail, once or several
+/// times in a row.
+fn endpoint_links(g: &mut Generator, at: Duration) {
+    const WAYS: [Flow; 3] = [Flow::Hold, Flow::Reset, Flow::Refuse];
+    let flow = WAYS[g.rng.random_range(0..WAYS.len())];
+    let domain = g.rng.random_range(0..g.domains.count);
+    let in_domain = (0..g.gateways).filter(|n| g.domains.gateways[*n] == domain);
+    let mut gateways: Vec<usize> = in_domain.collect();
+    if gateways.is_empty() || g.rng.random_bool(0.3) {
+        gateways = vec![g.rng.random_range(0..g.gateways)];
+    }
+    let mut at = at;
+    for _ in 0..g.rng.random_range(1..=2) {
+        let lasts = g.millis(ENDPOINT_CUT_MS);
+        g.push(at, Action::EndpointLinks(gateways.clone(), flow));
+        g.push(
+            at + lasts,
+            Action::EndpointLinks(gateways.clone(), Flow::Pass),
+        );
+        at += lasts + g.millis(SERIES_GAP_MS);
+    }
+}
+
 fn domain(g: &mut Generator, kind: TroubleKind, at: Duration) {
     let domain = g.rng.random_range(0..g.domains.count);
     let of = |domains: &[usize]| -> Vec<usize> {
--- a/crates/testing/src/soak/nodes.rs
+++ b/crates/testing/src/soak/nodes.rs
@@ -229,6 +229,12 @@
         violations
     }
 
+    /// Whether all processes run and all links between them forward bytes.
+    pub(super) fn is_calm(&self) -> bool {
+        let mut states = self.states.values();
+        states.all(|state| *state == State::Up) && !self.site.network.has_rules()
+    }
+
     /// Whether any process was asked to stop and hasn't been restarted yet.
     pub(super) fn is_any_stopping(&self) -> bool {
         let mut states = self.states.values();
--- a/crates/testing/src/soak/violations.rs
+++ b/crates/testing/src/soak/violations.rs
@@ -89,6 +89,20 @@
     /// A process ended by itself or didn't stop, or the system didn't recover once all faults were
     /// over. The string describes what was expected or seen.
     NotRecovered(String),
+    /// First tries at gateways that were cut off from endpoints were served much less often than at the
+    /// others.
+    CutOffGatewaysDontServe {
+        /// Indices of the gateways.
+        gateways: Vec<usize>,
+        /// Tries there that were served.
+        served: usize,
+        /// All tries there.
+        sent: usize,
+        /// Tries at the others that were served.
+        others_served: usize,
+        /// All tries at the others.
+        others_sent: usize,
+    },
     /// The endpoint with this index still got requests while draining or evacuated.
     SentToRemovedEndpoint(usize),
 }
