Placement judges contact with the endpoints of each failure domain

A gateway that has lost its links to endpoints sees what it would see if they were down. Judged one by one, each of dozens of endpoints cost requests of callers, and was tried again with one as soon as its pause was over.

Silence is now judged by failure domain: attempts that are overdue, or connections that break at two endpoints, with no response in between, raise doubt; two endpoints are probed; without an answer contact is lost, and all other failure domains that were silent are probed too. Until a probe is answered no request is sent there. It doesn't matter whether links or endpoints are down, and any response ends doubt, so a false alarm costs probes: two in 2 s for a failure domain at most.

place_in_reach tells a request without any endpoint (NoEndpoint) from one whose endpoints this gateway doesn't reach (OutOfReach).

--- a/crates/place/src/attempts.rs
+++ b/crates/place/src/attempts.rs
@@ -78,7 +78,7 @@
     }
 
     fn next_attempt(&self) -> NextAttempt {
-        if self.made - self.unreachable < self.max {
+        if self.left() > 0 {
             NextAttempt::Allowed
         } else {
             NextAttempt::Exhausted
@@ -90,6 +90,11 @@
         &self.excluded
     }
 
+    /// Number of endpoints that the request may still be sent to.
+    pub fn left(&self) -> u32 {
+        self.max.saturating_sub(self.made - self.unreachable)
+    }
+
     /// Number of attempts so far.
     pub fn made(&self) -> u32 {
         self.made
--- a/crates/place/src/decide.rs
+++ b/crates/place/src/decide.rs
@@ -6,6 +6,7 @@
 use filberthead_types::{Moment, Region, ServiceName};
 
 use crate::cold::ColdShare;
+use crate::contact::ContactState;
 use crate::cost::{self, Affinity, ResponseTimes};
 use crate::endpoint::TrackedEndpoint;
 use crate::plan::SHIFT_FRACTION;
@@ -49,6 +50,17 @@
     affinity: Affinity,
 }
 
+/// Which endpoints a request may be sent to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Eligibility {
+    /// Those that haven't failed recently, in failure domains with contact.
+    InReach,
+    /// Those that have failed recently too: trying one of them is better than certain failure.
+    LastResort,
+    /// All that accept requests, whether this gateway reaches them or not.
+    Anywhere,
+}
+
 /// Means over the endpoints of a region.
 #[derive(Clone, Copy)]
 struct RegionState {
@@ -61,18 +73,35 @@
 }
 
 impl Placer {
-    /// Decides where a request is sent, and counts it as sent there.
+    /// Decides where a request is sent, and counts it as sent there. If every endpoint that may run
+    /// it has failed recently, one of those is tried.
     pub fn place(&mut self, now: Moment, req: Request<'_>) -> Decision {
+        match self.place_in_reach(now, req) {
+            Decision::Refuse {
+                reason: Refusal::OutOfReach,
+                ..
+            } => self.place_among(now, req, Eligibility::LastResort),
+            decision => decision,
+        }
+    }
+
+    /// Like [`place`](Self::place), but among endpoints that haven't failed recently.
+    pub fn place_in_reach(&mut self, now: Moment, req: Request<'_>) -> Decision {
+        self.place_among(now, req, Eligibility::InReach)
+    }
+
+    fn place_among(&mut self, now: Moment, req: Request<'_>, eligibility: Eligibility) -> Decision {
         self.request_counter = self.request_counter.wrapping_add(1);
         let object = self.object_key(&req);
         let planned = self.planned_region(&req, object);
-        let best = self.best_by_region(now, &req, object, planned.as_ref());
+        let eligible = self.eligible(now, &req, eligibility);
+        let best = self.best_by_region(now, &req, object, planned.as_ref(), &eligible);
         let is_pinned = planned
             .as_ref()
             .is_some_and(|r| !self.may_decrease(&req, r));
         let Some(chosen) = self.choose(&req, planned.as_ref(), &best, is_pinned) else {
             return Decision::Refuse {
-                reason: Refusal::NoEndpoint,
+                reason: self.reason_for_none(now, &req, eligibility),
                 retry_after: self.clamp_retry_after(req.objective),
             };
         };
@@ -176,6 +205,9 @@
             Duration::from_secs_f64(chosen.response_time + chosen.wait),
         );
         state.cold.record_sent(now, share);
+        let expected = chosen.rtt + chosen.wait + chosen.response_time;
+        self.contact
+            .record_sent(now, &state.domain, Duration::from_secs_f64(expected));
         let target = Target {
             id: state.id.clone(),
             incarnation: state.incarnation,
@@ -196,19 +228,14 @@
         req: &Request<'_>,
         object: Option<u64>,
         planned: Option<&Region>,
+        eligible: &[usize],
     ) -> BTreeMap<Region, Candidate> {
-        let mut eligible = self.eligible(now, req, false);
-        if eligible.is_empty() {
-            // Every endpoint that could run the request has failed recently. Trying one of
-            // them is better than certain failure.
-            eligible = self.eligible(now, req, true);
-        }
         let times = self.response_times(req);
         // Requests without an object use a different key each, or all gateways would send them
         // to the first idle endpoint on the list.
         let key = object.unwrap_or_else(|| rank::spread_sequence(self.request_counter));
         let mut best: BTreeMap<Region, Candidate> = BTreeMap::new();
-        for (region, indices) in by_region(&self.endpoints, &eligible) {
+        for (region, indices) in by_region(&self.endpoints, eligible) {
             // Where all gateways of this region send the object.
             let is_shared = region == self.cfg.region || Some(&region) == planned;
             let is_ordered = is_shared && object.is_some();
@@ -275,11 +302,27 @@
         rates.sum::<f64>() / indices.len().max(1) as f64
     }
 
+    /// Why there is no endpoint for a request.
+    fn reason_for_none(&self, now: Moment, req: &Request<'_>, eligibility: Eligibility) -> Refusal {
+        let is_in_reach = eligibility == Eligibility::InReach;
+        match is_in_reach && !self.eligible(now, req, Eligibility::Anywhere).is_empty() {
+            true => Refusal::OutOfReach,
+            false => Refusal::NoEndpoint,
+        }
+    }
+
     /// Indices of the endpoints that may run the request.
-    fn eligible(&self, now: Moment, req: &Request<'_>, include_backed_off: bool) -> Vec<usize> {
+    fn eligible(&self, now: Moment, req: &Request<'_>, eligibility: Eligibility) -> Vec<usize> {
+        let is_in_reach = |e: &TrackedEndpoint| match eligibility {
+            Eligibility::InReach => e.is_usable(now) && self.contact.is_usable(&e.domain),
+            Eligibility::LastResort => {
+                e.is_usable(Moment::MAX) && self.contact(&e.domain) != ContactState::Lost
+            }
+            Eligibility::Anywhere => e.accepts_requests(),
+        };
         let is_eligible = |e: &TrackedEndpoint| {
             e.service == *req.service
-                && (e.is_usable(now) || (include_backed_off && e.is_usable(Moment::MAX)))
+                && is_in_reach(e)
                 && !self.evacuated.contains(&e.domain)
                 && !req.excluded.contains(&e.id)
                 && req.homes.allow(e.region.as_ref())
--- a/crates/place/src/endpoint.rs
+++ b/crates/place/src/endpoint.rs
@@ -162,9 +162,14 @@
         }
     }
 
+    /// Whether it accepts requests, as far as is known.
+    pub(crate) fn accepts_requests(&self) -> bool {
+        !self.gone && !self.draining
+    }
+
     /// Whether requests may be sent to the endpoint at all.
     pub(crate) fn is_usable(&self, now: Moment) -> bool {
-        !self.gone && !self.draining && now >= self.backoff_until && !self.is_stalled(now)
+        self.accepts_requests() && now >= self.backoff_until && !self.is_stalled(now)
     }
 
     /// Whether it has requests in flight and hasn't responded for too long. A VM without
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -30,6 +30,8 @@
 //!   may go there again, because its object is cached there.
 //! - *Retries* (`retry_budget`): they stay within a ratio of first attempts and a floor, summed over
 //!   all gateways.
+//! - *Contact* (`contact`): a gateway that can't reach a failure domain's endpoints sends them nothing,
+//!   whether they or its own links are down.
 //! - *Limits on a sum* (`sharing`): by how many gateways they are divided, and when a gateway has
 //!   a part of them.
 
@@ -37,6 +39,7 @@
 mod attempts;
 mod balance;
 mod cold;
+mod contact;
 mod cost;
 mod decide;
 mod endpoint;
@@ -55,6 +58,7 @@
 pub use admission::LargeResponseAdmission;
 pub use attempts::{Attempts, NextAttempt};
 pub use balance::ConnectionBalancer;
+pub use contact::{ContactChange, ContactProbe, ContactState, PROBE_TIMEOUT};
 pub use cost::Affinity;
 pub use endpoint::{EndpointId, Load, Outcome};
 pub use link::Link;
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -8,6 +8,7 @@
 use filberthead_route::{Service, Table};
 use filberthead_types::{FailureDomain, Moment, Region, ServiceName};
 
+use crate::contact::{Contact, ContactChange, ContactState};
 use crate::cost::{Affinity, ResponseTimes};
 use crate::endpoint::TrackedEndpoint;
 use crate::plan::{Plan, SlotsByRegion};
@@ -16,8 +17,8 @@
 use crate::sharing::Peak;
 use crate::shift::RegionShares;
 use crate::{
-    Config, LimitShare, Load, Mechanism, Outcome, RetryBudget, RetryDecision, RetryEnd, RetryId,
-    Target, rank,
+    Config, ContactProbe, LimitShare, Load, Mechanism, Outcome, RetryBudget, RetryDecision,
+    RetryEnd, RetryId, Target, rank,
 };
 
 /// Weight of a new observation of a round trip: about the last fifty count, and half of a
@@ -77,6 +78,10 @@
     /// This gateway's part of the retry floor.
     floor_share: LimitShare,
     pub(crate) retry_budget: RetryBudget,
+    /// Contact with the endpoints of each failure domain.
+    pub(crate) contact: Contact,
+    /// Counts rounds of probes.
+    probe_counter: u64,
     /// Learned round trips to other regions, in seconds.
     pub(crate) rtts: HashMap<Region, f64>,
 }
@@ -104,6 +109,8 @@
             gateways_known_at: None,
             floor_share: LimitShare::new(cfg.retry_budget.window),
             retry_budget: RetryBudget::new(cfg.retry_budget),
+            contact: Contact::default(),
+            probe_counter: 0,
             rtts: HashMap::new(),
             cfg,
         }
@@ -144,6 +151,7 @@
         // A request may still be running at an endpoint that is no longer listed; its outcome
         // is ignored.
         self.settle_retries(now);
+        self.track_contact();
         replaced
     }
 
@@ -177,9 +185,15 @@
             }
         }
         self.settle_retries(now);
+        self.track_contact();
         replaced
     }
 
+    fn track_contact(&mut self) {
+        let domains = self.endpoints.iter().map(|e| &e.domain).collect();
+        self.contact.set_domains(&domains);
+    }
+
     /// Updates an endpoint that was listed before. If it has started again, what was learned
     /// about the earlier start is dropped, and its address is added to `replaced`.
     fn update_or_replace(
@@ -371,6 +385,7 @@
         if let Outcome::Served(took) = outcome {
             self.learn_rtt(service, target, took);
         }
+        self.record_contact(now, target, outcome);
         let outcome = match outcome {
             Outcome::Served(took) => Outcome::Served(took.saturating_sub(target.overhead)),
             Outcome::Abandoned(waited) => {
@@ -388,6 +403,94 @@
         }
     }
 
+    /// Records what the outcome of a request says about contact with its endpoint's failure domain.
+    fn record_contact(&mut self, now: Moment, target: &Target, outcome: Outcome) {
+        let domain = match self.endpoints.iter().find(|e| e.is_target(target)) {
+            Some(endpoint) => endpoint.domain.clone(),
+            None => return,
+        };
+        match outcome {
+            Outcome::Served(_) | Outcome::Failed | Outcome::Full | Outcome::Gone => {
+                self.contact.record_response(now, &domain);
+            }
+            Outcome::Broken => {
+                let endpoints = self.endpoints.iter().filter(|e| e.domain == domain);
+                let count = endpoints.count();
+                self.contact.record_broken(now, &domain, &target.id, count);
+            }
+            Outcome::Abandoned(_) => {}
+        }
+    }
+
+    /// Contact with the endpoints of a failure domain.
+    pub fn contact(&self, domain: &FailureDomain) -> ContactState {
+        self.contact.state(domain)
+    }
+
+    /// Whether contact with the failure domain of the endpoint that a request was sent to isn't lost.
+    pub fn has_contact(&self, target: &Target) -> bool {
+        let endpoint = self.endpoints.iter().find(|e| e.is_target(target));
+        endpoint.is_none_or(|e| self.contact(&e.domain) != ContactState::Lost)
+    }
+
+    /// Whether contact with all endpoints is lost.
+    pub fn is_cut_off(&self) -> bool {
+        self.contact.is_all_lost()
+    }
+
+    /// Changes of contact since the last call.
+    pub fn take_contact_changes(&mut self) -> Vec<ContactChange> {
+        self.contact.take_changes()
+    }
+
+    /// The probes of endpoints that are due. The outcome of each has to be recorded.
+    pub fn due_probes(&mut self, now: Moment) -> Vec<ContactProbe> {
+        let mut probes = Vec::new();
+        for (domain, count) in self.contact.due_probes(now) {
+            let mut targets = self.probe_targets(now, &domain);
+            if targets.is_empty() {
+                self.contact.forget(now, &domain);
+                continue;
+            }
+            // Another one each time: a single endpoint may be down for good.
+            let start = usize::try_from(self.probe_counter).unwrap_or(0) % targets.len();
+            targets.rotate_left(start);
+            self.probe_counter += 1;
+            let unmade = count.saturating_sub(targets.len());
+            (0..unmade).for_each(|_| self.contact.record_probe(now, &domain, false));
+            probes.extend(targets.into_iter().take(count));
+        }
+        probes
+    }
+
+    /// Endpoints of a failure domain that may be probed: cold ones have no capacity to spare, and
+    /// draining or evacuated ones are to be left alone.
+    fn probe_targets(&self, now: Moment, domain: &FailureDomain) -> Vec<ContactProbe> {
+        let of_domain = self.endpoints.iter().filter(|e| e.domain == *domain);
+        let allowed = of_domain
+            .filter(|e| !e.draining && !e.cold.is_cold(now) && !self.evacuated.contains(&e.domain));
+        let probe = |e: &TrackedEndpoint| {
+            Some(ContactProbe {
+                domain: e.domain.clone(),
+                endpoint: e.id.clone(),
+                addr: e.addr,
+                path: self.services.get(&e.service)?.health_path.clone(),
+            })
+        };
+        allowed.filter_map(probe).collect()
+    }
+
+    /// Records whether a probe got a response.
+    pub fn record_probe(&mut self, now: Moment, domain: &FailureDomain, answered: bool) {
+        self.contact.record_probe(now, domain, answered);
+    }
+
+    /// Addresses of the endpoints of a failure domain.
+    pub fn endpoint_addrs(&self, domain: &FailureDomain) -> Vec<SocketAddr> {
+        let of_domain = self.endpoints.iter().filter(|e| e.domain == *domain);
+        of_domain.map(|e| e.addr).collect()
+    }
+
     /// Updates the round trip to another region by the time that a response took beyond its
     /// known processing time. Only responses for which no wait was expected count; most of them
     /// take just that.
--- a/crates/place/src/request.rs
+++ b/crates/place/src/request.rs
@@ -118,6 +118,8 @@
 pub enum Refusal {
     /// No endpoint of the service is eligible.
     NoEndpoint,
+    /// Some would be eligible, but this gateway has no contact with them.
+    OutOfReach,
     /// Every eligible endpoint has so much work queued that it would respond too late.
     Overloaded,
 }
--- a/crates/place/tests/all/main.rs
+++ b/crates/place/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod balance;
 mod bounds;
+mod contact;
 mod link;
 mod objects;
 mod priorities;
