--- a/crates/bench/src/retries/simulation.rs
+++ b/crates/bench/src/retries/simulation.rs
@@ -153,6 +153,7 @@
             region: "north".parse().expect("a name"),
             domain: "north-1".parse().expect("a name"),
             caller_addr: gateway_addr(number),
+            relay_addr: gateway_addr(number),
         };
         Gateway {
             member: Member::new(info, (0..REPLICAS).map(addr), self.rng.random()),
--- a/crates/fleet/src/api.rs
+++ b/crates/fleet/src/api.rs
@@ -167,6 +167,18 @@
     pub domain: FailureDomain,
     /// Where it accepts requests from callers.
     pub caller_addr: SocketAddr,
+    /// Where it accepts requests that other gateways relay.
+    pub relay_addr: SocketAddr,
+}
+
+/// A gateway that others may relay requests through.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Helper {
+    /// Its failure domain.
+    pub domain: FailureDomain,
+    /// Where it accepts relayed requests.
+    pub addr: SocketAddr,
 }
 
 /// Load that callers offered to a gateway for one service.
@@ -188,6 +200,8 @@
     pub gateway: GatewayInfo,
     /// Whether callers may be sent to it.
     pub ready: bool,
+    /// Whether other gateways may relay requests through it.
+    pub helps: bool,
     /// The revisions that it holds.
     pub revisions: Revisions,
     /// Offered load for each service.
@@ -210,6 +224,8 @@
     pub gateway: GatewayInfo,
     /// Whether callers may be sent to it.
     pub ready: bool,
+    /// Whether other gateways may relay requests through it.
+    pub helps: bool,
     /// Offered load for each service.
     pub demand: Vec<Demand>,
     /// Requests of each workspace with an allotment.
@@ -295,6 +311,8 @@
         /// Mean link utilisation of the ready gateways in the receiver's failure domain, in
         /// thousandths; `None` if there are none.
         link_milli: Option<u32>,
+        /// Some of the gateways that requests may be relayed through; the receiver may be one.
+        helpers: Vec<Helper>,
         /// Id of the report that this answers; `None` if sent unasked.
         answered_report: Option<u64>,
         /// Id of the report that this answers, if the sender could prove at that moment that
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -30,8 +30,8 @@
 mod routes;
 
 pub use api::{
-    Demand, Endpoint, EndpointChange, EndpointState, GatewayInfo, Message, Order, OrderError,
-    Outbound, Part, RelayedReport, Report, Revision, Revisions, Stamp,
+    Demand, Endpoint, EndpointChange, EndpointState, GatewayInfo, Helper, Message, Order,
+    OrderError, Outbound, Part, RelayedReport, Report, Revision, Revisions, Stamp,
 };
 pub use member::{Load, Member, Update, UpdateDelay};
 pub use registry::{COUNT_COMPLETE_AFTER, ProofRequest, Registry, WorkspaceUsage};
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -12,7 +12,8 @@
 use crate::contacts::Contacts;
 use crate::parts::{IncomingTransfers, PartOutcome};
 use crate::{
-    Demand, Endpoint, EndpointChange, GatewayInfo, Message, Outbound, Part, Report, Revisions,
+    Demand, Endpoint, EndpointChange, GatewayInfo, Helper, Message, Outbound, Part, Report,
+    Revisions,
 };
 
 /// Time between reports: three fit into the silence after which a gateway counts as dead, and
@@ -72,6 +73,8 @@
     },
     /// Mean link utilisation of the gateways in this failure domain, in thousandths.
     Links(Option<u32>),
+    /// Gateways that requests may be relayed through.
+    Helpers(Vec<Helper>),
 }
 
 /// How long an update took to arrive after it was first announced.
@@ -111,6 +114,7 @@
 pub struct Member {
     info: GatewayInfo,
     ready: bool,
+    helps: bool,
     contacts: Contacts,
     control_last_seen: Option<Moment>,
     /// When the first notice since the start arrived.
@@ -149,6 +153,7 @@
         Self {
             info,
             ready: false,
+            helps: false,
             contacts: Contacts::new(seeds),
             control_last_seen: None,
             first_notice: None,
@@ -244,6 +249,15 @@
         }
     }
 
+    /// Sets whether other gateways may relay requests through this one. A change is reported at the
+    /// next tick.
+    pub fn set_helps(&mut self, helps: bool) {
+        if self.helps != helps {
+            self.helps = helps;
+            self.next_report = Moment::ZERO;
+        }
+    }
+
     /// Replaces the replicas from the settings after a change. An empty list means that they
     /// couldn't be read, and is ignored.
     pub fn set_seeds(&mut self, seeds: impl IntoIterator<Item = SocketAddr>) {
@@ -276,6 +290,7 @@
         let report = Message::Report(Report {
             gateway: self.info.clone(),
             ready: self.ready,
+            helps: self.helps,
             revisions: self.revisions,
             demand,
             usage,
@@ -357,6 +372,7 @@
                 demand,
                 ratios,
                 link_milli,
+                helpers,
                 answered_report,
                 proven_report,
                 leaders_count,
@@ -370,6 +386,7 @@
                     Update::Demand(demand),
                     Update::Ratios(ratios),
                     Update::Links(link_milli),
+                    Update::Helpers(self.without_this(helpers)),
                 ];
                 let last_report = self.sent_reports.front().map(|(id, _)| *id);
                 if answered_report.is_some() && answered_report == last_report {
@@ -438,6 +455,12 @@
         }
     }
 
+    /// The other gateways among these.
+    fn without_this(&self, mut helpers: Vec<Helper>) -> Vec<Helper> {
+        helpers.retain(|helper| helper.addr != self.info.relay_addr);
+        helpers
+    }
+
     /// Records a replica's revisions, and the report that its notice answers.
     fn on_notice(
         &mut self,
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -17,8 +17,8 @@
 use crate::parts::OutgoingTransfers;
 use crate::routes::Routes;
 use crate::{
-    Demand, Endpoint, EndpointChange, GatewayInfo, Message, Outbound, RelayedReport, Report,
-    Revision, Revisions, Stamp,
+    Demand, Endpoint, EndpointChange, GatewayInfo, Helper, Message, Outbound, RelayedReport,
+    Report, Revision, Revisions, Stamp,
 };
 
 /// Silence after which a gateway is no longer returned to callers: three report periods, so
@@ -40,6 +40,9 @@
 /// How long totals over all gateways are cached: every answer to hundreds of reports contains
 /// them.
 const TOTALS_TTL: Duration = Duration::from_millis(100);
+/// Gateways of the same failure domain, of others of the region and of other regions that a gateway is
+/// told to relay requests through, each: enough to share its load, and few bytes in a notice.
+const HELPERS_PER_DISTANCE: usize = 4;
 /// Proof requests that may wait for the leader. Further ones are dropped: the next report
 /// requests a proof again.
 const MAX_PROOF_REQUESTS: usize = 1024;
@@ -62,6 +65,7 @@
     /// Its last report to this replica; `None` if it has reported only to others.
     direct: Option<DirectReport>,
     ready: bool,
+    helps: bool,
     last_seen: Moment,
     demand: Vec<Demand>,
     usage: Vec<Usage>,
@@ -99,6 +103,8 @@
     demand: Vec<(Region, ServiceName, u32)>,
     ratios: Vec<AdmitRatio>,
     links: BTreeMap<FailureDomain, u32>,
+    /// Helpers for the gateways of each failure domain.
+    helpers: BTreeMap<FailureDomain, Vec<Helper>>,
 }
 
 /// State of the gateways as seen by a control replica, and the routes, evacuations and
@@ -277,6 +283,7 @@
                 revisions: report.revisions,
             }),
             ready: report.ready,
+            helps: report.helps,
             last_seen: now,
             demand: report.demand,
             usage: report.usage,
@@ -332,6 +339,7 @@
                 info: relayed.gateway,
                 direct,
                 ready: relayed.ready,
+                helps: relayed.helps,
                 last_seen,
                 demand: relayed.demand,
                 usage: relayed.usage,
@@ -355,6 +363,7 @@
         let relayed = |gateway: &GatewayState| RelayedReport {
             gateway: gateway.info.clone(),
             ready: gateway.ready,
+            helps: gateway.helps,
             demand: gateway.demand.clone(),
             usage: gateway.usage.clone(),
             refused: gateway.refused.clone(),
@@ -505,6 +514,7 @@
             demand: totals.demand.clone(),
             ratios: totals.ratios.clone(),
             link_milli: totals.links.get(domain).copied(),
+            helpers: totals.helpers.get(domain).cloned().unwrap_or_default(),
             answered_report,
             proven_report,
             leaders_count: proven_report.and_then(|_| self.counted_gateways(now)),
@@ -518,6 +528,7 @@
             demand: self.demand(now),
             ratios: self.ratios(now),
             links: self.link_means(now),
+            helpers: self.helpers(now),
         }
     }
 
@@ -629,6 +640,25 @@
         used.into_iter().map(mean).collect()
     }
 
+    /// Gateways to relay requests through, for the gateways of each failure domain: some of the same
+    /// one, of others of its region, and of other regions.
+    fn helpers(&self, now: Moment) -> BTreeMap<FailureDomain, Vec<Helper>> {
+        let domains = self.remembered_gateways(now);
+        let domains: BTreeMap<_, _> = domains
+            .map(|gateway| (&gateway.info.domain, &gateway.info.region))
+            .collect();
+        let helping: Vec<&GatewayInfo> = self
+            .gateways
+            .values()
+            .filter(|gateway| gateway.ready && gateway.helps && gateway.is_live(now))
+            .map(|gateway| &gateway.info)
+            .collect();
+        let of_domain = |(domain, region): (&FailureDomain, &Region)| {
+            (domain.clone(), nearest_helpers(&helping, domain, region))
+        };
+        domains.into_iter().map(of_domain).collect()
+    }
+
     /// The live gateways that accept callers.
     pub fn ready_gateways(&self, now: Moment) -> Vec<GatewayInfo> {
         let ready = |gateway: &&GatewayState| gateway.ready && gateway.is_live(now);
@@ -637,6 +667,38 @@
     }
 }
 
+/// Up to [`HELPERS_PER_DISTANCE`] gateways at each distance. Those of other failure domains are taken
+/// from one after the other, so that they don't all go with one of these.
+fn nearest_helpers(
+    helping: &[&GatewayInfo],
+    domain: &FailureDomain,
+    region: &Region,
+) -> Vec<Helper> {
+    let distance = |info: &GatewayInfo| match (info.domain == *domain, info.region == *region) {
+        (true, _) => 0,
+        (false, true) => 1,
+        (false, false) => 2,
+    };
+    let at_distance = |wanted: usize| {
+        let mut by_domain: BTreeMap<&FailureDomain, Vec<&GatewayInfo>> = BTreeMap::new();
+        for info in helping.iter().filter(|info| distance(info) == wanted) {
+            by_domain.entry(&info.domain).or_default().push(info);
+        }
+        let longest = by_domain.values().map(Vec::len).max().unwrap_or(0);
+        let in_turns = (0..longest).flat_map(|turn| {
+            let turn = by_domain.values().filter_map(move |infos| infos.get(turn));
+            turn.copied().collect::<Vec<_>>()
+        });
+        in_turns.take(HELPERS_PER_DISTANCE).collect::<Vec<_>>()
+    };
+    let nearest = (0..3).flat_map(at_distance);
+    let helper = |info: &GatewayInfo| Helper {
+        domain: info.domain.clone(),
+        addr: info.relay_addr,
+    };
+    nearest.map(helper).collect()
+}
+
 fn is_part(message: &&Message) -> bool {
     matches!(message, Message::Part(_))
 }
--- a/crates/fleet/tests/all/reporting.rs
+++ b/crates/fleet/tests/all/reporting.rs
@@ -42,6 +42,7 @@
         region: "split".parse().expect("a name"),
         domain: "split-a".parse().expect("a name"),
         caller_addr: gateway_addr(number),
+        relay_addr: gateway_addr(1000 + number),
     }
 }
 
--- a/crates/fleet/tests/all/support.rs
+++ b/crates/fleet/tests/all/support.rs
@@ -30,6 +30,7 @@
         region: "split".parse().expect("a name"),
         domain: "split-a".parse().expect("a name"),
         caller_addr: addr(80),
+        relay_addr: addr(81),
     };
     Member::new(info, [addr(CONTROL)], first_report_id)
 }
@@ -85,6 +86,7 @@
         demand: Vec::new(),
         ratios: Vec::new(),
         link_milli: None,
+        helpers: Vec::new(),
         answered_report: None,
         proven_report: None,
         leaders_count: None,
--- a/crates/fleet/tests/all/updates.rs
+++ b/crates/fleet/tests/all/updates.rs
@@ -252,6 +252,7 @@
             region: "split".parse().expect("a name"),
             domain: domain.parse().expect("a name"),
             caller_addr: addr(80),
+            relay_addr: addr(81),
         };
         let mut member = Member::new(info, [addr(CONTROL)], 100);
         member.set_ready(true);
--- a/crates/peer/examples/cost.rs
+++ b/crates/peer/examples/cost.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use filberthead_fleet::{
-    Demand, Endpoint, EndpointState, GatewayInfo, Message, Report, Revisions, Stamp,
+    Demand, Endpoint, EndpointState, GatewayInfo, Helper, Message, Report, Revisions, Stamp,
 };
 use filberthead_peer::{Body, Envelope, Origin, cluster_id, encode};
 use filberthead_types::{FailureDomain, Incarnation, Region, ServiceName};
@@ -51,8 +51,10 @@
             region: "region-1".parse().expect("a valid name"),
             domain: domain(1),
             caller_addr: addr(8548),
+            relay_addr: addr(7541),
         },
         ready: true,
+        helps: true,
         revisions: revisions(),
         demand: (0..3).map(demand).collect(),
         usage: Vec::new(),
@@ -84,6 +86,12 @@
         demand: demand.collect(),
         ratios: Vec::new(),
         link_milli: Some(456),
+        helpers: (0..12)
+            .map(|n| Helper {
+                domain: domain(n),
+                addr: addr(7541),
+            })
+            .collect(),
         answered_report: None,
         proven_report: Some(u64::MAX),
         leaders_count: Some(600),
--- a/crates/settings/src/cross.rs
+++ b/crates/settings/src/cross.rs
@@ -41,6 +41,12 @@
         &keys::PEERS_ADVERTISE,
         problems,
     );
+    check_advertised(
+        document,
+        &keys::RELAY_LISTEN,
+        &keys::RELAY_ADVERTISE,
+        problems,
+    );
     check_advertised(
         document,
         &keys::OPERATORS_LISTEN,
@@ -197,6 +203,7 @@
     let listen = [
         &keys::CALLERS_LISTEN,
         &keys::PEERS_LISTEN,
+        &keys::RELAY_LISTEN,
         &keys::STATUS_LISTEN,
         &keys::OPERATORS_LISTEN,
     ];
@@ -208,6 +215,7 @@
     let advertise = [
         &keys::CALLERS_ADVERTISE,
         &keys::PEERS_ADVERTISE,
+        &keys::RELAY_ADVERTISE,
         &keys::OPERATORS_ADVERTISE,
     ];
     for key in advertise {
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -48,6 +48,10 @@
     pub peer_listen: SocketAddr,
     /// Address advertised to other processes; `None` for the listening one.
     pub peer_advertise: Option<SocketAddr>,
+    /// Listening address of requests that other gateways relay.
+    pub relay_listen: SocketAddr,
+    /// Address advertised to other gateways; `None` for the listening one.
+    pub relay_advertise: Option<SocketAddr>,
     /// Peer addresses of some control VMs.
     pub seeds: Vec<SocketAddr>,
     /// Region of each failure domain.
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -182,6 +182,14 @@
         /// leaves continues to serve for a multiple of it.
         LOOKUPS_TTL: Duration = "ttl", default("1s"), "100ms"..="1m";
     }
+    /// Requests that other gateways relay through a gateway while they have no contact with
+    /// endpoints.
+    ["relay"] Gateway {
+        /// Address on which they are received. Unset, that of `[peers]` with the next port.
+        RELAY_LISTEN: ListenAddr = "listen", UNSET;
+        /// Address advertised to other gateways, if it differs from `listen`.
+        RELAY_ADVERTISE: TargetAddr = "advertise", UNSET;
+    }
     /// The platform's readiness probe of a gateway.
     ["readiness"] Gateway {
         /// Address of the interface.
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -187,6 +187,8 @@
 }
 
 fn gateway(document: &Document<'_>) -> Option<GatewaySettings> {
+    let peer_listen = document.get(&keys::PEERS_LISTEN)?.0;
+    let relay_listen = document.get(&keys::RELAY_LISTEN).map(|addr| addr.0);
     Some(GatewaySettings {
         cluster: document.get(&keys::CLUSTER)?.0,
         node: document.get(&keys::NAME)?,
@@ -196,8 +198,10 @@
         caller_advertise: document.get(&keys::CALLERS_ADVERTISE).map(|addr| addr.0),
         readiness_listen: document.get(&keys::READINESS_LISTEN)?.0,
         status_listen: document.get(&keys::STATUS_LISTEN)?.0,
-        peer_listen: document.get(&keys::PEERS_LISTEN)?.0,
+        peer_listen,
         peer_advertise: document.get(&keys::PEERS_ADVERTISE).map(|addr| addr.0),
+        relay_listen: relay_listen.unwrap_or(next_port(peer_listen)),
+        relay_advertise: document.get(&keys::RELAY_ADVERTISE).map(|addr| addr.0),
         seeds: seeds(document)?,
         regions: document
             .labelled_sections(keys::DOMAIN_REGION.section)
@@ -216,6 +220,14 @@
     })
 }
 
+/// The same address with the next port; any free port stays any free port.
+fn next_port(mut addr: SocketAddr) -> SocketAddr {
+    if addr.port() != 0 {
+        addr.set_port(addr.port().wrapping_add(1));
+    }
+    addr
+}
+
 fn domain(section: &Section<'_>) -> Option<(FailureDomain, Region)> {
     let region = section.get(&keys::DOMAIN_REGION)?;
     Some((FailureDomain::read(section.label?)?, region))
--- a/crates/types/src/header.rs
+++ b/crates/types/src/header.rs
@@ -31,3 +31,7 @@
 pub const KEY_PREFIX: &str = "filberthead-key-prefix";
 /// Between entries: IP address of the caller that sent the forwarded request.
 pub const CALLER: &str = "filberthead-caller";
+/// Between gateways: what the receiver of a relayed request needs to know beside its head.
+pub const RELAY: &str = "filberthead-relay";
+/// Between gateways: digest of the API key of a relayed request's caller.
+pub const RELAYED_KEY: &str = "filberthead-relayed-key";
