--- a/crates/filberthead/src/gateway/attempt.rs
+++ b/crates/filberthead/src/gateway/attempt.rs
@@ -5,21 +5,22 @@
 use std::time::Duration;
 
 use filberthead_endpoint::{
-    Answer, AnswerCheck, RequestBody, Reuse, SendOutcome, Unsent, remove_hop_by_hop,
+    Answer, AnswerCheck, Connection, RequestBody, Reuse, SendOutcome, Unsent, remove_hop_by_hop,
 };
 use filberthead_place::{Load, Outcome, RetryEnd, Target};
 use filberthead_route::Kind;
-use filberthead_types::{Moment, ServiceName, Workspace};
+use filberthead_types::{Moment, ResultCode, ServiceName, Workspace};
 use http::header::{CONTENT_LENGTH, EXPECT};
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Version};
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Body;
+use hyper::body::{Body, Incoming};
 use log::{Level, debug, info, log};
 use tokio::time::timeout_at;
 
 use super::core::Core;
 use super::deadline::Deadline;
+use super::relay::{RELAY, RELAYED_KEY};
 use super::response::ResponseBody;
 use super::retry::GrantedRetry;
 use super::streamed::StreamedBody;
@@ -34,7 +35,7 @@
 /// A non-idempotent request is sent on a pooled connection only if that was used this recently.
 /// If the endpoint closed the connection at the same moment, it would be unknown whether the
 /// request ran.
-const MAX_IDLE_FOR_UNSAFE: Duration = Duration::from_secs(3);
+pub(crate) const MAX_IDLE_FOR_UNSAFE: Duration = Duration::from_secs(3);
 /// An attempt abandoned after this long without a response suggests that pooled connections to
 /// the endpoint are dead: it is several times what services take.
 const STALE_CONNECTION_TIMEOUT: Duration = Duration::from_millis(700);
@@ -53,6 +54,11 @@
     NotSent(RequestBody),
     /// The endpoint refused to run it, and may have reported its load.
     NotRun { load_reported: bool },
+    /// The gateway that it was relayed through answered that it didn't run.
+    Rejected {
+        code: ResultCode,
+        retry_after: Duration,
+    },
     /// The connection broke; the request may have run.
     Lost,
     /// The deadline passed; the request may have run.
@@ -191,7 +197,10 @@
         object: header_text(&job.head.headers, &core.protocol.affinity_key),
         route: job.route,
     };
-    let req = build_request(core, job, body, target);
+    let mut req = build_request(core, job, body);
+    if let Ok(id) = HeaderValue::from_str(&target.id) {
+        req.headers_mut().insert(&core.protocol.target_instance, id);
+    }
     core.record_sent(TYPICAL_HEAD_BYTES + req.body().size_hint().lower() as usize);
     let empty = HeaderValue::from_static("");
     let name = &core.protocol.request_id;
@@ -202,13 +211,21 @@
         Kind::Safe | Kind::Download => Reuse::Allowed,
     };
     let deadline = job.deadline.respond_by;
-    match core
+    let sent_at = &in_flight.sent_at;
+    let sending = core
         .client
         .send_noting(target.addr, check, reuse, deadline, req, || {
-            in_flight.sent_at.set(Some(core.now()));
-        })
-        .await
-    {
+            sent_at.set(Some(core.now()));
+        });
+    let sent = tokio::select! {
+        sent = sending => sent,
+        () = contact_lost(core, job, target, sent_at) => {
+            debug!(request = in_flight.request, endpoint:% = target.id;
+                "given up, no contact with the endpoint any more");
+            return Attempt::Lost;
+        }
+    };
+    match sent {
         SendOutcome::NotSent(req, unsent) => {
             in_flight.sent_at.set(None);
             in_flight.unsent = Some(unsent);
@@ -224,13 +241,20 @@
     }
 }
 
-/// Builds the request for the endpoint from the caller's.
-fn build_request(
-    core: &Core,
-    job: &Job<'_>,
-    body: RequestBody,
-    target: &Target,
-) -> Request<RequestBody> {
+/// Waits until contact is lost with the endpoint that has a request which may be sent again. One that
+/// may run only once waits for its answer, since it can't be served otherwise.
+async fn contact_lost(core: &Core, job: &Job<'_>, target: &Target, sent_at: &Cell<Option<Moment>>) {
+    let mut losses = core.contact_losses();
+    let is_lost = || sent_at.get().is_some() && !core.placer.borrow().has_contact(target);
+    while job.kind == Kind::Unsafe || !is_lost() {
+        if losses.changed().await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
+/// Builds the request for an endpoint or another gateway from the caller's.
+pub(crate) fn build_request(core: &Core, job: &Job<'_>, body: RequestBody) -> Request<RequestBody> {
     let mut req = Request::new(body);
     *req.method_mut() = job.head.method.clone();
     *req.uri_mut() = job.head.uri.clone();
@@ -242,6 +266,8 @@
     // The key is the caller's secret, and endpoints trust the name of the workspace.
     headers.remove(&core.protocol.api_key);
     headers.remove(&core.protocol.workspace);
+    headers.remove(RELAY);
+    headers.remove(RELAYED_KEY);
     let workspace = job
         .workspace
         .map(|name| HeaderValue::from_str(name.as_str()));
@@ -250,9 +276,6 @@
     }
     let left = u64::try_from(job.deadline.remaining().as_millis()).unwrap_or(u64::MAX);
     headers.insert(&core.protocol.deadline_ms, HeaderValue::from(left));
-    if let Ok(id) = HeaderValue::from_str(&target.id) {
-        headers.insert(&core.protocol.target_instance, id);
-    }
     *req.headers_mut() = headers;
     req
 }
@@ -264,7 +287,7 @@
     answer: Answer,
     in_flight: &mut InFlight<'_>,
 ) -> Attempt {
-    let (mut head, body) = answer.response.into_parts();
+    let (head, body) = answer.response.into_parts();
     let mut connection = answer.connection;
     record_load(core, &head.headers, in_flight.target);
     if let Some(timeout) = keep_alive_timeout(&head.headers) {
@@ -284,26 +307,54 @@
         in_flight.outcome = Outcome::Broken;
         return Attempt::Lost;
     }
+    match read_body(core, job, head, body, connection).await {
+        Ok(response) => {
+            in_flight.mark_served();
+            finish(in_flight, response)
+        }
+        Err(Attempt::Lost) => {
+            in_flight.outcome = Outcome::Broken;
+            Attempt::Lost
+        }
+        Err(attempt) => attempt,
+    }
+}
+
+/// Completes a response whose head has been accepted: buffers its body unless that is to be streamed.
+pub(crate) async fn read_body(
+    core: &Rc<Core>,
+    job: &Job<'_>,
+    mut head: http::response::Parts,
+    body: Incoming,
+    connection: Connection,
+) -> Result<Response<ResponseBody>, Attempt> {
     remove_hop_by_hop(&mut head.headers);
-    if !is_streamed(job.kind, head.status, body.size_hint().exact()) {
-        let limited = Limited::new(body, MAX_BUFFERED_RESPONSE as usize).collect();
-        let bytes = match timeout_at(job.deadline.respond_by, limited).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) => {
-                debug!(endpoint:% = in_flight.target.id, error:% = e;
-                    "connection broke during a response");
-                in_flight.outcome = Outcome::Broken;
-                return Attempt::Lost;
-            }
-            Err(_) => return Attempt::TimedOut,
-        };
-        connection.release();
-        in_flight.mark_served();
-        return finish(in_flight, head, ResponseBody::Buffered(bytes));
+    let deadline = job.deadline.respond_by;
+    if is_streamed(job.kind, head.status, body.size_hint().exact()) {
+        let streamed = StreamedBody::new(core, body, connection, deadline);
+        let body = ResponseBody::Streamed(Box::new(streamed));
+        return Ok(Response::from_parts(head, body));
     }
-    in_flight.mark_served();
-    let streamed = StreamedBody::new(core, body, connection, job.deadline.respond_by);
-    finish(in_flight, head, ResponseBody::Streamed(Box::new(streamed)))
+    let limited = Limited::new(body, MAX_BUFFERED_RESPONSE as usize).collect();
+    let bytes = match timeout_at(deadline, limited).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(e)) => {
+            debug!(route = job.route, error:% = e; "connection broke during a response");
+            return Err(Attempt::Lost);
+        }
+        Err(_) => return Err(Attempt::TimedOut),
+    };
+    connection.release();
+    let bodyless = matches!(
+        head.status,
+        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+    );
+    head.headers.remove(CONTENT_LENGTH);
+    if !bodyless {
+        let length = HeaderValue::from(bytes.len());
+        head.headers.insert(CONTENT_LENGTH, length);
+    }
+    Ok(Response::from_parts(head, ResponseBody::Buffered(bytes)))
 }
 
 /// Whether a response of this length is streamed. The lower limit for downloads applies only to
@@ -316,23 +367,9 @@
     length.is_some_and(|length| length > max_buffered)
 }
 
-/// Completes the response and decides whether the attempt failed.
-fn finish(
-    in_flight: &mut InFlight<'_>,
-    mut head: http::response::Parts,
-    body: ResponseBody,
-) -> Attempt {
-    let status = head.status;
-    if let ResponseBody::Buffered(bytes) = &body {
-        let bodyless = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
-        head.headers.remove(CONTENT_LENGTH);
-        if !bodyless {
-            head.headers
-                .insert(CONTENT_LENGTH, HeaderValue::from(bytes.len()));
-        }
-    }
-    let response = Response::from_parts(head, body);
-    if status.is_server_error() {
+/// Decides whether the attempt failed.
+fn finish(in_flight: &mut InFlight<'_>, response: Response<ResponseBody>) -> Attempt {
+    if response.status().is_server_error() {
         in_flight.outcome = Outcome::Failed;
         Attempt::Failed(response)
     } else {
--- a/crates/filberthead/src/gateway/caller.rs
+++ b/crates/filberthead/src/gateway/caller.rs
@@ -34,11 +34,20 @@
         headers: &HeaderMap,
         name: &HeaderName,
         public: bool,
+    ) -> Result<Self, UnknownCaller> {
+        let key = single_value(headers, name).map(KeyDigest::of);
+        Self::identify_by(routes, key, public)
+    }
+
+    /// Identifies the caller by the digest of its key. On a public route any key is optional.
+    pub(crate) fn identify_by(
+        routes: &ActiveRoutes,
+        key: Option<KeyDigest>,
+        public: bool,
     ) -> Result<Self, UnknownCaller> {
         if !routes.needs_keys {
             return Ok(Self::Anonymous);
         }
-        let key = single_value(headers, name).map(KeyDigest::of);
         let found = key.and_then(|key| Some((key, Arc::clone(routes.keys.find(key)?))));
         match found {
             Some((key, workspace)) => Ok(Self::Known { workspace, key }),
@@ -58,6 +67,14 @@
         }
     }
 
+    /// Digest of the caller's key.
+    pub(crate) fn key(&self) -> Option<KeyDigest> {
+        match self {
+            Self::Anonymous => None,
+            Self::Known { key, .. } => Some(*key),
+        }
+    }
+
     /// Name of the caller's workspace.
     pub(crate) fn workspace(&self) -> Option<&WorkspaceName> {
         match self {
@@ -96,6 +113,8 @@
     /// `None` if the caller belongs to no workspace.
     workspace: Option<&'a WorkspaceName>,
     is_unspent: bool,
+    /// Whether another gateway has taken it, and gives it back.
+    is_foreign: bool,
 }
 
 impl<'a> Charge<'a> {
@@ -108,11 +127,22 @@
                 core,
                 workspace,
                 is_unspent: true,
+                is_foreign: false,
             }),
             Some(Admission::Refused { retry_after }) => Err(retry_after),
         }
     }
 
+    /// The charge of a relayed request, which its sender has taken.
+    pub(crate) fn taken_elsewhere(core: &'a Core, caller: &'a Caller) -> Self {
+        Self {
+            core,
+            workspace: caller.workspace(),
+            is_unspent: true,
+            is_foreign: true,
+        }
+    }
+
     /// Spends it on an attempt.
     pub(crate) fn spend(&mut self) {
         self.is_unspent = false;
@@ -123,6 +153,7 @@
     pub(crate) fn renew(&mut self) -> bool {
         if let Some(workspace) = self.workspace.filter(|_| !self.is_unspent) {
             self.is_unspent = self.core.admit_retry(workspace) == Admission::Admitted;
+            self.is_foreign = false;
         } else {
             self.is_unspent = true;
         }
@@ -137,7 +168,10 @@
 
 impl Drop for Charge<'_> {
     fn drop(&mut self) {
-        if let Some(workspace) = self.workspace.filter(|_| self.is_unspent) {
+        if let Some(workspace) = self
+            .workspace
+            .filter(|_| self.is_unspent && !self.is_foreign)
+        {
             self.core.refund(workspace);
         }
     }
--- /dev/null
+++ b/crates/filberthead/src/gateway/contact.rs
@@ -0,0 +1,96 @@
+//! Watches contact with endpoints: sends the probes that are due, and acts on changes.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use filberthead_endpoint::{AnswerCheck, RequestBody, Reuse, SendOutcome};
+use filberthead_place::{ContactChange, ContactProbe, ContactState, PROBE_TIMEOUT};
+use http::header::HOST;
+use http::{HeaderValue, Request};
+use log::{debug, info, warn};
+use tokio::time::Instant;
+
+use super::core::Core;
+
+/// Sends the probes that are due. Called several times in the time that a probe may take.
+pub(crate) fn check(core: &Rc<Core>) {
+    let probes = core.placer.borrow_mut().due_probes(core.now());
+    for probe in probes {
+        let core = Rc::clone(core);
+        tokio::task::spawn_local(async move {
+            let answered = is_answered(&core, &probe).await;
+            core.metrics.record_contact_probe(answered);
+            let now = core.now();
+            let mut placer = core.placer.borrow_mut();
+            placer.record_probe(now, &probe.domain, answered);
+            drop(placer);
+            apply_changes(&core);
+        });
+    }
+    apply_changes(core);
+}
+
+/// Whether an endpoint responds to its health check, with whatever status. It takes a new
+/// connection: open ones may live on while no others can be made, or the other way round.
+async fn is_answered(core: &Core, probe: &ContactProbe) -> bool {
+    let req = Request::get(&probe.path)
+        .header(HOST, probe.addr.to_string())
+        .body(RequestBody::Buffered(Bytes::new()));
+    let Ok(req) = req else {
+        return false;
+    };
+    let none = HeaderValue::from_static("");
+    let check = AnswerCheck::Echo {
+        name: &core.protocol.request_id,
+        value: &none,
+    };
+    let deadline = Instant::now() + PROBE_TIMEOUT;
+    let client = &core.client;
+    match client
+        .send(probe.addr, check, Reuse::Never, deadline, req)
+        .await
+    {
+        SendOutcome::Answer(answer) => {
+            let body = answer.response.into_body();
+            answer.connection.drain_and_release(body);
+            true
+        }
+        SendOutcome::NotSent(..) | SendOutcome::Lost | SendOutcome::TimedOut => {
+            debug!(endpoint:% = probe.endpoint, addr:% = probe.addr; "probe without an answer");
+            false
+        }
+    }
+}
+
+fn apply_changes(core: &Core) {
+    let changes = core.placer.borrow_mut().take_contact_changes();
+    for change in changes {
+        apply(core, &change);
+    }
+}
+
+fn apply(core: &Core, change: &ContactChange) {
+    let silent_ms = change.silent.map(|silent| silent.as_millis());
+    let (broken, overdue) = (change.broken, change.overdue);
+    match (change.before, change.state) {
+        (_, ContactState::Lost) => {
+            let cut_off = core.placer.borrow().is_cut_off();
+            warn!(domain:% = change.domain, silent_ms, broken, overdue, cut_off;
+                "no contact with the endpoints of a failure domain");
+            // Pooled connections there are dead, even if new ones can be opened later.
+            let addrs = core.placer.borrow().endpoint_addrs(&change.domain);
+            addrs
+                .into_iter()
+                .for_each(|addr| core.client.close_idle(addr));
+            core.notify_contact_lost();
+        }
+        (ContactState::Lost, _) => {
+            info!(domain:% = change.domain, silent_ms;
+                "contact with the endpoints of a failure domain again");
+        }
+        _ => {
+            debug!(domain:% = change.domain, state:? = change.state, silent_ms, broken, overdue;
+                "contact with the endpoints of a failure domain");
+        }
+    }
+}
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -4,6 +4,7 @@
 //! All of it lives on one thread. A `RefCell` borrow is never held across an await.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -19,11 +20,14 @@
 };
 use filberthead_ring::Sender;
 use filberthead_route::{CallerBounds, KeyIndex, Matcher, Table};
-use filberthead_types::{Meaning, Moment, ResultCode, ServiceName, Workspace};
+use filberthead_types::{
+    ClusterId, FailureDomain, Meaning, Moment, NodeName, Region, ResultCode, ServiceName, Workspace,
+};
 use log::{Level, debug, info, log_enabled, warn};
 use tokio::sync::watch;
 
 use super::bounds::Bounds;
+use super::relay::Helpers;
 use super::stop::Phase;
 use super::{ControlMessage, ProtocolNames};
 use crate::Clock;
@@ -45,6 +49,9 @@
     pub(crate) placer: Placer,
     pub(crate) limiter: Limiter,
     pub(crate) member: Member,
+    pub(crate) identity: Identity,
+    /// Region of each failure domain.
+    pub(crate) regions: BTreeMap<FailureDomain, Region>,
     pub(crate) out: Sender<Outgoing>,
     pub(crate) phase: watch::Sender<Phase>,
     /// Model of the VM's uplink, if its rate is configured.
@@ -58,6 +65,15 @@
     pub(crate) seeds: watch::Receiver<Vec<SocketAddr>>,
 }
 
+/// Who this gateway is, and where it runs.
+#[derive(Clone, Debug)]
+pub(crate) struct Identity {
+    pub(crate) cluster: ClusterId,
+    pub(crate) gateway: NodeName,
+    pub(crate) domain: FailureDomain,
+    pub(crate) region: Region,
+}
+
 /// The routes in force, ready for matching.
 #[derive(Clone, Debug)]
 pub(crate) struct ActiveRoutes {
@@ -119,6 +135,11 @@
     large_admission: Option<RefCell<LargeResponseAdmission>>,
     /// Compares the uplink's utilisation with other gateways'.
     balancer: RefCell<ConnectionBalancer>,
+    pub(crate) identity: Identity,
+    /// Gateways that requests can be relayed through.
+    pub(crate) helpers: RefCell<Helpers>,
+    /// Number of times that contact with endpoints was lost.
+    contact_losses: watch::Sender<u32>,
     /// State of the protocol with the control replicas.
     member: RefCell<Member>,
     active_routes: RefCell<Option<Rc<ActiveRoutes>>>,
@@ -175,6 +196,9 @@
             link: parts.link.map(RefCell::new),
             large_admission: parts.large_admission.map(RefCell::new),
             balancer: RefCell::default(),
+            helpers: RefCell::new(Helpers::new(&parts.identity, parts.regions)),
+            identity: parts.identity,
+            contact_losses: watch::Sender::new(0),
             member: RefCell::new(parts.member),
             active_routes: RefCell::new(None),
             bounds: watch::Sender::new(None),
@@ -368,6 +392,17 @@
         Some(self.now().saturating_sub(answered_at))
     }
 
+    /// Subscribes to losses of contact with endpoints.
+    pub(crate) fn contact_losses(&self) -> watch::Receiver<u32> {
+        self.contact_losses.subscribe()
+    }
+
+    /// Tells the requests under way that contact with some endpoints is lost.
+    pub(crate) fn notify_contact_lost(&self) {
+        self.contact_losses
+            .send_modify(|losses| *losses = losses.wrapping_add(1));
+    }
+
     /// Subscribes to the request bounds of the active routes.
     pub(crate) fn bounds(&self) -> Bounds {
         self.bounds.subscribe()
@@ -502,6 +537,7 @@
             }
             Update::ReportAnswered => self.limiter.borrow_mut().confirm_report(),
             Update::Ratios(ratios) => self.limiter.borrow_mut().set_ratios(now, from, &ratios),
+            Update::Helpers(list) => self.helpers.borrow_mut().set(list),
             Update::Links(milli) => {
                 let mean = milli.map(|milli| f64::from(milli) / 1000.0);
                 self.balancer.borrow_mut().set_mean_utilisation(now, mean);
@@ -530,6 +566,9 @@
         let ready = *self.phase.borrow() == Phase::Serving;
         member.set_ready(ready);
         self.metrics.set_ready(ready);
+        let is_cut_off = self.placer.borrow().is_cut_off();
+        member.set_helps(ready && !is_cut_off);
+        self.metrics.set_cut_off(is_cut_off);
         self.metrics.set_routes_proven(member.is_proven(now));
         self.metrics.set_running(self.running.get());
         self.log_floor_divisor(self.placer.borrow().floor_divisor(now));
--- a/crates/filberthead/src/gateway/forward.rs
+++ b/crates/filberthead/src/gateway/forward.rs
@@ -7,16 +7,16 @@
 
 use filberthead_endpoint::RequestBody;
 use filberthead_place::{
-    Attempts, BudgetUsage, Decision, EndpointId, Homes, NextAttempt, Object, Refusal,
-    Request as PlacementRequest, RetryDecision, RetryEnd,
+    Attempts, BudgetUsage, Decision, EndpointId, Homes, NextAttempt, Object, Placer, Refusal,
+    Request as PlacementRequest, RetryDecision, RetryEnd, Target,
 };
-use filberthead_route::{Kind, Matched, Route};
-use filberthead_types::{ResultCode, ServiceName, Workspace as WorkspaceName, header};
+use filberthead_route::{Kind, Matched, Route, Target as RouteTarget};
+use filberthead_types::{Moment, ResultCode, ServiceName, Workspace as WorkspaceName, header};
 use http::request::Parts;
 use http::{Request, Response};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use log::info;
+use log::{debug, info};
 use tokio::time::{Instant, timeout_at};
 
 use super::attempt::{Attempt, Job, attempt, header_text};
@@ -25,8 +25,10 @@
 use super::context::{RequestContext, host};
 use super::core::{ActiveRoutes, Core};
 use super::deadline::Deadline;
+use super::relay::{ChosenHelper, RelayHead, is_unhelpful, read_key, relay};
 use super::response::{ResponseBody, gateway_response};
 use super::retry::GrantedRetry;
+use super::serve::Sender;
 
 /// Bodies up to this size in bytes are read before the request is sent, so that it can be
 /// retried. Larger ones are streamed, and sent once.
@@ -70,6 +72,10 @@
     version: u64,
     revision: u64,
     attempts: Attempts,
+    /// Whether another gateway has relayed it. It isn't relayed again.
+    is_relayed: bool,
+    /// Whether so many endpoints couldn't be reached that only another gateway is tried.
+    is_unreached: bool,
     /// The retry that the next attempt is.
     retry: GrantedRetry<'a>,
     /// Response of an endpoint that ran the request and failed. The caller gets it if no further
@@ -77,20 +83,28 @@
     failed_response: Option<Response<ResponseBody>>,
 }
 
-/// Handles a caller's request.
+/// Handles a request of a caller, or one that another gateway relays.
 pub(crate) async fn forward(
     core: &Rc<Core>,
-    caller: SocketAddr,
+    (caller, from): (SocketAddr, Sender),
     req: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let started = Instant::now();
     let (head, body) = req.into_parts();
     let mut ctx = RequestContext::new(core, caller, started, &head);
-    let Some(active_routes) = core.active_routes() else {
+    let relayed = match from {
+        Sender::Caller => None,
+        Sender::Gateway => match read_relay_head(core, &head) {
+            Some(relayed) => Some(relayed),
+            None => return ctx.reject(ResultCode::BadRequest, None),
+        },
+    };
+    let since = relayed.as_ref().map_or(0, |relayed| relayed.revision);
+    let Some(active_routes) = core.active_routes().filter(|r| r.revision >= since) else {
         return ctx.reject(ResultCode::NotReady, Some(RETRY_AFTER_STARTING));
     };
     ctx.routes = Some(&active_routes);
-    if head_bytes(&head) > active_routes.bounds.header_bytes {
+    if relayed.is_none() && head_bytes(&head) > active_routes.bounds.header_bytes {
         return ctx.reject_by_routes(ResultCode::HeadTooLarge);
     }
     let Some(matched) = find_route(&active_routes, &head) else {
@@ -99,11 +113,15 @@
     let route = &matched.route;
     ctx.route = Some(route);
     let api_key = &core.protocol.api_key;
-    let Ok(caller) = Caller::identify(&active_routes, &head.headers, api_key, route.public) else {
+    let identified = match relayed {
+        None => Caller::identify(&active_routes, &head.headers, api_key, route.public),
+        Some(_) => Caller::identify_by(&active_routes, read_key(&head.headers), route.public),
+    };
+    let Ok(caller) = identified else {
         return ctx.reject_by_routes(ResultCode::CallerUnknown);
     };
     let deadline = Deadline::new(started, &head.headers, &core.protocol.deadline_ms, route);
-    let Some(target) = route.targets.get(matched.split.pick()) else {
+    let Some(target) = pick_target(&matched, relayed.as_ref()) else {
         return ctx.reject(ResultCode::NoEndpoint, Some(RETRY_AFTER_STARTING));
     };
     if body.size_hint().lower() > active_routes.bounds.body_bytes {
@@ -114,10 +132,17 @@
         Err(code) => return ctx.reject(code, None),
     };
     let priority = caller.priority().unwrap_or(route.priority);
-    core.placer
-        .borrow_mut()
-        .record_request(core.now(), &target.service, priority);
-    let kind = route.kind.as_str();
+    if relayed.is_none() {
+        let mut placer = core.placer.borrow_mut();
+        placer.record_request(core.now(), &target.service, priority);
+    }
+    let is_retry = match &relayed {
+        None => is_caller_retry(core, &head, route),
+        Some(relayed) => relayed.is_caller_retry,
+    };
+    let attempts_left = relayed
+        .as_ref()
+        .map_or(u32::MAX, |relayed| relayed.attempts);
     let forwarding = Forwarding {
         core,
         route,
@@ -126,23 +151,47 @@
         caller: &caller,
         deadline,
         priority,
-        is_retry: is_caller_retry(core, &head, route),
+        is_retry,
         version: active_routes.version,
         revision: active_routes.revision,
-        attempts: Attempts::new(route.max_attempts),
+        attempts: Attempts::new(route.max_attempts.min(attempts_left)),
+        is_relayed: relayed.is_some(),
+        is_unreached: false,
         retry: GrantedRetry::none(core, &target.service),
         failed_response: None,
     };
     let response = forwarding.run(body).await;
     let code = result_code(&response);
-    core.metrics
-        .record_request(Some(kind), code, started.elapsed());
+    if let Some(relayed) = relayed {
+        debug!(request = header_text(&head.headers, &core.protocol.request_id),
+            gateway:% = relayed.gateway, code:%; "helped another gateway with a request");
+        core.metrics.record_helped(code);
+        return response;
+    }
+    let kind = Some(route.kind.as_str());
+    core.metrics.record_request(kind, code, started.elapsed());
     if let Some(workspace) = caller.workspace() {
         core.record_answer(workspace, code);
     }
     response
 }
 
+/// What another gateway tells about a request that it relays; `None` if it isn't one of this cluster.
+fn read_relay_head(core: &Core, head: &Parts) -> Option<RelayHead> {
+    let relayed = RelayHead::read(&head.headers)?;
+    (relayed.cluster == core.identity.cluster).then_some(relayed)
+}
+
+/// The target that a request goes to. Of a relayed one its sender has chosen the service.
+fn pick_target<'a>(matched: &'a Matched, relayed: Option<&RelayHead>) -> Option<&'a RouteTarget> {
+    let targets = &matched.route.targets;
+    let chosen = relayed.and_then(|relayed| {
+        let mut targets = targets.iter();
+        targets.find(|target| target.service == relayed.service)
+    });
+    chosen.or_else(|| targets.get(matched.split.pick()))
+}
+
 /// The code a response is counted under: that of the gateway's own response, else `Answered`.
 fn result_code(response: &Response<ResponseBody>) -> ResultCode {
     let header = response.headers().get(header::RESULT);
@@ -183,7 +232,11 @@
 impl Forwarding<'_> {
     async fn run(mut self, body: RequestBody) -> Response<ResponseBody> {
         let core = self.core;
-        let mut charge = match Charge::take(core, self.caller) {
+        let charge = match self.is_relayed {
+            true => Ok(Charge::taken_elsewhere(core, self.caller)),
+            false => Charge::take(core, self.caller),
+        };
+        let mut charge = match charge {
             Ok(charge) => charge,
             Err(retry_after) => {
                 return self.final_response(ResultCode::AllotmentUsed, retry_after);
@@ -210,27 +263,109 @@
         if self.is_revoked() {
             return self.reject_revoked();
         }
-        let decision = self.place();
-        let target = match decision {
-            Decision::Send(target) => target,
+        if self.is_unreached {
+            return self.send_around(body, charge, RETRY_AFTER_STARTING).await;
+        }
+        match self.place(Placer::place_in_reach) {
+            Decision::Send(target) => self.attempt(body, &target, charge).await,
+            Decision::Refuse {
+                reason: Refusal::OutOfReach,
+                retry_after,
+            } => self.send_around(body, charge, retry_after).await,
+            Decision::Refuse {
+                reason,
+                retry_after,
+            } => self.refuse(reason, retry_after),
+        }
+    }
+
+    /// Sends the request through another gateway, since this one has no contact with the endpoints
+    /// that may run it. Without such a gateway, one that has failed recently is tried.
+    async fn send_around(
+        &mut self,
+        body: RequestBody,
+        charge: &mut Charge<'_>,
+        retry_after: Duration,
+    ) -> Next {
+        if self.is_relayed {
+            return self.refuse(Refusal::OutOfReach, retry_after);
+        }
+        if let Some(helper) = self.choose_helper() {
+            return self.relay(body, &helper, charge).await;
+        }
+        if self.is_unreached {
+            return self.refuse(Refusal::OutOfReach, retry_after);
+        }
+        match self.place(Placer::place) {
+            Decision::Send(target) => self.attempt(body, &target, charge).await,
             Decision::Refuse {
                 reason,
                 retry_after,
-            } => {
-                return match reason {
-                    // Endpoints exist, but each has refused the request.
-                    Refusal::NoEndpoint if self.attempts.was_refused() => {
-                        self.reject(ResultCode::Overloaded, RETRY_AFTER_REFUSED)
-                    }
-                    Refusal::NoEndpoint => self.reject(ResultCode::NoEndpoint, retry_after),
-                    Refusal::Overloaded => self.reject(ResultCode::Overloaded, retry_after),
-                };
+            } => self.refuse(reason, retry_after),
+        }
+    }
+
+    /// Rejects a request for which there is no endpoint.
+    fn refuse(&mut self, reason: Refusal, retry_after: Duration) -> Next {
+        match reason {
+            // Endpoints exist, but each has refused the request.
+            Refusal::NoEndpoint if self.attempts.was_refused() => {
+                self.reject(ResultCode::Overloaded, RETRY_AFTER_REFUSED)
+            }
+            Refusal::NoEndpoint | Refusal::OutOfReach => {
+                self.reject(ResultCode::NoEndpoint, retry_after)
             }
+            Refusal::Overloaded => self.reject(ResultCode::Overloaded, retry_after),
+        }
+    }
+
+    fn choose_helper(&self) -> Option<ChosenHelper> {
+        let now = self.core.now();
+        let helpers = self.core.helpers.borrow();
+        helpers.choose(now, self.service, self.homes())
+    }
+
+    /// Relays the request through another gateway.
+    async fn relay(
+        &mut self,
+        body: RequestBody,
+        helper: &ChosenHelper,
+        charge: &mut Charge<'_>,
+    ) -> Next {
+        let relayed = RelayHead {
+            cluster: self.core.identity.cluster,
+            gateway: self.core.identity.gateway.clone(),
+            revision: self.revision,
+            service: self.service.clone(),
+            attempts: self.attempts.left(),
+            is_caller_retry: self.is_retry,
         };
-        self.attempts.record_sent(target.id.clone());
+        let id = EndpointId::from(helper.addr.to_string());
+        self.attempts.record_sent(id.clone());
         charge.spend();
         let retry_body = body.try_clone();
-        let job = Job {
+        let job = self.job();
+        let key = self.caller.key();
+        let attempt = relay(self.core, &job, body, helper, (&relayed, key)).await;
+        self.note_helper(helper, &attempt);
+        self.after_attempt(attempt, &id, retry_body, charge)
+    }
+
+    /// Remembers a helper that couldn't be reached, or couldn't help.
+    fn note_helper(&self, helper: &ChosenHelper, attempt: &Attempt) {
+        let now = self.core.now();
+        let mut helpers = self.core.helpers.borrow_mut();
+        match attempt {
+            Attempt::NotSent(_) | Attempt::Lost => helpers.record_unreachable(now, helper.addr),
+            Attempt::Rejected { code, .. } if is_unhelpful(*code) => {
+                helpers.record_without(now, helper.addr, self.service);
+            }
+            _ => {}
+        }
+    }
+
+    fn job(&self) -> Job<'_> {
+        Job {
             route: &self.route.name,
             head: self.head,
             workspace: self.caller.workspace(),
@@ -239,8 +374,32 @@
             deadline: self.deadline,
             number: self.attempts.made(),
             retry: &self.retry,
-        };
-        match attempt(self.core, &job, body, &target).await {
+        }
+    }
+
+    /// Sends the request to an endpoint.
+    async fn attempt(
+        &mut self,
+        body: RequestBody,
+        target: &Target,
+        charge: &mut Charge<'_>,
+    ) -> Next {
+        self.attempts.record_sent(target.id.clone());
+        charge.spend();
+        let retry_body = body.try_clone();
+        let job = self.job();
+        let attempt = attempt(self.core, &job, body, target).await;
+        self.after_attempt(attempt, &target.id, retry_body, charge)
+    }
+
+    fn after_attempt(
+        &mut self,
+        attempt: Attempt,
+        to: &EndpointId,
+        retry_body: Option<RequestBody>,
+        charge: &mut Charge<'_>,
+    ) -> Next {
+        match attempt {
             Attempt::Answered(response) => Next::respond(response),
             Attempt::NotSent(body) => {
                 charge.restore();
@@ -250,16 +409,34 @@
                 charge.restore();
                 self.after_not_run(load_reported, retry_body, charge)
             }
+            Attempt::Rejected { code, retry_after } => {
+                charge.restore();
+                self.after_rejection(code, retry_after, retry_body)
+            }
             Attempt::Failed(response) => self.after_failure(response, retry_body, charge),
-            Attempt::Lost => self.after_loss(&target.id, retry_body, charge),
+            Attempt::Lost => self.after_loss(to, retry_body, charge),
             Attempt::TimedOut => {
                 self.attempts.record_ran();
-                self.log_attempt("deadline passed before the endpoint responded", &target.id);
+                self.log_attempt("deadline passed before the endpoint responded", to);
                 Next::respond(gateway_response(ResultCode::DeadlineWhileRunning, None))
             }
         }
     }
 
+    /// The gateway that it was relayed through hasn't sent it to an endpoint, or none has run it.
+    fn after_rejection(
+        &mut self,
+        code: ResultCode,
+        retry_after: Duration,
+        retry_body: Option<RequestBody>,
+    ) -> Next {
+        let further = self.attempts.record_unreachable();
+        match retry_body.filter(|_| is_unhelpful(code) && further == NextAttempt::Allowed) {
+            Some(body) => Next::Retry(body),
+            None => self.reject(code, retry_after),
+        }
+    }
+
     /// Whether newer routes have taken the key away that the caller was identified by.
     fn is_revoked(&self) -> bool {
         let routes = self.core.active_routes();
@@ -276,8 +453,18 @@
         }
     }
 
+    fn homes(&self) -> Homes<'_> {
+        Homes {
+            route: &self.route.regions,
+            workspace: self.caller.regions(),
+        }
+    }
+
     /// Chooses an endpoint.
-    fn place(&self) -> Decision {
+    fn place(
+        &self,
+        place: impl FnOnce(&mut Placer, Moment, PlacementRequest<'_>) -> Decision,
+    ) -> Decision {
         let object = self.head.headers.get(&self.core.protocol.affinity_key);
         let object = object.map(|value| value.as_bytes());
         let request = PlacementRequest {
@@ -291,20 +478,21 @@
             remaining: self.deadline.remaining(),
             priority: self.priority,
             is_caller_retry: self.is_retry,
-            homes: Homes {
-                route: &self.route.regions,
-                workspace: self.caller.regions(),
-            },
+            homes: self.homes(),
             excluded: self.attempts.excluded(),
         };
         let now = self.core.now();
-        self.core.placer.borrow_mut().place(now, request)
+        place(&mut self.core.placer.borrow_mut(), now, request)
     }
 
     /// The endpoint couldn't be reached.
     fn after_unreached(&mut self, body: RequestBody) -> Next {
         match self.attempts.record_unreachable() {
             NextAttempt::Allowed => Next::Retry(body),
+            NextAttempt::Exhausted if !self.is_relayed && !self.is_unreached => {
+                self.is_unreached = true;
+                Next::Retry(body)
+            }
             NextAttempt::Exhausted => self.reject(ResultCode::NoEndpoint, RETRY_AFTER_STARTING),
         }
     }
--- a/crates/filberthead/src/gateway/mod.rs
+++ b/crates/filberthead/src/gateway/mod.rs
@@ -7,6 +7,8 @@
 //! - `readiness` serves the platform's readiness probe and the metrics;
 //! - `peer-send` and the transport's own threads send and receive messages.
 //!
+//! A gateway without contact to endpoints relays requests through others; see [`relay`].
+//!
 //! Caller and endpoint connections share one thread on purpose: a request would otherwise cross
 //! threads twice, and on a VM with a fraction of a core each crossing costs a wake-up and gains
 //! nothing.
@@ -14,12 +16,14 @@
 mod attempt;
 mod bounds;
 mod caller;
+mod contact;
 mod context;
 mod core;
 mod deadline;
 mod forward;
 mod protocol;
 mod readiness;
+mod relay;
 mod response;
 mod retry;
 mod serve;
@@ -42,7 +46,7 @@
 use snafu::{ResultExt, Snafu};
 use tokio::sync::watch;
 
-use self::core::{Core, CoreParts};
+use self::core::{Core, CoreParts, Identity};
 pub use self::protocol::ProtocolNames;
 use self::stop::{Phase, PlannedStop};
 use crate::ready::announce;
@@ -123,6 +127,7 @@
     transport: Transport,
     inbox: Receiver<ControlMessage>,
     callers: TcpListener,
+    relay: TcpListener,
     readiness: TcpListener,
     status: TcpListener,
 }
@@ -156,6 +161,7 @@
     let ready = [
         ("caller", local_addr(&sockets.callers)?),
         ("peer", sockets.transport.addr()),
+        ("relay", local_addr(&sockets.relay)?),
         ("readiness", local_addr(&sockets.readiness)?),
         ("status", local_addr(&sockets.status)?),
     ];
@@ -187,6 +193,7 @@
         transport,
         inbox: rx,
         callers: listen(cfg.caller_listen)?,
+        relay: listen(cfg.relay_listen)?,
         readiness: listen(cfg.readiness_listen)?,
         status: listen(cfg.status_listen)?,
     })
@@ -233,11 +240,16 @@
         replica: None,
     };
     let outbox = sockets.transport.outbox(cluster_id(&cfg.cluster), origin);
+    let relay_addr = match cfg.relay_advertise {
+        Some(addr) => addr,
+        None => relay_addr(local_addr(&sockets.relay)?, peer_addr),
+    };
     let info = GatewayInfo {
         name: cfg.node.clone(),
         region: cfg.region.clone(),
         domain: cfg.failure_domain.clone(),
         caller_addr,
+        relay_addr,
     };
     let metrics = Arc::new(GatewayMetrics::new());
     let probes = readiness::Probes {
@@ -257,6 +269,13 @@
             unreserved: cfg.budgets.allotment_slack,
         }),
         member: Member::new(info, cfg.seeds.clone(), rand::random()),
+        identity: Identity {
+            cluster: cluster_id(&cfg.cluster),
+            gateway: cfg.node.clone(),
+            domain: cfg.failure_domain.clone(),
+            region: cfg.region.clone(),
+        },
+        regions: cfg.regions.clone(),
         out,
         phase,
         connections,
@@ -267,11 +286,15 @@
         metrics,
         seeds: seed_updates.subscribe(),
     };
-    let (callers, rx) = (sockets.callers, sockets.inbox);
+    let listeners = serve::Listeners {
+        callers: sockets.callers,
+        relay: sockets.relay,
+    };
+    let rx = sockets.inbox;
     let stopping = stop.clone();
     let requests = move || async move {
         let core = Core::new(parts);
-        serve::run(core, callers, rx, stopping).await;
+        serve::run(core, listeners, rx, stopping).await;
     };
     let duties = vec![
         peers::spawn(sockets.transport, outbox, out_rx, stop.clone()).context(DutySnafu)?,
@@ -281,6 +304,14 @@
     Ok(duties)
 }
 
+/// The address for other gateways: that of peer messages, unless the listener has one of its own.
+fn relay_addr(listening: SocketAddr, peer: SocketAddr) -> SocketAddr {
+    match listening.ip().is_unspecified() {
+        true => SocketAddr::new(peer.ip(), listening.port()),
+        false => listening,
+    }
+}
+
 fn placement_config(cfg: &GatewaySettings) -> Config {
     Config {
         gateway: cfg.node.clone(),
--- /dev/null
+++ b/crates/filberthead/src/gateway/relay/head.rs
@@ -0,0 +1,115 @@
+//! Headers of a relayed request.
+
+use std::fmt;
+use std::str::FromStr;
+
+use filberthead_route::KeyDigest;
+use filberthead_types::{ClusterId, NodeName, ServiceName, header};
+use http::{HeaderMap, HeaderName};
+
+use crate::gateway::attempt::header_text;
+
+/// Holds a [`RelayHead`].
+pub(crate) const RELAY: HeaderName = HeaderName::from_static(header::RELAY);
+/// Holds the digest of the caller's key. The key itself never leaves the gateway that it was sent to.
+pub(crate) const RELAYED_KEY: HeaderName = HeaderName::from_static(header::RELAYED_KEY);
+
+/// What a helper needs to know of a relayed request beside its head and its caller's key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct RelayHead {
+    /// The sender's cluster.
+    pub(crate) cluster: ClusterId,
+    /// Name of the sender, for logs.
+    pub(crate) gateway: NodeName,
+    /// Revision of the routes that the request was matched against. Older ones mustn't be used.
+    pub(crate) revision: u64,
+    /// The service that was chosen among the targets of its route.
+    pub(crate) service: ServiceName,
+    /// Endpoints that it may still be sent to.
+    pub(crate) attempts: u32,
+    /// Whether an earlier attempt of the caller has used part of its deadline.
+    pub(crate) is_caller_retry: bool,
+}
+
+impl RelayHead {
+    /// Reads it from a request; `None` if it is missing or invalid.
+    pub(crate) fn read(headers: &HeaderMap) -> Option<Self> {
+        header_text(headers, &RELAY).parse().ok()
+    }
+}
+
+/// Digest of the caller's key in a relayed request; `None` if it has none.
+pub(crate) fn read_key(headers: &HeaderMap) -> Option<KeyDigest> {
+    KeyDigest::from_hex(header_text(headers, &RELAYED_KEY))
+}
+
+impl fmt::Display for RelayHead {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            cluster,
+            gateway,
+            revision,
+            service,
+            attempts,
+            is_caller_retry,
+        } = self;
+        write!(
+            f,
+            "{cluster} {gateway} {revision} {service} {attempts} {is_caller_retry}"
+        )
+    }
+}
+
+/// The text isn't a [`RelayHead`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct InvalidRelayHead;
+
+impl FromStr for RelayHead {
+    type Err = InvalidRelayHead;
+
+    fn from_str(text: &str) -> Result<Self, InvalidRelayHead> {
+        let words: Vec<&str> = text.split(' ').collect();
+        let [
+            cluster,
+            gateway,
+            revision,
+            service,
+            attempts,
+            is_caller_retry,
+        ] = words[..]
+        else {
+            return Err(InvalidRelayHead);
+        };
+        Ok(Self {
+            cluster: word(cluster)?,
+            gateway: word(gateway)?,
+            revision: word(revision)?,
+            service: word(service)?,
+            attempts: word(attempts)?,
+            is_caller_retry: word(is_caller_retry)?,
+        })
+    }
+}
+
+fn word<T: FromStr>(text: &str) -> Result<T, InvalidRelayHead> {
+    text.parse().map_err(|_| InvalidRelayHead)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_relay_head_is_read_as_it_is_written() {
+        let head = RelayHead {
+            cluster: ClusterId(7),
+            gateway: "gateway-1".parse().expect("a name"),
+            revision: 12,
+            service: "orders".parse().expect("a name"),
+            attempts: 2,
+            is_caller_retry: true,
+        };
+        assert_eq!(head.to_string().parse(), Ok(head));
+        assert_eq!("7 gateway-1".parse::<RelayHead>(), Err(InvalidRelayHead));
+    }
+}
--- /dev/null
+++ b/crates/filberthead/src/gateway/relay/mod.rs
@@ -0,0 +1,17 @@
+//! Relays requests through another gateway while this one has no contact with the endpoints that may
+//! run them.
+//!
+//! The other gateway, the *helper*, handles a relayed request like one of its own callers', with these
+//! exceptions: it relays it no further, so there is one hop and no circle; the sender has counted it as
+//! a first attempt and charged it to the allotment of its workspace; and the sender says how many
+//! attempts are left, which service it chose and which routes it knows. What the helper answers
+//! tells the sender whether the request may have run. A connection that breaks after the request was
+//! sent tells nothing, so a request that may run only once isn't sent again.
+
+mod head;
+mod helpers;
+mod send;
+
+pub(crate) use head::{RELAY, RELAYED_KEY, RelayHead, read_key};
+pub(crate) use helpers::{ChosenHelper, Helpers};
+pub(crate) use send::{is_unhelpful, relay};
--- a/crates/filberthead/src/gateway/serve.rs
+++ b/crates/filberthead/src/gateway/serve.rs
@@ -1,4 +1,4 @@
-//! Accepts callers' connections and runs the event loop of the requests duty.
+//! Accepts connections of callers and other gateways, and runs the event loop of the requests duty.
 
 use std::convert::Infallible;
 use std::net::{SocketAddr, TcpListener};
@@ -16,11 +16,13 @@
 use log::{debug, info, warn};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::task::{JoinHandle, spawn_local};
 use tokio::time::{MissedTickBehavior, interval, sleep};
 
 use super::ControlMessage;
 use super::attempt::TYPICAL_HEAD_BYTES;
 use super::bounds::{IdleTimer, MAX_HEADER_LINES, head_buffer_size, head_limit_raised};
+use super::contact;
 use super::core::Core;
 use super::forward::forward;
 use super::response::ResponseBody;
@@ -32,26 +34,53 @@
 /// Pause after a failed accept, which usually means that no file descriptors are left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Bytes that the headers of a relayed request may add to its caller's.
+const RELAY_HEAD_BYTES: usize = 1024;
+
+/// Where requests are accepted.
+pub(crate) struct Listeners {
+    /// From callers.
+    pub(crate) callers: TcpListener,
+    /// From gateways that relay them.
+    pub(crate) relay: TcpListener,
+}
+
+/// Who sends requests on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Sender {
+    /// A caller.
+    Caller,
+    /// Another gateway, which relays those of its callers.
+    Gateway,
+}
+
 /// Runs until the process stops.
 pub(crate) async fn run(
     core: Rc<Core>,
-    callers: TcpListener,
+    listeners: Listeners,
     mut rx: Receiver<ControlMessage>,
     mut stop: Stop,
 ) {
-    let accepting = match tokio::net::TcpListener::from_std(callers) {
-        Ok(listener) => tokio::task::spawn_local(accept(Rc::clone(&core), listener)),
-        Err(e) => {
-            log::error!(error:% = e; "can't listen for callers");
+    let callers = tokio::net::TcpListener::from_std(listeners.callers);
+    let relay = tokio::net::TcpListener::from_std(listeners.relay);
+    let (callers, relay) = match (callers, relay) {
+        (Ok(callers), Ok(relay)) => (callers, relay),
+        (Err(e), _) | (_, Err(e)) => {
+            log::error!(error:% = e; "can't listen for requests");
             return;
         }
     };
+    let accepting = [(callers, Sender::Caller), (relay, Sender::Gateway)]
+        .map(|(listener, from)| spawn_local(accept(Rc::clone(&core), listener, from)));
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut phase = core.phase();
     loop {
         tokio::select! {
-            _ = ticks.tick() => core.tick(),
+            _ = ticks.tick() => {
+                core.tick();
+                contact::check(&core);
+            }
             message = rx.recv() => match message {
                 Some(message) => core.handle_message(message),
                 None => break,
@@ -59,21 +88,21 @@
             // A phase change is reported at once, so that callers are sent to other gateways.
             _ = phase.changed() => {
                 if *phase.borrow_and_update() >= Phase::Ending {
-                    accepting.abort();
+                    accepting.iter().for_each(JoinHandle::abort);
                 }
                 core.tick();
             }
             () = stop.wait() => break,
         }
     }
-    accepting.abort();
+    accepting.iter().for_each(JoinHandle::abort);
 }
 
-async fn accept(core: Rc<Core>, listener: tokio::net::TcpListener) {
+async fn accept(core: Rc<Core>, listener: tokio::net::TcpListener, from: Sender) {
     loop {
         match listener.accept().await {
-            Ok((stream, caller)) => {
-                tokio::task::spawn_local(serve_connection(Rc::clone(&core), stream, caller));
+            Ok((stream, addr)) => {
+                spawn_local(serve_connection(Rc::clone(&core), stream, (addr, from)));
             }
             Err(e) => {
                 warn!(error:% = e; "a connection can't be accepted");
@@ -83,20 +112,24 @@
     }
 }
 
-/// Serves a caller's connection until it is closed or has to be replaced.
-async fn serve_connection(core: Rc<Core>, stream: TcpStream, caller: SocketAddr) {
+/// Serves a connection until it is closed or has to be replaced.
+async fn serve_connection(core: Rc<Core>, stream: TcpStream, (caller, from): (SocketAddr, Sender)) {
     let _guard = core.track_connection();
     if let Err(e) = stream.set_nodelay(true) {
         debug!(caller:%, error:% = e; "can't set TCP_NODELAY on a caller's connection");
         return;
     }
     let mut bounds = core.bounds();
-    let buffer_size = head_buffer_size(&bounds);
+    let added = match from {
+        Sender::Caller => 0,
+        Sender::Gateway => RELAY_HEAD_BYTES,
+    };
+    let buffer_size = head_buffer_size(&bounds) + added;
     let mut phase = core.phase();
     let shared = Rc::clone(&core);
     let service = service_fn(move |req| {
         let core = Rc::clone(&shared);
-        async move { Ok::<_, Infallible>(respond(&core, caller, req).await) }
+        async move { Ok::<_, Infallible>(respond(&core, (caller, from), req).await) }
     });
     let serving = http1::Builder::new()
         .timer(IdleTimer(bounds.clone()))
@@ -155,16 +188,20 @@
 /// Handles one request, and closes the connection after it if necessary.
 async fn respond(
     core: &Rc<Core>,
-    caller: SocketAddr,
+    (caller, from): (SocketAddr, Sender),
     req: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let guard = core.track_request();
-    let mut response = forward(core, caller, req).await;
+    let mut response = forward(core, (caller, from), req).await;
     drop(guard);
     if let ResponseBody::Buffered(body) = response.body() {
         core.record_sent(TYPICAL_HEAD_BYTES + body.len());
     }
-    if core.should_close_connection() {
+    let closes = match from {
+        Sender::Caller => core.should_close_connection(),
+        Sender::Gateway => core.is_leaving(),
+    };
+    if closes {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/crates/observe/src/metrics/gateway.rs
+++ b/crates/observe/src/metrics/gateway.rs
@@ -25,6 +25,14 @@
     result: &'static str,
 }
 
+/// Labels of requests of other gateways.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct CodeLabels {
+    code: u16,
+    result: &'static str,
+}
+
 /// Labels of finished requests of a workspace.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
@@ -56,6 +64,10 @@
     workspace_requests: Family<WorkspaceLabels, Counter>,
     workspaces: BoundedValues<String>,
     attempts: Family<ReasonLabels, Counter>,
+    relayed: Family<ReasonLabels, Counter>,
+    helped: Family<CodeLabels, Counter>,
+    contact_probes: Family<ReasonLabels, Counter>,
+    cut_off: Gauge,
     retries: Family<RetryLabels, Counter>,
     services: BoundedValues<String>,
     floor_divisor: Gauge,
@@ -84,6 +96,10 @@
             workspace_requests: Family::default(),
             workspaces: BoundedValues::new(MAX_WORKSPACES),
             attempts: Family::default(),
+            relayed: Family::default(),
+            helped: Family::default(),
+            contact_probes: Family::default(),
+            cut_off: Gauge::default(),
             retries: Family::default(),
             services: BoundedValues::new(MAX_SERVICES),
             floor_divisor: Gauge::default(),
@@ -117,6 +133,18 @@
         );
         let attempts = "Attempts at endpoints by how they ended";
         registry.register("gateway_attempts", attempts, self.attempts.clone());
+        let relayed = "Attempts to relay a request through another gateway by how they ended";
+        registry.register("gateway_relayed", relayed, self.relayed.clone());
+        let helped = "Requests that other gateways relayed through this one, by result code";
+        registry.register("gateway_helped", helped, self.helped.clone());
+        let probes = "Probes of endpoints in failure domains without contact, by outcome";
+        registry.register(
+            "gateway_contact_probes",
+            probes,
+            self.contact_probes.clone(),
+        );
+        let cut_off = "1 while there is no contact with any endpoint";
+        registry.register("gateway_cut_off", cut_off, self.cut_off.clone());
         let retries = "Retries granted and refused by the budget, by service, other beyond the first \
             256";
         registry.register("gateway_retries", retries, self.retries.clone());
@@ -176,6 +204,33 @@
         self.attempts.get_or_create_owned(&labels).inc();
     }
 
+    /// Counts an attempt to relay a request through another gateway, by its outcome.
+    pub fn record_relayed(&self, outcome: &'static str) {
+        let labels = ReasonLabels { reason: outcome };
+        self.relayed.get_or_create_owned(&labels).inc();
+    }
+
+    /// Counts a request that another gateway relayed through this one.
+    pub fn record_helped(&self, code: ResultCode) {
+        let labels = CodeLabels {
+            code: code.number(),
+            result: code.slug(),
+        };
+        self.helped.get_or_create_owned(&labels).inc();
+    }
+
+    /// Counts a probe of an endpoint in a failure domain without contact.
+    pub fn record_contact_probe(&self, answered: bool) {
+        let reason = if answered { "answered" } else { "unanswered" };
+        let labels = ReasonLabels { reason };
+        self.contact_probes.get_or_create_owned(&labels).inc();
+    }
+
+    /// Sets whether there is no contact with any endpoint.
+    pub fn set_cut_off(&self, cut_off: bool) {
+        self.cut_off.set(cut_off.into());
+    }
+
     /// Counts a retry that the budget of its service granted or refused.
     pub fn record_retry(&self, service: &ServiceName, is_granted: bool) {
         let name = service.as_str().to_owned();
--- a/crates/route/src/workspace.rs
+++ b/crates/route/src/workspace.rs
@@ -24,6 +24,18 @@
         digest.copy_from_slice(&Sha256::digest(key)[..DIGEST_BYTES]);
         Self(digest)
     }
+
+    /// The digest as hexadecimal digits, for messages between gateways.
+    pub fn to_hex(self) -> String {
+        format!("{:032x}", u128::from_be_bytes(self.0))
+    }
+
+    /// Reads what [`to_hex`](Self::to_hex) returns.
+    pub fn from_hex(text: &str) -> Option<Self> {
+        let digits = text.len() == 2 * DIGEST_BYTES;
+        let number = u128::from_str_radix(text, 16).ok().filter(|_| digits)?;
+        Some(Self(number.to_be_bytes()))
+    }
 }
 
 /// Prints nothing of the digest: with it, a guessed key could be verified.
--- a/crates/testing/src/site/mod.rs
+++ b/crates/testing/src/site/mod.rs
@@ -446,15 +446,18 @@
 
     fn new_gateway(&self, number: usize) -> Node {
         let name = format!("gateway-{number}");
-        let keys = &["peer", "caller"];
+        let keys = &["peer", "caller", "relay"];
         let program = &self.builder.programs.gateway;
         let place = self.place(&self.builder.gateway_places, number);
         let node = self.node(&name, place, "gateway", program, keys);
         let mut node = self.without_lookups(node, "caller");
         let (peer, caller) = (node.addr("peer"), node.addr("caller"));
+        let relay = node.addr("relay");
         node.settings()
             .set("peers", "listen", ANY_PORT)
             .set("peers", "advertise", peer)
+            .set("relay", "listen", ANY_PORT)
+            .set("relay", "advertise", relay)
             .set("callers", "listen", ANY_PORT)
             .set("callers", "advertise", caller)
             .set("readiness", "listen", ANY_PORT)
--- a/crates/testing/src/soak/deployed/contact.rs
+++ b/crates/testing/src/soak/deployed/contact.rs
@@ -53,10 +53,11 @@
     }
 }
 
-/// First tries during a cut at the gateways cut off, and at the others. `disturbed` are the times of other
-/// faults of processes.
+/// First tries during a cut at the gateways cut off, and at those that weren't cut off in any of `cuts`.
+/// `disturbed` are the times of other faults of processes.
 pub fn tries_during(
     cut: &EndpointCut,
+    cuts: &[EndpointCut],
     requests: &[CallerRequest],
     disturbed: &[(Instant, Instant)],
 ) -> (Tries, Tries) {
@@ -65,14 +66,20 @@
             |(from, to): &(Instant, Instant)| at + TRY_LASTS < *from || at >= *to + CONTACT;
         at >= cut.from + CONTACT && at + TRY_LASTS / 2 < cut.to && disturbed.iter().all(is_calm)
     };
+    let is_cut_off = |request: &CallerRequest| {
+        let mut lasting = cuts.iter().filter(|other| {
+            request.sent + TRY_LASTS >= other.from && request.sent < other.to + CONTACT
+        });
+        lasting.any(|other| other.gateways.contains(&request.gateway))
+    };
     let mut tries = (Tries::default(), Tries::default());
     let first = requests.iter().filter(|request| request.id.ends_with("-0"));
     for request in first.filter(|request| counts(request.sent)) {
-        let of_side = match cut.gateways.contains(&request.gateway) {
-            true => &mut tries.0,
-            false => &mut tries.1,
-        };
-        of_side.record(request);
+        if cut.gateways.contains(&request.gateway) {
+            tries.0.record(request);
+        } else if !is_cut_off(request) {
+            tries.1.record(request);
+        }
     }
     tries
 }
@@ -84,7 +91,7 @@
     disturbed: &[(Instant, Instant)],
 ) -> Vec<Violation> {
     let unserved = |cut: &EndpointCut| {
-        let (cut_off, others) = tries_during(cut, requests, disturbed);
+        let (cut_off, others) = tries_during(cut, cuts, requests, disturbed);
         let violation = || Violation::CutOffGatewaysDontServe {
             gateways: cut.gateways.clone(),
             served: cut_off.served,
--- a/crates/testing/src/soak/deployed/runner.rs
+++ b/crates/testing/src/soak/deployed/runner.rs
@@ -430,7 +430,7 @@
         let requests = &history.requests;
         self.violations
             .extend(find_unserved(&self.cuts, requests, &self.disturbed));
-        let tries = |cut| tries_during(cut, requests, &self.disturbed);
+        let tries = |cut| tries_during(cut, &self.cuts, requests, &self.disturbed);
         let cuts = self.cuts.iter().map(tries).collect();
         let cold = self.check_cold(&records);
         if !self.violations.is_empty() {
--- a/crates/testing/tests/contact.rs
+++ b/crates/testing/tests/contact.rs
@@ -70,8 +70,24 @@
     let from = Instant::now();
     let mut requests = tries(1, from, Duration::from_secs(5), 0);
     requests[0].id = "c1-0-1".to_owned();
-    let (cut_off, others) = tries_during(&cut(from), &requests, &[]);
+    let cut = cut(from);
+    let (cut_off, others) = tries_during(&cut, &[], &requests, &[]);
     let sent = TRIES - 1;
     assert_eq!(cut_off, Tries { sent, served: 0 });
     assert_eq!(others, Tries::default());
 }
+
+#[test]
+fn gateways_in_another_cut_are_no_standard() {
+    let from = Instant::now();
+    let after = Duration::from_secs(5);
+    let other = EndpointCut {
+        gateways: vec![2],
+        ..cut(from)
+    };
+    let mut requests = tries(0, from, after, TRIES);
+    requests.extend(tries(2, from, after, 0));
+    let (_, others) = tries_during(&cut(from), &[cut(from), other], &requests, &[]);
+    let (sent, served) = (TRIES, TRIES);
+    assert_eq!(others, Tries { sent, served });
+}
--- a/tests/all/contact.rs
+++ b/tests/all/contact.rs
@@ -6,15 +6,22 @@
 
 use filberthead_testing::client::Call;
 use filberthead_testing::proxy::Flow;
-use filberthead_testing::site::{HOST, Site};
-use filberthead_testing::wait_until;
+use filberthead_testing::site::{HOST, Site, SiteEndpoint, is_answer};
+use filberthead_testing::{eventually, wait_until};
 
 use crate::groups::site;
 
 const BOUND: Duration = Duration::from_secs(60);
-const SERVICES: &[(&str, &str)] = &[("orders", "unsafe"), ("catalogue", "safe")];
+const SERVICES: &[(&str, &str)] = &[
+    ("orders", "unsafe"),
+    ("catalogue", "safe"),
+    ("lessons", "download"),
+];
 const DOMAINS: [&str; 2] = ["zagreb-a", "split-a"];
 const GATEWAYS: usize = 4;
+/// The gateway that is cut off in tests of a single one, and the nearest other one.
+const CUT_OFF: usize = 0;
+const HELPER: usize = 2;
 /// Time from the beginning of a cut after which callers must be served, as promised to operators.
 const CONTACT: Duration = Duration::from_secs(4);
 /// How long requests are counted from then on.
@@ -82,12 +89,16 @@
     let number = id.bytes().map(usize::from).sum::<usize>();
     let (service, kind) = SERVICES[number % SERVICES.len()];
     let method = if kind == "unsafe" { "POST" } else { "GET" };
-    let call = Call::new(method, &format!("/{service}/{number}"))
+    let call = call(method, &format!("/{service}/{number}"), id, DEADLINE_MS);
+    matches!(site.request(gateway, &call), Ok(answer) if answer.status == 200)
+}
+
+fn call(method: &str, path: &str, id: &str, deadline_ms: u64) -> Call {
+    Call::new(method, path)
         .header("host", HOST)
         .header("x-request-id", id)
-        .header("x-deadline-ms", &DEADLINE_MS.to_string())
-        .bound(Duration::from_millis(DEADLINE_MS + 200));
-    matches!(site.request(gateway, &call), Ok(answer) if answer.status == 200)
+        .header("x-deadline-ms", &deadline_ms.to_string())
+        .bound(Duration::from_millis(deadline_ms + 200))
 }
 
 /// Sends requests to all gateways at a fixed rate, whether earlier ones were answered or not, while a
@@ -182,3 +193,99 @@
 fn a_failure_domain_without_endpoints_serves_its_callers() {
     check_cut(&[0, 2], Flow::Hold);
 }
+
+/// A site whose first gateway is cut off, and relays its requests.
+fn start_relaying() -> Site {
+    let site = start();
+    set_links(&site, &[CUT_OFF], Flow::Hold);
+    let mut number = 0;
+    wait_until("requests are relayed", BOUND, || {
+        number += 1;
+        let served = serves(&site, CUT_OFF, &format!("relayed-{number}"));
+        served && site.gateways[CUT_OFF].metric("gateway_cut_off") > 0.0
+    });
+    site
+}
+
+/// How often endpoints ran a request.
+fn runs(site: &Site, id: &str) -> usize {
+    let ran = site.endpoints.iter().flat_map(SiteEndpoint::ran);
+    ran.filter(|ran| ran == id).count()
+}
+
+fn run_for(site: &Site, run_time: Duration) {
+    for endpoint in &site.endpoints {
+        endpoint.set_run_time(run_time);
+    }
+}
+
+/// The gateway that an order was relayed through dies while it runs, so nobody knows its outcome.
+#[test]
+fn a_relayed_order_whose_helper_dies_runs_once() {
+    let mut site = start_relaying();
+    run_for(&site, Duration::from_secs(3));
+    let order = call("POST", "/orders/1", "order", 8_000);
+    let addr = site.gateways[CUT_OFF].addr("caller");
+    let sent = thread::spawn(move || order.send(addr));
+    wait_until("the order runs", BOUND, || runs(&site, "order") == 1);
+    site.gateways[HELPER].kill();
+    let answer = sent.join().expect("no panic").expect("an answer");
+    assert_eq!(answer.status, 502);
+    assert_eq!(runs(&site, "order"), 1);
+}
+
+/// A caller's leaving didn't pass the first gateway, and the endpoint worked on for nobody.
+#[test]
+fn a_caller_that_leaves_ends_its_relayed_request() {
+    let site = start_relaying();
+    run_for(&site, Duration::from_secs(30));
+    let read = call("GET", "/catalogue/1", "left", 20_000);
+    let bound = Duration::from_millis(600);
+    assert!(site.request(CUT_OFF, &read.bound(bound)).is_err());
+    wait_until("its endpoint stops", BOUND, || {
+        let mut dropped = site.endpoints.iter().flat_map(SiteEndpoint::dropped);
+        dropped.any(|id| id == "left")
+    });
+}
+
+/// Longer than what a gateway buffers, so it streams through both.
+#[test]
+fn a_long_download_passes_both_gateways_whole() {
+    let site = start_relaying();
+    let path = "/lessons/1?bytes=2500000";
+    let answer = site.request(CUT_OFF, &call("GET", path, "download", 20_000));
+    let answer = answer.expect("an answer");
+    assert_eq!(answer.status, 200);
+    assert!(is_answer("GET", path, b"", &answer.body));
+}
+
+/// A helper is stopped as planned, and its connections to other gateways end.
+#[test]
+fn a_helper_that_stops_loses_no_relayed_request() {
+    let mut site = start_relaying();
+    site.gateways[HELPER].process().terminate();
+    let ends = Instant::now() + Duration::from_secs(4);
+    let mut number = 0;
+    while Instant::now() < ends {
+        number += 1;
+        let id = format!("during-stop-{number}");
+        assert!(serves(&site, CUT_OFF, &id), "{id}");
+    }
+}
+
+/// Every gateway is cut off, so there is no way around.
+#[test]
+fn requests_that_nobody_can_serve_are_refused_at_once() {
+    let site = start();
+    set_links(&site, &[0, 1, 2, 3], Flow::Hold);
+    let mut number = 0;
+    let answer = eventually("a refusal", BOUND, || {
+        number += 1;
+        let id = format!("order-{number}");
+        let answer = site.request(CUT_OFF, &call("POST", "/orders/1", &id, DEADLINE_MS));
+        answer.ok().filter(|answer| answer.status == 503)
+    });
+    let after: f64 = answer.header("retry-after").parse().expect("a time");
+    assert!(after > 0.0);
+    assert_eq!(runs(&site, &format!("order-{number}")), 0);
+}
--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -62,6 +62,12 @@
 /// Duration of that soak, and the mean time between its faults.
 const LATE_RETRIES: (Duration, Duration) = (Duration::from_secs(45), Duration::from_secs(22));
 
+/// Seeds in which a gateway's connections to endpoints are reset, and those of both gateways of a
+/// failure domain hang, while routes change.
+const ENDPOINT_CUT_SEEDS: [u64; 2] = [5202, 5207];
+/// Duration of these soaks, and the mean time between their faults.
+const ENDPOINT_CUTS: (Duration, Duration) = (Duration::from_secs(44), Duration::from_secs(12));
+
 fn programs() -> SitePrograms {
     SitePrograms {
         control: PathBuf::from(env!("CARGO_BIN_EXE_filberthead-control")),
@@ -162,3 +168,26 @@
     // Without any retry the check above would hold trivially.
     assert!(report.retries.iter().any(|r| r.total > 0), "{report}");
 }
+
+/// Gateways without contact to endpoints refused their callers, though others reached them all.
+#[test]
+fn callers_of_gateways_cut_off_from_endpoints_are_served() {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("config/soak/eight-gateways.ini");
+    let deployment = Deployment::load(&file).expect("a valid description");
+    let kinds = [TroubleKind::GatewaysCutOffFromEndpoints];
+    let programs = SoakPrograms {
+        site: programs(),
+        endpoint: endpoint_program(),
+    };
+    for seed in ENDPOINT_CUT_SEEDS {
+        let plan = DeployedPlan::new(seed, deployment.clone(), ENDPOINT_CUTS, &kinds);
+        let report = run_deployed(&programs, &plan);
+        println!("{report}");
+        assert!(report.violations.is_empty(), "{report}");
+        // Without tries there the check above would hold trivially.
+        assert!(
+            report.cuts.iter().any(|(cut_off, _)| cut_off.sent > 0),
+            "{report}"
+        );
+    }
+}
