--- a/crates/filberthead/src/gateway/mod.rs
+++ b/crates/filberthead/src/gateway/mod.rs
@@ -7,7 +7,7 @@
 //! - `readiness` serves the platform's readiness probe and the metrics;
 //! - `peer-send` and the transport's own threads send and receive messages.
 //!
-//! A gateway without contact to endpoints relays requests through others; see [`relay`].
+//! A gateway without contact to endpoints relays requests through other gateways.
 //!
 //! Caller and endpoint connections share one thread on purpose: a request would otherwise cross
 //! threads twice, and on a VM with a fraction of a core each crossing costs a wake-up and gains
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -37,7 +37,7 @@
 pub struct Availability {
     /// Those on the platform's list.
     pub listed: usize,
-    /// Those of them that are draining, or avoided after failures.
+    /// Those of them that are draining, avoided after failures, or out of contact.
     pub avoided: usize,
 }
 
@@ -225,7 +225,9 @@
     /// The endpoints of a service, as this gateway sees them.
     pub fn availability(&self, now: Moment, service: &ServiceName) -> Availability {
         let of_service = self.endpoints.iter().filter(|e| e.service == *service);
-        let avoided = of_service.clone().filter(|e| !e.is_usable(now));
+        let avoided = of_service
+            .clone()
+            .filter(|e| !e.is_usable(now) || !self.contact.is_usable(&e.domain));
         Availability {
             listed: of_service.count(),
             avoided: avoided.count(),
