Tell endpoints that can't be reached from those whose connections break; a refusal by endpoints stays one

Its sender took that for a request that hadn't arrived, and relayed a granted retry once more. Such a request is now refused as overloaded. Endpoints that are reached and lose their answers are no reason to relay.

Health checks wait for a slot, answer 200 or 503, and aren't arrivals, as on the platform.

--- a/crates/filberthead/src/gateway/attempt.rs
+++ b/crates/filberthead/src/gateway/attempt.rs
@@ -124,6 +124,7 @@
             | Outcome::Failed
             | Outcome::Full
             | Outcome::Gone
+            | Outcome::Unreached
             | Outcome::Broken => RetryEnd::Settled,
         }
     }
@@ -149,6 +150,7 @@
             Outcome::Failed => (Level::Info, "failed"),
             Outcome::Full => (Level::Info, "full"),
             Outcome::Gone => (Level::Info, "gone"),
+            Outcome::Unreached => (Level::Info, "unreached"),
             Outcome::Broken => (Level::Info, "broken"),
             Outcome::Abandoned(_) => (Level::Info, "abandoned"),
         };
@@ -229,7 +231,7 @@
         SendOutcome::NotSent(req, unsent) => {
             in_flight.sent_at.set(None);
             in_flight.unsent = Some(unsent);
-            in_flight.outcome = Outcome::Broken;
+            in_flight.outcome = Outcome::Unreached;
             Attempt::NotSent(req.into_body())
         }
         SendOutcome::Lost => {
--- a/crates/filberthead/src/gateway/forward.rs
+++ b/crates/filberthead/src/gateway/forward.rs
@@ -325,10 +325,6 @@
     /// Rejects a request for which there is no endpoint.
     fn refuse(&mut self, reason: Refusal, retry_after: Duration) -> Next {
         match reason {
-            // Endpoints exist, but each has refused the request.
-            Refusal::NoEndpoint if self.attempts.was_refused() => {
-                self.reject(ResultCode::Overloaded, RETRY_AFTER_REFUSED)
-            }
             Refusal::NoEndpoint | Refusal::OutOfReach => {
                 self.reject(ResultCode::NoEndpoint, retry_after)
             }
@@ -628,6 +624,14 @@
         code: ResultCode,
         retry_after: Duration,
     ) -> Response<ResponseBody> {
+        let (code, retry_after) = match code {
+            // Endpoints exist, but have refused the request. A gateway that has relayed it must not take
+            // it for one that reached none.
+            ResultCode::NoEndpoint if self.attempts.was_refused() => {
+                (ResultCode::Overloaded, RETRY_AFTER_REFUSED)
+            }
+            _ => (code, retry_after),
+        };
         let left = self.deadline.remaining().as_millis();
         let (list_ms, control_ms) = self.core.data_ages();
         let now = self.core.now();
--- a/crates/place/src/endpoint.rs
+++ b/crates/place/src/endpoint.rs
@@ -61,7 +61,9 @@
     Full,
     /// The address belongs to another start of the endpoint, or to another endpoint.
     Gone,
-    /// The endpoint couldn't be reached, or the connection broke.
+    /// The endpoint couldn't be reached; nothing was sent.
+    Unreached,
+    /// The connection broke.
     Broken,
     /// The caller disconnected or the deadline passed after this time without a response.
     Abandoned(Duration),
@@ -88,7 +90,7 @@
     full_until: Moment,
     backoff_until: Moment,
     next_backoff: Duration,
-    /// Until when it is backed off because it couldn't be reached, or its connection broke.
+    /// Until when it is backed off because it couldn't be reached.
     unreached_until: Moment,
     /// Whether the address belongs to another start or endpoint.
     gone: bool,
@@ -274,7 +276,10 @@
         self.slowness = self.decayed_slowness(now);
         self.failure_rate = self.failure_rate(now);
         self.scored_at = now;
-        if !matches!(outcome, Outcome::Abandoned(_) | Outcome::Broken) {
+        if !matches!(
+            outcome,
+            Outcome::Abandoned(_) | Outcome::Broken | Outcome::Unreached
+        ) {
             self.progress_at = now;
         }
         match outcome {
@@ -300,10 +305,12 @@
                 }
             }
             Outcome::Gone => self.gone = true,
-            Outcome::Broken => {
+            Outcome::Broken | Outcome::Unreached => {
                 self.failure_rate += EWMA_WEIGHT * (1.0 - self.failure_rate);
                 self.back_off(now);
-                self.unreached_until = self.backoff_until;
+                if outcome == Outcome::Unreached {
+                    self.unreached_until = self.backoff_until;
+                }
             }
             Outcome::Abandoned(waited) => {
                 // The response would have taken even longer.
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -415,7 +415,7 @@
             Outcome::Served(_) | Outcome::Failed | Outcome::Full | Outcome::Gone => {
                 self.contact.record_response(now, &domain);
             }
-            Outcome::Broken => {
+            Outcome::Broken | Outcome::Unreached => {
                 let endpoints = self.endpoints.iter().filter(|e| e.domain == domain);
                 let count = endpoints.count();
                 self.contact.record_broken(now, &domain, &target.id, count);
--- a/crates/place/tests/all/contact.rs
+++ b/crates/place/tests/all/contact.rs
@@ -88,6 +88,21 @@
     assert_eq!(placer.contact(&domain(OWN)), ContactState::Lost);
 }
 
+/// Endpoints lose their answers, and are reached.
+#[test]
+fn endpoints_whose_connections_break_are_not_out_of_reach() {
+    let service = service();
+    for (outcome, reason) in [
+        (Outcome::Unreached, Refusal::OutOfReach),
+        (Outcome::Broken, Refusal::NoEndpoint),
+    ] {
+        let mut placer = placer(OWN, vec![endpoint("a", OWN)]);
+        let target = place_in_reach(&mut placer, ms(0)).expect("an endpoint");
+        placer.record_outcome(ms(0), &service, &target, outcome);
+        assert_eq!(place_in_reach(&mut placer, ms(1)), Err(reason));
+    }
+}
+
 /// Endpoints are slow. Each overdue request would lead to probes, which they have to answer too.
 #[test]
 fn slow_endpoints_that_answer_probes_get_few_of_them() {
--- a/crates/testing/src/site/endpoint.rs
+++ b/crates/testing/src/site/endpoint.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Either, Full};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -30,6 +30,9 @@
 /// that a gateway accepts aren't rejected here.
 const MAX_HEADERS: usize = 1024;
 
+/// Path of the health check, which is no request of a caller.
+const HEALTH_PATH: &str = "/healthz";
+
 /// How an endpoint handles requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Behaviour {
@@ -354,10 +357,13 @@
         value.unwrap_or_default().to_owned()
     };
     let id = text(&head.headers, "x-request-id");
-    endpoint.lock().record_arrival(Arrival {
-        id: id.clone(),
-        at: Instant::now(),
-    });
+    let is_health_check = head.method == Method::GET && head.uri.path() == HEALTH_PATH;
+    if !is_health_check {
+        endpoint.lock().record_arrival(Arrival {
+            id: id.clone(),
+            at: Instant::now(),
+        });
+    }
     let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
     let (instance_id, behaviour, run_time, slots) = {
         let state = endpoint.lock();
@@ -386,6 +392,21 @@
         *answer.status_mut() = StatusCode::NOT_FOUND;
         return Ok(answer);
     }
+    if is_health_check {
+        // It waits for a slot like a request, and says nothing about how requests fare.
+        let _slot = match &slots {
+            Some(slots) => match slots.enter().await {
+                Entry::Running(slot) => Some(slot),
+                Entry::Full => return answer(StatusCode::SERVICE_UNAVAILABLE, short(Bytes::new())),
+            },
+            None => None,
+        };
+        let status = match endpoint.is_draining() {
+            true => StatusCode::SERVICE_UNAVAILABLE,
+            false => StatusCode::OK,
+        };
+        return answer(status, short(Bytes::new()));
+    }
     if text(&head.headers, "x-target-instance") != instance_id {
         return answer(StatusCode::MISDIRECTED_REQUEST, short(Bytes::new()));
     }
