--- a/crates/filberthead/src/gateway/forward.rs
+++ b/crates/filberthead/src/gateway/forward.rs
@@ -28,7 +28,7 @@
 use super::relay::{ChosenHelper, RelayHead, is_unhelpful, read_key, relay};
 use super::response::{ResponseBody, gateway_response};
 use super::retry::GrantedRetry;
-use super::serve::Sender;
+use super::serve::RequestSource;
 
 /// Bodies up to this size in bytes are read before the request is sent, so that it can be
 /// retried. Larger ones are streamed, and sent once.
@@ -77,7 +77,7 @@
     /// Whether another gateway has relayed it. It isn't relayed again.
     is_relayed: bool,
     /// Whether so many endpoints couldn't be reached that only another gateway is tried.
-    is_unreached: bool,
+    must_relay: bool,
     /// Gateways that it was relayed through.
     relays: u32,
     /// The retry that the next attempt is.
@@ -90,15 +90,15 @@
 /// Handles a request of a caller, or one that another gateway relays.
 pub(crate) async fn forward(
     core: &Rc<Core>,
-    (caller, from): (SocketAddr, Sender),
+    (caller, from): (SocketAddr, RequestSource),
     req: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let started = Instant::now();
     let (head, body) = req.into_parts();
     let mut ctx = RequestContext::new(core, caller, started, &head);
     let relayed = match from {
-        Sender::Caller => None,
-        Sender::Gateway => match read_relay_head(core, &head) {
+        RequestSource::Caller => None,
+        RequestSource::Gateway => match read_relay_head(core, &head) {
             Some(relayed) => Some(relayed),
             None => return ctx.reject(ResultCode::BadRequest, None),
         },
@@ -160,7 +160,7 @@
         revision: active_routes.revision,
         attempts: Attempts::new(route.max_attempts.min(attempts_left)),
         is_relayed: relayed.is_some(),
-        is_unreached: false,
+        must_relay: false,
         relays: 0,
         retry: GrantedRetry::none(core, &target.service),
         failed_response: None,
@@ -268,7 +268,7 @@
         if self.is_revoked() {
             return self.reject_revoked();
         }
-        if self.is_unreached {
+        if self.must_relay {
             return self.send_around(body, charge, RETRY_AFTER_STARTING).await;
         }
         match self.place(Placer::place_in_reach) {
@@ -305,7 +305,7 @@
             self.relays += 1;
             return self.relay(body, &helper, charge).await;
         }
-        if self.is_unreached {
+        if self.must_relay {
             return self.refuse(Refusal::OutOfReach, retry_after);
         }
         self.send_anyway(body, charge).await
@@ -502,8 +502,8 @@
     fn after_unreached(&mut self, body: RequestBody) -> Next {
         match self.attempts.record_unreachable() {
             NextAttempt::Allowed => Next::Retry(body),
-            NextAttempt::Exhausted if !self.is_relayed && !self.is_unreached => {
-                self.is_unreached = true;
+            NextAttempt::Exhausted if !self.is_relayed && !self.must_relay => {
+                self.must_relay = true;
                 Next::Retry(body)
             }
             NextAttempt::Exhausted => self.reject(ResultCode::NoEndpoint, RETRY_AFTER_STARTING),
--- a/crates/filberthead/src/gateway/relay/send.rs
+++ b/crates/filberthead/src/gateway/relay/send.rs
@@ -39,8 +39,8 @@
         service:% = job.service, attempt = job.number, helper:% = helper.addr,
         domain:% = helper.domain, took_ms, outcome; "relayed through another gateway");
     if may_have_arrived(&attempt) {
-        // Without an answer its connection is reset now, and the helper resets the one to the
-        // endpoint. So it arrives soon or never.
+        // Without an answer its connection is reset, and the helper resets the one to the endpoint when
+        // it learns of that.
         job.retry.end(RetryEnd::Settled);
     }
     attempt
--- a/crates/filberthead/src/gateway/serve.rs
+++ b/crates/filberthead/src/gateway/serve.rs
@@ -47,7 +47,7 @@
 
 /// Who sends requests on a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Sender {
+pub(crate) enum RequestSource {
     /// A caller.
     Caller,
     /// Another gateway, which relays those of its callers.
@@ -70,8 +70,11 @@
             return;
         }
     };
-    let accepting = [(callers, Sender::Caller), (relay, Sender::Gateway)]
-        .map(|(listener, from)| spawn_local(accept(Rc::clone(&core), listener, from)));
+    let accepting = [
+        (callers, RequestSource::Caller),
+        (relay, RequestSource::Gateway),
+    ]
+    .map(|(listener, from)| spawn_local(accept(Rc::clone(&core), listener, from)));
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut phase = core.phase();
@@ -98,7 +101,7 @@
     accepting.iter().for_each(JoinHandle::abort);
 }
 
-async fn accept(core: Rc<Core>, listener: tokio::net::TcpListener, from: Sender) {
+async fn accept(core: Rc<Core>, listener: tokio::net::TcpListener, from: RequestSource) {
     loop {
         match listener.accept().await {
             Ok((stream, addr)) => {
@@ -113,7 +116,11 @@
 }
 
 /// Serves a connection until it is closed or has to be replaced.
-async fn serve_connection(core: Rc<Core>, stream: TcpStream, (caller, from): (SocketAddr, Sender)) {
+async fn serve_connection(
+    core: Rc<Core>,
+    stream: TcpStream,
+    (caller, from): (SocketAddr, RequestSource),
+) {
     let _guard = core.track_connection();
     if let Err(e) = stream.set_nodelay(true) {
         debug!(caller:%, error:% = e; "can't set TCP_NODELAY on a caller's connection");
@@ -121,8 +128,8 @@
     }
     let mut bounds = core.bounds();
     let added = match from {
-        Sender::Caller => 0,
-        Sender::Gateway => RELAY_HEAD_BYTES,
+        RequestSource::Caller => 0,
+        RequestSource::Gateway => RELAY_HEAD_BYTES,
     };
     let buffer_size = head_buffer_size(&bounds) + added;
     let mut phase = core.phase();
@@ -188,7 +195,7 @@
 /// Handles one request, and closes the connection after it if necessary.
 async fn respond(
     core: &Rc<Core>,
-    (caller, from): (SocketAddr, Sender),
+    (caller, from): (SocketAddr, RequestSource),
     req: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let guard = core.track_request();
@@ -198,8 +205,8 @@
         core.record_sent(TYPICAL_HEAD_BYTES + body.len());
     }
     let closes = match from {
-        Sender::Caller => core.should_close_connection(),
-        Sender::Gateway => core.is_leaving(),
+        RequestSource::Caller => core.should_close_connection(),
+        RequestSource::Gateway => core.is_leaving(),
     };
     if closes {
         let close = HeaderValue::from_static("close");
--- a/crates/place/src/contact.rs
+++ b/crates/place/src/contact.rs
@@ -264,7 +264,7 @@
         self.changes.push(change);
         self.update_disturbed();
         match state {
-            // Its own links may be down, so the others are looked at too.
+            // The gateway's own links may be down, so the others are looked at too.
             ContactState::Lost => self.doubt_silent(now),
             ContactState::Held if before == ContactState::Lost => self.hasten_probes(now),
             ContactState::Held | ContactState::Doubted => {}
