--- a/crates/testing/src/soak/callers.rs
+++ b/crates/testing/src/soak/callers.rs
@@ -14,7 +14,7 @@
 use super::history::{CallerRequest, RequestOutcome, RouteProbe, ToldLimit};
 use super::plan::Load;
 use super::shared::{SharedState, probe_path};
-use super::workspaces;
+use super::workspaces::Workspaces;
 use crate::client::{Answer, Call, CallError, Connection};
 use crate::cluster::Place;
 use crate::site::{HOST, is_answer};
@@ -86,7 +86,7 @@
             continue;
         };
         count += 1;
-        let (key, workspace) = workspaces::key(number, count);
+        let (key, workspace) = Workspaces::default().key(number, count);
         let spec = RequestSpec {
             key,
             workspace,
--- a/crates/testing/src/soak/deployed/callers.rs
+++ b/crates/testing/src/soak/deployed/callers.rs
@@ -1,7 +1,7 @@
 //! Callers of a deployment: each sends requests at its rate, whether earlier ones were answered late
 //! or not, and repeats those that failed.
 
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -18,7 +18,6 @@
 use crate::soak::history::{CallerRequest, RequestOutcome};
 use crate::soak::shared::SharedState;
 use crate::soak::violations::NOT_RUN;
-use crate::soak::workspaces;
 
 /// Number of distinct objects of a service.
 const OBJECTS: u32 = 50;
@@ -33,22 +32,19 @@
 /// Times that such a caller repeats a request, and any other.
 const ABUSIVE_REPEATS: u32 = 4;
 const REPEATS: u32 = 1;
-/// One caller in this many leaves early while callers leave.
-const LEAVER_EVERY: usize = 5;
 /// One caller in this many looks gateways up again after this time.
 const FOLLOWER_EVERY: usize = 3;
 const LOOKUP_TTL: Duration = Duration::from_secs(2);
-/// One caller in this many belongs to the workspace with an allotment.
+/// One caller in this many belongs to the workspace with an allotment, if not all have one.
 const LIMITED_EVERY: usize = 12;
-/// Number of workspaces without one.
-pub(super) const UNLIMITED: usize = 3;
 
 /// What callers currently do.
 #[derive(Debug)]
 pub(super) struct LoadState {
     factor_milli: AtomicU32,
     abuse: AtomicBool,
-    leave: AtomicBool,
+    /// One caller in this many leaves early; none if it is 0.
+    leaver_every: AtomicUsize,
     moved: Mutex<Option<(usize, usize)>>,
 }
 
@@ -57,7 +53,7 @@
         Self {
             factor_milli: AtomicU32::new(1000),
             abuse: AtomicBool::new(false),
-            leave: AtomicBool::new(false),
+            leaver_every: AtomicUsize::new(0),
             moved: Mutex::new(None),
         }
     }
@@ -71,7 +67,7 @@
                     .store((factor * 1000.0) as u32, Ordering::Relaxed);
             }
             LoadChange::Abuse(abuse) => self.abuse.store(abuse, Ordering::Relaxed),
-            LoadChange::Leave(leave) => self.leave.store(leave, Ordering::Relaxed),
+            LoadChange::LeaverEvery(every) => self.leaver_every.store(every, Ordering::Relaxed),
             LoadChange::Move(moved) => {
                 *self.moved.lock().unwrap_or_else(PoisonError::into_inner) = moved;
             }
@@ -82,6 +78,12 @@
         f64::from(self.factor_milli.load(Ordering::Relaxed)) / 1000.0
     }
 
+    /// Whether this caller leaves early.
+    fn leaves(&self, caller: usize) -> bool {
+        let every = self.leaver_every.load(Ordering::Relaxed);
+        every > 0 && caller.is_multiple_of(every)
+    }
+
     /// The failure domain that callers of this one look up gateways for.
     fn domain(&self, own: usize) -> usize {
         let moved = *self.moved.lock().unwrap_or_else(PoisonError::into_inner);
@@ -176,13 +178,13 @@
             0 => "page=1".to_owned(),
             bytes => format!("bytes={bytes}"),
         };
-        let limited = self.number % LIMITED_EVERY == LIMITED_EVERY - 1;
-        let member = if limited {
-            UNLIMITED
-        } else {
-            self.number % UNLIMITED
+        let workspaces = deployment.workspaces;
+        let member = match workspaces.limited_from {
+            0 => self.number,
+            _ if self.number % LIMITED_EVERY == LIMITED_EVERY - 1 => workspaces.limited_from,
+            unlimited => self.number % unlimited,
         };
-        let (key, workspace) = workspaces::key(member, count);
+        let (key, workspace) = workspaces.key(member, count);
         Wanted {
             service,
             path: format!("/{}/{object}?{query}", service.name),
@@ -256,9 +258,7 @@
             .header("x-deadline-ms", &left.as_millis().to_string())
             .header("api-key", &wanted.key)
             .body(body);
-        let leaves =
-            self.number.is_multiple_of(LEAVER_EVERY) && self.load.leave.load(Ordering::Relaxed);
-        let bound = if leaves {
+        let bound = if self.load.leaves(self.number) {
             service.objective / 2
         } else {
             left + PATIENCE
--- a/crates/testing/src/soak/deployed/crashing.rs
+++ b/crates/testing/src/soak/deployed/crashing.rs
@@ -10,14 +10,13 @@
 
 use tokio::time::{sleep, timeout};
 
-use super::callers::UNLIMITED;
 use crate::client::{Call, CallError, Connection};
 use crate::site::{CRASHING_PATH, HOST, Records};
 use crate::soak::callers::outcome_of;
 use crate::soak::history::CallerRequest;
 use crate::soak::shared::SharedState;
 use crate::soak::violations::Violation;
-use crate::soak::workspaces;
+use crate::soak::workspaces::Workspaces;
 
 /// Time from the third crash until gateways must know the request.
 const CONTACT: Duration = Duration::from_secs(4);
@@ -57,17 +56,17 @@
     /// Sends it to one gateway after the other until its time is over; if its number is even, for one
     /// workspace after the other. It is sent again at once if the
     /// answer allows it, as a caller does that doesn't wait as told.
-    pub(super) async fn send(self, shared: Arc<SharedState>) {
+    pub(super) async fn send(self, shared: Arc<SharedState>, workspaces: Workspaces) {
         let ends = Instant::now() + self.lasts;
         let mut number = 0;
         while Instant::now() < ends && !shared.is_over() {
-            self.send_once(&shared, number).await;
+            self.send_once(&shared, workspaces, number).await;
             sleep(PAUSE).await;
             number += 1;
         }
     }
 
-    async fn send_once(&self, shared: &SharedState, number: usize) {
+    async fn send_once(&self, shared: &SharedState, workspaces: Workspaces, number: usize) {
         let gateways = &shared.gateways;
         let gateway = number % gateways.len();
         let id = format!("crash{}-{number}", self.number);
@@ -76,7 +75,7 @@
         } else {
             0
         };
-        let (key, workspace) = workspaces::key(member % UNLIMITED, 1);
+        let (key, workspace) = workspaces.key(member % workspaces.limited_from.max(1), 1);
         let body = if self.idempotent { "" } else { "two packs" };
         let call = Call::new(self.method(), &self.path())
             .header("host", HOST)
--- a/crates/testing/src/soak/deployed/deployment.rs
+++ b/crates/testing/src/soak/deployed/deployment.rs
@@ -8,6 +8,7 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::cluster::Place;
+use crate::soak::workspaces::Workspaces;
 
 /// Why a description can't be used.
 #[derive(Debug)]
@@ -99,6 +100,8 @@
 pub struct Deployment {
     /// Limits that it has to keep.
     pub limits: DeploymentLimits,
+    /// The workspaces that its callers belong to.
+    pub workspaces: Workspaces,
     /// Its failure domains.
     pub domains: Vec<DomainSpec>,
     /// Its services.
@@ -191,6 +194,7 @@
         let unknown = || format!("unknown key `{key}` in section `{section}`");
         match section.split_once(' ').map_or(section, |(kind, _)| kind) {
             "limits" => self.limits.set(key, value, unknown),
+            "workspaces" => set_workspaces(&mut self.workspaces, key, value, unknown),
             "failure_domain" => {
                 let domain = self.domains.last_mut().ok_or_else(unknown)?;
                 domain.set(key, value, unknown)
@@ -228,6 +232,25 @@
     }
 }
 
+fn set_workspaces(
+    workspaces: &mut Workspaces,
+    key: &str,
+    value: &str,
+    unknown: impl Fn() -> String,
+) -> Result<(), String> {
+    match key {
+        "count" => workspaces.count = number(value)?,
+        "limited_from" => workspaces.limited_from = number(value)?,
+        "rate" => workspaces.rate = number(value)?,
+        "burst" => workspaces.burst = number(value)?,
+        _ => return Err(unknown()),
+    }
+    match workspaces.count {
+        0 => Err("there is at least one workspace".to_owned()),
+        _ => Ok(()),
+    }
+}
+
 impl DomainSpec {
     fn set(&mut self, key: &str, value: &str, unknown: impl Fn() -> String) -> Result<(), String> {
         match key {
--- a/crates/testing/src/soak/deployed/plan.rs
+++ b/crates/testing/src/soak/deployed/plan.rs
@@ -49,8 +49,8 @@
     Factor(f64),
     /// Some of them repeat at once and often.
     Abuse(bool),
-    /// Some of them leave before their deadline.
-    Leave(bool),
+    /// One in this many leaves before its deadline; none if it is 0.
+    LeaverEvery(usize),
     /// Callers of the first failure domain look up gateways for the second one; `None`: all look
     /// them up for their own.
     Move(Option<(usize, usize)>),
@@ -69,6 +69,8 @@
     EndpointLinks(Vec<usize>, Flow),
     /// A request that crashes endpoints comes again and again.
     CrashingRequest(CrashingRequest),
+    /// The route of the first service leads to the endpoints of the second one, or of its own again.
+    MoveRoute(usize, usize),
 }
 
 /// An action and its time.
--- a/crates/testing/src/soak/deployed/runner.rs
+++ b/crates/testing/src/soak/deployed/runner.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::fmt;
 use std::path::PathBuf;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
@@ -23,7 +23,7 @@
     Behaviour, EndpointCommand, EndpointSpec, HOST, JournalClock, ProcessEndpoint, Records, Site,
     SitePrograms, request,
 };
-use crate::soak::history::{CallerRequest, History, RequestOutcome};
+use crate::soak::history::{CallerRequest, History, RequestOutcome, RouteMove};
 use crate::soak::nodes::Nodes;
 use crate::soak::operators;
 use crate::soak::retries::{
@@ -31,7 +31,6 @@
 };
 use crate::soak::shared::SharedState;
 use crate::soak::violations::{EndpointRun, Limits, Violation, find_violations};
-use crate::soak::workspaces;
 
 /// Requests that wait at an endpoint before it rejects others.
 const QUEUE: u32 = 9;
@@ -178,10 +177,14 @@
     runner.report(plan)
 }
 
+/// Index of the service that the route of another one leads to, by the latter's.
+type MovedRoutes = Arc<Mutex<BTreeMap<usize, usize>>>;
+
 struct Runner {
     nodes: Nodes,
     shared: Arc<SharedState>,
     deployment: Arc<Deployment>,
+    moved_routes: MovedRoutes,
     load: Arc<LoadState>,
     endpoints: Vec<ProcessEndpoint>,
     /// When endpoints are started again that have ended by themselves, by index.
@@ -210,14 +213,19 @@
         let mut endpoints = new_endpoints(programs, &deployment, &site, &endpoint_network);
         endpoints.iter_mut().for_each(ProcessEndpoint::spawn);
         endpoints.iter_mut().for_each(ProcessEndpoint::wait_ready);
-        let routes = Arc::clone(&deployment);
-        let make_routes = Box::new(move |version| make_routes(version, &routes));
+        let moved_routes = MovedRoutes::default();
+        let (in_routes, moved) = (Arc::clone(&deployment), Arc::clone(&moved_routes));
+        let make_routes = Box::new(move |version| {
+            let moved = moved.lock().unwrap_or_else(PoisonError::into_inner);
+            make_routes(version, &in_routes, &moved)
+        });
         let shared = Arc::new(SharedState::with_routes(&site, make_routes));
         let (_, first) = shared.next_routes(1);
         let mut runner = Self {
             nodes: Nodes::new(site, Arc::clone(&shared)),
             shared,
             deployment,
+            moved_routes,
             load: Arc::new(LoadState::default()),
             endpoints,
             restarts: BTreeMap::new(),
@@ -311,11 +319,28 @@
             Action::EndpointLinks(gateways, flow) => self.set_endpoint_links(gateways, *flow),
             Action::CrashingRequest(request) => {
                 let shared = Arc::clone(&self.shared);
-                self.spawn(request.clone().send(shared));
+                self.spawn(request.clone().send(shared, self.deployment.workspaces));
             }
+            Action::MoveRoute(route, to) => self.move_route(*route, *to),
         }
     }
 
+    /// Lets the route of a service lead to another one from the next version of routes on.
+    fn move_route(&mut self, route: usize, to: usize) {
+        let mut moved = self
+            .moved_routes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        moved.insert(route, to);
+        let services = &self.deployment.services;
+        self.shared.history().moves.push(RouteMove {
+            route: services[route].name.clone(),
+            to: services[to].name.clone(),
+            after: self.shared.newest(),
+            at: Instant::now(),
+        });
+    }
+
     /// Cuts gateways off from all endpoints, or ends that.
     fn set_endpoint_links(&mut self, gateways: &[usize], flow: Flow) {
         let site = &self.nodes.site;
@@ -445,7 +470,7 @@
         let spec = &self.deployment.services[service];
         let (method, path) = (spec.method(), format!("/{}/end", spec.name));
         let id = format!("end-{}", self.checks);
-        let (key, workspace) = workspaces::key(0, 1);
+        let (key, workspace) = self.deployment.workspaces.key(0, 1);
         let call: Call = request(method, &path, &id).header("api-key", &key);
         let sent = Instant::now();
         let result = self.nodes.site.request(gateway, &call);
@@ -479,6 +504,7 @@
             Limits {
                 max_attempts: limits.max_attempts,
                 retry_floor: limits.retry_floor,
+                workspaces: self.deployment.workspaces,
                 planned_only: false,
             },
         ));
@@ -567,7 +593,7 @@
     ) -> Vec<ServiceRetries> {
         let requests = &history.requests;
         let floor = self.deployment.limits.retry_floor;
-        let worst = worst_windows_with_starts(requests, arrivals, floor);
+        let worst = worst_windows_with_starts(history, arrivals, floor);
         let sent: BTreeMap<&str, Instant> =
             requests.iter().map(|r| (r.id.as_str(), r.sent)).collect();
         let by_service = retries_by_service(arrivals);
@@ -664,30 +690,30 @@
     runs.collect()
 }
 
-/// Routes of a version in the platform's JSON format. Versions differ by a route that nobody uses.
-fn make_routes(version: u64, deployment: &Deployment) -> String {
+/// Routes of a version in the platform's JSON format, those of some services `moved` to others.
+/// Versions differ by a route that nobody uses.
+fn make_routes(version: u64, deployment: &Deployment, moved: &BTreeMap<usize, usize>) -> String {
     let limits = deployment.limits;
     let ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
-    let route = |name: String, prefix: String, service: &ServiceSpec| {
+    let route = |name: String, prefix: String, service: &ServiceSpec, to: &ServiceSpec| {
         json!({
             "name": name, "host": HOST, "path_prefix": prefix, "kind": service.kind,
             "timeout_ms": ms(service.timeout), "target_latency_ms": ms(service.objective),
-            "priority": 1, "service": service.name, "max_attempts": limits.max_attempts,
+            "priority": 1, "service": to.name, "max_attempts": limits.max_attempts,
             "sticky_sessions": true, "allowed_regions": [],
         })
     };
     let services = &deployment.services;
-    let in_use = services.iter().map(|service| {
-        route(
-            format!("r-{}", service.name),
-            format!("/{}/", service.name),
-            service,
-        )
+    let in_use = services.iter().enumerate().map(|(number, service)| {
+        let to = &services[*moved.get(&number).unwrap_or(&number)];
+        let (name, prefix) = (format!("r-{}", service.name), format!("/{}/", service.name));
+        route(name, prefix, service, to)
     });
     let only = route(
         format!("r-only-{version}"),
         format!("/only-{version}/"),
         &services[0],
+        &services[0],
     );
     let routes: Vec<Value> = in_use.chain([only]).collect();
     let services = services.iter().map(|service| {
@@ -700,7 +726,7 @@
         "version": version,
         "routes": routes,
         "services": services.collect::<Vec<_>>(),
-        "tenants": workspaces::all(),
+        "tenants": deployment.workspaces.all(),
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 67_108_864,
             "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
     })
--- a/crates/testing/src/soak/deployed/trouble.rs
+++ b/crates/testing/src/soak/deployed/trouble.rs
@@ -26,6 +26,9 @@
 const CUT_MS: std::ops::Range<u64> = 1_000..20_000;
 /// Duration of a cut between gateways and endpoints, in milliseconds.
 const ENDPOINT_CUT_MS: std::ops::Range<u64> = 2_000..13_000;
+/// One caller in this many leaves early while callers leave, and beside relays.
+const LEAVER_EVERY: usize = 5;
+const LEAVER_EVERY_BESIDE_RELAYS: usize = 2;
 /// Time between two suspensions of a starved process.
 const STARVED_PERIOD: Duration = Duration::from_millis(100);
 
@@ -59,6 +62,13 @@
     /// Some endpoints fail at once while others of the service are suspended, and all fail once
     /// these go on.
     FailuresBesidePauses,
+    /// All endpoints of a service fail while most failure domains' gateways are cut off from endpoints and
+    /// half of the callers leave early.
+    FailuresBesideRelays,
+    /// A route leads to another service for a while.
+    RouteMoved,
+    /// Some gateways are there only from then on.
+    GatewaysAdded,
     /// Gateways are killed and restarted.
     GatewaysKilled,
     /// Gateways are stopped and restarted one after the other.
@@ -99,7 +109,7 @@
 }
 
 /// All kinds with their names.
-pub const ALL_TROUBLES: [(&str, TroubleKind); 31] = [
+pub const ALL_TROUBLES: [(&str, TroubleKind); 34] = [
     ("endpoints-fail", TroubleKind::EndpointsFail),
     ("service-fails", TroubleKind::ServiceFails),
     ("endpoints-slow", TroubleKind::EndpointsSlow),
@@ -116,6 +126,9 @@
     ("release", TroubleKind::Release),
     ("addresses-taken-over", TroubleKind::AddressesTakenOver),
     ("failures-beside-pauses", TroubleKind::FailuresBesidePauses),
+    ("failures-beside-relays", TroubleKind::FailuresBesideRelays),
+    ("route-moved", TroubleKind::RouteMoved),
+    ("gateways-added", TroubleKind::GatewaysAdded),
     ("gateways-killed", TroubleKind::GatewaysKilled),
     ("gateways-stopped", TroubleKind::GatewaysStopped),
     (
@@ -179,11 +192,14 @@
         | TroubleKind::EndpointLinksHeld
         | TroubleKind::EndpointLinksSlow => late_endpoints(g, kind, at),
         TroubleKind::EndpointsNameLimits => named_limits(g, at),
+        TroubleKind::FailuresBesideRelays => failures_beside_relays(g, at),
+        TroubleKind::RouteMoved => moved_route(g, at),
         TroubleKind::RequestsCrashEndpoints => crashing_request(g, at),
         TroubleKind::EndpointsCrash | TroubleKind::Release | TroubleKind::AddressesTakenOver => {
             replaced_endpoints(g, kind, at);
         }
-        TroubleKind::GatewaysKilled
+        TroubleKind::GatewaysAdded
+        | TroubleKind::GatewaysKilled
         | TroubleKind::GatewaysStopped
         | TroubleKind::GatewaysKilledTogether
         | TroubleKind::GatewaysPaused
@@ -280,6 +296,46 @@
     g.endpoint(span.1, endpoint, command(Behaviour::Serves, 1.0));
 }
 
+/// A service's endpoints answer every request with a failure, also those of gateways that have to relay
+/// them, and callers leave while they wait.
+fn failures_beside_relays(g: &mut Generator, at: Duration) {
+    const LASTS_MS: std::ops::Range<u64> = 15_000..25_000;
+    /// Time for which the gateways are cut off before, and after.
+    const MARGIN: Duration = Duration::from_secs(2);
+    let end = at + MARGIN + g.millis(LASTS_MS);
+    let reachable = g.rng.random_range(0..g.domains.count);
+    let cut_off: Vec<usize> = (0..g.gateways)
+        .filter(|gateway| g.domains.gateways[*gateway] != reachable)
+        .collect();
+    g.push(at, Action::EndpointLinks(cut_off.clone(), Flow::Refuse));
+    g.push(
+        at,
+        Action::Load(LoadChange::LeaverEvery(LEAVER_EVERY_BESIDE_RELAYS)),
+    );
+    for endpoint in g.draw_endpoints(1.0) {
+        let command = |behaviour| EndpointAction::Command(EndpointCommand::Behave(behaviour, 1.0));
+        g.endpoint(at + MARGIN, endpoint, command(Behaviour::Fails));
+        g.endpoint(end, endpoint, command(Behaviour::Serves));
+    }
+    g.push(end, Action::Load(LoadChange::LeaverEvery(0)));
+    g.push(end + MARGIN, Action::EndpointLinks(cut_off, Flow::Pass));
+}
+
+/// A route leads to another service, and then to its own again.
+fn moved_route(g: &mut Generator, at: Duration) {
+    const LASTS_MS: std::ops::Range<u64> = 6_000..20_000;
+    let idempotent = (0..g.service_count).filter(|number| g.service_kinds[*number].1);
+    let idempotent: Vec<usize> = idempotent.collect();
+    if idempotent.is_empty() {
+        return;
+    }
+    let own = idempotent[g.rng.random_range(0..idempotent.len())];
+    let other = (own + g.rng.random_range(1..g.service_count.max(2))) % g.service_count;
+    let end = at + g.millis(LASTS_MS);
+    g.push(at, Action::MoveRoute(own, other));
+    g.push(end, Action::MoveRoute(own, own));
+}
+
 /// A service's endpoints fail, and most of them are suspended, one after the other. Retries go to
 /// those that don't fail at once, and are read when these go on, a window later.
 fn failures_beside_pauses(g: &mut Generator, at: Duration) {
@@ -377,6 +433,15 @@
     let target = Target::Gateway(gateway);
     let mut at = at;
     match kind {
+        TroubleKind::GatewaysAdded => {
+            const ABSENT_FROM: Duration = Duration::from_secs(1);
+            for number in 0..g.gateways.div_ceil(8) {
+                let target = Target::Gateway((gateway + number) % g.gateways);
+                g.process(ABSENT_FROM, Step::Kill(target));
+                g.process(at, Step::Start(target));
+                at += g.millis(SERIES_GAP_MS);
+            }
+        }
         TroubleKind::GatewaysKilled => {
             for number in 0..g.rng.random_range(1..=g.gateways) {
                 let target = Target::Gateway((gateway + number) % g.gateways);
@@ -534,7 +599,10 @@
             (LoadChange::Move(Some((from, to))), LoadChange::Move(None))
         }
         TroubleKind::CallersAbuse => (LoadChange::Abuse(true), LoadChange::Abuse(false)),
-        _ => (LoadChange::Leave(true), LoadChange::Leave(false)),
+        _ => (
+            LoadChange::LeaverEvery(LEAVER_EVERY),
+            LoadChange::LeaverEvery(0),
+        ),
     };
     g.push(at, Action::Load(begin));
     g.push(end, Action::Load(over));
--- a/crates/testing/src/soak/history.rs
+++ b/crates/testing/src/soak/history.rs
@@ -78,6 +78,19 @@
     pub refused: Option<u16>,
 }
 
+/// A change of the service that a route leads to.
+#[derive(Clone, Debug)]
+pub struct RouteMove {
+    /// The service that the route is named after.
+    pub route: String,
+    /// The service that it leads to from then on.
+    pub to: String,
+    /// Versions above this one have the change.
+    pub after: u64,
+    /// When the first of them may have been sent.
+    pub at: Instant,
+}
+
 /// A request to a gateway on a route that only one version has.
 #[derive(Clone, Debug)]
 pub struct RouteProbe {
@@ -104,11 +117,19 @@
     pub reads: Vec<RoutesRead>,
     /// Routes that operators sent.
     pub changes: Vec<RoutesChange>,
+    /// Routes that were moved to other services, in order.
+    pub moves: Vec<RouteMove>,
     /// Requests on routes of a single version.
     pub probes: Vec<RouteProbe>,
 }
 
 impl History {
+    /// When a version above this one was first accepted; `None` if none was.
+    pub fn accepted_after(&self, version: u64) -> Option<Instant> {
+        let newer = self.changes.iter().filter(|c| c.version > version);
+        newer.filter_map(|change| change.accepted).min()
+    }
+
     /// Number of requests that were answered with 200.
     pub fn served(&self) -> usize {
         let is_served = |request: &&CallerRequest| {
--- a/crates/testing/src/soak/mod.rs
+++ b/crates/testing/src/soak/mod.rs
@@ -25,9 +25,11 @@
 mod workspaces;
 
 pub use history::{
-    CallerRequest, History, RequestOutcome, RouteProbe, RoutesChange, RoutesRead, ToldLimit,
+    CallerRequest, History, RequestOutcome, RouteMove, RouteProbe, RoutesChange, RoutesRead,
+    ToldLimit,
 };
 pub use plan::{Load, Plan, Size, Step, Target, TimedStep};
 pub use retries::{ServiceArrival, WorstWindow};
 pub use runner::{Report, run_plan};
 pub use violations::{EndpointRun, Limits, Violation, find_violations};
+pub use workspaces::Workspaces;
--- a/crates/testing/src/soak/retries.rs
+++ b/crates/testing/src/soak/retries.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use super::history::CallerRequest;
+use super::history::{CallerRequest, History};
 
 /// Retries for each request, the default of the settings.
 const RATIO: f64 = 0.2;
@@ -50,11 +50,11 @@
 /// The worst window of each service that got any retry. `floor` is what its budget allows beyond the
 /// ratio.
 pub(super) fn worst_windows(
-    requests: &[CallerRequest],
+    history: &History,
     arrivals: &[ServiceArrival],
     floor: u32,
 ) -> Vec<WorstWindow> {
-    let worst = worst_windows_with_starts(requests, arrivals, floor);
+    let worst = worst_windows_with_starts(history, arrivals, floor);
     worst.into_iter().map(|(_, worst)| worst).collect()
 }
 
@@ -65,14 +65,15 @@
 
 /// Like [`worst_windows`], each with its first moment.
 pub(super) fn worst_windows_with_starts(
-    requests: &[CallerRequest],
+    history: &History,
     arrivals: &[ServiceArrival],
     floor: u32,
 ) -> Vec<(Instant, WorstWindow)> {
     let mut sent: BTreeMap<&str, Vec<Instant>> = BTreeMap::new();
-    for request in requests {
-        let service = sent.entry(service_of(&request.request_line));
-        service.or_default().push(request.sent);
+    for request in &history.requests {
+        for service in services_of(request, history) {
+            sent.entry(service).or_default().push(request.sent);
+        }
     }
     sent.values_mut().for_each(|sent| sent.sort_unstable());
     let retries = retries_by_service(arrivals);
@@ -129,7 +130,24 @@
     moments.partition_point(|at| *at < start + WINDOW) - before
 }
 
-/// The service that a request's route leads to.
+/// The services that a request's route led to when it was sent: after the route has been moved, the
+/// one before too, until the change has been accepted and for a window.
+fn services_of<'a>(request: &'a CallerRequest, history: &'a History) -> Vec<&'a str> {
+    let route = service_of(&request.request_line);
+    let mut services = vec![route];
+    let moves = history.moves.iter().filter(|m| m.route == route);
+    for moved in moves.filter(|m| m.at <= request.sent) {
+        let accepted = history.accepted_after(moved.after);
+        if accepted.is_some_and(|at| request.sent >= at + WINDOW) {
+            services.clear();
+        }
+        services.retain(|service| *service != moved.to);
+        services.push(&moved.to);
+    }
+    services
+}
+
+/// The service that a request's route is named after.
 fn service_of(request_line: &str) -> &str {
     let path = request_line.split_once(" /").map_or("", |(_, path)| path);
     let prefix = path.split('/').next().unwrap_or_default();
--- a/crates/testing/src/soak/runner.rs
+++ b/crates/testing/src/soak/runner.rs
@@ -13,7 +13,8 @@
 use super::retries::{ServiceArrival, WorstWindow, worst_windows};
 use super::shared::{SERVICES, SharedState, probe_path};
 use super::violations::{EndpointRun, Limits, Violation, find_violations};
-use super::{callers, operators, workspaces};
+use super::workspaces::Workspaces;
+use super::{callers, operators};
 use crate::proxy::FaultProxy;
 use crate::runtime;
 use crate::site::{Behaviour, Site, SitePrograms, is_answer, proven_version, request};
@@ -303,7 +304,7 @@
         } else {
             "GET"
         };
-        let (key, workspace) = workspaces::key(0, 1);
+        let (key, workspace) = Workspaces::default().key(0, 1);
         let result = self
             .nodes
             .site
@@ -409,6 +410,7 @@
             Limits {
                 max_attempts: MAX_ATTEMPTS,
                 retry_floor: plan.load.retry_floor(),
+                workspaces: Workspaces::default(),
                 planned_only: plan.planned_only,
             },
         ));
@@ -426,7 +428,7 @@
                 .filter(|t| t.accepted.is_some())
                 .count(),
             shown: history.reads.len(),
-            retries: worst_windows(&history.requests, &arrivals, plan.load.retry_floor()),
+            retries: worst_windows(&history, &arrivals, plan.load.retry_floor()),
             violations: self.violations,
             dir: self.nodes.site.dir().to_owned(),
         }
--- a/crates/testing/src/soak/shared.rs
+++ b/crates/testing/src/soak/shared.rs
@@ -6,7 +6,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use super::history::History;
-use super::workspaces;
+use super::workspaces::Workspaces;
 use crate::site::{Site, config_with_workspaces};
 
 /// Services, each with the kind of its route.
@@ -119,7 +119,7 @@
 }
 
 fn routes(version: u64) -> String {
-    let text = config_with_workspaces(version, SERVICES, &workspaces::all());
+    let text = config_with_workspaces(version, SERVICES, &Workspaces::default().all());
     let mut value: serde_json::Value = serde_json::from_str(&text).expect("it was made as JSON");
     if let Some(routes) = value["routes"].as_array_mut() {
         for route in routes.iter_mut() {
--- a/crates/testing/src/soak/violations.rs
+++ b/crates/testing/src/soak/violations.rs
@@ -6,7 +6,7 @@
 
 use super::history::{CallerRequest, History, RequestOutcome};
 use super::retries::{self, ServiceArrival, WorstWindow};
-use super::workspaces;
+use super::workspaces::{self, Workspaces};
 
 /// Statuses that guarantee that the request has not run and never will.
 pub(super) const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
@@ -132,12 +132,14 @@
 }
 
 /// What the system under test was told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limits {
     /// Attempts that every route allows.
     pub max_attempts: usize,
     /// Retries of a service in each window beyond the ratio, over all gateways.
     pub retry_floor: u32,
+    /// The workspaces, with their allotments.
+    pub workspaces: Workspaces,
     /// Whether the plan had only planned work.
     pub planned_only: bool,
 }
@@ -169,7 +171,7 @@
             .into_keys()
             .map(|id| Violation::UnknownRequest(id.to_owned())),
     );
-    violations.extend(check_allotments(runs));
+    violations.extend(check_allotments(runs, limits.workspaces));
     violations.extend(check_retries(history, arrivals, limits.retry_floor));
     violations.extend(check_routes(history));
     violations.extend(check_gateways(history));
@@ -213,7 +215,7 @@
     violations
 }
 
-fn check_allotments(runs: &[EndpointRun]) -> Vec<Violation> {
+fn check_allotments(runs: &[EndpointRun], workspaces: Workspaces) -> Vec<Violation> {
     let mut moments: BTreeMap<&str, Vec<Instant>> = BTreeMap::new();
     for run in runs {
         if let Some(workspace) = &run.workspace {
@@ -221,7 +223,7 @@
         }
     }
     let exceeded = |(workspace, mut moments): (&str, Vec<Instant>)| {
-        let bound = workspaces::bound(workspace)?;
+        let bound = workspaces.bound(workspace)?;
         let most = workspaces::most_in_window(&mut moments);
         (most > bound).then(|| Violation::AllotmentExceeded(workspace.to_owned(), most))
     };
@@ -229,7 +231,7 @@
 }
 
 fn check_retries(history: &History, arrivals: &[ServiceArrival], floor: u32) -> Vec<Violation> {
-    let windows = retries::worst_windows(&history.requests, arrivals, floor);
+    let windows = retries::worst_windows(history, arrivals, floor);
     let exceeded = windows.into_iter().filter(WorstWindow::is_exceeded);
     exceeded.map(Violation::RetryBudgetExceeded).collect()
 }
--- a/crates/testing/tests/soak.rs
+++ b/crates/testing/tests/soak.rs
@@ -3,13 +3,15 @@
 use std::time::{Duration, Instant};
 
 use filberthead_testing::soak::{
-    CallerRequest, EndpointRun, History, Limits, Plan, RequestOutcome, RouteProbe, RoutesChange,
-    RoutesRead, ServiceArrival, Size, Violation, WorstWindow, find_violations,
+    CallerRequest, EndpointRun, History, Limits, Plan, RequestOutcome, RouteMove, RouteProbe,
+    RoutesChange, RoutesRead, ServiceArrival, Size, Violation, Workspaces, WorstWindow,
+    find_violations,
 };
 
 const LIMITS: Limits = Limits {
     max_attempts: 2,
     retry_floor: 10,
+    workspaces: Workspaces::FOUR,
     planned_only: false,
 };
 /// A workspace whose requests are limited in a soak.
@@ -328,6 +330,53 @@
     assert_eq!(found, [exceeded(14, 12)]);
 }
 
+/// Violations found when 30 requests on a route arrive twice each at another service, that the route was
+/// moved to this long before, or will be.
+fn violations_of_moved_route(moved_before: Option<Duration>) -> Vec<Violation> {
+    const RETRIED: usize = 30;
+    // Lets windows begin before the first request.
+    let start = Instant::now() + Duration::from_secs(60);
+    let id = |number: usize| number.to_string();
+    let sent = |number| CallerRequest {
+        sent: start,
+        ..request(&id(number), true, answered(200))
+    };
+    let arrival = |number| ServiceArrival {
+        service: "orders".to_owned(),
+        id: id(number),
+        at: start,
+    };
+    let at = moved_before.map_or(start + Duration::from_secs(1), |before| start - before);
+    let history = History {
+        requests: (0..RETRIED).map(sent).collect(),
+        moves: vec![RouteMove {
+            route: "catalogue".to_owned(),
+            to: "orders".to_owned(),
+            after: 1,
+            at,
+        }],
+        ..History::default()
+    };
+    let arrivals = (0..RETRIED).flat_map(|n| [arrival(n), arrival(n)]);
+    find_violations(&history, &[], &arrivals.collect::<Vec<_>>(), LIMITS)
+}
+
+/// Requests count for the service that their route leads to.
+#[test]
+fn the_retry_budget_follows_a_route_that_moves() {
+    let exceeded = |allowed| {
+        [Violation::RetryBudgetExceeded(WorstWindow {
+            service: "orders".to_owned(),
+            retries: 30,
+            allowed,
+        })]
+    };
+    assert_eq!(violations_of_moved_route(None), exceeded(10));
+    // A fifth of 30 requests, and the floor of 10.
+    let moved = violations_of_moved_route(Some(Duration::ZERO));
+    assert_eq!(moved, exceeded(16));
+}
+
 #[test]
 fn plans_with_failing_endpoints_depend_only_on_their_seed() {
     let plan = |seed| Plan::with_failing_endpoints(seed, Size::default());
