Logs tell retries that were given back, and attempts of a request over all gateways

What couldn't be told from logs: why a retry was given back, that a relayed request ended because its caller left, and which attempt of its request a relayed one is. No decision changes.

--- a/crates/filberthead/src/gateway/attempt.rs
+++ b/crates/filberthead/src/gateway/attempt.rs
@@ -9,7 +9,7 @@
 };
 use filberthead_place::{Load, NamedLimit, Outcome, RetryEnd, Target};
 use filberthead_route::Kind;
-use filberthead_types::{Moment, RequestPrints, ResultCode, ServiceName, Workspace};
+use filberthead_types::{Moment, NodeName, RequestPrints, ResultCode, ServiceName, Workspace};
 use http::header::{CONTENT_LENGTH, EXPECT};
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Version};
@@ -20,7 +20,7 @@
 
 use super::core::Core;
 use super::deadline::Deadline;
-use super::relay::{RELAY, RELAYED_KEY};
+use super::relay::{RELAY, RELAYED_ATTEMPT, RELAYED_KEY};
 use super::response::ResponseBody;
 use super::retry::GrantedRetry;
 use super::streamed::StreamedBody;
@@ -77,8 +77,10 @@
     pub(crate) kind: Kind,
     pub(crate) service: &'a ServiceName,
     pub(crate) deadline: Deadline,
-    /// Number of this attempt of the request, from 1.
+    /// Number of this attempt of the request, from 1. Those of the gateway that relayed it count.
     pub(crate) number: u32,
+    /// The gateway that relayed it, for logs.
+    pub(crate) relayed_by: Option<&'a NodeName>,
     /// The retry that this attempt is, if it is one.
     pub(crate) retry: &'a GrantedRetry<'a>,
 }
@@ -89,6 +91,7 @@
     service: &'a ServiceName,
     target: &'a Target,
     number: u32,
+    relayed_by: Option<&'a NodeName>,
     retry: &'a GrantedRetry<'a>,
     started: Moment,
     /// When the first byte may have left; `None` if none has.
@@ -161,7 +164,8 @@
         let sent_at = self.sent_at.get();
         let sent_after_ms = sent_at.map(|at| at.saturating_sub(self.started).as_millis());
         log!(level, request = self.request, service:% = self.service, object = self.object,
-            endpoint:% = self.target.id, route = self.route, attempt = self.number, sent_after_ms,
+            endpoint:% = self.target.id, route = self.route, attempt = self.number,
+            relayed_by = self.relayed_by.map(NodeName::as_str), sent_after_ms,
             known:? = self.target.affinity,
             expected_ms = self.target.expected.as_millis(),
             overhead_ms = self.target.overhead.as_millis(),
@@ -195,6 +199,7 @@
         service: job.service,
         target,
         number: job.number,
+        relayed_by: job.relayed_by,
         retry: job.retry,
         started: core.now(),
         sent_at: Cell::new(None),
@@ -276,6 +281,7 @@
     headers.remove(&core.protocol.workspace);
     headers.remove(RELAY);
     headers.remove(RELAYED_KEY);
+    headers.remove(RELAYED_ATTEMPT);
     let workspace = job
         .workspace
         .map(|name| HeaderValue::from_str(name.as_str()));
--- a/crates/filberthead/src/gateway/forward.rs
+++ b/crates/filberthead/src/gateway/forward.rs
@@ -8,11 +8,11 @@
 use filberthead_endpoint::RequestBody;
 use filberthead_place::{
     Attempts, BudgetUsage, Decision, EndpointId, Homes, NextAttempt, Object, Placer, Refusal,
-    Request as PlacementRequest, RetryDecision, RetryEnd, Target,
+    Request as PlacementRequest, RetryDecision, Target,
 };
 use filberthead_route::{Kind, Matched, Route, Target as RouteTarget};
 use filberthead_types::{
-    Moment, RequestPrints, ResultCode, ServiceName, Workspace as WorkspaceName, header,
+    Moment, NodeName, RequestPrints, ResultCode, ServiceName, Workspace as WorkspaceName, header,
 };
 use http::request::Parts;
 use http::{Request, Response};
@@ -27,7 +27,7 @@
 use super::context::{RequestContext, host};
 use super::core::{ActiveRoutes, Core};
 use super::deadline::Deadline;
-use super::relay::{ChosenHelper, RelayHead, is_unhelpful, read_key, relay};
+use super::relay::{ChosenHelper, RelayHead, is_unhelpful, read_attempt, read_key, relay};
 use super::response::{ResponseBody, gateway_response};
 use super::retry::GrantedRetry;
 use super::serve::RequestSource;
@@ -79,8 +79,10 @@
     version: u64,
     revision: u64,
     attempts: Attempts,
-    /// Whether another gateway has relayed it. It isn't relayed again.
-    is_relayed: bool,
+    /// The gateway that relayed it, if one has. It isn't relayed again.
+    relayed_by: Option<&'a NodeName>,
+    /// Attempts that were made before it was relayed.
+    attempts_before: u32,
     /// Whether so many endpoints couldn't be reached that only another gateway is tried.
     must_relay: bool,
     /// Gateways that it was relayed through.
@@ -152,6 +154,10 @@
     let attempts_left = relayed
         .as_ref()
         .map_or(u32::MAX, |relayed| relayed.attempts);
+    let attempts_before = match relayed {
+        None => 0,
+        Some(_) => read_attempt(&head.headers) - 1,
+    };
     let prints = RequestPrints {
         of_request: fingerprint(&target.service, &head, &body, &[]),
         of_caller: match &relayed {
@@ -159,6 +165,7 @@
             None => caller.fingerprint(&target.service, &head, &body, ctx.caller_ip()),
         },
     };
+    let request_id = header_text(&head.headers, &core.protocol.request_id);
     let forwarding = Forwarding {
         core,
         route,
@@ -172,17 +179,19 @@
         version: active_routes.version,
         revision: active_routes.revision,
         attempts: Attempts::new(route.max_attempts.min(attempts_left)),
-        is_relayed: relayed.is_some(),
+        relayed_by: relayed.as_ref().map(|relayed| &relayed.gateway),
+        attempts_before,
         must_relay: false,
         relays: 0,
-        retry: GrantedRetry::none(core, &target.service),
+        retry: GrantedRetry::none(core, &target.service, request_id),
         failed_response: None,
     };
     let response = forwarding.run(body).await;
     let code = result_code(&response);
     if let Some(relayed) = relayed {
-        debug!(request = header_text(&head.headers, &core.protocol.request_id),
-            gateway:% = relayed.gateway, code:%; "helped another gateway with a request");
+        debug!(request = request_id,
+            gateway:% = relayed.gateway, service:% = target.service, asked:% = relayed.service,
+            code:%; "helped another gateway with a request");
         core.metrics.record_helped(code);
         return response;
     }
@@ -250,7 +259,7 @@
 impl Forwarding<'_> {
     async fn run(mut self, body: RequestBody) -> Response<ResponseBody> {
         let core = self.core;
-        let charge = match self.is_relayed {
+        let charge = match self.relayed_by.is_some() {
             true => Ok(Charge::taken_elsewhere(core, self.caller)),
             false => Charge::take(core, self.caller),
         };
@@ -312,7 +321,7 @@
         charge: &mut Charge<'_>,
         retry_after: Duration,
     ) -> Next {
-        if self.is_relayed {
+        if self.relayed_by.is_some() {
             return self.refuse(Refusal::OutOfReach, retry_after);
         }
         if self.relays < MAX_RELAYS
@@ -403,7 +412,8 @@
             service: self.service,
             prints: self.prints,
             deadline: self.deadline,
-            number: self.attempts.made(),
+            number: self.attempts_before + self.attempts.made(),
+            relayed_by: self.relayed_by,
             retry: &self.retry,
         }
     }
@@ -520,7 +530,7 @@
     fn after_unreached(&mut self, body: RequestBody) -> Next {
         match self.attempts.record_unreachable() {
             NextAttempt::Allowed => Next::Retry(body),
-            NextAttempt::Exhausted if !self.is_relayed && !self.must_relay => {
+            NextAttempt::Exhausted if self.relayed_by.is_none() && !self.must_relay => {
                 self.must_relay = true;
                 Next::Retry(body)
             }
@@ -596,7 +606,7 @@
     fn renew_charge(&self, charge: &mut Charge<'_>) -> bool {
         let renewed = charge.renew();
         if !renewed {
-            self.retry.end(RetryEnd::NotSent);
+            self.retry.give_back("no-allotment");
             if let Some(omitted) = self.core.may_log(ResultCode::AllotmentUsed) {
                 info!(request = self.request_id(), route = self.route.name.as_str(),
                     workspace = self.caller.workspace().map(WorkspaceName::as_str), omitted;
--- a/crates/filberthead/src/gateway/relay/head.rs
+++ b/crates/filberthead/src/gateway/relay/head.rs
@@ -14,6 +14,9 @@
 /// Holds the digest of the caller's key. The key itself never leaves the gateway that it was sent to.
 pub(crate) const RELAYED_KEY: HeaderName = HeaderName::from_static(header::RELAYED_KEY);
 
+/// Holds the number of the attempt that a relayed request is to its sender.
+pub(crate) const RELAYED_ATTEMPT: HeaderName = HeaderName::from_static(header::RELAYED_ATTEMPT);
+
 /// What a helper needs to know of a relayed request beside its head and its caller's key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct RelayHead {
@@ -45,6 +48,12 @@
     KeyDigest::from_hex(header_text(headers, &RELAYED_KEY))
 }
 
+/// Number of the attempt that a relayed request is to its sender, from 1.
+pub(crate) fn read_attempt(headers: &HeaderMap) -> u32 {
+    let number = header_text(headers, &RELAYED_ATTEMPT).parse();
+    number.unwrap_or(1).max(1)
+}
+
 impl fmt::Display for RelayHead {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self {
--- a/crates/filberthead/src/gateway/relay/mod.rs
+++ b/crates/filberthead/src/gateway/relay/mod.rs
@@ -12,6 +12,6 @@
 mod helpers;
 mod send;
 
-pub(crate) use head::{RELAY, RELAYED_KEY, RelayHead, read_key};
+pub(crate) use head::{RELAY, RELAYED_ATTEMPT, RELAYED_KEY, RelayHead, read_attempt, read_key};
 pub(crate) use helpers::{ChosenHelper, Helpers};
 pub(crate) use send::{is_unhelpful, relay};
--- a/crates/filberthead/src/gateway/relay/send.rs
+++ b/crates/filberthead/src/gateway/relay/send.rs
@@ -6,19 +6,21 @@
 use filberthead_endpoint::{AnswerCheck, RequestBody, Reuse, SendOutcome};
 use filberthead_place::RetryEnd;
 use filberthead_route::KeyDigest;
-use filberthead_types::{Meaning, ResultCode, header};
+use filberthead_types::{Meaning, Moment, ResultCode, header};
 use http::header::RETRY_AFTER;
 use http::{HeaderMap, HeaderName, HeaderValue};
 use http_body::Body;
 use log::info;
 
-use super::{ChosenHelper, RELAY, RELAYED_KEY, RelayHead};
+use super::{ChosenHelper, RELAY, RELAYED_ATTEMPT, RELAYED_KEY, RelayHead};
 use crate::gateway::attempt::{
     Attempt, Job, MAX_IDLE_FOR_UNSAFE, TYPICAL_HEAD_BYTES, build_request, header_text, read_body,
 };
 use crate::gateway::core::Core;
 use crate::gateway::response::gateway_response;
 
+/// Outcome of a request whose caller left.
+const ABANDONED: &str = "abandoned";
 const RESULT: HeaderName = HeaderName::from_static(header::RESULT);
 
 /// Sends a request to a helper and waits for its answer. Dropping the returned future closes the
@@ -30,14 +32,15 @@
     helper: &ChosenHelper,
     (head, key): (&RelayHead, Option<KeyDigest>),
 ) -> Attempt {
-    let started = core.now();
+    let mut in_flight = InFlight {
+        core,
+        job,
+        helper,
+        started: core.now(),
+        outcome: ABANDONED,
+    };
     let attempt = send(core, job, body, helper, (head, key)).await;
-    let took_ms = core.now().saturating_sub(started).as_millis();
-    let outcome = outcome_name(&attempt);
-    core.metrics.record_relayed(outcome);
-    info!(request = header_text(&job.head.headers, &core.protocol.request_id), route = job.route,
-        service:% = job.service, attempt = job.number, helper:% = helper.addr,
-        domain:% = helper.domain, took_ms, outcome; "relayed through another gateway");
+    in_flight.outcome = outcome_name(&attempt);
     if may_have_arrived(&attempt) {
         // Without an answer its connection is reset, and the helper resets the one to the endpoint when
         // it learns of that.
@@ -46,6 +49,29 @@
     attempt
 }
 
+/// A request on its way through a helper. Dropping it records the outcome.
+struct InFlight<'a> {
+    core: &'a Core,
+    job: &'a Job<'a>,
+    helper: &'a ChosenHelper,
+    started: Moment,
+    outcome: &'static str,
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        let Self {
+            core, job, helper, ..
+        } = self;
+        let took_ms = core.now().saturating_sub(self.started).as_millis();
+        core.metrics.record_relayed(self.outcome);
+        info!(request = header_text(&job.head.headers, &core.protocol.request_id),
+            route = job.route, service:% = job.service, attempt = job.number,
+            helper:% = helper.addr, domain:% = helper.domain, took_ms, outcome = self.outcome;
+            "relayed through another gateway");
+    }
+}
+
 /// Whether an endpoint may have received the request. If not, a retry is still to be made.
 fn may_have_arrived(attempt: &Attempt) -> bool {
     match attempt {
@@ -72,6 +98,7 @@
     if let Ok(value) = HeaderValue::from_str(&head.to_string()) {
         headers.insert(RELAY, value);
     }
+    headers.insert(RELAYED_ATTEMPT, HeaderValue::from(job.number));
     if let Some(Ok(value)) = key.map(|key| HeaderValue::from_str(&key.to_hex())) {
         headers.insert(RELAYED_KEY, value);
     }
--- a/crates/filberthead/src/gateway/retry.rs
+++ b/crates/filberthead/src/gateway/retry.rs
@@ -4,6 +4,7 @@
 
 use filberthead_place::{RetryEnd, RetryId};
 use filberthead_types::ServiceName;
+use log::info;
 
 use super::core::Core;
 
@@ -12,15 +13,18 @@
 pub(crate) struct GrantedRetry<'a> {
     core: &'a Core,
     service: &'a ServiceName,
+    /// Id of the request, for logs.
+    request: &'a str,
     id: Cell<Option<RetryId>>,
 }
 
 impl<'a> GrantedRetry<'a> {
     /// The next attempt is the first one.
-    pub(crate) fn none(core: &'a Core, service: &'a ServiceName) -> Self {
+    pub(crate) fn none(core: &'a Core, service: &'a ServiceName, request: &'a str) -> Self {
         Self {
             core,
             service,
+            request,
             id: Cell::new(None),
         }
     }
@@ -36,10 +40,20 @@
             self.core.end_retry(self.service, id, end);
         }
     }
+
+    /// Nothing of the retry was sent, for this reason; nothing to do if the attempt was the first one.
+    pub(crate) fn give_back(&self, reason: &'static str) {
+        if let Some(id) = self.id.take() {
+            let core = self.core;
+            core.end_retry(self.service, id, RetryEnd::NotSent);
+            core.metrics.record_retry_given_back(self.service);
+            info!(request = self.request, service:% = self.service, reason; "retry given back");
+        }
+    }
 }
 
 impl Drop for GrantedRetry<'_> {
     fn drop(&mut self) {
-        self.end(RetryEnd::NotSent);
+        self.give_back("dropped");
     }
 }
--- a/crates/observe/src/metrics/gateway.rs
+++ b/crates/observe/src/metrics/gateway.rs
@@ -149,7 +149,7 @@
         );
         let cut_off = "1 while there is no contact with any endpoint";
         registry.register("gateway_cut_off", cut_off, self.cut_off.clone());
-        let retries = "Retries granted and refused by the budget, by service, other beyond the first \
+        let retries = "Retries granted, refused and given back, by service, other beyond the first \
             256";
         registry.register("gateway_retries", retries, self.retries.clone());
         let divisor =
@@ -249,10 +249,20 @@
 
     /// Counts a retry that the budget of its service granted or refused.
     pub fn record_retry(&self, service: &ServiceName, is_granted: bool) {
+        let result = if is_granted { "granted" } else { "refused" };
+        self.count_retry(service, result);
+    }
+
+    /// Counts a retry that was granted and given back, since nothing of it was sent.
+    pub fn record_retry_given_back(&self, service: &ServiceName) {
+        self.count_retry(service, "given-back");
+    }
+
+    fn count_retry(&self, service: &ServiceName, result: &'static str) {
         let name = service.as_str().to_owned();
         let labels = RetryLabels {
             service: self.services.admit(name).unwrap_or_else(other),
-            result: if is_granted { "granted" } else { "refused" },
+            result,
         };
         self.retries.get_or_create_owned(&labels).inc();
     }
--- a/crates/types/src/header.rs
+++ b/crates/types/src/header.rs
@@ -35,3 +35,6 @@
 pub const RELAY: &str = "filberthead-relay";
 /// Between gateways: digest of the API key of a relayed request's caller.
 pub const RELAYED_KEY: &str = "filberthead-relayed-key";
+/// Between gateways: number of the attempt that a relayed request is to its sender, from 1. Without it, it
+/// is the first one.
+pub const RELAYED_ATTEMPT: &str = "filberthead-relayed-attempt";
