--- a/crates/testing/src/soak/deployed/trouble.rs
+++ b/crates/testing/src/soak/deployed/trouble.rs
@@ -62,8 +62,8 @@
     /// Some endpoints fail at once while others of the service are suspended, and all fail once
     /// these go on.
     FailuresBesidePauses,
-    /// All endpoints of a service fail while most failure domains' gateways are cut off from endpoints and
-    /// half of the callers leave early.
+    /// All endpoints fail while most failure domains' gateways are cut off from endpoints and half of the
+    /// callers leave early.
     FailuresBesideRelays,
     /// A route leads to another service for a while.
     RouteMoved,
@@ -296,8 +296,8 @@
     g.endpoint(span.1, endpoint, command(Behaviour::Serves, 1.0));
 }
 
-/// A service's endpoints answer every request with a failure, also those of gateways that have to relay
-/// them, and callers leave while they wait.
+/// All endpoints answer with a failure, also to gateways that have to relay their requests, and callers
+/// leave while they wait.
 fn failures_beside_relays(g: &mut Generator, at: Duration) {
     const LASTS_MS: std::ops::Range<u64> = 15_000..25_000;
     /// Time for which the gateways are cut off before, and after.
@@ -312,7 +312,7 @@
         at,
         Action::Load(LoadChange::LeaverEvery(LEAVER_EVERY_BESIDE_RELAYS)),
     );
-    for endpoint in g.draw_endpoints(1.0) {
+    for endpoint in 0..g.services.len() {
         let command = |behaviour| EndpointAction::Command(EndpointCommand::Behave(behaviour, 1.0));
         g.endpoint(at + MARGIN, endpoint, command(Behaviour::Fails));
         g.endpoint(end, endpoint, command(Behaviour::Serves));
