--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -23,6 +23,7 @@
 mod rejections;
 mod report;
 mod requests;
+mod retries;
 mod soak;
 mod spreading;
 mod stops;
--- /dev/null
+++ b/tests/all/retries.rs
@@ -0,0 +1,100 @@
+//! Retries of requests that another gateway relays: they keep the budget too.
+
+use std::collections::BTreeMap;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use filberthead_testing::client::Call;
+use filberthead_testing::proxy::Flow;
+use filberthead_testing::site::{Behaviour, HOST, Site, SiteEndpoint};
+use filberthead_testing::wait_until;
+
+use crate::groups::site;
+
+const BOUND: Duration = Duration::from_secs(60);
+const SERVICES: &[(&str, &str)] = &[("catalogue", "safe")];
+/// The gateway that can't reach endpoints, and the one that it relays through.
+const CUT_OFF: usize = 0;
+const GATEWAYS: usize = 2;
+const ENDPOINTS: usize = 8;
+/// How long a request runs before it fails.
+const RUN_TIME: Duration = Duration::from_millis(300);
+/// When callers leave: while the retry runs.
+const PATIENCE: Duration = Duration::from_millis(450);
+/// Requests, and the pause between two: all within one window of the budget.
+const REQUESTS: u32 = 120;
+const PAUSE: Duration = Duration::from_millis(50);
+/// Retries for each request, the default of the settings.
+const RATIO: f64 = 0.2;
+
+fn read(id: &str) -> Call {
+    Call::new("GET", "/catalogue/1")
+        .header("host", HOST)
+        .header("x-request-id", id)
+        .header("x-deadline-ms", "20000")
+}
+
+/// A site without a floor of the retry budget whose first gateway relays all requests.
+fn start_relaying() -> Site {
+    let builder = site().replicas(1).tolerate(0).gateways(GATEWAYS);
+    let mut site = builder.retry_floor(0).start();
+    for number in 0..ENDPOINTS {
+        let domain = ["zagreb-a", "split-a"][number % 2];
+        site.add_linked_endpoint("catalogue", domain);
+    }
+    site.put_routes(1, SERVICES);
+    for gateway in 0..GATEWAYS {
+        site.wait_serving(gateway);
+    }
+    let cut_off = site.gateways[CUT_OFF].name();
+    for endpoint in &site.endpoints {
+        site.network.set(cut_off, &endpoint.id(), Flow::Hold);
+        site.network.set(&endpoint.id(), cut_off, Flow::Hold);
+    }
+    let mut number = 0;
+    wait_until("requests are relayed", BOUND, || {
+        number += 1;
+        let answer = site.request(CUT_OFF, &read(&format!("before-{number}")).bound(BOUND));
+        let is_cut_off = site.gateways[CUT_OFF].metric("gateway_cut_off") > 0.0;
+        is_cut_off && answer.is_ok_and(|answer| answer.status == 200)
+    });
+    site
+}
+
+/// Arrivals at endpoints beyond the first of each request with this prefix of its id.
+fn repeats(site: &Site, prefix: &str) -> usize {
+    let arrivals = site.endpoints.iter().flat_map(SiteEndpoint::arrivals);
+    let mut by_id: BTreeMap<String, usize> = BTreeMap::new();
+    for arrival in arrivals.filter(|arrival| arrival.id.starts_with(prefix)) {
+        *by_id.entry(arrival.id).or_default() += 1;
+    }
+    by_id.values().map(|count| count - 1).sum()
+}
+
+/// A retry on its way through another gateway was given back when its caller left.
+#[test]
+fn relayed_retries_whose_callers_leave_keep_the_retry_budget() {
+    let site = start_relaying();
+    for endpoint in &site.endpoints {
+        endpoint.set_run_time(RUN_TIME);
+        endpoint.set_behaviour(Behaviour::Fails);
+    }
+    let started = Instant::now();
+    thread::scope(|scope| {
+        for number in 0..REQUESTS {
+            let due = started + PAUSE * number;
+            thread::sleep(due.saturating_duration_since(Instant::now()));
+            let call = read(&format!("left-{number}")).bound(PATIENCE);
+            scope.spawn({
+                let site = &site;
+                move || site.request(CUT_OFF, &call)
+            });
+        }
+    });
+    let (repeats, allowed) = (repeats(&site, "left-"), RATIO * f64::from(REQUESTS));
+    assert!(repeats > 0, "no request was retried");
+    assert!(
+        repeats as f64 <= allowed,
+        "{repeats} retries of {allowed} allowed"
+    );
+}
