A retry counts unless it is known that nothing of it was sent

Cause: a retry's end was reported by whoever sent it, and one whose end nobody had reported was given back when it was dropped. Class: what isn't reported is taken to be free. The log lines of the test: retry granted, relayed through another gateway with outcome abandoned, retry given back.

Now the default is the other way round. A grant is given back only while no attempt has been started with it; an attempt that was started counts as unanswered, unless it is reported that nothing was sent or that it has arrived.

Without any proof it is 60 s and a window.

--- a/crates/filberthead/src/gateway/attempt.rs
+++ b/crates/filberthead/src/gateway/attempt.rs
@@ -7,7 +7,7 @@
 use filberthead_endpoint::{
     Answer, AnswerCheck, Connection, RequestBody, Reuse, SendOutcome, Unsent, remove_hop_by_hop,
 };
-use filberthead_place::{Load, NamedLimit, Outcome, RetryEnd, Target};
+use filberthead_place::{Holder, Load, NamedLimit, Outcome, Target};
 use filberthead_route::Kind;
 use filberthead_types::{Moment, NodeName, RequestPrints, ResultCode, ServiceName, Workspace};
 use http::header::{CONTENT_LENGTH, EXPECT};
@@ -22,7 +22,7 @@
 use super::deadline::Deadline;
 use super::relay::{RELAY, RELAYED_ATTEMPT, RELAYED_KEY};
 use super::response::ResponseBody;
-use super::retry::GrantedRetry;
+use super::retry::{GrantedRetry, StartedAttempt};
 use super::streamed::StreamedBody;
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
@@ -92,7 +92,7 @@
     target: &'a Target,
     number: u32,
     relayed_by: Option<&'a NodeName>,
-    retry: &'a GrantedRetry<'a>,
+    attempt: StartedAttempt<'a>,
     started: Moment,
     /// When the first byte may have left; `None` if none has.
     sent_at: Cell<Option<Moment>>,
@@ -120,18 +120,16 @@
         )
     }
 
-    /// What is known of the request's arrival if it is a retry that was sent.
-    fn retry_end(&self) -> RetryEnd {
+    /// Whether the request has arrived, or never will.
+    fn is_settled(&self) -> bool {
         match self.outcome {
-            Outcome::Abandoned(_) => {
-                RetryEnd::Unanswered(self.target.id.clone(), self.target.incarnation)
-            }
+            Outcome::Abandoned(_) => false,
             Outcome::Served(_)
             | Outcome::Failed
             | Outcome::Full
             | Outcome::Gone
             | Outcome::Unreached
-            | Outcome::Broken => RetryEnd::Settled,
+            | Outcome::Broken => true,
         }
     }
 }
@@ -174,7 +172,10 @@
             "attempt ended");
         let mut placer = self.core.placer.borrow_mut();
         placer.record_outcome(now, self.service, self.target, self.outcome);
-        let Some(sent_at) = sent_at else { return };
+        let Some(sent_at) = sent_at else {
+            self.attempt.not_sent();
+            return;
+        };
         if self.is_answered() {
             self.core.record_answered();
             placer.record_answer(now, self.service, self.target, sent_at);
@@ -182,10 +183,17 @@
         let verdict = placer.record_run(now, self.prints, self.target, sent_at, self.outcome);
         drop(placer);
         self.core.note_verdict(self.prints.of_request, verdict);
-        self.retry.end(self.retry_end());
+        if self.is_settled() {
+            self.attempt.settled();
+        }
     }
 }
 
+/// Where a request to this endpoint is while it hasn't been answered.
+fn holder(target: &Target) -> Holder {
+    Holder::Endpoint(target.id.clone(), target.incarnation)
+}
+
 /// Sends a request to the endpoint chosen for it. Dropping the returned future closes the
 /// connection, which tells the endpoint to cancel the work.
 pub(crate) async fn attempt(
@@ -200,7 +208,7 @@
         target,
         number: job.number,
         relayed_by: job.relayed_by,
-        retry: job.retry,
+        attempt: job.retry.start(holder(target)),
         started: core.now(),
         sent_at: Cell::new(None),
         outcome: Outcome::Abandoned(Duration::ZERO),
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -16,8 +16,8 @@
 use filberthead_observe::{GatewayMetrics, LogRateLimiter};
 use filberthead_peer::Body;
 use filberthead_place::{
-    ConnectionBalancer, EndpointId, LargeResponseAdmission, Link, Placer, RetryDecision, RetryEnd,
-    RetryId, RunVerdict,
+    ConnectionBalancer, EndpointId, Holder, LargeResponseAdmission, Link, Placer, RetryDecision,
+    RetryEnd, RetryId, RunVerdict,
 };
 use filberthead_ring::Sender;
 use filberthead_route::{CallerBounds, KeyIndex, Matcher, Table};
@@ -383,6 +383,13 @@
         self.placer.borrow_mut().end_retry(now, service, id, end);
     }
 
+    /// Counts an attempt that was made for another gateway and ended without an answer.
+    pub(crate) fn record_foreign_retry(&self, service: &ServiceName, holder: Holder) {
+        let now = self.now();
+        let mut placer = self.placer.borrow_mut();
+        placer.record_foreign_retry(now, service, holder);
+    }
+
     /// Age of the last proof of contact with control's leader; `None` without one.
     pub(crate) fn leader_proof_age(&self) -> Option<Duration> {
         let proven_at = self.leader_proven_at.get()?;
--- a/crates/filberthead/src/gateway/forward.rs
+++ b/crates/filberthead/src/gateway/forward.rs
@@ -27,7 +27,9 @@
 use super::context::{RequestContext, host};
 use super::core::{ActiveRoutes, Core};
 use super::deadline::Deadline;
-use super::relay::{ChosenHelper, RelayHead, is_unhelpful, read_attempt, read_key, relay};
+use super::relay::{
+    ChosenHelper, RelayHead, add_uptime, is_unhelpful, read_attempt, read_key, relay,
+};
 use super::response::{ResponseBody, gateway_response};
 use super::retry::GrantedRetry;
 use super::serve::RequestSource;
@@ -183,12 +185,13 @@
         attempts_before,
         must_relay: false,
         relays: 0,
-        retry: GrantedRetry::none(core, &target.service, request_id),
+        retry: GrantedRetry::none(core, &target.service, request_id, relayed.is_some()),
         failed_response: None,
     };
-    let response = forwarding.run(body).await;
+    let mut response = forwarding.run(body).await;
     let code = result_code(&response);
     if let Some(relayed) = relayed {
+        add_uptime(core, response.headers_mut());
         debug!(request = request_id,
             gateway:% = relayed.gateway, service:% = target.service, asked:% = relayed.service,
             code:%; "helped another gateway with a request");
--- a/crates/filberthead/src/gateway/relay/head.rs
+++ b/crates/filberthead/src/gateway/relay/head.rs
@@ -2,12 +2,14 @@
 
 use std::fmt;
 use std::str::FromStr;
+use std::time::Duration;
 
 use filberthead_route::KeyDigest;
 use filberthead_types::{ClusterId, Fingerprint, NodeName, ServiceName, header};
-use http::{HeaderMap, HeaderName};
+use http::{HeaderMap, HeaderName, HeaderValue};
 
 use crate::gateway::attempt::header_text;
+use crate::gateway::core::Core;
 
 /// Holds a [`RelayHead`].
 pub(crate) const RELAY: HeaderName = HeaderName::from_static(header::RELAY);
@@ -17,6 +19,9 @@
 /// Holds the number of the attempt that a relayed request is to its sender.
 pub(crate) const RELAYED_ATTEMPT: HeaderName = HeaderName::from_static(header::RELAYED_ATTEMPT);
 
+/// Holds the time since the start of the process that answers a relayed request.
+const GATEWAY_UPTIME_MS: HeaderName = HeaderName::from_static(header::GATEWAY_UPTIME_MS);
+
 /// What a helper needs to know of a relayed request beside its head and its caller's key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct RelayHead {
@@ -54,6 +59,20 @@
     number.unwrap_or(1).max(1)
 }
 
+/// Adds the time since this process has started to the answer to a relayed request.
+pub(crate) fn add_uptime(core: &Core, headers: &mut HeaderMap) {
+    let ms = u64::try_from(core.now().as_millis()).unwrap_or(u64::MAX);
+    headers.insert(GATEWAY_UPTIME_MS, HeaderValue::from(ms));
+}
+
+/// Removes the time since the start of the process that has answered from its answer; `None` if it
+/// names none.
+pub(crate) fn take_uptime(headers: &mut HeaderMap) -> Option<Duration> {
+    let value = headers.remove(GATEWAY_UPTIME_MS)?;
+    let ms = value.to_str().ok()?.parse().ok()?;
+    Some(Duration::from_millis(ms))
+}
+
 impl fmt::Display for RelayHead {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self {
--- a/crates/filberthead/src/gateway/relay/mod.rs
+++ b/crates/filberthead/src/gateway/relay/mod.rs
@@ -5,13 +5,17 @@
 //! exceptions: it relays it no further, so there is one hop and no circle; the sender has counted it as
 //! a first attempt and charged it to the allotment of its workspace; and the sender says how many
 //! attempts are left, which service it chose and which routes it knows. What the helper answers
-//! tells the sender whether the request may have run. A connection that breaks after the request was
+//! tells the sender whether the request may have run. A retry that gets no answer counts at the sender until
+//! the helper has answered something that was sent later, and at the helper while its endpoint may still
+//! read it. A connection that breaks after the request was
 //! sent tells nothing, so a request that may run only once isn't sent again.
 
 mod head;
 mod helpers;
 mod send;
 
-pub(crate) use head::{RELAY, RELAYED_ATTEMPT, RELAYED_KEY, RelayHead, read_attempt, read_key};
+pub(crate) use head::{
+    RELAY, RELAYED_ATTEMPT, RELAYED_KEY, RelayHead, add_uptime, read_attempt, read_key, take_uptime,
+};
 pub(crate) use helpers::{ChosenHelper, Helpers};
 pub(crate) use send::{is_unhelpful, relay};
--- a/crates/filberthead/src/gateway/relay/send.rs
+++ b/crates/filberthead/src/gateway/relay/send.rs
@@ -1,10 +1,11 @@
 //! Sends a request through a helper.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use filberthead_endpoint::{AnswerCheck, RequestBody, Reuse, SendOutcome};
-use filberthead_place::RetryEnd;
+use filberthead_place::Holder;
 use filberthead_route::KeyDigest;
 use filberthead_types::{Meaning, Moment, ResultCode, header};
 use http::header::RETRY_AFTER;
@@ -12,12 +13,13 @@
 use http_body::Body;
 use log::info;
 
-use super::{ChosenHelper, RELAY, RELAYED_ATTEMPT, RELAYED_KEY, RelayHead};
+use super::{ChosenHelper, RELAY, RELAYED_ATTEMPT, RELAYED_KEY, RelayHead, take_uptime};
 use crate::gateway::attempt::{
     Attempt, Job, MAX_IDLE_FOR_UNSAFE, TYPICAL_HEAD_BYTES, build_request, header_text, read_body,
 };
 use crate::gateway::core::Core;
 use crate::gateway::response::gateway_response;
+use crate::gateway::retry::StartedAttempt;
 
 /// Outcome of a request whose caller left.
 const ABANDONED: &str = "abandoned";
@@ -32,19 +34,23 @@
     helper: &ChosenHelper,
     (head, key): (&RelayHead, Option<KeyDigest>),
 ) -> Attempt {
+    let started = core.now();
     let mut in_flight = InFlight {
         core,
         job,
         helper,
-        started: core.now(),
+        attempt: job.retry.start(Holder::Gateway(helper.addr, started)),
+        started,
+        sent_at: Cell::new(None),
         outcome: ABANDONED,
     };
-    let attempt = send(core, job, body, helper, (head, key)).await;
+    let sending = send(core, job, body, helper, (head, key), &in_flight.sent_at);
+    let attempt = sending.await;
     in_flight.outcome = outcome_name(&attempt);
-    if may_have_arrived(&attempt) {
-        // Without an answer its connection is reset, and the helper resets the one to the endpoint when
-        // it learns of that.
-        job.retry.end(RetryEnd::Settled);
+    match Arrival::of(&attempt) {
+        Arrival::None => in_flight.attempt.not_sent(),
+        Arrival::Answered => in_flight.attempt.settled(),
+        Arrival::Unknown => {}
     }
     attempt
 }
@@ -54,12 +60,18 @@
     core: &'a Core,
     job: &'a Job<'a>,
     helper: &'a ChosenHelper,
+    attempt: StartedAttempt<'a>,
     started: Moment,
+    /// When the first byte may have left; `None` if none has.
+    sent_at: Cell<Option<Moment>>,
     outcome: &'static str,
 }
 
 impl Drop for InFlight<'_> {
     fn drop(&mut self) {
+        if self.sent_at.get().is_none() {
+            self.attempt.not_sent();
+        }
         let Self {
             core, job, helper, ..
         } = self;
@@ -72,12 +84,27 @@
     }
 }
 
-/// Whether an endpoint may have received the request. If not, a retry is still to be made.
-fn may_have_arrived(attempt: &Attempt) -> bool {
-    match attempt {
-        Attempt::NotSent(_) => false,
-        Attempt::Rejected { code, .. } => !is_unhelpful(*code),
-        _ => true,
+/// What is known of a relayed request's arrival at endpoints.
+enum Arrival {
+    /// No endpoint has received it, so a retry is still to be made.
+    None,
+    /// The helper has answered it.
+    Answered,
+    /// The helper or its endpoint may still read it.
+    Unknown,
+}
+
+impl Arrival {
+    fn of(attempt: &Attempt) -> Self {
+        match attempt {
+            Attempt::NotSent(_) => Self::None,
+            Attempt::Rejected { code, .. } if is_unhelpful(*code) => Self::None,
+            Attempt::Answered(_)
+            | Attempt::Failed(_)
+            | Attempt::Rejected { .. }
+            | Attempt::NotRun { .. } => Self::Answered,
+            Attempt::Lost | Attempt::TimedOut => Self::Unknown,
+        }
     }
 }
 
@@ -92,6 +119,7 @@
     body: RequestBody,
     helper: &ChosenHelper,
     (head, key): (&RelayHead, Option<KeyDigest>),
+    sent_at: &Cell<Option<Moment>>,
 ) -> Attempt {
     let mut req = build_request(core, job, body);
     let headers = req.headers_mut();
@@ -109,15 +137,22 @@
     let check = AnswerCheck::Echo { name, value };
     let reuse = Reuse::Within(MAX_IDLE_FOR_UNSAFE);
     let deadline = job.deadline.respond_by;
-    let sent = core.client.send(helper.addr, check, reuse, deadline, req);
+    let client = &core.client;
+    let sent = client.send_noting(helper.addr, check, reuse, deadline, req, || {
+        sent_at.set(Some(core.now()));
+    });
     let answer = match sent.await {
-        SendOutcome::NotSent(req, _) => return Attempt::NotSent(req.into_body()),
+        SendOutcome::NotSent(req, _) => {
+            sent_at.set(None);
+            return Attempt::NotSent(req.into_body());
+        }
         SendOutcome::Lost => return Attempt::Lost,
         SendOutcome::TimedOut => return Attempt::TimedOut,
         SendOutcome::Answer(answer) => answer,
     };
     helper.record_answer(core.now());
-    let (head, body) = answer.response.into_parts();
+    let (mut head, body) = answer.response.into_parts();
+    record_answer(core, helper, take_uptime(&mut head.headers), sent_at.get());
     if let Some(code) = result_code(&head.headers) {
         answer.connection.drain_and_release(body);
         return rejected(code, &head.headers);
@@ -129,6 +164,21 @@
     }
 }
 
+/// Tells the retry budget that a helper has read what was sent to it before `sent_at`.
+fn record_answer(
+    core: &Core,
+    helper: &ChosenHelper,
+    uptime: Option<Duration>,
+    sent_at: Option<Moment>,
+) {
+    if let (Some(uptime), Some(sent_at)) = (uptime, sent_at) {
+        let now = core.now();
+        let started_at = now.saturating_sub(uptime);
+        let mut placer = core.placer.borrow_mut();
+        placer.record_gateway_answer(now, helper.addr, started_at, sent_at);
+    }
+}
+
 /// The code of a helper's own answer; `None` if it passes on an endpoint's.
 fn result_code(headers: &HeaderMap) -> Option<ResultCode> {
     let text = headers.get(RESULT)?.to_str().ok();
--- a/crates/filberthead/src/gateway/retry.rs
+++ b/crates/filberthead/src/gateway/retry.rs
@@ -1,30 +1,42 @@
 //! A retry from its grant to its end.
+//!
+//! What was granted counts unless it is known that nothing of it was sent. So a grant is given back only
+//! while no attempt has been started with it, and an attempt that ends without a word of how counts as
+//! one that may still arrive.
 
 use std::cell::Cell;
 
-use filberthead_place::{RetryEnd, RetryId};
+use filberthead_place::{Holder, RetryEnd, RetryId};
 use filberthead_types::ServiceName;
 use log::info;
 
 use super::core::Core;
 
-/// The retry that a request's next attempt is, if it is one. Dropped before it has ended, it wasn't
-/// sent and is given back.
+/// The retry that a request's next attempt is, if it is one. Dropped, it is given back: no attempt was
+/// started with it.
 pub(crate) struct GrantedRetry<'a> {
     core: &'a Core,
     service: &'a ServiceName,
     /// Id of the request, for logs.
     request: &'a str,
+    /// Whether another gateway relayed the request, and has granted the attempt that came with it.
+    is_relayed: bool,
     id: Cell<Option<RetryId>>,
 }
 
 impl<'a> GrantedRetry<'a> {
-    /// The next attempt is the first one.
-    pub(crate) fn none(core: &'a Core, service: &'a ServiceName, request: &'a str) -> Self {
+    /// The next attempt is the first one of this gateway.
+    pub(crate) fn none(
+        core: &'a Core,
+        service: &'a ServiceName,
+        request: &'a str,
+        is_relayed: bool,
+    ) -> Self {
         Self {
             core,
             service,
             request,
+            is_relayed,
             id: Cell::new(None),
         }
     }
@@ -34,10 +46,13 @@
         self.id.set(Some(id));
     }
 
-    /// The attempt has ended; nothing to do if it was the first one.
-    pub(crate) fn end(&self, end: RetryEnd) {
-        if let Some(id) = self.id.take() {
-            self.core.end_retry(self.service, id, end);
+    /// Starts the attempt that the retry was granted for. Without a word of its end, it may still be at
+    /// `holder`.
+    pub(crate) fn start(&self, holder: Holder) -> StartedAttempt<'_> {
+        StartedAttempt {
+            retry: self,
+            id: self.id.take(),
+            end: RetryEnd::Unanswered(holder),
         }
     }
 
@@ -54,6 +69,41 @@
 
 impl Drop for GrantedRetry<'_> {
     fn drop(&mut self) {
-        self.give_back("dropped");
+        self.give_back("request ended");
+    }
+}
+
+/// An attempt under way. Its end counts when it is dropped.
+pub(crate) struct StartedAttempt<'a> {
+    retry: &'a GrantedRetry<'a>,
+    /// The retry that it is; `None` for the first attempt.
+    id: Option<RetryId>,
+    end: RetryEnd,
+}
+
+impl StartedAttempt<'_> {
+    /// Nothing of it was sent, so the next attempt is still this retry.
+    pub(crate) fn not_sent(&mut self) {
+        self.end = RetryEnd::NotSent;
+    }
+
+    /// It has arrived, or never will.
+    pub(crate) fn settled(&mut self) {
+        self.end = RetryEnd::Settled;
+    }
+}
+
+impl Drop for StartedAttempt<'_> {
+    fn drop(&mut self) {
+        let GrantedRetry { core, service, .. } = *self.retry;
+        let end = std::mem::replace(&mut self.end, RetryEnd::NotSent);
+        match (self.id, end) {
+            (id, RetryEnd::NotSent) => self.retry.id.set(id),
+            (Some(id), end) => core.end_retry(service, id, end),
+            (None, RetryEnd::Unanswered(holder)) if self.retry.is_relayed => {
+                core.record_foreign_retry(service, holder);
+            }
+            (None, _) => {}
+        }
     }
 }
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -76,7 +76,7 @@
 pub use planning::ServiceEstimate;
 pub use request::{Config, Decision, Homes, Object, Refusal, Request, Target};
 pub use retry_budget::{
-    BudgetUsage, RetryBudget, RetryBudgetConfig, RetryDecision, RetryEnd, RetryId,
+    BudgetUsage, Holder, RetryBudget, RetryBudgetConfig, RetryDecision, RetryEnd, RetryId,
 };
 pub use sharing::{HELD_FOR, LimitShare};
 pub use suspicions::RunVerdict;
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -18,7 +18,7 @@
 use crate::sharing::Peak;
 use crate::shift::RegionShares;
 use crate::{
-    Config, ContactProbe, LimitShare, Load, Mechanism, Outcome, RetryBudget, RetryDecision,
+    Config, ContactProbe, Holder, LimitShare, Load, Mechanism, Outcome, RetryBudget, RetryDecision,
     RetryEnd, RetryId, Target, rank,
 };
 
@@ -328,6 +328,24 @@
         self.retry_budget.record_answer(now, service, from, sent_at);
     }
 
+    /// Counts an attempt that was made for another gateway and ended without an answer.
+    pub fn record_foreign_retry(&mut self, now: Moment, service: &ServiceName, holder: Holder) {
+        self.retry_budget.record_foreign(now, service, holder);
+    }
+
+    /// Records that a gateway whose process had started by `started_at` has answered a request that was
+    /// sent to it at `sent_at`.
+    pub fn record_gateway_answer(
+        &mut self,
+        now: Moment,
+        from: SocketAddr,
+        started_at: Moment,
+        sent_at: Moment,
+    ) {
+        self.retry_budget
+            .record_gateway_answer(now, from, started_at, sent_at);
+    }
+
     /// Retries that ended without a response and may still arrive.
     pub fn unanswered_retries(&self, now: Moment) -> u32 {
         self.retry_budget.unanswered(now)
--- a/crates/place/src/retry_budget.rs
+++ b/crates/place/src/retry_budget.rs
@@ -10,9 +10,14 @@
 //! retry counts from the moment at which it is granted until a window has passed since it is known to
 //! have arrived: by a response, or by the end of the connection on the endpoint's side. One that the
 //! gateway gave up on without either may still be in the buffers of a suspended endpoint. It
-//! counts until that start of the endpoint has answered something that was sent later, or is gone.
+//! counts until that start of the endpoint has answered something that was sent later, or is gone. One
+//! that was relayed through another gateway counts here until that gateway has answered something that
+//! was sent later, and at that gateway while the endpoint may still read it.
+//!
+//! So what was granted counts unless it is known that nothing of it was sent.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use filberthead_types::{Incarnation, Moment, ServiceName};
@@ -73,6 +78,16 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RetryId(u64);
 
+/// Where an attempt without an answer may still be.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Holder {
+    /// This start of an endpoint may still read it.
+    Endpoint(EndpointId, Option<Incarnation>),
+    /// The gateway at this address may still read it, which it was sent to at this moment. What that
+    /// gateway sends on is counted there from then on.
+    Gateway(SocketAddr, Moment),
+}
+
 /// How a retry ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RetryEnd {
@@ -80,8 +95,8 @@
     NotSent,
     /// It has arrived, or never will: there was a response, or the endpoint closed the connection.
     Settled,
-    /// The gateway gave up on it; this start of an endpoint may still read it.
-    Unanswered(EndpointId, Option<Incarnation>),
+    /// The gateway gave up on it.
+    Unanswered(Holder),
 }
 
 /// The decision about a retry.
@@ -109,34 +124,52 @@
     granted: u32,
 }
 
-/// What is known of the arrival of a retry.
+/// An attempt that ended without an answer and may still arrive.
 #[derive(Clone, Debug)]
-enum Arrival {
-    /// It is being sent, or a response is awaited.
-    Pending,
-    /// It ended without a response at `since`; the endpoint may still read it.
-    Unanswered {
-        since: Moment,
-        endpoint: EndpointId,
-        incarnation: Option<Incarnation>,
-    },
-    /// By then it had arrived, or never will.
-    Settled(Moment),
+struct Unanswered {
+    since: Moment,
+    holder: Holder,
+}
+
+impl Unanswered {
+    /// Whether it may have arrived within the window before `now`, or later.
+    fn counts(&self, now: Moment, window: Duration) -> bool {
+        now < self.since + LOST_AFTER + window
+    }
 }
 
+/// A retry, and what is known of its arrival.
 #[derive(Clone, Debug)]
 struct Retry {
     granted_at: Moment,
-    arrival: Arrival,
+    /// Whether it is being sent, or a response is awaited.
+    is_pending: bool,
+    /// Attempts of its request that may still arrive.
+    unanswered: Vec<Unanswered>,
+    /// By then all others had arrived, or never will.
+    settled_at: Moment,
 }
 
 impl Retry {
     /// Whether it may have arrived within the window before `now`, or later.
     fn counts(&self, now: Moment, window: Duration) -> bool {
-        match &self.arrival {
-            Arrival::Pending => true,
-            Arrival::Unanswered { since, .. } => now < *since + LOST_AFTER + window,
-            Arrival::Settled(at) => now < *at + window,
+        let mut unanswered = self.unanswered.iter();
+        self.is_pending
+            || now < self.settled_at + window
+            || unanswered.any(|attempt| attempt.counts(now, window))
+    }
+
+    fn is_unanswered(&self, now: Moment, window: Duration) -> bool {
+        let mut unanswered = self.unanswered.iter();
+        unanswered.any(|attempt| attempt.counts(now, window))
+    }
+
+    /// Settles the attempts that `has_arrived` is true for.
+    fn settle(&mut self, at: Moment, has_arrived: impl Fn(&Unanswered) -> bool) {
+        let before = self.unanswered.len();
+        self.unanswered.retain(|attempt| !has_arrived(attempt));
+        if self.unanswered.len() < before {
+            self.settled_at = self.settled_at.max(at);
         }
     }
 }
@@ -172,10 +205,9 @@
 
     /// Retries without a response that still count.
     fn unanswered(&self, now: Moment, window: Duration) -> u32 {
-        let is_unanswered = |retry: &&Retry| {
-            matches!(retry.arrival, Arrival::Unanswered { .. }) && retry.counts(now, window)
-        };
-        self.retries.values().filter(is_unanswered).count() as u32
+        let retries = self.retries.values();
+        let unanswered = retries.filter(|retry| retry.is_unanswered(now, window));
+        unanswered.count() as u32
     }
 }
 
@@ -226,7 +258,9 @@
         attempts.bucket(number).granted += 1;
         let retry = Retry {
             granted_at: now,
-            arrival: Arrival::Pending,
+            is_pending: true,
+            unanswered: Vec::new(),
+            settled_at: now,
         };
         attempts.retries.insert(id, retry);
         usage.retries += 1;
@@ -240,17 +274,29 @@
             return;
         }
         if let Some(retry) = self.attempts(service).retries.get_mut(&id) {
-            retry.arrival = match end {
-                RetryEnd::Unanswered(endpoint, incarnation) => Arrival::Unanswered {
-                    since: now,
-                    endpoint,
-                    incarnation,
-                },
-                RetryEnd::Settled | RetryEnd::NotSent => Arrival::Settled(now),
-            };
+            retry.is_pending = false;
+            retry.settled_at = now;
+            if let RetryEnd::Unanswered(holder) = end {
+                let attempt = Unanswered { since: now, holder };
+                retry.unanswered.push(attempt);
+            }
         }
     }
 
+    /// Counts an attempt that was made for another gateway and ended without an answer. That gateway may
+    /// have granted it as a retry, and doesn't know that it may still arrive.
+    pub fn record_foreign(&mut self, now: Moment, service: &ServiceName, holder: Holder) {
+        self.granted += 1;
+        let id = RetryId(self.granted);
+        let retry = Retry {
+            granted_at: now,
+            is_pending: false,
+            unanswered: vec![Unanswered { since: now, holder }],
+            settled_at: now,
+        };
+        self.attempts(service).retries.insert(id, retry);
+    }
+
     /// Records that a start of an endpoint has answered a request that was sent at `sent_at`: it has
     /// read what was sent to it before.
     pub fn record_answer(
@@ -263,17 +309,35 @@
         let Some(attempts) = self.services.get_mut(service) else {
             return;
         };
+        let has_arrived = |attempt: &Unanswered| match &attempt.holder {
+            Holder::Endpoint(id, incarnation) => {
+                (id, *incarnation) == from && attempt.since <= sent_at
+            }
+            Holder::Gateway(..) => false,
+        };
         for retry in attempts.retries.values_mut() {
-            if let Arrival::Unanswered {
-                since,
-                endpoint,
-                incarnation,
-            } = &retry.arrival
-                && (endpoint, *incarnation) == from
-                && *since <= sent_at
-            {
-                retry.arrival = Arrival::Settled(now + CATCH_UP);
+            retry.settle(now + CATCH_UP, has_arrived);
+        }
+    }
+
+    /// Records that a gateway, whose process had started by `started_at`, has answered a request that was
+    /// sent to it at `sent_at`: it has read what was sent to it before, and counts what it sent on.
+    pub fn record_gateway_answer(
+        &mut self,
+        now: Moment,
+        from: SocketAddr,
+        started_at: Moment,
+        sent_at: Moment,
+    ) {
+        let has_arrived = |attempt: &Unanswered| match attempt.holder {
+            Holder::Gateway(addr, at) => {
+                addr == from && attempt.since <= sent_at && started_at <= at
             }
+            Holder::Endpoint(..) => false,
+        };
+        let services = self.services.values_mut();
+        for retry in services.flat_map(|attempts| attempts.retries.values_mut()) {
+            retry.settle(now + CATCH_UP, has_arrived);
         }
     }
 
@@ -283,17 +347,13 @@
         now: Moment,
         is_known: impl Fn(&EndpointId, Option<Incarnation>) -> bool,
     ) {
-        let attempts = self.services.values_mut();
-        for retry in attempts.flat_map(|attempts| attempts.retries.values_mut()) {
-            if let Arrival::Unanswered {
-                endpoint,
-                incarnation,
-                ..
-            } = &retry.arrival
-                && !is_known(endpoint, *incarnation)
-            {
-                retry.arrival = Arrival::Settled(now);
-            }
+        let is_gone = |attempt: &Unanswered| match &attempt.holder {
+            Holder::Endpoint(id, incarnation) => !is_known(id, *incarnation),
+            Holder::Gateway(..) => false,
+        };
+        let services = self.services.values_mut();
+        for retry in services.flat_map(|attempts| attempts.retries.values_mut()) {
+            retry.settle(now, is_gone);
         }
     }
 
--- a/crates/place/tests/all/retries.rs
+++ b/crates/place/tests/all/retries.rs
@@ -1,6 +1,8 @@
 //! The retry budget: a limit on the sum over all gateways.
 
-use filberthead_place::{HELD_FOR, Placer, RetryDecision, RetryEnd, RetryId, Target};
+use std::net::SocketAddr;
+
+use filberthead_place::{HELD_FOR, Holder, Placer, RetryDecision, RetryEnd, RetryId, Target};
 use filberthead_types::Moment;
 use rand::rngs::StdRng;
 use rand::{Rng as _, SeedableRng};
@@ -230,7 +232,7 @@
     let target = place(&mut gateway, ms(30_000), "object").expect("an endpoint");
     let granted = grant_all(&mut gateway, ms(30_000));
     for id in &granted {
-        let end = RetryEnd::Unanswered(target.id.clone(), target.incarnation);
+        let end = RetryEnd::Unanswered(Holder::Endpoint(target.id.clone(), target.incarnation));
         gateway.end_retry(ms(31_000), &service(), *id, end);
     }
     (gateway, target, granted.len())
@@ -283,3 +285,64 @@
     assert_eq!(spend_all(&mut gateway, ms(32_000 + window - 1)), 0);
     assert!(spend_all(&mut gateway, ms(32_000 + window)) > 0);
 }
+
+/// Where a gateway accepts relayed requests.
+fn helper() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1))
+}
+
+/// A gateway that has the floor to itself, and whose retries were relayed at 30 s and given up at 31 s;
+/// their number.
+fn unanswered_by_helper() -> (Placer, u32) {
+    let mut gateway = gateway();
+    prove(&mut gateway, 0, 110_000, 1);
+    let granted = grant_all(&mut gateway, ms(30_000));
+    for id in &granted {
+        let holder = Holder::Gateway(helper(), ms(30_000));
+        gateway.end_retry(ms(31_000), &service(), *id, RetryEnd::Unanswered(holder));
+    }
+    (gateway, granted.len() as u32)
+}
+
+/// A helper that is suspended reads what it was sent when it goes on.
+#[test]
+fn a_relayed_retry_without_an_answer_counts_until_its_helper_has_answered_something_later() {
+    let window = RETRY_WINDOW.as_millis() as u64;
+    let (mut gateway, early) = unanswered_by_helper();
+    assert_eq!(spend_all(&mut gateway, ms(31_000 + 2 * window)), 0);
+    // What was sent before proves nothing, and neither does another process at the same address.
+    gateway.record_gateway_answer(ms(52_000), helper(), ms(0), ms(30_500));
+    gateway.record_gateway_answer(ms(52_000), helper(), ms(40_000), ms(51_000));
+    assert_eq!(spend_all(&mut gateway, ms(53_000 + window)), 0);
+    gateway.record_gateway_answer(ms(64_000), helper(), ms(20_000), ms(63_900));
+    assert_eq!(spend_all(&mut gateway, ms(64_000 + window - 1)), 0);
+    assert_eq!(spend_all(&mut gateway, ms(65_000 + window)), early);
+}
+
+/// The helper is gone for good, and what it had sent on may be read for as long as an endpoint stays on
+/// the list.
+#[test]
+fn a_relayed_retry_without_an_answer_counts_no_longer_than_an_endpoint_may_be_silent() {
+    let window = RETRY_WINDOW.as_millis() as u64;
+    let (mut gateway, early) = unanswered_by_helper();
+    assert_eq!(spend_all(&mut gateway, ms(90_000 + window)), 0);
+    assert_eq!(spend_all(&mut gateway, ms(91_000 + window)), early);
+}
+
+/// The gateway that relayed a retry doesn't know that a suspended endpoint may still read it.
+#[test]
+fn an_attempt_for_another_gateway_counts_while_its_endpoint_may_still_read_it() {
+    let window = RETRY_WINDOW.as_millis() as u64;
+    let mut gateway = gateway();
+    prove(&mut gateway, 0, 80_000, 1);
+    let all = RETRY_FLOOR as u32;
+    let target = place(&mut gateway, ms(30_000), "object").expect("an endpoint");
+    for _ in 0..all {
+        let holder = Holder::Endpoint(target.id.clone(), target.incarnation);
+        gateway.record_foreign_retry(ms(30_000), &service(), holder);
+    }
+    assert_eq!(spend_all(&mut gateway, ms(30_000 + 2 * window)), 0);
+    gateway.record_answer(ms(52_000), &service(), &target, ms(51_900));
+    assert_eq!(spend_all(&mut gateway, ms(52_000 + window - 1)), 0);
+    assert!(spend_all(&mut gateway, ms(53_000 + window)) > 0);
+}
--- a/crates/types/src/header.rs
+++ b/crates/types/src/header.rs
@@ -38,3 +38,6 @@
 /// Between gateways: number of the attempt that a relayed request is to its sender, from 1. Without it, it
 /// is the first one.
 pub const RELAYED_ATTEMPT: &str = "filberthead-relayed-attempt";
+/// Between gateways, with the answer to a relayed request: milliseconds since the process that answers it
+/// has started.
+pub const GATEWAY_UPTIME_MS: &str = "filberthead-gateway-uptime-ms";
