--- a/crates/filberthead/src/gateway/forward.rs
+++ b/crates/filberthead/src/gateway/forward.rs
@@ -28,7 +28,7 @@
 use super::core::{ActiveRoutes, Core};
 use super::deadline::Deadline;
 use super::relay::{
-    ChosenHelper, RelayHead, add_uptime, is_unhelpful, read_attempt, read_key, relay,
+    ChosenHelper, HelperReport, RelayHead, Relayed, is_unhelpful, read_attempt, read_key, relay,
 };
 use super::response::{ResponseBody, gateway_response};
 use super::retry::GrantedRetry;
@@ -168,7 +168,7 @@
         },
     };
     let request_id = header_text(&head.headers, &core.protocol.request_id);
-    let forwarding = Forwarding {
+    let mut forwarding = Forwarding {
         core,
         route,
         service: &target.service,
@@ -190,8 +190,12 @@
     };
     let mut response = forwarding.run(body).await;
     let code = result_code(&response);
-    if let Some(relayed) = relayed {
-        add_uptime(core, response.headers_mut());
+    if let Some(relayed) = &relayed {
+        let report = HelperReport {
+            uptime: core.now(),
+            reached: forwarding.attempts.reached(),
+        };
+        report.add(response.headers_mut());
         debug!(request = request_id,
             gateway:% = relayed.gateway, service:% = target.service, asked:% = relayed.service,
             code:%; "helped another gateway with a request");
@@ -260,7 +264,7 @@
 }
 
 impl Forwarding<'_> {
-    async fn run(mut self, body: RequestBody) -> Response<ResponseBody> {
+    async fn run(&mut self, body: RequestBody) -> Response<ResponseBody> {
         let core = self.core;
         let charge = match self.relayed_by.is_some() {
             true => Ok(Charge::taken_elsewhere(core, self.caller)),
@@ -388,7 +392,9 @@
         let retry_body = body.try_clone();
         let job = self.job();
         let key = self.caller.key();
-        let attempt = relay(self.core, &job, body, helper, (&relayed, key)).await;
+        let Relayed { attempt, reached } =
+            relay(self.core, &job, body, helper, (&relayed, key)).await;
+        self.attempts.record_relayed(reached);
         self.note_helper(helper, &attempt);
         self.after_attempt(attempt, &id, retry_body, charge)
     }
--- a/crates/filberthead/src/gateway/relay/head.rs
+++ b/crates/filberthead/src/gateway/relay/head.rs
@@ -9,7 +9,6 @@
 use http::{HeaderMap, HeaderName, HeaderValue};
 
 use crate::gateway::attempt::header_text;
-use crate::gateway::core::Core;
 
 /// Holds a [`RelayHead`].
 pub(crate) const RELAY: HeaderName = HeaderName::from_static(header::RELAY);
@@ -19,8 +18,8 @@
 /// Holds the number of the attempt that a relayed request is to its sender.
 pub(crate) const RELAYED_ATTEMPT: HeaderName = HeaderName::from_static(header::RELAYED_ATTEMPT);
 
-/// Holds the time since the start of the process that answers a relayed request.
-const GATEWAY_UPTIME_MS: HeaderName = HeaderName::from_static(header::GATEWAY_UPTIME_MS);
+/// Holds a [`HelperReport`].
+const HELPER: HeaderName = HeaderName::from_static(header::HELPER);
 
 /// What a helper needs to know of a relayed request beside its head and its caller's key.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -59,18 +58,33 @@
     number.unwrap_or(1).max(1)
 }
 
-/// Adds the time since this process has started to the answer to a relayed request.
-pub(crate) fn add_uptime(core: &Core, headers: &mut HeaderMap) {
-    let ms = u64::try_from(core.now().as_millis()).unwrap_or(u64::MAX);
-    headers.insert(GATEWAY_UPTIME_MS, HeaderValue::from(ms));
+/// What a helper tells with its answer to a relayed request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct HelperReport {
+    /// Time since its process has started.
+    pub(crate) uptime: Duration,
+    /// Number of endpoints that the request may have reached.
+    pub(crate) reached: u32,
 }
 
-/// Removes the time since the start of the process that has answered from its answer; `None` if it
-/// names none.
-pub(crate) fn take_uptime(headers: &mut HeaderMap) -> Option<Duration> {
-    let value = headers.remove(GATEWAY_UPTIME_MS)?;
-    let ms = value.to_str().ok()?.parse().ok()?;
-    Some(Duration::from_millis(ms))
+impl HelperReport {
+    /// Adds it to an answer.
+    pub(crate) fn add(self, headers: &mut HeaderMap) {
+        let text = format!("{} {}", self.uptime.as_millis(), self.reached);
+        if let Ok(value) = HeaderValue::from_str(&text) {
+            headers.insert(HELPER, value);
+        }
+    }
+
+    /// Removes it from an answer; `None` if that has none.
+    pub(crate) fn take(headers: &mut HeaderMap) -> Option<Self> {
+        let value = headers.remove(HELPER)?;
+        let (uptime_ms, reached) = value.to_str().ok()?.split_once(' ')?;
+        Some(Self {
+            uptime: Duration::from_millis(uptime_ms.parse().ok()?),
+            reached: reached.parse().ok()?,
+        })
+    }
 }
 
 impl fmt::Display for RelayHead {
@@ -132,6 +146,18 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn a_report_is_taken_out_of_an_answer() {
+        let report = HelperReport {
+            uptime: Duration::from_millis(1500),
+            reached: 2,
+        };
+        let mut headers = HeaderMap::new();
+        report.add(&mut headers);
+        assert_eq!(HelperReport::take(&mut headers), Some(report));
+        assert!(headers.is_empty());
+    }
+
     #[test]
     fn a_relay_head_is_read_as_it_is_written() {
         let head = RelayHead {
--- a/crates/filberthead/src/gateway/relay/mod.rs
+++ b/crates/filberthead/src/gateway/relay/mod.rs
@@ -7,7 +7,8 @@
 //! attempts are left, which service it chose and which routes it knows. What the helper answers
 //! tells the sender whether the request may have run. A retry that gets no answer counts at the sender until
 //! the helper has answered something that was sent later, and at the helper while its endpoint may still
-//! read it. A connection that breaks after the request was
+//! read it. The helper also tells how many endpoints it has sent the request to; without an answer it is
+//! taken to be all that it was allowed. A connection that breaks after the request was
 //! sent tells nothing, so a request that may run only once isn't sent again.
 
 mod head;
@@ -15,7 +16,7 @@
 mod send;
 
 pub(crate) use head::{
-    RELAY, RELAYED_ATTEMPT, RELAYED_KEY, RelayHead, add_uptime, read_attempt, read_key, take_uptime,
+    HelperReport, RELAY, RELAYED_ATTEMPT, RELAYED_KEY, RelayHead, read_attempt, read_key,
 };
 pub(crate) use helpers::{ChosenHelper, Helpers};
-pub(crate) use send::{is_unhelpful, relay};
+pub(crate) use send::{Relayed, is_unhelpful, relay};
--- a/crates/filberthead/src/gateway/relay/send.rs
+++ b/crates/filberthead/src/gateway/relay/send.rs
@@ -13,7 +13,7 @@
 use http_body::Body;
 use log::info;
 
-use super::{ChosenHelper, RELAY, RELAYED_ATTEMPT, RELAYED_KEY, RelayHead, take_uptime};
+use super::{ChosenHelper, HelperReport, RELAY, RELAYED_ATTEMPT, RELAYED_KEY, RelayHead};
 use crate::gateway::attempt::{
     Attempt, Job, MAX_IDLE_FOR_UNSAFE, TYPICAL_HEAD_BYTES, build_request, header_text, read_body,
 };
@@ -25,6 +25,13 @@
 const ABANDONED: &str = "abandoned";
 const RESULT: HeaderName = HeaderName::from_static(header::RESULT);
 
+/// What became of a request that was sent to a helper.
+pub(crate) struct Relayed {
+    pub(crate) attempt: Attempt,
+    /// Number of endpoints that it may have reached; `None` if the helper hasn't told.
+    pub(crate) reached: Option<u32>,
+}
+
 /// Sends a request to a helper and waits for its answer. Dropping the returned future closes the
 /// connection, which tells the helper that the caller has left.
 pub(crate) async fn relay(
@@ -33,7 +40,7 @@
     body: RequestBody,
     helper: &ChosenHelper,
     (head, key): (&RelayHead, Option<KeyDigest>),
-) -> Attempt {
+) -> Relayed {
     let started = core.now();
     let mut in_flight = InFlight {
         core,
@@ -45,14 +52,21 @@
         outcome: ABANDONED,
     };
     let sending = send(core, job, body, helper, (head, key), &in_flight.sent_at);
-    let attempt = sending.await;
+    let (attempt, report) = sending.await;
     in_flight.outcome = outcome_name(&attempt);
-    match Arrival::of(&attempt) {
-        Arrival::None => in_flight.attempt.not_sent(),
-        Arrival::Answered => in_flight.attempt.settled(),
-        Arrival::Unknown => {}
-    }
-    attempt
+    let reached = report.map(|report| report.reached);
+    let reached = match Arrival::of(&attempt) {
+        Arrival::None => {
+            in_flight.attempt.not_sent();
+            Some(0)
+        }
+        Arrival::Answered => {
+            in_flight.attempt.settled();
+            reached
+        }
+        Arrival::Unknown => reached,
+    };
+    Relayed { attempt, reached }
 }
 
 /// A request on its way through a helper. Dropping it records the outcome.
@@ -120,7 +134,7 @@
     helper: &ChosenHelper,
     (head, key): (&RelayHead, Option<KeyDigest>),
     sent_at: &Cell<Option<Moment>>,
-) -> Attempt {
+) -> (Attempt, Option<HelperReport>) {
     let mut req = build_request(core, job, body);
     let headers = req.headers_mut();
     if let Ok(value) = HeaderValue::from_str(&head.to_string()) {
@@ -144,36 +158,38 @@
     let answer = match sent.await {
         SendOutcome::NotSent(req, _) => {
             sent_at.set(None);
-            return Attempt::NotSent(req.into_body());
+            return (Attempt::NotSent(req.into_body()), None);
         }
-        SendOutcome::Lost => return Attempt::Lost,
-        SendOutcome::TimedOut => return Attempt::TimedOut,
+        SendOutcome::Lost => return (Attempt::Lost, None),
+        SendOutcome::TimedOut => return (Attempt::TimedOut, None),
         SendOutcome::Answer(answer) => answer,
     };
     helper.record_answer(core.now());
     let (mut head, body) = answer.response.into_parts();
-    record_answer(core, helper, take_uptime(&mut head.headers), sent_at.get());
+    let report = HelperReport::take(&mut head.headers);
+    record_answer(core, helper, report, sent_at.get());
     if let Some(code) = result_code(&head.headers) {
         answer.connection.drain_and_release(body);
-        return rejected(code, &head.headers);
+        return (rejected(code, &head.headers), report);
     }
-    match read_body(core, job, head, body, answer.connection).await {
+    let attempt = match read_body(core, job, head, body, answer.connection).await {
         Ok(response) if response.status().is_server_error() => Attempt::Failed(response),
         Ok(response) => Attempt::Answered(response),
         Err(attempt) => attempt,
-    }
+    };
+    (attempt, report)
 }
 
 /// Tells the retry budget that a helper has read what was sent to it before `sent_at`.
 fn record_answer(
     core: &Core,
     helper: &ChosenHelper,
-    uptime: Option<Duration>,
+    report: Option<HelperReport>,
     sent_at: Option<Moment>,
 ) {
-    if let (Some(uptime), Some(sent_at)) = (uptime, sent_at) {
+    if let (Some(report), Some(sent_at)) = (report, sent_at) {
         let now = core.now();
-        let started_at = now.saturating_sub(uptime);
+        let started_at = now.saturating_sub(report.uptime);
         let mut placer = core.placer.borrow_mut();
         placer.record_gateway_answer(now, helper.addr, started_at, sent_at);
     }
--- a/crates/place/src/attempts.rs
+++ b/crates/place/src/attempts.rs
@@ -20,6 +20,8 @@
     ran: u32,
     unreachable: u32,
     refused: u32,
+    /// Endpoints that another gateway has sent it to, beyond the first one of each attempt.
+    elsewhere: u32,
     excluded: Vec<EndpointId>,
 }
 
@@ -41,6 +43,7 @@
             ran: 0,
             unreachable: 0,
             refused: 0,
+            elsewhere: 0,
             excluded: Vec::new(),
         }
     }
@@ -61,6 +64,13 @@
         }
     }
 
+    /// Records that the last attempt was relayed through another gateway, which has sent it to this many
+    /// endpoints; `None`: as many as it was allowed to.
+    pub fn record_relayed(&mut self, reached: Option<u32>) {
+        let further = reached.map_or(self.left(), |reached| reached.saturating_sub(1));
+        self.elsewhere += further;
+    }
+
     /// Records that the last endpoint rejected the request. `allow_same_endpoint`: the request
     /// may be sent to it again.
     pub fn record_refused(&mut self, allow_same_endpoint: bool) -> NextAttempt {
@@ -92,7 +102,12 @@
 
     /// Number of endpoints that the request may still be sent to.
     pub fn left(&self) -> u32 {
-        self.max.saturating_sub(self.made - self.unreachable)
+        self.max.saturating_sub(self.reached())
+    }
+
+    /// Number of endpoints that the request may have reached.
+    pub fn reached(&self) -> u32 {
+        self.made - self.unreachable + self.elsewhere
     }
 
     /// Number of attempts so far.
--- a/crates/types/src/header.rs
+++ b/crates/types/src/header.rs
@@ -39,5 +39,5 @@
 /// is the first one.
 pub const RELAYED_ATTEMPT: &str = "filberthead-relayed-attempt";
 /// Between gateways, with the answer to a relayed request: milliseconds since the process that answers it
-/// has started.
-pub const GATEWAY_UPTIME_MS: &str = "filberthead-gateway-uptime-ms";
+/// has started, and the number of endpoints that the request may have reached.
+pub const HELPER: &str = "filberthead-helper";
--- a/tests/all/retries.rs
+++ b/tests/all/retries.rs
@@ -24,6 +24,10 @@
 /// Requests, and the pause between two: all within one window of the budget.
 const REQUESTS: u32 = 120;
 const PAUSE: Duration = Duration::from_millis(50);
+/// Requests that let a gateway retry several others.
+const EARNING: usize = 40;
+/// Endpoints that a request may be sent to, by the routes of a [`Site`].
+const MAX_ATTEMPTS: usize = 2;
 /// Retries for each request, the default of the settings.
 const RATIO: f64 = 0.2;
 
@@ -71,6 +75,28 @@
     by_id.values().map(|count| count - 1).sum()
 }
 
+/// Sends requests to a gateway that are served, so that its budget allows retries.
+fn earn_retries(site: &Site, gateway: usize) {
+    for number in 0..EARNING {
+        let id = format!("earning-{gateway}-{number}");
+        let answer = site.request(gateway, &read(&id).bound(BOUND));
+        assert_eq!(answer.expect("an answer").status, 200);
+    }
+}
+
+/// The helper's attempts didn't count at the gateway that had relayed the request, which sent it on.
+#[test]
+fn a_relayed_request_reaches_no_more_endpoints_than_its_route_allows() {
+    let site = start_relaying();
+    (0..GATEWAYS).for_each(|gateway| earn_retries(&site, gateway));
+    for endpoint in &site.endpoints {
+        endpoint.set_behaviour(Behaviour::Fails);
+    }
+    let answer = site.request(CUT_OFF, &read("failing").bound(BOUND));
+    assert_eq!(answer.expect("an answer").status, 500);
+    assert_eq!(repeats(&site, "failing") + 1, MAX_ATTEMPTS);
+}
+
 /// A retry on its way through another gateway was given back when its caller left.
 #[test]
 fn relayed_retries_whose_callers_leave_keep_the_retry_budget() {
