An attempt that ends without an answer counts while it may still arrive

What callers saw: nothing.

The first attempt is the repeat then. A retry now counts while an earlier attempt of its request may still arrive.

A connection that was reset counted as proof that the endpoint had read what was sent. A link that resets connections proves nothing about a suspended endpoint. Only an answer settles an attempt now; one without an answer counts until the same start of the endpoint has answered something sent later, or has left the list.

--- a/crates/filberthead/src/gateway/attempt.rs
+++ b/crates/filberthead/src/gateway/attempt.rs
@@ -119,19 +119,6 @@
             Outcome::Served(_) | Outcome::Failed | Outcome::Full
         )
     }
-
-    /// Whether the request has arrived, or never will.
-    fn is_settled(&self) -> bool {
-        match self.outcome {
-            Outcome::Abandoned(_) => false,
-            Outcome::Served(_)
-            | Outcome::Failed
-            | Outcome::Full
-            | Outcome::Gone
-            | Outcome::Unreached
-            | Outcome::Broken => true,
-        }
-    }
 }
 
 impl Drop for InFlight<'_> {
@@ -183,9 +170,6 @@
         let verdict = placer.record_run(now, self.prints, self.target, sent_at, self.outcome);
         drop(placer);
         self.core.note_verdict(self.prints.of_request, verdict);
-        if self.is_settled() {
-            self.attempt.settled();
-        }
     }
 }
 
@@ -309,6 +293,7 @@
     answer: Answer,
     in_flight: &mut InFlight<'_>,
 ) -> Attempt {
+    in_flight.attempt.settled();
     let (head, body) = answer.response.into_parts();
     let mut connection = answer.connection;
     record_load(core, &head.headers, in_flight.target);
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -383,6 +383,19 @@
         self.placer.borrow_mut().end_retry(now, service, id, end);
     }
 
+    /// Records that an earlier attempt of the request that was granted this retry has ended without an
+    /// answer.
+    pub(crate) fn record_earlier_attempt(
+        &self,
+        service: &ServiceName,
+        id: RetryId,
+        holder: Holder,
+    ) {
+        let now = self.now();
+        let mut placer = self.placer.borrow_mut();
+        placer.record_earlier_attempt(now, service, id, holder);
+    }
+
     /// Counts an attempt that was made for another gateway and ended without an answer.
     pub(crate) fn record_foreign_retry(&self, service: &ServiceName, holder: Holder) {
         let now = self.now();
--- a/crates/filberthead/src/gateway/retry.rs
+++ b/crates/filberthead/src/gateway/retry.rs
@@ -4,7 +4,7 @@
 //! while no attempt has been started with it, and an attempt that ends without a word of how counts as
 //! one that may still arrive.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 
 use filberthead_place::{Holder, RetryEnd, RetryId};
 use filberthead_types::ServiceName;
@@ -22,6 +22,8 @@
     /// Whether another gateway relayed the request, and has granted the attempt that came with it.
     is_relayed: bool,
     id: Cell<Option<RetryId>>,
+    /// Where attempts that weren't granted by the budget may still be.
+    earlier: RefCell<Vec<Holder>>,
 }
 
 impl<'a> GrantedRetry<'a> {
@@ -38,12 +40,16 @@
             request,
             is_relayed,
             id: Cell::new(None),
+            earlier: RefCell::default(),
         }
     }
 
     /// The next attempt is this retry.
     pub(crate) fn set(&self, id: RetryId) {
         self.id.set(Some(id));
+        for holder in self.earlier.take() {
+            self.core.record_earlier_attempt(self.service, id, holder);
+        }
     }
 
     /// Starts the attempt that the retry was granted for. Without a word of its end, it may still be at
@@ -103,7 +109,8 @@
             (None, RetryEnd::Unanswered(holder)) if self.retry.is_relayed => {
                 core.record_foreign_retry(service, holder);
             }
-            (None, _) => {}
+            (None, RetryEnd::Unanswered(holder)) => self.retry.earlier.borrow_mut().push(holder),
+            (None, RetryEnd::Settled) => {}
         }
     }
 }
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -328,6 +328,18 @@
         self.retry_budget.record_answer(now, service, from, sent_at);
     }
 
+    /// Records that an earlier attempt of the request that was granted this retry has ended without an
+    /// answer.
+    pub fn record_earlier_attempt(
+        &mut self,
+        now: Moment,
+        service: &ServiceName,
+        id: RetryId,
+        holder: Holder,
+    ) {
+        self.retry_budget.record_earlier(now, service, id, holder);
+    }
+
     /// Counts an attempt that was made for another gateway and ended without an answer.
     pub fn record_foreign_retry(&mut self, now: Moment, service: &ServiceName, holder: Holder) {
         self.retry_budget.record_foreign(now, service, holder);
--- a/crates/place/src/retry_budget.rs
+++ b/crates/place/src/retry_budget.rs
@@ -275,7 +275,7 @@
         }
         if let Some(retry) = self.attempts(service).retries.get_mut(&id) {
             retry.is_pending = false;
-            retry.settled_at = now;
+            retry.settled_at = retry.settled_at.max(now);
             if let RetryEnd::Unanswered(holder) = end {
                 let attempt = Unanswered { since: now, holder };
                 retry.unanswered.push(attempt);
@@ -283,6 +283,21 @@
         }
     }
 
+    /// Records that an earlier attempt of the request that was granted this retry has ended without an
+    /// answer. If it arrives later than the retry, it is the repeat.
+    pub fn record_earlier(
+        &mut self,
+        now: Moment,
+        service: &ServiceName,
+        id: RetryId,
+        holder: Holder,
+    ) {
+        if let Some(retry) = self.attempts(service).retries.get_mut(&id) {
+            let attempt = Unanswered { since: now, holder };
+            retry.unanswered.push(attempt);
+        }
+    }
+
     /// Counts an attempt that was made for another gateway and ended without an answer. That gateway may
     /// have granted it as a retry, and doesn't know that it may still arrive.
     pub fn record_foreign(&mut self, now: Moment, service: &ServiceName, holder: Holder) {
--- a/crates/place/tests/all/retries.rs
+++ b/crates/place/tests/all/retries.rs
@@ -346,3 +346,23 @@
     assert_eq!(spend_all(&mut gateway, ms(52_000 + window - 1)), 0);
     assert!(spend_all(&mut gateway, ms(53_000 + window)) > 0);
 }
+
+/// A first attempt was given up while its endpoint was suspended, and arrived after the retry.
+#[test]
+fn a_retry_counts_while_an_earlier_attempt_may_still_arrive() {
+    let window = RETRY_WINDOW.as_millis() as u64;
+    let mut gateway = gateway();
+    prove(&mut gateway, 0, 80_000, 1);
+    let target = place(&mut gateway, ms(30_000), "object").expect("an endpoint");
+    let granted = grant_all(&mut gateway, ms(30_000));
+    for id in &granted {
+        let holder = Holder::Endpoint(target.id.clone(), target.incarnation);
+        gateway.record_earlier_attempt(ms(30_000), &service(), *id, holder);
+        gateway.end_retry(ms(30_200), &service(), *id, RetryEnd::Settled);
+    }
+    assert_eq!(spend_all(&mut gateway, ms(31_000 + 2 * window)), 0);
+    gateway.record_answer(ms(52_000), &service(), &target, ms(51_900));
+    assert_eq!(spend_all(&mut gateway, ms(52_000 + window - 1)), 0);
+    let spent = spend_all(&mut gateway, ms(53_000 + window));
+    assert_eq!(spent as usize, granted.len());
+}
