A relayed retry goes to the service whose budget granted it

Cause: a route goes to another service at times. A gateway without control keeps the old route and asks the budget of the old service; the gateway that it relays through has the new route, on which the chosen service is no target any more, and sent the retry to the new one. A first attempt still goes there, by the newer routes; a retry is refused as not run, and the caller gets the answer of the attempt before.

--- a/crates/filberthead/src/gateway/forward.rs
+++ b/crates/filberthead/src/gateway/forward.rs
@@ -134,9 +134,17 @@
         return ctx.reject_by_routes(ResultCode::CallerUnknown);
     };
     let deadline = Deadline::new(started, &head.headers, &core.protocol.deadline_ms, route);
+    let attempts_before = match relayed {
+        None => 0,
+        Some(_) => read_attempt(&head.headers) - 1,
+    };
     let Some(target) = pick_target(&matched, relayed.as_ref()) else {
         return ctx.reject(ResultCode::NoEndpoint, Some(RETRY_AFTER_STARTING));
     };
+    if attempts_before > 0 && !is_for(relayed.as_ref(), target) {
+        // The budget of the other service wasn't asked.
+        return ctx.reject(ResultCode::RetryBudgetSpent, Some(RETRY_AFTER_REFUSED));
+    }
     if body.size_hint().lower() > active_routes.bounds.body_bytes {
         return ctx.reject_by_routes(ResultCode::BodyTooLarge);
     }
@@ -156,10 +164,6 @@
     let attempts_left = relayed
         .as_ref()
         .map_or(u32::MAX, |relayed| relayed.attempts);
-    let attempts_before = match relayed {
-        None => 0,
-        Some(_) => read_attempt(&head.headers) - 1,
-    };
     let prints = RequestPrints {
         of_request: fingerprint(&target.service, &head, &body, &[]),
         of_caller: match &relayed {
@@ -226,6 +230,11 @@
     chosen.or_else(|| targets.get(matched.split.pick()))
 }
 
+/// Whether a relayed request goes to the service that its sender has chosen.
+fn is_for(relayed: Option<&RelayHead>, target: &RouteTarget) -> bool {
+    relayed.is_none_or(|relayed| relayed.service == target.service)
+}
+
 /// The code a response is counted under: that of the gateway's own response, else `Answered`.
 fn result_code(response: &Response<ResponseBody>) -> ResultCode {
     let header = response.headers().get(header::RESULT);
--- a/tests/all/retries.rs
+++ b/tests/all/retries.rs
@@ -6,15 +6,16 @@
 
 use filberthead_testing::client::Call;
 use filberthead_testing::proxy::Flow;
-use filberthead_testing::site::{Behaviour, HOST, Site, SiteEndpoint};
+use filberthead_testing::site::{Behaviour, HOST, Site, SiteEndpoint, config};
 use filberthead_testing::wait_until;
 
 use crate::groups::site;
 
 const BOUND: Duration = Duration::from_secs(60);
-const SERVICES: &[(&str, &str)] = &[("catalogue", "safe")];
+const SERVICES: &[(&str, &str)] = &[("catalogue", "safe"), ("stock", "safe")];
 /// The gateway that can't reach endpoints, and the one that it relays through.
 const CUT_OFF: usize = 0;
+const HELPER: usize = 1;
 const GATEWAYS: usize = 2;
 const ENDPOINTS: usize = 8;
 /// How long a request runs before it fails.
@@ -26,6 +27,8 @@
 const PAUSE: Duration = Duration::from_millis(50);
 /// Requests that let a gateway retry several others.
 const EARNING: usize = 40;
+/// Requests on a route that has moved; the budget allows a retry of one in six.
+const MOVED_REQUESTS: usize = 12;
 /// Endpoints that a request may be sent to, by the routes of a [`Site`].
 const MAX_ATTEMPTS: usize = 2;
 /// Retries for each request, the default of the settings.
@@ -42,9 +45,11 @@
 fn start_relaying() -> Site {
     let builder = site().replicas(1).tolerate(0).gateways(GATEWAYS);
     let mut site = builder.retry_floor(0).start();
-    for number in 0..ENDPOINTS {
-        let domain = ["zagreb-a", "split-a"][number % 2];
-        site.add_linked_endpoint("catalogue", domain);
+    for (service, _) in SERVICES {
+        for number in 0..ENDPOINTS {
+            let domain = ["zagreb-a", "split-a"][number % 2];
+            site.add_linked_endpoint(service, domain);
+        }
     }
     site.put_routes(1, SERVICES);
     for gateway in 0..GATEWAYS {
@@ -124,3 +129,27 @@
         "{repeats} retries of {allowed} allowed"
     );
 }
+
+/// The gateway that relays a request still has the route to the earlier service, whose budget granted the
+/// retry; the helper sent it to the service that the route leads to now.
+#[test]
+fn a_relayed_retry_reaches_no_other_service_than_it_was_granted_for() {
+    let site = start_relaying();
+    earn_retries(&site, CUT_OFF);
+    let (gateway, control) = (site.gateways[CUT_OFF].name(), site.controls[0].name());
+    site.network.partition(&[&[gateway], &[control]]);
+    let moved = config(2, SERVICES).replace(r#""service":"catalogue""#, r#""service":"stock""#);
+    assert_eq!(site.order("config.put", &moved).status, 200);
+    wait_until("the helper has the new route", BOUND, || {
+        site.gateways[HELPER].metric("gateway_routes_version") > 1.5
+    });
+    for endpoint in &site.endpoints {
+        endpoint.set_behaviour(Behaviour::Fails);
+    }
+    for number in 0..MOVED_REQUESTS {
+        let call = read(&format!("moved-{number}")).bound(BOUND);
+        let answer = site.request(CUT_OFF, &call).expect("an answer");
+        assert_eq!(answer.status, 500, "request {number}");
+    }
+    assert_eq!(repeats(&site, "moved-"), 0);
+}
