--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -1,5 +1,7 @@
 //! Short randomised soak runs; `filberthead-soak` does more and longer ones.
 
+use std::fmt;
+use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -7,7 +9,7 @@
 use filberthead_testing::soak::deployed::{
     DeployedPlan, Deployment, SoakPrograms, TroubleKind, run_deployed,
 };
-use filberthead_testing::soak::{Plan, Size, run_plan};
+use filberthead_testing::soak::{Plan, Size, Violation, run_plan};
 
 /// Seeds of the two basic runs: planned work only, and faults.
 const SEEDS: [u64; 2] = [3, 1];
@@ -97,6 +99,18 @@
     program
 }
 
+/// Fails if there is a violation. The report is written past the harness, which prints what it has
+/// captured at the end of the run only, and never if that is ended.
+#[track_caller]
+fn assert_kept(report: &impl fmt::Display, violations: &[Violation], dir: &Path) {
+    if !violations.is_empty() {
+        let logs = dir.display();
+        // Without standard error there is nobody to tell.
+        let _ = writeln!(io::stderr(), "{report}\n  logs: {logs}");
+    }
+    assert!(violations.is_empty(), "{report}");
+}
+
 #[track_caller]
 fn play_seed(seed: u64) {
     play(&Plan::new(seed, Size::default()));
@@ -105,7 +119,7 @@
 #[track_caller]
 fn play(plan: &Plan) {
     let report = run_plan(programs(), plan);
-    assert!(report.violations.is_empty(), "{report}");
+    assert_kept(&report, &report.violations, &report.dir);
     // Without any service the checks above would hold trivially.
     assert!(report.served > 0, "{report}");
     assert!(report.accepted > 0, "{report}");
@@ -175,7 +189,7 @@
         relays: true,
     };
     let report = run_deployed(&programs, &plan);
-    assert!(report.violations.is_empty(), "{report}");
+    assert_kept(&report, &report.violations, &report.dir);
     // Without any retry the check above would hold trivially.
     assert!(report.retries.iter().any(|r| r.total > 0), "{report}");
 }
@@ -195,7 +209,7 @@
         let plan = DeployedPlan::new(seed, deployment.clone(), ENDPOINT_CUTS, &kinds);
         let report = run_deployed(&programs, &plan);
         println!("{report}");
-        assert!(report.violations.is_empty(), "{report}");
+        assert_kept(&report, &report.violations, &report.dir);
         // Without tries there the check above would hold trivially.
         assert!(
             report.cuts.iter().any(|(cut_off, _)| cut_off.sent > 0),
@@ -219,7 +233,7 @@
         let plan = DeployedPlan::new(seed, deployment.clone(), CRASHING_REQUESTS, &kinds);
         let report = run_deployed(&programs, &plan);
         println!("{report}");
-        assert!(report.violations.is_empty(), "{report}");
+        assert_kept(&report, &report.violations, &report.dir);
         // Without such a request the check above would hold trivially.
         assert!(
             report.crashing.iter().any(|request| request.crashed > 0),
@@ -243,7 +257,7 @@
         let plan = DeployedPlan::new(seed, deployment.clone(), NAMED_LIMITS, &kinds);
         let report = run_deployed(&programs, &plan);
         println!("{report}");
-        assert!(report.violations.is_empty(), "{report}");
+        assert_kept(&report, &report.violations, &report.dir);
         // Endpoints that get nothing keep every limit.
         assert!(report.limits.iter().any(|limit| limit.got > 0), "{report}");
     }
