--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -396,7 +396,7 @@
         placer.record_earlier_attempt(now, service, id, holder);
     }
 
-    /// Counts an attempt that was made for another gateway and ended without an answer.
+    /// Counts a retry that was sent for another gateway and ended without an answer.
     pub(crate) fn record_foreign_retry(&self, service: &ServiceName, holder: Holder) {
         let now = self.now();
         let mut placer = self.placer.borrow_mut();
--- a/crates/filberthead/src/gateway/forward.rs
+++ b/crates/filberthead/src/gateway/forward.rs
@@ -189,7 +189,7 @@
         attempts_before,
         must_relay: false,
         relays: 0,
-        retry: GrantedRetry::none(core, &target.service, request_id, relayed.is_some()),
+        retry: GrantedRetry::none(core, &target.service, request_id, attempts_before > 0),
         failed_response: None,
     };
     let mut response = forwarding.run(body).await;
--- a/crates/filberthead/src/gateway/retry.rs
+++ b/crates/filberthead/src/gateway/retry.rs
@@ -19,8 +19,8 @@
     service: &'a ServiceName,
     /// Id of the request, for logs.
     request: &'a str,
-    /// Whether another gateway relayed the request, and has granted the attempt that came with it.
-    is_relayed: bool,
+    /// Whether the first attempt is a retry that another gateway has granted.
+    is_foreign: bool,
     id: Cell<Option<RetryId>>,
     /// Where attempts that weren't granted by the budget may still be.
     earlier: RefCell<Vec<Holder>>,
@@ -32,13 +32,13 @@
         core: &'a Core,
         service: &'a ServiceName,
         request: &'a str,
-        is_relayed: bool,
+        is_foreign: bool,
     ) -> Self {
         Self {
             core,
             service,
             request,
-            is_relayed,
+            is_foreign,
             id: Cell::new(None),
             earlier: RefCell::default(),
         }
@@ -106,9 +106,13 @@
         match (self.id, end) {
             (id, RetryEnd::NotSent) => self.retry.id.set(id),
             (Some(id), end) => core.end_retry(service, id, end),
-            (None, RetryEnd::Unanswered(holder)) if self.retry.is_relayed => {
+            (None, RetryEnd::Unanswered(holder)) if self.retry.is_foreign => {
                 core.record_foreign_retry(service, holder);
             }
+            // The helper doesn't know that this gateway sends it again.
+            (None, RetryEnd::Unanswered(Holder::Gateway(..))) => {
+                self.retry.earlier.borrow_mut().push(Holder::Unknown);
+            }
             (None, RetryEnd::Unanswered(holder)) => self.retry.earlier.borrow_mut().push(holder),
             (None, RetryEnd::Settled) => {}
         }
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -340,7 +340,7 @@
         self.retry_budget.record_earlier(now, service, id, holder);
     }
 
-    /// Counts an attempt that was made for another gateway and ended without an answer.
+    /// Counts a retry that was sent for another gateway and ended without an answer.
     pub fn record_foreign_retry(&mut self, now: Moment, service: &ServiceName, holder: Holder) {
         self.retry_budget.record_foreign(now, service, holder);
     }
--- a/crates/place/src/retry_budget.rs
+++ b/crates/place/src/retry_budget.rs
@@ -86,6 +86,8 @@
     /// The gateway at this address may still read it, which it was sent to at this moment. What that
     /// gateway sends on is counted there from then on.
     Gateway(SocketAddr, Moment),
+    /// Nobody who can be asked knows; only time settles it.
+    Unknown,
 }
 
 /// How a retry ended.
@@ -298,8 +300,8 @@
         }
     }
 
-    /// Counts an attempt that was made for another gateway and ended without an answer. That gateway may
-    /// have granted it as a retry, and doesn't know that it may still arrive.
+    /// Counts a retry that was sent for another gateway, which has granted it, and ended without an answer.
+    /// That gateway doesn't know that it may still arrive.
     pub fn record_foreign(&mut self, now: Moment, service: &ServiceName, holder: Holder) {
         self.granted += 1;
         let id = RetryId(self.granted);
@@ -328,7 +330,7 @@
             Holder::Endpoint(id, incarnation) => {
                 (id, *incarnation) == from && attempt.since <= sent_at
             }
-            Holder::Gateway(..) => false,
+            Holder::Gateway(..) | Holder::Unknown => false,
         };
         for retry in attempts.retries.values_mut() {
             retry.settle(now + CATCH_UP, has_arrived);
@@ -348,7 +350,7 @@
             Holder::Gateway(addr, at) => {
                 addr == from && attempt.since <= sent_at && started_at <= at
             }
-            Holder::Endpoint(..) => false,
+            Holder::Endpoint(..) | Holder::Unknown => false,
         };
         let services = self.services.values_mut();
         for retry in services.flat_map(|attempts| attempts.retries.values_mut()) {
@@ -364,7 +366,7 @@
     ) {
         let is_gone = |attempt: &Unanswered| match &attempt.holder {
             Holder::Endpoint(id, incarnation) => !is_known(id, *incarnation),
-            Holder::Gateway(..) => false,
+            Holder::Gateway(..) | Holder::Unknown => false,
         };
         let services = self.services.values_mut();
         for retry in services.flat_map(|attempts| attempts.retries.values_mut()) {
--- a/crates/place/tests/all/retries.rs
+++ b/crates/place/tests/all/retries.rs
@@ -331,7 +331,7 @@
 
 /// The gateway that relayed a retry doesn't know that a suspended endpoint may still read it.
 #[test]
-fn an_attempt_for_another_gateway_counts_while_its_endpoint_may_still_read_it() {
+fn a_retry_of_another_gateway_counts_while_its_endpoint_may_still_read_it() {
     let window = RETRY_WINDOW.as_millis() as u64;
     let mut gateway = gateway();
     prove(&mut gateway, 0, 80_000, 1);
@@ -366,3 +366,19 @@
     let spent = spend_all(&mut gateway, ms(53_000 + window));
     assert_eq!(spent as usize, granted.len());
 }
+
+/// A first attempt was relayed, its helper was lost, and nobody knows where it is.
+#[test]
+fn a_retry_counts_for_long_after_an_earlier_attempt_that_nobody_knows_of() {
+    let window = RETRY_WINDOW.as_millis() as u64;
+    let mut gateway = gateway();
+    prove(&mut gateway, 0, 110_000, 1);
+    let granted = grant_all(&mut gateway, ms(30_000));
+    for id in &granted {
+        gateway.record_earlier_attempt(ms(30_000), &service(), *id, Holder::Unknown);
+        gateway.end_retry(ms(30_200), &service(), *id, RetryEnd::Settled);
+    }
+    gateway.record_gateway_answer(ms(50_000), helper(), ms(0), ms(49_900));
+    assert_eq!(spend_all(&mut gateway, ms(89_999 + window)), 0);
+    assert!(spend_all(&mut gateway, ms(90_000 + window)) > 0);
+}
