--- a/tests/all/retries.rs
+++ b/tests/all/retries.rs
@@ -1,8 +1,9 @@
 //! Retries of requests that another gateway relays: they keep the budget too.
 
 use std::collections::BTreeMap;
-use std::thread;
-use std::time::{Duration, Instant};
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
 
 use filberthead_testing::client::Call;
 use filberthead_testing::proxy::Flow;
@@ -19,12 +20,10 @@
 const GATEWAYS: usize = 2;
 const ENDPOINTS: usize = 8;
 /// How long a request runs before it fails.
-const RUN_TIME: Duration = Duration::from_millis(300);
-/// When callers leave: while the retry runs.
-const PATIENCE: Duration = Duration::from_millis(450);
-/// Requests, and the pause between two: all within one window of the budget.
-const REQUESTS: u32 = 120;
-const PAUSE: Duration = Duration::from_millis(50);
+const RUN_TIME: Duration = Duration::from_millis(60);
+/// How often a caller looks whether its request has been sent again.
+const POLL: Duration = Duration::from_millis(2);
+const REQUESTS: u32 = 80;
 /// Requests that let a gateway retry several others.
 const EARNING: usize = 40;
 /// Requests on a route that has moved; the budget allows a retry of one in six.
@@ -102,6 +101,19 @@
     assert_eq!(repeats(&site, "failing") + 1, MAX_ATTEMPTS);
 }
 
+/// Sends a request, and leaves once its retry has reached an endpoint, if it isn't answered before.
+fn leave_during_retry(site: &Site, id: &str) {
+    let addr = site.gateways[CUT_OFF].addr("caller");
+    let mut stream = TcpStream::connect(addr).expect("the gateway accepts callers");
+    stream.set_read_timeout(Some(POLL)).expect("a socket");
+    let head = format!(
+        "GET /catalogue/1 HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: {id}\r\n\
+         x-deadline-ms: 20000\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).expect("an open socket");
+    while repeats(site, id) == 0 && stream.read(&mut [0]).is_err() {}
+}
+
 /// A retry on its way through another gateway was given back when its caller left.
 #[test]
 fn relayed_retries_whose_callers_leave_keep_the_retry_budget() {
@@ -110,18 +122,9 @@
         endpoint.set_run_time(RUN_TIME);
         endpoint.set_behaviour(Behaviour::Fails);
     }
-    let started = Instant::now();
-    thread::scope(|scope| {
-        for number in 0..REQUESTS {
-            let due = started + PAUSE * number;
-            thread::sleep(due.saturating_duration_since(Instant::now()));
-            let call = read(&format!("left-{number}")).bound(PATIENCE);
-            scope.spawn({
-                let site = &site;
-                move || site.request(CUT_OFF, &call)
-            });
-        }
-    });
+    for number in 0..REQUESTS {
+        leave_during_retry(&site, &format!("left-{number}-"));
+    }
     let (repeats, allowed) = (repeats(&site, "left-"), RATIO * f64::from(REQUESTS));
     assert!(repeats > 0, "no request was retried");
     assert!(
