--- a/crates/testing/tests/deployment.rs
+++ b/crates/testing/tests/deployment.rs
@@ -25,6 +25,8 @@
         ("eleven-gateways.ini", 11, 6),
         ("twenty-seven-gateways.ini", 27, 5),
         ("few-endpoints.ini", 8, 6),
+        ("twenty-four-gateways.ini", 24, 6),
+        ("seventy-three-gateways.ini", 73, 6),
     ];
     for (name, gateways, controls) in sizes {
         let deployment = load(name);
@@ -44,6 +46,7 @@
         ("[limits]\n\nunknown = 1\n", 3),
         ("[service a]\nendpoints = zagreb-a\n", 2),
         ("[elsewhere]\nkey = 1\n", 2),
+        ("[workspaces]\ncount = 0\n", 2),
     ] {
         let error = Deployment::parse(text).expect_err(text).to_string();
         assert!(error.starts_with(&format!("line {line}:")), "{error}");
