--- a/crates/filberthead/src/gateway/retry.rs
+++ b/crates/filberthead/src/gateway/retry.rs
@@ -1,8 +1,8 @@
 //! A retry from its grant to its end.
 //!
 //! What was granted counts unless it is known that nothing of it was sent. So a grant is given back only
-//! while no attempt has been started with it, and an attempt that ends without a word of how counts as
-//! one that may still arrive.
+//! while no attempt has been started with it, and an attempt whose end isn't reported counts as one that
+//! may still arrive.
 
 use std::cell::{Cell, RefCell};
 
@@ -52,7 +52,7 @@
         }
     }
 
-    /// Starts the attempt that the retry was granted for. Without a word of its end, it may still be at
+    /// Starts the attempt that the retry was granted for. Unless its end is reported, it may still be at
     /// `holder`.
     pub(crate) fn start(&self, holder: Holder) -> StartedAttempt<'_> {
         StartedAttempt {
@@ -109,7 +109,7 @@
             (None, RetryEnd::Unanswered(holder)) if self.retry.is_foreign => {
                 core.record_foreign_retry(service, holder);
             }
-            // The helper doesn't know that this gateway sends it again.
+            // The helper doesn't count it, as it doesn't know that this gateway may send it again.
             (None, RetryEnd::Unanswered(Holder::Gateway(..))) => {
                 self.retry.earlier.borrow_mut().push(Holder::Unknown);
             }
--- a/crates/place/src/retry_budget.rs
+++ b/crates/place/src/retry_budget.rs
@@ -83,8 +83,8 @@
 pub enum Holder {
     /// This start of an endpoint may still read it.
     Endpoint(EndpointId, Option<Incarnation>),
-    /// The gateway at this address may still read it, which it was sent to at this moment. What that
-    /// gateway sends on is counted there from then on.
+    /// The gateway at this address may still read it, to which it was relayed at this moment. Once that
+    /// gateway has read it, it counts what it sends to endpoints.
     Gateway(SocketAddr, Moment),
     /// Nobody who can be asked knows; only time settles it.
     Unknown,
