Gateway: split forwarding along the way of a request

forward.rs (910 lines) becomes request/ (head to response), forwarding/ (attempts) and serve/ (connections). Two import cycles are gone: context-forward-serve, by source.rs and retry_after.rs, and answer_notes-attempt-under_way, by headers.rs and progress.rs. No behaviour changes.

--- a/crates/filberthead/src/gateway/answer_notes.rs
+++ b/crates/filberthead/src/gateway/answer_notes.rs
@@ -11,9 +11,9 @@
 use http::{HeaderMap, HeaderValue, StatusCode};
 use log::info;
 
-use super::attempt::{header_text, not_run};
 use super::core::Core;
-use super::under_way::Progress;
+use super::headers::{header_text, not_run};
+use super::progress::Progress;
 
 /// Where an answer comes from.
 #[derive(Clone, Copy)]
--- a/crates/filberthead/src/gateway/attempt.rs
+++ b/crates/filberthead/src/gateway/attempt.rs
@@ -20,11 +20,12 @@
 use super::answer_notes::{self, EndpointAnswer};
 use super::core::Core;
 use super::deadline::Deadline;
+use super::headers::{header_text, not_run};
+use super::progress::{GivenUp, Progress};
 use super::relay::{RELAY, RELAYED_ATTEMPT, RELAYED_KEY};
 use super::response::ResponseBody;
 use super::retry::{GrantedRetry, StartedAttempt};
 use super::streamed::StreamedBody;
-use super::under_way::{GivenUp, Progress};
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 /// Responses up to this size in bytes are buffered before any of it is sent, so that the request
@@ -485,23 +486,6 @@
     id.is_none_or(|id| headers.get(name) == Some(id))
 }
 
-/// The outcome if the endpoint reports that nothing ran: `Gone` if it isn't the instance that the
-/// request was for, else `Full`. `None` if the request ran.
-pub(super) fn not_run(core: &Core, status: StatusCode, headers: &HeaderMap) -> Option<Outcome> {
-    if status == StatusCode::MISDIRECTED_REQUEST {
-        return Some(Outcome::Gone);
-    }
-    headers
-        .contains_key(&core.protocol.not_run)
-        .then_some(Outcome::Full)
-}
-
-/// A header's value as text; empty if it is missing or isn't text.
-pub(crate) fn header_text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> &'a str {
-    let value = headers.get(name).and_then(|value| value.to_str().ok());
-    value.unwrap_or_default().trim()
-}
-
 /// How long an idle connection may be reused, from `Keep-Alive: timeout=N`.
 fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let mut fields = header_text(headers, &KEEP_ALIVE).split(',').map(str::trim);
--- a/crates/filberthead/src/gateway/relay/head.rs
+++ b/crates/filberthead/src/gateway/relay/head.rs
@@ -9,7 +9,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue};
 
 use crate::gateway::answer_notes::LeavingEndpoint;
-use crate::gateway::attempt::header_text;
+use crate::gateway::headers::header_text;
 
 /// Holds a [`RelayHead`].
 pub(crate) const RELAY: HeaderName = HeaderName::from_static(header::RELAY);
--- a/crates/filberthead/src/gateway/relay/send.rs
+++ b/crates/filberthead/src/gateway/relay/send.rs
@@ -16,12 +16,13 @@
 use super::{ChosenHelper, HelperReport, RELAY, RELAYED_ATTEMPT, RELAYED_KEY, RelayHead};
 use crate::gateway::answer_notes::record_leaving;
 use crate::gateway::attempt::{
-    Attempt, Job, MAX_IDLE_FOR_UNSAFE, TYPICAL_HEAD_BYTES, build_request, header_text, read_body,
+    Attempt, Job, MAX_IDLE_FOR_UNSAFE, TYPICAL_HEAD_BYTES, build_request, read_body,
 };
 use crate::gateway::core::Core;
+use crate::gateway::headers::header_text;
+use crate::gateway::progress::Progress;
 use crate::gateway::response::gateway_response;
 use crate::gateway::retry::StartedAttempt;
-use crate::gateway::under_way::Progress;
 
 /// Outcome of a request whose caller left.
 const ABANDONED: &str = "abandoned";
--- a/crates/filberthead/src/gateway/context.rs
+++ b/crates/filberthead/src/gateway/request/context.rs
@@ -11,10 +11,10 @@
 use log::info;
 use tokio::time::Instant;
 
-use super::attempt::header_text;
-use super::core::{ActiveRoutes, Core};
-use super::forward::RETRY_AFTER_STARTING;
-use super::response::{ResponseBody, gateway_response};
+use crate::gateway::core::{ActiveRoutes, Core};
+use crate::gateway::headers::header_text;
+use crate::gateway::response::{ResponseBody, gateway_response};
+use crate::gateway::retry_after::RETRY_AFTER_STARTING;
 
 /// Bytes logged of each text that a caller has sent. The longest host name that DNS allows fits;
 /// a request head may have many kilobytes.
--- a/crates/filberthead/src/gateway/response.rs
+++ b/crates/filberthead/src/gateway/response.rs
@@ -86,3 +86,12 @@
         _ => code.status(),
     }
 }
+
+/// The code a response is counted under: that of the gateway's own response, else `Answered`.
+pub(super) fn result_code(response: &Response<ResponseBody>) -> ResultCode {
+    let header = response.headers().get(RESULT);
+    let number = header.and_then(|value| value.to_str().ok()?.parse().ok());
+    number
+        .and_then(ResultCode::from_number)
+        .unwrap_or(ResultCode::Answered)
+}
--- a/crates/filberthead/src/gateway/serve.rs
+++ b/crates/filberthead/src/gateway/serve/connection.rs
@@ -1,11 +1,10 @@
-//! Accepts connections of callers and other gateways, and runs the event loop of the requests duty.
+//! Serves one connection of a caller or of another gateway.
 
 use std::convert::Infallible;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use filberthead_ring::Receiver;
 use filberthead_types::ResultCode;
 use http::header::CONNECTION;
 use http::{HeaderValue, Request, Response};
@@ -13,110 +12,23 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use log::{debug, info, warn};
+use log::{debug, info};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::task::{JoinHandle, spawn_local};
-use tokio::time::{MissedTickBehavior, interval, sleep};
 
-use super::ControlMessage;
-use super::attempt::TYPICAL_HEAD_BYTES;
-use super::bounds::{IdleTimer, MAX_HEADER_LINES, head_buffer_size, head_limit_raised};
-use super::contact;
-use super::core::Core;
-use super::forward::forward;
-use super::response::ResponseBody;
-use super::stop::Phase;
-use crate::stop::Stop;
-
-/// How often the duty checks whether a report is due.
-const TICK: Duration = Duration::from_millis(100);
-/// Pause after a failed accept, which usually means that no file descriptors are left.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+use crate::gateway::attempt::TYPICAL_HEAD_BYTES;
+use crate::gateway::bounds::{IdleTimer, MAX_HEADER_LINES, head_buffer_size, head_limit_raised};
+use crate::gateway::core::Core;
+use crate::gateway::request::forward;
+use crate::gateway::response::ResponseBody;
+use crate::gateway::source::RequestSource;
+use crate::gateway::stop::Phase;
 
 /// Bytes that the headers of a relayed request may add to its caller's.
 const RELAY_HEAD_BYTES: usize = 1024;
 
-/// Where requests are accepted.
-pub(crate) struct Listeners {
-    /// From callers.
-    pub(crate) callers: TcpListener,
-    /// From gateways that relay them.
-    pub(crate) relay: TcpListener,
-}
-
-/// Who sends requests on a connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum RequestSource {
-    /// A caller.
-    Caller,
-    /// Another gateway, which relays those of its callers.
-    Gateway,
-}
-
-/// Runs until the process stops.
-pub(crate) async fn run(
-    core: Rc<Core>,
-    listeners: Listeners,
-    mut rx: Receiver<ControlMessage>,
-    mut stop: Stop,
-) {
-    let callers = tokio::net::TcpListener::from_std(listeners.callers);
-    let relay = tokio::net::TcpListener::from_std(listeners.relay);
-    let (callers, relay) = match (callers, relay) {
-        (Ok(callers), Ok(relay)) => (callers, relay),
-        (Err(e), _) | (_, Err(e)) => {
-            log::error!(error:% = e; "can't listen for requests");
-            return;
-        }
-    };
-    let accepting = [
-        (callers, RequestSource::Caller),
-        (relay, RequestSource::Gateway),
-    ]
-    .map(|(listener, from)| spawn_local(accept(Rc::clone(&core), listener, from)));
-    let mut ticks = interval(TICK);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut phase = core.phase();
-    loop {
-        tokio::select! {
-            _ = ticks.tick() => {
-                core.tick();
-                contact::check(&core);
-            }
-            message = rx.recv() => match message {
-                Some(message) => core.handle_message(message),
-                None => break,
-            },
-            // A phase change is reported at once, so that callers are sent to other gateways.
-            _ = phase.changed() => {
-                if *phase.borrow_and_update() >= Phase::Ending {
-                    accepting.iter().for_each(JoinHandle::abort);
-                }
-                core.tick();
-            }
-            () = stop.wait() => break,
-        }
-    }
-    accepting.iter().for_each(JoinHandle::abort);
-}
-
-async fn accept(core: Rc<Core>, listener: tokio::net::TcpListener, from: RequestSource) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, addr)) => {
-                spawn_local(serve_connection(Rc::clone(&core), stream, (addr, from)));
-            }
-            Err(e) => {
-                warn!(error:% = e; "a connection can't be accepted");
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
-}
-
 /// Serves a connection until it is closed or has to be replaced.
-async fn serve_connection(
+pub(super) async fn serve_connection(
     core: Rc<Core>,
     stream: TcpStream,
     (caller, from): (SocketAddr, RequestSource),
--- a/crates/filberthead/src/gateway/under_way.rs
+++ b/crates/filberthead/src/gateway/under_way.rs
@@ -4,7 +4,6 @@
 //! answers health checks as late as requests. So an attempt is neither ended because another one is to
 //! replace it, nor because none can. They run side by side until one of them is answered.
 
-use std::cell::Cell;
 use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::pin::Pin;
@@ -14,48 +13,16 @@
 
 use filberthead_endpoint::RequestBody;
 use filberthead_place::{EndpointId, Target};
-use filberthead_types::Moment;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
 
 use super::attempt::Attempt;
 use super::core::Core;
+use super::progress::{GivenUp, Progress};
 
 /// Time after which another attempt is asked for again while none under way is in contact.
 const REPLACEMENT_PAUSE: Duration = Duration::from_millis(500);
 
-/// Why a gateway stops waiting for an endpoint that hasn't answered.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(crate) enum GivenUp {
-    /// The caller has left, or the gateway ends.
-    #[default]
-    CallerLeft,
-    /// The request's deadline has passed.
-    Deadline,
-    /// Another attempt was answered.
-    Superseded,
-}
-
-impl GivenUp {
-    /// Short stable name, for logs.
-    pub(crate) fn as_str(self) -> &'static str {
-        match self {
-            Self::CallerLeft => "caller-left",
-            Self::Deadline => "deadline",
-            Self::Superseded => "superseded",
-        }
-    }
-}
-
-/// How far an attempt has got.
-#[derive(Debug, Default)]
-pub(crate) struct Progress {
-    /// When the first byte may have left; `None` if none has.
-    pub(crate) sent_at: Cell<Option<Moment>>,
-    /// Why it ends, unless its outcome says so.
-    pub(crate) given_up: Cell<GivenUp>,
-}
-
 /// Where an attempt was sent.
 pub(crate) enum Destination {
     /// To an endpoint.
