Add contention control, off until a caller sends ahead

Gateways report to control when a caller has sent a request before its previous one was answered, and control tells the others, so that all of them place requests alike. The setting [contention] control turns it on from the start or keeps it off. Nothing depends on it yet.

--- a/crates/bench/src/placement/site.rs
+++ b/crates/bench/src/placement/site.rs
@@ -176,6 +176,7 @@
             window: Duration::from_secs(10),
         },
         max_shift: 0.15,
+        contention_control: false,
         disabled: Default::default(),
     }
 }
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -21,6 +21,7 @@
 };
 use filberthead_ring::Sender;
 use filberthead_route::{CallerBounds, KeyIndex, Matcher, Table};
+use filberthead_settings::ContentionControl;
 use filberthead_types::{
     ClusterId, FailureDomain, Fingerprint, Meaning, Moment, NodeName, Region, RequestPrints,
     ResultCode, ServiceName, Workspace,
@@ -62,6 +63,8 @@
     pub(crate) out: Sender<Outgoing>,
     pub(crate) phase: watch::Sender<Phase>,
     pub(crate) answers_due: AnswersDue,
+    /// When contention control is on.
+    pub(crate) contention_control: ContentionControl,
     /// Model of the VM's uplink, if its rate is configured.
     pub(crate) link: Option<Link>,
     /// Share of the uplink that large responses may use; `None` if its rate isn't configured.
@@ -142,6 +145,8 @@
     /// Refused requests by workspace, for the report to control.
     refusals: RefCell<RefusalMeter>,
     pub(crate) metrics: Arc<GatewayMetrics>,
+    /// When contention control is on.
+    contention_control: ContentionControl,
     /// Model of the VM's uplink, if its rate is configured.
     link: Option<RefCell<Link>>,
     large_admission: Option<RefCell<LargeResponseAdmission>>,
@@ -210,6 +215,7 @@
             limiter: RefCell::new(parts.limiter),
             refusals: RefCell::default(),
             metrics: parts.metrics,
+            contention_control: parts.contention_control,
             link: parts.link.map(RefCell::new),
             body_memory: BodyMemory::default(),
             large_admission: parts.large_admission.map(RefCell::new),
@@ -647,6 +653,7 @@
             Update::ReportAnswered => self.limiter.borrow_mut().confirm_report(),
             Update::Ratios(ratios) => self.limiter.borrow_mut().set_ratios(now, from, &ratios),
             Update::Suspicions(told) => placer.set_suspicions(now, told),
+            Update::Contended => self.enable_contention_control(&mut placer, "control"),
             Update::Helpers(list) => self.helpers.borrow_mut().set(list),
             Update::Links(milli) => {
                 let mean = milli.map(|milli| f64::from(milli) / 1000.0);
@@ -655,6 +662,22 @@
         }
     }
 
+    #[expect(dead_code, reason = "called once connections are read ahead")]
+    /// Records that a caller has sent a request before its previous one was answered. Other gateways
+    /// learn of it through control.
+    pub(crate) fn record_sent_ahead(&self) {
+        self.member.borrow_mut().set_contended();
+        self.enable_contention_control(&mut self.placer.borrow_mut(), "caller");
+    }
+
+    /// Turns contention control on, unless the settings say otherwise.
+    fn enable_contention_control(&self, placer: &mut Placer, told_by: &'static str) {
+        if self.contention_control == ContentionControl::Auto && !placer.contention_control() {
+            placer.enable_contention_control();
+            info!(told_by; "contention control is on");
+        }
+    }
+
     /// Closes idle connections to processes of endpoints that have since restarted. A
     /// non-idempotent request sent on one would be lost without a way to tell whether it ran.
     fn close_connections(&self, replaced: &[SocketAddr]) {
--- a/crates/filberthead/src/gateway/mod.rs
+++ b/crates/filberthead/src/gateway/mod.rs
@@ -48,7 +48,7 @@
 use filberthead_peer::{Body, Deliver, Origin, Transport, TransportError, cluster_id};
 use filberthead_place::{Config, LargeResponseAdmission, Link, Placer, RetryBudgetConfig};
 use filberthead_ring::{Receiver, Sender, ring};
-use filberthead_settings::GatewaySettings;
+use filberthead_settings::{ContentionControl, GatewaySettings};
 use filberthead_types::Incarnation;
 use log::info;
 use snafu::{ResultExt, Snafu};
@@ -291,6 +291,7 @@
         phase,
         answers_due,
         connections,
+        contention_control: cfg.contention_control,
         link: cfg.link_rate.map(|rate| Link::new(rate * BITS_PER_MBIT)),
         large_admission: cfg
             .link_rate
@@ -336,6 +337,7 @@
             window: cfg.budgets.retry_window,
         },
         max_shift: cfg.budgets.max_shift,
+        contention_control: cfg.contention_control == ContentionControl::Always,
         disabled: BTreeSet::new(),
     }
 }
--- a/crates/fleet/src/api.rs
+++ b/crates/fleet/src/api.rs
@@ -204,6 +204,8 @@
     pub ready: bool,
     /// Whether other gateways may relay requests through it.
     pub helps: bool,
+    /// Whether it has seen the load that contention control is for.
+    pub contended: bool,
     /// The revisions that it holds.
     pub revisions: Revisions,
     /// Offered load for each service.
@@ -230,6 +232,8 @@
     pub ready: bool,
     /// Whether other gateways may relay requests through it.
     pub helps: bool,
+    /// Whether it has seen the load that contention control is for.
+    pub contended: bool,
     /// Offered load for each service.
     pub demand: Vec<Demand>,
     /// Requests of each workspace with an allotment.
@@ -321,6 +325,8 @@
         helpers: Vec<Helper>,
         /// What gateways hold against requests that may crash endpoints.
         suspicions: Vec<Suspicion>,
+        /// Whether a gateway has seen the load that contention control is for.
+        contended: bool,
         /// Id of the report that this answers; `None` if sent unasked.
         answered_report: Option<u64>,
         /// Id of the report that this answers, if the sender could prove at that moment that
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -77,6 +77,8 @@
     Helpers(Vec<Helper>),
     /// What gateways hold against requests that may crash endpoints.
     Suspicions(Vec<Suspicion>),
+    /// A gateway has seen the load that contention control is for.
+    Contended,
 }
 
 /// How long an update took to arrive after it was first announced.
@@ -119,6 +121,7 @@
     info: GatewayInfo,
     ready: bool,
     helps: bool,
+    contended: bool,
     contacts: Contacts,
     control_last_seen: Option<Moment>,
     /// When the first notice since the start arrived.
@@ -158,6 +161,7 @@
             info,
             ready: false,
             helps: false,
+            contended: false,
             contacts: Contacts::new(seeds),
             control_last_seen: None,
             first_notice: None,
@@ -262,6 +266,15 @@
         }
     }
 
+    /// Records that this gateway has seen the load that contention control is for. It is reported at the
+    /// next tick.
+    pub fn set_contended(&mut self) {
+        if !self.contended {
+            self.contended = true;
+            self.next_report = Moment::ZERO;
+        }
+    }
+
     /// Replaces the replicas from the settings after a change. An empty list means that they
     /// couldn't be read, and is ignored.
     pub fn set_seeds(&mut self, seeds: impl IntoIterator<Item = SocketAddr>) {
@@ -296,6 +309,7 @@
             gateway: self.info.clone(),
             ready: self.ready,
             helps: self.helps,
+            contended: self.contended,
             revisions: self.revisions,
             demand,
             usage,
@@ -380,6 +394,7 @@
                 link_milli,
                 helpers,
                 suspicions,
+                contended,
                 answered_report,
                 proven_report,
                 leaders_count,
@@ -400,6 +415,7 @@
                 if answered_report.is_some() && answered_report == last_report {
                     updates.push(Update::ReportAnswered);
                 }
+                updates.extend(contended.then_some(Update::Contended));
                 updates.extend(proof);
                 (self.pull(now, from, revisions), updates)
             }
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -67,6 +67,7 @@
     direct: Option<DirectReport>,
     ready: bool,
     helps: bool,
+    contended: bool,
     last_seen: Moment,
     demand: Vec<Demand>,
     usage: Vec<Usage>,
@@ -108,6 +109,7 @@
     /// Helpers for the gateways of each failure domain.
     helpers: BTreeMap<FailureDomain, Vec<Helper>>,
     suspicions: Vec<Suspicion>,
+    contended: bool,
 }
 
 /// State of the gateways as seen by a control replica, and the routes, evacuations and
@@ -287,6 +289,7 @@
             }),
             ready: report.ready,
             helps: report.helps,
+            contended: report.contended,
             last_seen: now,
             demand: report.demand,
             usage: report.usage,
@@ -344,6 +347,7 @@
                 direct,
                 ready: relayed.ready,
                 helps: relayed.helps,
+                contended: relayed.contended,
                 last_seen,
                 demand: relayed.demand,
                 usage: relayed.usage,
@@ -369,6 +373,7 @@
             gateway: gateway.info.clone(),
             ready: gateway.ready,
             helps: gateway.helps,
+            contended: gateway.contended,
             demand: gateway.demand.clone(),
             usage: gateway.usage.clone(),
             refused: gateway.refused.clone(),
@@ -522,6 +527,7 @@
             link_milli: totals.links.get(domain).copied(),
             helpers: totals.helpers.get(domain).cloned().unwrap_or_default(),
             suspicions: totals.suspicions.clone(),
+            contended: totals.contended,
             answered_report,
             proven_report,
             leaders_count: proven_report.and_then(|_| self.counted_gateways(now)),
@@ -537,6 +543,9 @@
             links: self.link_means(now),
             helpers: self.helpers(now),
             suspicions: self.suspicions(now),
+            contended: self
+                .remembered_gateways(now)
+                .any(|gateway| gateway.contended),
         }
     }
 
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of state distribution between gateways and control replicas.
 
 mod allotments;
+mod contention;
 mod helpers;
 mod narrow_link;
 mod parts;
--- a/crates/fleet/tests/all/support.rs
+++ b/crates/fleet/tests/all/support.rs
@@ -88,6 +88,7 @@
         link_milli: None,
         helpers: Vec::new(),
         suspicions: Vec::new(),
+        contended: false,
         answered_report: None,
         proven_report: None,
         leaders_count: None,
--- a/crates/peer/examples/cost.rs
+++ b/crates/peer/examples/cost.rs
@@ -55,6 +55,7 @@
         },
         ready: true,
         helps: true,
+        contended: false,
         revisions: revisions(),
         demand: (0..3).map(demand).collect(),
         usage: Vec::new(),
@@ -88,6 +89,7 @@
         ratios: Vec::new(),
         link_milli: Some(456),
         suspicions: Vec::new(),
+        contended: false,
         helpers: (0..12)
             .map(|n| Helper {
                 domain: domain(n),
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -236,6 +236,16 @@
         state
     }
 
+    /// Whether contention control is on: requests wait by urgency, and are placed by expected work.
+    pub fn contention_control(&self) -> bool {
+        self.cfg.contention_control
+    }
+
+    /// Turns contention control on, for good.
+    pub fn enable_contention_control(&mut self) {
+        self.cfg.contention_control = true;
+    }
+
     /// Number of listed endpoints.
     pub fn endpoint_count(&self) -> usize {
         self.endpoints.len()
--- a/crates/place/src/request.rs
+++ b/crates/place/src/request.rs
@@ -24,6 +24,8 @@
     /// Share of a region's requests that may move to other regions between two consecutive
     /// windows.
     pub max_shift: f64,
+    /// Whether contention control is on from the start.
+    pub contention_control: bool,
     /// Mechanisms that are switched off, for measurements only.
     pub disabled: BTreeSet<Mechanism>,
 }
--- a/crates/place/tests/all/support.rs
+++ b/crates/place/tests/all/support.rs
@@ -110,6 +110,7 @@
             window: RETRY_WINDOW,
         },
         max_shift: 0.15,
+        contention_control: false,
         disabled: BTreeSet::new(),
     });
     placer.set_routes(&table());
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -25,6 +25,18 @@
     pub allotment_slack: f64,
 }
 
+/// When contention control is on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ContentionControl {
+    /// From when a caller of any gateway has sent a request before its previous one was answered.
+    #[default]
+    Auto,
+    /// From the start.
+    Always,
+    /// Never.
+    Never,
+}
+
 /// All settings of a gateway.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
@@ -58,6 +70,8 @@
     pub regions: BTreeMap<FailureDomain, Region>,
     /// Bounds that apply to all gateways together.
     pub budgets: BudgetSettings,
+    /// When contention control is on.
+    pub contention_control: ContentionControl,
     /// Rate of the VM's network link, in Mbit/s; `None` if it isn't limited.
     pub link_rate: Option<f64>,
     /// Time from the stop signal until the process must have exited.
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -14,7 +14,7 @@
     ByteSize, ClusterName, DomainList, HttpUrl, ListenAddr, Percent, Role, TargetAddr, TargetList,
     Value,
 };
-use crate::{LogFormat, LogStream, ReviewPolicy};
+use crate::{ContentionControl, LogFormat, LogStream, ReviewPolicy};
 
 macro_rules! sections {
     ($(
@@ -222,6 +222,13 @@
         /// can go first. Without it, or with 0, they are sent as fast as they arrive.
         LINK_RATE: f64 = "rate", UNSET, "0"..="1000000000";
     }
+    /// How a gateway treats load beyond what endpoints can serve in time.
+    ["contention"] Gateway {
+        /// Whether requests wait at the gateway by urgency, are shared out between workspaces
+        /// and placed by expected work: `auto` from when a caller of any gateway has sent a
+        /// request before its previous one was answered, `always` or `never`.
+        CONTENTION_CONTROL: ContentionControl = "control", default("auto");
+    }
     /// The planned stop of a gateway.
     ["stop"] Gateway {
         /// Time from the signal until the process must have exited.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -26,7 +26,7 @@
     ReviewPolicy, SampleSettings,
 };
 pub use entry::{EndpointSettings, EntrySettings};
-pub use gateway::{BudgetSettings, GatewaySettings};
+pub use gateway::{BudgetSettings, ContentionControl, GatewaySettings};
 pub use load::{check, check_text};
 pub use log::{LogFormat, LogSettings, LogStream};
 pub use problem::{Problem, SettingsError};
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -214,6 +214,7 @@
             max_shift: document.get(&keys::MAX_SHIFT)?,
             allotment_slack: document.get(&keys::ALLOTMENT_SLACK)?,
         },
+        contention_control: document.get(&keys::CONTENTION_CONTROL)?,
         link_rate: document.get(&keys::LINK_RATE).filter(|rate| *rate > 0.0),
         stop_grace: document.get(&keys::STOP_GRACE)?,
         log: log(document)?,
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -7,7 +7,7 @@
 use filberthead_types::{FailureDomain, NodeName, Region, ServiceName};
 use log::LevelFilter;
 
-use crate::{LogFormat, LogStream, ReviewPolicy};
+use crate::{ContentionControl, LogFormat, LogStream, ReviewPolicy};
 
 /// Bound of durations, in milliseconds: up to it an `f64` represents integers exactly.
 const MAX_DURATION_MS: f64 = (1_u64 << 53) as f64;
@@ -95,6 +95,20 @@
     }
 }
 
+impl Value for ContentionControl {
+    const FORM: &'static str = "`auto`, `always` or `never`";
+    const CHOICES: &'static [&'static str] = &["auto", "always", "never"];
+
+    fn read(text: &str) -> Option<Self> {
+        match text {
+            "auto" => Some(Self::Auto),
+            "always" => Some(Self::Always),
+            "never" => Some(Self::Never),
+            _ => None,
+        }
+    }
+}
+
 impl Value for LevelFilter {
     const FORM: &'static str = "`off`, `error`, `warn`, `info`, `debug` or `trace`";
     const CHOICES: &'static [&'static str] = &["off", "error", "warn", "info", "debug", "trace"];
