Gateway: requests sent ahead run side by side

Callers may send further requests before the first one is answered. A gateway read the next request only once the previous one was answered, so it waited without the gateway knowing of it.

The new crate filberthead-pipeline stands between the socket and hyper: it passes on one request at a time, and finds those behind it that have no body and that their routes declare idempotent. These are forwarded at once; when hyper reaches one, its answer is taken from there. `forward` takes head, body and arrival time, and deadlines count from the arrival.

8 requests sent at once to endpoints that take 0.6 s are all running before the first one is answered (tests/all/pipelining.rs).

--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -15,6 +15,7 @@
 use filberthead_fleet::{Load, Member, Outbound, Stamp, Update, UpdateDelay};
 use filberthead_observe::{GatewayMetrics, LogRateLimiter};
 use filberthead_peer::Body;
+use filberthead_pipeline::Memory;
 use filberthead_place::{
     ConnectionBalancer, EndpointId, Holder, LargeResponseAdmission, Link, Placer, RetryDecision,
     RetryEnd, RetryId, RunVerdict, UsualTimes,
@@ -47,6 +48,9 @@
 /// all codes together stay below 100 kB per second whatever callers send.
 const LOG_LINES_PER_SECOND: u32 = 20;
 
+/// Bytes of all requests together that are read ahead, and of answers that wait for those before
+/// them. Enough for 8 requests of 1 KiB on each of 1,000 connections.
+const MAX_AHEAD_MEMORY: usize = 8 * 1024 * 1024;
 /// Endpoints that are logged for each kind of value that isn't valid.
 const MAX_INVALID_LOGGED: usize = 64;
 
@@ -137,6 +141,8 @@
     pub(crate) client: Client,
     /// Memory of the responses that are being read.
     pub(crate) body_memory: BodyMemory,
+    /// Memory of what is read ahead on callers' connections.
+    pub(crate) ahead_memory: Rc<Memory>,
     pub(crate) placer: RefCell<Placer>,
     /// How long requests usually take.
     pub(crate) usual_times: RefCell<UsualTimes>,
@@ -218,6 +224,7 @@
             contention_control: parts.contention_control,
             link: parts.link.map(RefCell::new),
             body_memory: BodyMemory::default(),
+            ahead_memory: Memory::new(MAX_AHEAD_MEMORY),
             large_admission: parts.large_admission.map(RefCell::new),
             balancer: RefCell::default(),
             helpers: RefCell::new(Helpers::new(&parts.identity, parts.regions)),
@@ -662,7 +669,6 @@
         }
     }
 
-    #[expect(dead_code, reason = "called once connections are read ahead")]
     /// Records that a caller has sent a request before its previous one was answered. Other gateways
     /// learn of it through control.
     pub(crate) fn record_sent_ahead(&self) {
--- a/crates/filberthead/src/gateway/request/mod.rs
+++ b/crates/filberthead/src/gateway/request/mod.rs
@@ -7,12 +7,13 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use filberthead_endpoint::RequestBody;
 use filberthead_place::Attempts;
 use filberthead_route::Route;
 use filberthead_types::{Meaning, RequestPrints, ResultCode};
+use http::Response;
 use http::request::Parts;
-use http::{Request, Response};
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use log::debug;
 use tokio::time::Instant;
 
@@ -34,18 +35,27 @@
 use super::timing::RequestTimer;
 use crate::fingerprint::fingerprint;
 
-/// Handles a request of a caller, or one that another gateway relays.
+/// Whether a request is known from its route to be idempotent.
+pub(crate) fn is_idempotent(core: &Core, head: &Parts) -> bool {
+    let matched = core
+        .active_routes()
+        .and_then(|active_routes| find_route(&active_routes, head));
+    matched.is_some_and(|matched| matched.route.kind.is_idempotent())
+}
+
+/// Handles a request of a caller, or one that another gateway relays, that was received at
+/// `arrived`.
 pub(crate) async fn forward(
     core: &Rc<Core>,
     (caller, from): (SocketAddr, RequestSource),
-    req: Request<Incoming>,
+    head: &Parts,
+    body: RequestBody,
+    arrived: Instant,
 ) -> Response<ResponseBody> {
-    let started = Instant::now();
-    let (head, body) = req.into_parts();
-    let mut ctx = RequestContext::new(core, caller, started, &head);
+    let mut ctx = RequestContext::new(core, caller, arrived, head);
     let relayed = match from {
         RequestSource::Caller => None,
-        RequestSource::Gateway => match read_relay_head(core, &head) {
+        RequestSource::Gateway => match read_relay_head(core, head) {
             Some(relayed) => Some(relayed),
             None => return ctx.reject(ResultCode::BadRequest, None),
         },
@@ -55,10 +65,10 @@
         return ctx.reject(ResultCode::NotReady, Some(RETRY_AFTER_STARTING));
     };
     ctx.routes = Some(&active_routes);
-    if relayed.is_none() && head_bytes(&head) > active_routes.bounds.header_bytes {
+    if relayed.is_none() && head_bytes(head) > active_routes.bounds.header_bytes {
         return ctx.reject_by_routes(ResultCode::HeadTooLarge);
     }
-    let Some(matched) = find_route(&active_routes, &head) else {
+    let Some(matched) = find_route(&active_routes, head) else {
         return ctx.reject_by_routes(ResultCode::UnknownService);
     };
     let route = &matched.route;
@@ -71,7 +81,7 @@
     let Ok(caller) = identified else {
         return ctx.reject_by_routes(ResultCode::CallerUnknown);
     };
-    let deadline = Deadline::new(started, &head.headers, &core.protocol.deadline_ms, route);
+    let deadline = Deadline::new(arrived, &head.headers, &core.protocol.deadline_ms, route);
     let Some(target) = pick_target(&matched, relayed.as_ref()) else {
         return ctx.reject(ResultCode::NoEndpoint, Some(RETRY_AFTER_STARTING));
     };
@@ -99,17 +109,17 @@
         placer.record_request(core.now(), &target.service, priority);
     }
     let is_retry = match &relayed {
-        None => is_caller_retry(core, &head, route),
+        None => is_caller_retry(core, head, route),
         Some(relayed) => relayed.is_caller_retry,
     };
     let attempts_left = relayed
         .as_ref()
         .map_or(u32::MAX, |relayed| relayed.attempts);
     let prints = RequestPrints {
-        of_request: fingerprint(&target.service, &head, &body, &[]),
+        of_request: fingerprint(&target.service, head, &body, &[]),
         of_caller: match &relayed {
             Some(relayed) => relayed.fingerprint,
-            None => caller.fingerprint(&target.service, &head, &body, ctx.caller_ip()),
+            None => caller.fingerprint(&target.service, head, &body, ctx.caller_ip()),
         },
     };
     let request_id = header_text(&head.headers, &core.protocol.request_id);
@@ -118,7 +128,7 @@
         core,
         route,
         service: &target.service,
-        head: &head,
+        head,
         caller: &caller,
         deadline,
         prints,
@@ -140,7 +150,7 @@
         core: Rc::clone(core),
         service: target.service.clone(),
         kind: route.kind,
-        started,
+        started: arrived,
     };
     measure(timer, &mut response, code);
     if let Some(relayed) = &relayed {
@@ -157,7 +167,7 @@
         return response;
     }
     let kind = Some(route.kind.as_str());
-    core.metrics.record_request(kind, code, started.elapsed());
+    core.metrics.record_request(kind, code, arrived.elapsed());
     if let Some(workspace) = caller.workspace() {
         core.record_answer(workspace, code);
     }
--- /dev/null
+++ b/crates/filberthead/src/gateway/serve/ahead.rs
@@ -0,0 +1,77 @@
+//! Requests that run before the server reaches them, and the end of each answer.
+
+use std::cell::RefCell;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http::Response;
+use http::request::Parts;
+use http_body::{Body, Frame, SizeHint};
+use tokio::task::JoinHandle;
+
+use super::read_ahead::Connection;
+use crate::gateway::response::ResponseBody;
+use crate::gateway::streamed::BodyError;
+
+/// A request that was started ahead. Dropped, it is cancelled.
+pub(super) struct RunningAhead {
+    head: Rc<Parts>,
+    task: JoinHandle<Response<ResponseBody>>,
+}
+
+impl RunningAhead {
+    pub(super) fn new(head: Rc<Parts>, task: JoinHandle<Response<ResponseBody>>) -> Self {
+        Self { head, task }
+    }
+
+    /// Whether the server has parsed the same request.
+    pub(super) fn is_for(&self, head: &Parts) -> bool {
+        let own = &self.head;
+        own.method == head.method && own.uri == head.uri && own.headers == head.headers
+    }
+
+    /// Waits for its response; `None` if there is none.
+    pub(super) async fn response(mut self) -> Option<Response<ResponseBody>> {
+        (&mut self.task).await.ok()
+    }
+}
+
+impl Drop for RunningAhead {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// The body of an answer, whose end is noted on the connection.
+pub(super) struct AnswerBody {
+    pub(super) body: ResponseBody,
+    pub(super) connection: Rc<RefCell<Connection>>,
+}
+
+impl Drop for AnswerBody {
+    fn drop(&mut self) {
+        self.connection.borrow_mut().finish();
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/filberthead/src/gateway/serve/connection.rs
+++ b/crates/filberthead/src/gateway/serve/connection.rs
@@ -1,21 +1,31 @@
 //! Serves one connection of a caller or of another gateway.
 
+use std::cell::RefCell;
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
+use bytes::Bytes;
+use filberthead_endpoint::RequestBody;
 use filberthead_types::ResultCode;
 use http::header::CONNECTION;
+use http::request::Parts;
 use http::{HeaderValue, Request, Response};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use log::{debug, info};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
 
+use super::ahead::{AnswerBody, RunningAhead};
+use super::read_ahead::{Connection, ReadAhead, ReadProgress};
 use crate::gateway::attempt::TYPICAL_HEAD_BYTES;
 use crate::gateway::bounds::{IdleTimer, MAX_HEADER_LINES, head_buffer_size, head_limit_raised};
 use crate::gateway::core::Core;
@@ -45,10 +55,12 @@
     };
     let buffer_size = head_buffer_size(&bounds) + added;
     let mut phase = core.phase();
-    let shared = Rc::clone(&core);
+    let connection = Connection::new(&core, stream, from);
+    let (shared, on) = (Rc::clone(&core), Rc::clone(&connection));
     let service = service_fn(move |req| {
-        let core = Rc::clone(&shared);
-        async move { Ok::<_, Infallible>(respond(&core, (caller, from), req).await) }
+        let begun = begin(&on, req);
+        let (core, connection) = (Rc::clone(&shared), Rc::clone(&on));
+        async move { Ok::<_, Infallible>(respond(&core, (caller, from), connection, begun).await) }
     });
     let serving = http1::Builder::new()
         .timer(IdleTimer(bounds.clone()))
@@ -57,24 +69,45 @@
         .header_read_timeout(Duration::ZERO)
         .max_buf_size(buffer_size)
         .max_headers(MAX_HEADER_LINES)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(ReadAhead(Rc::clone(&connection))), service);
     let mut serving = std::pin::pin!(serving);
-    let result = tokio::select! {
-        result = serving.as_mut() => Some(result),
-        () = stopped_accepting(&mut phase) => None,
-        () = head_limit_raised(&mut bounds, buffer_size) => None,
-    };
-    let result = match result {
-        Some(result) => result,
-        None => {
-            // Closes the connection after the request in progress.
-            serving.as_mut().graceful_shutdown();
-            serving.await
+    let closing = async {
+        tokio::select! {
+            () = stopped_accepting(&mut phase) => {}
+            () = head_limit_raised(&mut bounds, buffer_size) => {}
         }
     };
-    if let Err(e) = result {
-        record_connection_error(&core, caller, &e);
+    let mut closing = std::pin::pin!(closing);
+    let (mut is_closing, mut is_last) = (false, false);
+    let start = |head, arrived| start_ahead(&core, caller, head, arrived);
+    let result = poll_fn(|cx| {
+        loop {
+            if !is_closing && closing.as_mut().poll(cx).is_ready() {
+                is_closing = true;
+                connection.borrow_mut().pipeline.stop();
+            }
+            if is_closing && !is_last && connection.borrow_mut().pipeline.is_at_last() {
+                is_last = true;
+                // Closes the connection after the request in progress.
+                serving.as_mut().graceful_shutdown();
+            }
+            if let Poll::Ready(result) = serving.as_mut().poll(cx) {
+                return Poll::Ready(Some(result));
+            }
+            match connection.borrow_mut().read_ahead(cx, &core, start) {
+                ReadProgress::Continue => {}
+                ReadProgress::Wait => return Poll::Pending,
+                ReadProgress::Disconnected => return Poll::Ready(None),
+            }
+        }
+    })
+    .await;
+    match result {
+        Some(Ok(())) => {}
+        Some(Err(e)) => record_connection_error(&core, caller, &e),
+        None => debug!(caller:%; "caller has closed its connection before it was answered"),
     }
+    connection.borrow_mut().running.clear();
 }
 
 /// Logs why a connection broke. hyper itself responds to a head that it can't parse, before there
@@ -104,14 +137,63 @@
     drop(phase.wait_for(|phase| *phase >= Phase::Ending).await);
 }
 
+/// A request that the server has begun with.
+struct BegunRequest {
+    head: Rc<Parts>,
+    body: RequestBody,
+    arrived: Instant,
+    /// The same request, if it was started ahead.
+    running: Option<RunningAhead>,
+}
+
+fn begin(connection: &RefCell<Connection>, req: Request<Incoming>) -> BegunRequest {
+    let (head, body) = req.into_parts();
+    let head = Rc::new(head);
+    let body = RequestBody::from(body);
+    let (begun, running) = connection
+        .borrow_mut()
+        .begin(&head, body.size_hint().exact());
+    BegunRequest {
+        head,
+        body,
+        arrived: begun.arrived.map_or_else(Instant::now, Instant::from_std),
+        running,
+    }
+}
+
+/// Starts a request that the server hasn't reached.
+fn start_ahead(
+    core: &Rc<Core>,
+    caller: SocketAddr,
+    head: Rc<Parts>,
+    arrived: std::time::Instant,
+) -> RunningAhead {
+    let (core, own) = (Rc::clone(core), Rc::clone(&head));
+    let task = spawn_local(async move {
+        let _guard = core.track_request();
+        let source = (caller, RequestSource::Caller);
+        let body = RequestBody::Buffered(Bytes::new());
+        forward(&core, source, &own, body, Instant::from_std(arrived)).await
+    });
+    RunningAhead::new(head, task)
+}
+
 /// Handles one request, and closes the connection after it if necessary.
 async fn respond(
     core: &Rc<Core>,
     (caller, from): (SocketAddr, RequestSource),
-    req: Request<Incoming>,
-) -> Response<ResponseBody> {
+    connection: Rc<RefCell<Connection>>,
+    begun: BegunRequest,
+) -> Response<AnswerBody> {
     let guard = core.track_request();
-    let mut response = forward(core, (caller, from), req).await;
+    let response = match begun.running {
+        Some(running) => running.response().await,
+        None => None,
+    };
+    let mut response = match response {
+        Some(response) => response,
+        None => forward(core, (caller, from), &begun.head, begun.body, begun.arrived).await,
+    };
     drop(guard);
     if let ResponseBody::Buffered(body) = response.body() {
         core.record_sent(TYPICAL_HEAD_BYTES + body.len());
@@ -120,9 +202,9 @@
         RequestSource::Caller => core.should_close_connection(),
         RequestSource::Gateway => core.is_leaving(),
     };
-    if closes {
+    if closes && connection.borrow_mut().may_close() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
-    response
+    response.map(|body| AnswerBody { body, connection })
 }
--- a/crates/filberthead/src/gateway/serve/mod.rs
+++ b/crates/filberthead/src/gateway/serve/mod.rs
@@ -1,6 +1,8 @@
 //! Accepts connections of callers and other gateways, and runs the event loop of the requests duty.
 
+mod ahead;
 mod connection;
+mod read_ahead;
 
 use std::net::TcpListener;
 use std::rc::Rc;
--- /dev/null
+++ b/crates/filberthead/src/gateway/serve/read_ahead.rs
@@ -0,0 +1,230 @@
+//! Reads requests ahead on a caller's connection, and hands the server one at a time.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Instant;
+
+use filberthead_pipeline::{Begun, Limits, Next, Pipeline};
+use http::request::Parts;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use super::ahead::RunningAhead;
+use crate::gateway::bounds::MAX_HEADER_LINES;
+use crate::gateway::core::Core;
+use crate::gateway::request::is_idempotent;
+use crate::gateway::source::RequestSource;
+
+/// Bounds of what is read ahead on one connection. Callers send up to 8 ahead.
+const LIMITS: Limits = Limits {
+    requests: 16,
+    bytes: 64 * 1024,
+    headers: MAX_HEADER_LINES,
+};
+/// Bytes read at once.
+const READ_BYTES: usize = 16 * 1024;
+
+/// A connection, shared by the server, by its answers and by the task that reads ahead.
+pub(super) struct Connection {
+    stream: TcpStream,
+    pub(super) pipeline: Pipeline,
+    /// Requests that were started ahead, in order.
+    pub(super) running: VecDeque<RunningAhead>,
+    /// Whether an answer has ended since the server was last asked for progress.
+    answered: bool,
+    /// Whether the caller has ever sent a request ahead.
+    pub(super) has_sent_ahead: bool,
+}
+
+/// What has come of reading ahead.
+pub(super) enum ReadProgress {
+    /// The server has something to do.
+    Continue,
+    /// Nothing to do until the task is woken.
+    Wait,
+    /// The caller has closed the connection.
+    Disconnected,
+}
+
+impl Connection {
+    pub(super) fn new(core: &Core, stream: TcpStream, from: RequestSource) -> Rc<RefCell<Self>> {
+        let memory = &core.ahead_memory;
+        let pipeline = match from {
+            RequestSource::Caller => Pipeline::new(LIMITS, memory),
+            RequestSource::Gateway => Pipeline::opaque(memory),
+        };
+        Rc::new(RefCell::new(Self {
+            stream,
+            pipeline,
+            running: Default::default(),
+            answered: false,
+            has_sent_ahead: false,
+        }))
+    }
+
+    /// The server begins with a request. Returns it if it was started ahead.
+    pub(super) fn begin(
+        &mut self,
+        head: &Rc<Parts>,
+        body: Option<u64>,
+    ) -> (Begun, Option<RunningAhead>) {
+        let begun = self.pipeline.begin(head, body);
+        let running = match begun.started {
+            true => self.running.pop_front(),
+            false => {
+                self.running.clear();
+                None
+            }
+        };
+        (begun, running.filter(|running| running.is_for(head)))
+    }
+
+    /// Whether the connection may be closed after the answer that is due. If not, no more is read, so
+    /// that it may soon.
+    pub(super) fn may_close(&mut self) -> bool {
+        self.pipeline.stop();
+        !self.pipeline.has_behind()
+    }
+
+    /// The server has a whole answer.
+    pub(super) fn finish(&mut self) {
+        self.pipeline.finish();
+        self.answered = true;
+    }
+
+    /// Reads what is available, and starts what may run, with `start`.
+    pub(super) fn read_ahead(
+        &mut self,
+        cx: &mut Context<'_>,
+        core: &Core,
+        start: impl Fn(Rc<Parts>, Instant) -> RunningAhead,
+    ) -> ReadProgress {
+        loop {
+            while let Next::Start(head, arrived) =
+                self.pipeline.next(|head| is_idempotent(core, head))
+            {
+                if !std::mem::replace(&mut self.has_sent_ahead, true) {
+                    core.record_sent_ahead();
+                }
+                self.running.push_back(start(head, arrived));
+            }
+            if self.pipeline.is_server_reading() {
+                // The server may have asked for the next head before the answer was complete.
+                if !std::mem::take(&mut self.answered) {
+                    return ReadProgress::Wait;
+                }
+                let is_ready =
+                    !self.pipeline.is_empty() || self.stream.poll_read_ready(cx).is_ready();
+                return match is_ready {
+                    true => ReadProgress::Continue,
+                    false => ReadProgress::Wait,
+                };
+            }
+            if !self.pipeline.may_read() {
+                return ReadProgress::Wait;
+            }
+            match self.stream.poll_read_ready(cx) {
+                Poll::Pending => return ReadProgress::Wait,
+                Poll::Ready(Ok(())) => {}
+                Poll::Ready(Err(_)) => return ReadProgress::Disconnected,
+            }
+            match self.read() {
+                Ok(0) => return ReadProgress::Disconnected,
+                Ok(_) => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return ReadProgress::Disconnected,
+            }
+        }
+    }
+
+    /// Reads what is available now.
+    fn read(&mut self) -> io::Result<usize> {
+        let mut buffer = [0; READ_BYTES];
+        let len = self.stream.try_read(&mut buffer)?;
+        self.pipeline.push(&buffer[..len], Instant::now());
+        Ok(len)
+    }
+}
+
+/// The socket as the server sees it.
+pub(super) struct ReadAhead(pub(super) Rc<RefCell<Connection>>);
+
+impl AsyncRead for ReadAhead {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let mut connection = self.0.borrow_mut();
+        let Connection {
+            stream, pipeline, ..
+        } = &mut *connection;
+        loop {
+            if !pipeline.is_empty() {
+                let bytes = pipeline.pass_on(buf.remaining());
+                if !bytes.is_empty() {
+                    buf.put_slice(&bytes);
+                    return Poll::Ready(Ok(()));
+                }
+            }
+            if !pipeline.is_server_reading() {
+                // What comes is read ahead.
+                return Poll::Pending;
+            }
+            let before = buf.filled().len();
+            ready!(Pin::new(&mut *stream).poll_read(cx, buf))?;
+            let received = &buf.filled()[before..];
+            if received.is_empty() {
+                return Poll::Ready(Ok(()));
+            }
+            let now = Instant::now();
+            let passed = pipeline.pass_through(received, now);
+            if passed == received.len() {
+                return Poll::Ready(Ok(()));
+            }
+            pipeline.push(&received[passed..], now);
+            buf.set_filled(before + passed);
+            if passed > 0 {
+                return Poll::Ready(Ok(()));
+            }
+        }
+    }
+}
+
+impl AsyncWrite for ReadAhead {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let mut connection = self.0.borrow_mut();
+        Pin::new(&mut connection.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let mut connection = self.0.borrow_mut();
+        Pin::new(&mut connection.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.0.borrow().stream.is_write_vectored()
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut connection = self.0.borrow_mut();
+        Pin::new(&mut connection.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut connection = self.0.borrow_mut();
+        Pin::new(&mut connection.stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/pipeline/src/pipeline.rs
@@ -0,0 +1,361 @@
+//! The requests of one connection.
+
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Instant;
+
+use bytes::{Buf, Bytes, BytesMut};
+use http::request::Parts;
+
+use crate::head::{HeadScan, Scan, is_whole_head, may_be_followed, parse_plain};
+use crate::memory::{Memory, MemoryShare};
+
+/// Bounds of what is read ahead on a connection.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Most requests that run ahead of the one whose answer is due.
+    pub requests: usize,
+    /// Most bytes behind the request whose answer is due.
+    pub bytes: usize,
+    /// Most header lines of a request; one with more is left to the server.
+    pub headers: usize,
+}
+
+/// What is known of the next request behind those that run.
+#[derive(Debug)]
+pub enum Next {
+    /// It may run now.
+    Start(Rc<Parts>, Instant),
+    /// It has to wait until a request before it is answered.
+    Hold,
+    /// Its head isn't complete.
+    NeedMore,
+    /// The framing isn't known. Everything is passed on as it comes.
+    Opaque,
+}
+
+/// A request that the server has begun with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Begun {
+    /// When the last byte of its head was received; `None` if that isn't known.
+    pub arrived: Option<Instant>,
+    /// Whether it was started ahead.
+    pub started: bool,
+}
+
+/// The request whose answer is due.
+#[derive(Debug)]
+enum Front {
+    /// The server waits for a head. This many bytes of it were passed on.
+    Head { passed: usize },
+    /// The server has the head, and hasn't begun with it.
+    Passed(Begun),
+    /// The server has begun with it.
+    Begun {
+        head: Rc<Parts>,
+        /// Bytes of its body that weren't passed on.
+        body: u64,
+        /// Whether requests behind it have to wait; `None` until there is one.
+        blocks: Option<bool>,
+    },
+    /// The framing isn't known.
+    Opaque,
+}
+
+/// Until where bytes were received at a time.
+#[derive(Clone, Copy, Debug)]
+struct Mark {
+    end: u64,
+    at: Instant,
+}
+
+/// The requests of one connection: those that were passed on to the server, those that run ahead,
+/// and the bytes behind them.
+#[derive(Debug)]
+pub struct Pipeline {
+    limits: Limits,
+    share: MemoryShare,
+    front: Front,
+    /// Heads of requests that run ahead, and when they were received.
+    ahead: VecDeque<(Bytes, Instant)>,
+    /// Bytes behind them.
+    rest: BytesMut,
+    /// Number of bytes before `rest`.
+    offset: u64,
+    scan: HeadScan,
+    marks: VecDeque<Mark>,
+    /// Whether the request behind those that run ahead has to become the front first.
+    held: bool,
+    stopped: bool,
+}
+
+impl Pipeline {
+    /// A new connection.
+    pub fn new(limits: Limits, memory: &Rc<Memory>) -> Self {
+        Self {
+            limits,
+            share: MemoryShare::new(memory, 0),
+            front: Front::Head { passed: 0 },
+            ahead: VecDeque::new(),
+            rest: BytesMut::new(),
+            offset: 0,
+            scan: HeadScan::default(),
+            marks: VecDeque::new(),
+            held: false,
+            stopped: false,
+        }
+    }
+
+    /// A connection that isn't read ahead.
+    pub fn opaque(memory: &Rc<Memory>) -> Self {
+        let limits = Limits {
+            requests: 0,
+            bytes: 0,
+            headers: 0,
+        };
+        let mut pipeline = Self::new(limits, memory);
+        pipeline.front = Front::Opaque;
+        pipeline
+    }
+
+    /// Adds bytes that were received.
+    pub fn push(&mut self, bytes: &[u8], now: Instant) {
+        self.rest.extend_from_slice(bytes);
+        let end = self.offset + self.rest.len() as u64;
+        self.marks.push_back(Mark { end, at: now });
+        self.account();
+    }
+
+    /// Records bytes that were received and passed on at once. Returns how many of them may be; the
+    /// caller has to push the others.
+    pub fn pass_through(&mut self, bytes: &[u8], now: Instant) -> usize {
+        if !self.rest.is_empty() || !self.ahead.is_empty() {
+            return 0;
+        }
+        match &mut self.front {
+            Front::Head { passed: 0 } if is_whole_head(bytes) => {
+                self.front = Front::Passed(Begun {
+                    arrived: Some(now),
+                    started: false,
+                });
+                bytes.len()
+            }
+            Front::Begun { body, .. } => {
+                let passed = bytes
+                    .len()
+                    .min(usize::try_from(*body).unwrap_or(usize::MAX));
+                *body -= passed as u64;
+                passed
+            }
+            Front::Opaque => bytes.len(),
+            Front::Head { .. } | Front::Passed(_) => 0,
+        }
+    }
+
+    /// Finds the next request behind those that run. `is_idempotent` tells whether a request may run
+    /// beside others.
+    pub fn next(&mut self, is_idempotent: impl Fn(&Parts) -> bool) -> Next {
+        match self.front {
+            Front::Opaque => return Next::Opaque,
+            Front::Begun { body: 0, .. } => {}
+            _ => return Next::Hold,
+        }
+        if self.held || self.ahead.len() >= self.limits.requests {
+            return Next::Hold;
+        }
+        let end = match self.scan.search(&self.rest) {
+            Scan::End(end) => end,
+            Scan::Partial => return Next::NeedMore,
+            Scan::Ambiguous => {
+                self.held = true;
+                return Next::Hold;
+            }
+        };
+        if self.front_blocks(&is_idempotent) {
+            self.held = true;
+            return Next::Hold;
+        }
+        // Kept in one piece: the values of its headers refer to it.
+        let raw = Bytes::copy_from_slice(&self.rest[..end]);
+        let head = parse_plain(&raw, self.limits.headers).filter(is_idempotent);
+        let Some(head) = head else {
+            self.held = true;
+            return Next::Hold;
+        };
+        let arrived = self.consume(end);
+        self.ahead.push_back((raw, arrived));
+        Next::Start(Rc::new(head), arrived)
+    }
+
+    /// Takes up to `limit` bytes that the server may read now.
+    pub fn pass_on(&mut self, limit: usize) -> Bytes {
+        let bytes = match &mut self.front {
+            Front::Head { passed } => {
+                if let Some((head, arrived)) = self.ahead.front_mut() {
+                    let bytes = head.split_to(limit.min(head.len()));
+                    if head.is_empty() {
+                        self.front = Front::Passed(Begun {
+                            arrived: Some(*arrived),
+                            started: true,
+                        });
+                        self.ahead.pop_front();
+                    }
+                    bytes
+                } else {
+                    let end = match self.scan.search(&self.rest) {
+                        Scan::End(end) => Some(end),
+                        Scan::Partial => None,
+                        Scan::Ambiguous => {
+                            self.rest.advance(*passed);
+                            self.front = Front::Opaque;
+                            return self.pass_on(limit);
+                        }
+                    };
+                    let available = end.unwrap_or(self.rest.len());
+                    let until = available.min(*passed + limit);
+                    let bytes = Bytes::copy_from_slice(&self.rest[*passed..until]);
+                    *passed = until;
+                    if end == Some(until) {
+                        let arrived = self.consume(until);
+                        self.front = Front::Passed(Begun {
+                            arrived: Some(arrived),
+                            started: false,
+                        });
+                    }
+                    bytes
+                }
+            }
+            Front::Begun { body, .. } => {
+                let wanted = usize::try_from(*body).unwrap_or(usize::MAX);
+                let len = limit.min(wanted).min(self.rest.len());
+                *body -= len as u64;
+                let bytes = Bytes::copy_from_slice(&self.rest[..len]);
+                self.consume(len);
+                bytes
+            }
+            // The server sees no complete head in what is one here.
+            Front::Passed(_) => {
+                self.front = Front::Opaque;
+                return self.pass_on(limit);
+            }
+            Front::Opaque => {
+                let mut bytes = BytesMut::new();
+                for (head, _) in self.ahead.drain(..) {
+                    bytes.extend_from_slice(&head);
+                }
+                bytes.extend_from_slice(&self.rest);
+                let passed = bytes.split_to(limit.min(bytes.len())).freeze();
+                self.rest = bytes;
+                passed
+            }
+        };
+        self.account();
+        bytes
+    }
+
+    /// The server begins with the next request. `body` is the length of its body; `None` if that isn't
+    /// known.
+    pub fn begin(&mut self, head: &Rc<Parts>, body: Option<u64>) -> Begun {
+        let front = std::mem::replace(&mut self.front, Front::Opaque);
+        match (front, body) {
+            (Front::Passed(begun), Some(body)) => {
+                // What is held stands behind all that were started.
+                self.held &= begun.started;
+                self.front = Front::Begun {
+                    head: Rc::clone(head),
+                    body,
+                    blocks: None,
+                };
+                begun
+            }
+            (Front::Passed(begun), None) => begun,
+            _ => Begun {
+                arrived: None,
+                started: false,
+            },
+        }
+    }
+
+    /// The server has the whole answer to the request it has begun with.
+    pub fn finish(&mut self) {
+        if let Front::Begun { body, .. } = self.front {
+            self.front = match body {
+                0 => Front::Head { passed: 0 },
+                // The server reads what is left of the body, or closes the connection.
+                _ => Front::Opaque,
+            };
+        }
+    }
+
+    /// Reads nothing ahead from now on.
+    pub fn stop(&mut self) {
+        self.stopped = true;
+    }
+
+    /// Whether the server is to be given bytes as they come, without looking at what is behind the
+    /// request whose answer is due.
+    pub fn is_server_reading(&self) -> bool {
+        !matches!(self.front, Front::Begun { body: 0, .. } | Front::Passed(_))
+    }
+
+    /// Whether the server waits for a head.
+    pub fn is_idle(&self) -> bool {
+        matches!(self.front, Front::Head { .. })
+    }
+
+    /// Whether bytes wait here.
+    pub fn is_empty(&self) -> bool {
+        self.ahead.is_empty() && self.rest.is_empty()
+    }
+
+    /// Whether more may be read ahead.
+    pub fn may_read(&self) -> bool {
+        !self.stopped
+            && self.ahead.len() < self.limits.requests
+            && self.bytes() < self.limits.bytes
+            && !self.share.memory().is_full()
+    }
+
+    /// Whether a complete request stands behind the one whose answer is due.
+    pub fn has_behind(&mut self) -> bool {
+        !self.ahead.is_empty() || self.scan.search(&self.rest) != Scan::Partial
+    }
+
+    /// Whether the server is at the last request that was read.
+    pub fn is_at_last(&mut self) -> bool {
+        match self.front {
+            Front::Head { passed: 0 } | Front::Begun { .. } => !self.has_behind(),
+            Front::Passed(_) => false,
+            Front::Head { .. } | Front::Opaque => true,
+        }
+    }
+
+    /// Whether requests behind the front have to wait for its answer.
+    fn front_blocks(&mut self, is_idempotent: impl Fn(&Parts) -> bool) -> bool {
+        match &mut self.front {
+            Front::Begun { head, blocks, .. } => {
+                *blocks.get_or_insert_with(|| !may_be_followed(head) || !is_idempotent(head))
+            }
+            _ => true,
+        }
+    }
+
+    /// Takes bytes off the rest. Returns when the last of them was received.
+    fn consume(&mut self, len: usize) -> Instant {
+        self.rest.advance(len);
+        self.offset += len as u64;
+        self.scan = HeadScan::default();
+        while self.marks.len() > 1 && self.marks[0].end < self.offset {
+            self.marks.pop_front();
+        }
+        self.marks.front().map_or_else(Instant::now, |mark| mark.at)
+    }
+
+    fn bytes(&self) -> usize {
+        self.rest.len() + self.ahead.iter().map(|(head, _)| head.len()).sum::<usize>()
+    }
+
+    fn account(&mut self) {
+        self.share.set(self.bytes());
+    }
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -24,6 +24,7 @@
 mod operators;
 mod orders;
 mod outdated;
+mod pipelining;
 mod rejections;
 mod report;
 mod requests;
