--- a/crates/filberthead/src/gateway/serve/connection.rs
+++ b/crates/filberthead/src/gateway/serve/connection.rs
@@ -198,11 +198,11 @@
     if let ResponseBody::Buffered(body) = response.body() {
         core.record_sent(TYPICAL_HEAD_BYTES + body.len());
     }
-    let closes = match from {
+    let should_close = || match from {
         RequestSource::Caller => core.should_close_connection(),
         RequestSource::Gateway => core.is_leaving(),
     };
-    if closes && connection.borrow_mut().may_close() {
+    if connection.borrow_mut().closes(should_close) {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/crates/filberthead/src/gateway/serve/read_ahead.rs
+++ b/crates/filberthead/src/gateway/serve/read_ahead.rs
@@ -83,11 +83,13 @@
         (begun, running.filter(|running| running.is_for(head)))
     }
 
-    /// Whether the connection may be closed after the answer that is due. If not, no more is read, so
-    /// that it may soon.
-    pub(super) fn may_close(&mut self) -> bool {
-        self.pipeline.stop();
-        !self.pipeline.has_behind()
+    /// Whether the connection is closed after the answer that is due. If it `should` be and requests
+    /// stand behind, no more is read, and the last of them closes it.
+    pub(super) fn closes(&mut self, should: impl FnOnce() -> bool) -> bool {
+        if !self.pipeline.is_stopped() && should() {
+            self.pipeline.stop();
+        }
+        self.pipeline.is_stopped() && !self.pipeline.has_behind()
     }
 
     /// The server has a whole answer.
--- a/crates/pipeline/src/pipeline.rs
+++ b/crates/pipeline/src/pipeline.rs
@@ -10,6 +10,10 @@
 use crate::head::{HeadScan, Scan, is_whole_head, may_be_followed, parse_plain};
 use crate::memory::{Memory, MemoryShare};
 
+/// Most times kept of when bytes were received. If bytes come in more pieces, those in the middle count
+/// as received with the last one.
+const MAX_MARKS: usize = 64;
+
 /// Bounds of what is read ahead on a connection.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -49,12 +53,14 @@
     /// The server waits for a head. This many bytes of it were passed on.
     Head { passed: usize },
     /// The server has the head, and hasn't begun with it.
-    Passed(Begun),
+    Passed { begun: Begun, bytes: usize },
     /// The server has begun with it.
     Begun {
         head: Rc<Parts>,
         /// Bytes of its body that weren't passed on.
         body: u64,
+        /// Bytes that its head takes here, if it was started ahead.
+        bytes: usize,
         /// Whether requests behind it have to wait; `None` until there is one.
         blocks: Option<bool>,
     },
@@ -62,6 +68,27 @@
     Opaque,
 }
 
+impl Front {
+    /// A request that wasn't started ahead.
+    fn passed(arrived: Option<Instant>) -> Self {
+        let started = false;
+        Self::Passed {
+            begun: Begun { arrived, started },
+            bytes: 0,
+        }
+    }
+}
+
+/// A request that runs ahead.
+#[derive(Debug)]
+struct Ahead {
+    /// What wasn't passed on of its head.
+    raw: Bytes,
+    /// Length of its head.
+    len: usize,
+    arrived: Instant,
+}
+
 /// Until where bytes were received at a time.
 #[derive(Clone, Copy, Debug)]
 struct Mark {
@@ -76,8 +103,7 @@
     limits: Limits,
     share: MemoryShare,
     front: Front,
-    /// Heads of requests that run ahead, and when they were received.
-    ahead: VecDeque<(Bytes, Instant)>,
+    ahead: VecDeque<Ahead>,
     /// Bytes behind them.
     rest: BytesMut,
     /// Number of bytes before `rest`.
@@ -122,6 +148,9 @@
     pub fn push(&mut self, bytes: &[u8], now: Instant) {
         self.rest.extend_from_slice(bytes);
         let end = self.offset + self.rest.len() as u64;
+        if self.marks.len() >= MAX_MARKS {
+            self.marks.pop_back();
+        }
         self.marks.push_back(Mark { end, at: now });
         self.account();
     }
@@ -134,10 +163,7 @@
         }
         match &mut self.front {
             Front::Head { passed: 0 } if is_whole_head(bytes) => {
-                self.front = Front::Passed(Begun {
-                    arrived: Some(now),
-                    started: false,
-                });
+                self.front = Front::passed(Some(now));
                 bytes.len()
             }
             Front::Begun { body, .. } => {
@@ -148,7 +174,7 @@
                 passed
             }
             Front::Opaque => bytes.len(),
-            Front::Head { .. } | Front::Passed(_) => 0,
+            Front::Head { .. } | Front::Passed { .. } => 0,
         }
     }
 
@@ -182,8 +208,11 @@
             self.held = true;
             return Next::Hold;
         };
-        let arrived = self.consume(end);
-        self.ahead.push_back((raw, arrived));
+        let Some(arrived) = self.consume(end) else {
+            return Next::Hold;
+        };
+        let len = raw.len();
+        self.ahead.push_back(Ahead { raw, len, arrived });
         Next::Start(Rc::new(head), arrived)
     }
 
@@ -191,13 +220,16 @@
     pub fn pass_on(&mut self, limit: usize) -> Bytes {
         let bytes = match &mut self.front {
             Front::Head { passed } => {
-                if let Some((head, arrived)) = self.ahead.front_mut() {
-                    let bytes = head.split_to(limit.min(head.len()));
-                    if head.is_empty() {
-                        self.front = Front::Passed(Begun {
-                            arrived: Some(*arrived),
-                            started: true,
-                        });
+                if let Some(Ahead { raw, len, arrived }) = self.ahead.front_mut() {
+                    let bytes = raw.split_to(limit.min(raw.len()));
+                    if raw.is_empty() {
+                        self.front = Front::Passed {
+                            begun: Begun {
+                                arrived: Some(*arrived),
+                                started: true,
+                            },
+                            bytes: *len,
+                        };
                         self.ahead.pop_front();
                     }
                     bytes
@@ -212,15 +244,11 @@
                         }
                     };
                     let available = end.unwrap_or(self.rest.len());
-                    let until = available.min(*passed + limit);
+                    let until = available.min(passed.saturating_add(limit));
                     let bytes = Bytes::copy_from_slice(&self.rest[*passed..until]);
                     *passed = until;
                     if end == Some(until) {
-                        let arrived = self.consume(until);
-                        self.front = Front::Passed(Begun {
-                            arrived: Some(arrived),
-                            started: false,
-                        });
+                        self.front = Front::passed(self.consume(until));
                     }
                     bytes
                 }
@@ -234,14 +262,14 @@
                 bytes
             }
             // The server sees no complete head in what is one here.
-            Front::Passed(_) => {
+            Front::Passed { .. } => {
                 self.front = Front::Opaque;
                 return self.pass_on(limit);
             }
             Front::Opaque => {
                 let mut bytes = BytesMut::new();
-                for (head, _) in self.ahead.drain(..) {
-                    bytes.extend_from_slice(&head);
+                for ahead in self.ahead.drain(..) {
+                    bytes.extend_from_slice(&ahead.raw);
                 }
                 bytes.extend_from_slice(&self.rest);
                 let passed = bytes.split_to(limit.min(bytes.len())).freeze();
@@ -258,17 +286,18 @@
     pub fn begin(&mut self, head: &Rc<Parts>, body: Option<u64>) -> Begun {
         let front = std::mem::replace(&mut self.front, Front::Opaque);
         match (front, body) {
-            (Front::Passed(begun), Some(body)) => {
+            (Front::Passed { begun, bytes }, Some(body)) => {
                 // What is held stands behind all that were started.
                 self.held &= begun.started;
                 self.front = Front::Begun {
                     head: Rc::clone(head),
                     body,
+                    bytes,
                     blocks: None,
                 };
                 begun
             }
-            (Front::Passed(begun), None) => begun,
+            (Front::Passed { begun, .. }, None) => begun,
             _ => Begun {
                 arrived: None,
                 started: false,
@@ -285,6 +314,7 @@
                 _ => Front::Opaque,
             };
         }
+        self.account();
     }
 
     /// Reads nothing ahead from now on.
@@ -292,15 +322,20 @@
         self.stopped = true;
     }
 
-    /// Whether the server is to be given bytes as they come, without looking at what is behind the
+    /// Whether nothing is read ahead any more.
+    pub fn is_stopped(&self) -> bool {
+        self.stopped
+    }
+
+    /// Whether the server may be given bytes as they come. If not, all that is received stands behind the
     /// request whose answer is due.
     pub fn is_server_reading(&self) -> bool {
-        !matches!(self.front, Front::Begun { body: 0, .. } | Front::Passed(_))
+        !matches!(self.front, Front::Begun { body: 0, .. })
     }
 
-    /// Whether the server waits for a head.
-    pub fn is_idle(&self) -> bool {
-        matches!(self.front, Front::Head { .. })
+    /// Whether the server is at a body that it hasn't got to the end.
+    pub fn is_in_body(&self) -> bool {
+        matches!(self.front, Front::Begun { body: 1.., .. })
     }
 
     /// Whether bytes wait here.
@@ -318,6 +353,10 @@
 
     /// Whether a complete request stands behind the one whose answer is due.
     pub fn has_behind(&mut self) -> bool {
+        if self.is_in_body() {
+            // The server closes the connection if it answers before the end of a body.
+            return false;
+        }
         !self.ahead.is_empty() || self.scan.search(&self.rest) != Scan::Partial
     }
 
@@ -325,7 +364,7 @@
     pub fn is_at_last(&mut self) -> bool {
         match self.front {
             Front::Head { passed: 0 } | Front::Begun { .. } => !self.has_behind(),
-            Front::Passed(_) => false,
+            Front::Passed { .. } => false,
             Front::Head { .. } | Front::Opaque => true,
         }
     }
@@ -340,19 +379,23 @@
         }
     }
 
-    /// Takes bytes off the rest. Returns when the last of them was received.
-    fn consume(&mut self, len: usize) -> Instant {
+    /// Takes bytes off the rest. Returns when the last of them was received; `None` if there is none.
+    fn consume(&mut self, len: usize) -> Option<Instant> {
         self.rest.advance(len);
         self.offset += len as u64;
         self.scan = HeadScan::default();
-        while self.marks.len() > 1 && self.marks[0].end < self.offset {
+        while self.marks.front()?.end < self.offset {
             self.marks.pop_front();
         }
-        self.marks.front().map_or_else(Instant::now, |mark| mark.at)
+        self.marks.front().map(|mark| mark.at)
     }
 
     fn bytes(&self) -> usize {
-        self.rest.len() + self.ahead.iter().map(|(head, _)| head.len()).sum::<usize>()
+        let begun = match self.front {
+            Front::Passed { bytes, .. } | Front::Begun { bytes, .. } => bytes,
+            Front::Head { .. } | Front::Opaque => 0,
+        };
+        begun + self.rest.len() + self.ahead.iter().map(|ahead| ahead.len).sum::<usize>()
     }
 
     fn account(&mut self) {
