Gateway: callers that leave, and the end of connections with requests ahead

Without reading, a gateway didn't notice that a caller with requests ahead had gone, nor one whose body was being sent on slowly; it now checks every 200 ms. A connection closed with bytes unread is reset by the system, which could cost its caller answers, so the gateway reads on for up to 500 ms after the last answer. Answers that wait for those before them count towards the memory of what is read ahead.

Tests with real processes: order of answers, orders between reads, bodies, a bad request behind good ones, a planned stop, callers that leave or go on sending.

--- a/crates/filberthead/src/gateway/serve/ahead.rs
+++ b/crates/filberthead/src/gateway/serve/ahead.rs
@@ -6,6 +6,7 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
+use filberthead_pipeline::{Memory, MemoryShare};
 use http::Response;
 use http::request::Parts;
 use http_body::{Body, Frame, SizeHint};
@@ -18,11 +19,30 @@
 /// A request that was started ahead. Dropped, it is cancelled.
 pub(super) struct RunningAhead {
     head: Rc<Parts>,
-    task: JoinHandle<Response<ResponseBody>>,
+    task: JoinHandle<WaitingResponse>,
+}
+
+/// A response that waits for those before it, and the memory that it takes.
+pub(super) struct WaitingResponse {
+    response: Response<ResponseBody>,
+    _memory: MemoryShare,
+}
+
+impl WaitingResponse {
+    pub(super) fn new(memory: &Rc<Memory>, response: Response<ResponseBody>) -> Self {
+        let bytes = match response.body() {
+            ResponseBody::Buffered(body) => body.len(),
+            ResponseBody::Streamed(_) => 0,
+        };
+        Self {
+            response,
+            _memory: MemoryShare::new(memory, bytes),
+        }
+    }
 }
 
 impl RunningAhead {
-    pub(super) fn new(head: Rc<Parts>, task: JoinHandle<Response<ResponseBody>>) -> Self {
+    pub(super) fn new(head: Rc<Parts>, task: JoinHandle<WaitingResponse>) -> Self {
         Self { head, task }
     }
 
@@ -34,7 +54,8 @@
 
     /// Waits for its response; `None` if there is none.
     pub(super) async fn response(mut self) -> Option<Response<ResponseBody>> {
-        (&mut self.task).await.ok()
+        let waiting = (&mut self.task).await.ok()?;
+        Some(waiting.response)
     }
 }
 
--- a/crates/filberthead/src/gateway/serve/connection.rs
+++ b/crates/filberthead/src/gateway/serve/connection.rs
@@ -4,6 +4,7 @@
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::task::Poll;
 use std::time::Duration;
@@ -16,7 +17,7 @@
 use http::{HeaderValue, Request, Response};
 use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
-use hyper::service::service_fn;
+use hyper::service::{HttpService, service_fn};
 use hyper_util::rt::TokioIo;
 use log::{debug, info};
 use tokio::net::TcpStream;
@@ -24,8 +25,8 @@
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 
-use super::ahead::{AnswerBody, RunningAhead};
-use super::read_ahead::{Connection, ReadAhead, ReadProgress};
+use super::ahead::{AnswerBody, RunningAhead, WaitingResponse};
+use super::read_ahead::{Connection, ReadAhead, ReadProgress, linger};
 use crate::gateway::attempt::TYPICAL_HEAD_BYTES;
 use crate::gateway::bounds::{IdleTimer, MAX_HEADER_LINES, head_buffer_size, head_limit_raised};
 use crate::gateway::core::Core;
@@ -70,17 +71,43 @@
         .max_buf_size(buffer_size)
         .max_headers(MAX_HEADER_LINES)
         .serve_connection(TokioIo::new(ReadAhead(Rc::clone(&connection))), service);
-    let mut serving = std::pin::pin!(serving);
     let closing = async {
         tokio::select! {
             () = stopped_accepting(&mut phase) => {}
             () = head_limit_raised(&mut bounds, buffer_size) => {}
         }
     };
-    let mut closing = std::pin::pin!(closing);
+    let result = serve(&core, caller, &connection, serving, closing).await;
+    connection.borrow_mut().running.clear();
+    match result {
+        None => debug!(caller:%; "caller has disconnected before it was answered"),
+        Some(Ok(())) => linger(&connection).await,
+        Some(Err(e)) => {
+            record_connection_error(&core, caller, &e);
+            if e.is_parse() {
+                linger(&connection).await;
+            }
+        }
+    }
+}
+
+/// Serves a connection until the server has closed it; `None` if the caller has, with requests running.
+/// After `closing`, it is closed once all requests that were read are answered.
+async fn serve<S>(
+    core: &Rc<Core>,
+    caller: SocketAddr,
+    connection: &RefCell<Connection>,
+    serving: http1::Connection<TokioIo<ReadAhead>, S>,
+    closing: impl Future<Output = ()>,
+) -> Option<hyper::Result<()>>
+where
+    S: HttpService<Incoming, ResBody = AnswerBody, Error = Infallible>,
+{
+    let mut serving = pin!(serving);
+    let mut closing = pin!(closing);
     let (mut is_closing, mut is_last) = (false, false);
-    let start = |head, arrived| start_ahead(&core, caller, head, arrived);
-    let result = poll_fn(|cx| {
+    let start = |head, arrived| start_ahead(core, caller, head, arrived);
+    poll_fn(|cx| {
         loop {
             if !is_closing && closing.as_mut().poll(cx).is_ready() {
                 is_closing = true;
@@ -94,20 +121,14 @@
             if let Poll::Ready(result) = serving.as_mut().poll(cx) {
                 return Poll::Ready(Some(result));
             }
-            match connection.borrow_mut().read_ahead(cx, &core, start) {
+            match connection.borrow_mut().read_ahead(cx, core, start) {
                 ReadProgress::Continue => {}
                 ReadProgress::Wait => return Poll::Pending,
                 ReadProgress::Disconnected => return Poll::Ready(None),
             }
         }
     })
-    .await;
-    match result {
-        Some(Ok(())) => {}
-        Some(Err(e)) => record_connection_error(&core, caller, &e),
-        None => debug!(caller:%; "caller has closed its connection before it was answered"),
-    }
-    connection.borrow_mut().running.clear();
+    .await
 }
 
 /// Logs why a connection broke. hyper itself responds to a head that it can't parse, before there
@@ -173,7 +194,8 @@
         let _guard = core.track_request();
         let source = (caller, RequestSource::Caller);
         let body = RequestBody::Buffered(Bytes::new());
-        forward(&core, source, &own, body, Instant::from_std(arrived)).await
+        let response = forward(&core, source, &own, body, Instant::from_std(arrived)).await;
+        WaitingResponse::new(&core.ahead_memory, response)
     });
     RunningAhead::new(head, task)
 }
--- a/crates/filberthead/src/gateway/serve/read_ahead.rs
+++ b/crates/filberthead/src/gateway/serve/read_ahead.rs
@@ -2,16 +2,18 @@
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
+use std::future::poll_fn;
 use std::io;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
-use std::time::Instant;
+use std::task::{Context, Poll, Waker, ready};
+use std::time::{Duration, Instant};
 
 use filberthead_pipeline::{Begun, Limits, Next, Pipeline};
 use http::request::Parts;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::{Sleep, sleep, timeout};
 
 use super::ahead::RunningAhead;
 use crate::gateway::bounds::MAX_HEADER_LINES;
@@ -27,6 +29,13 @@
 };
 /// Bytes read at once.
 const READ_BYTES: usize = 16 * 1024;
+/// How often to check whether the caller is still there while the socket isn't read. Requests of a caller
+/// that has disconnected have to end within half a second.
+const CALLER_CHECK: Duration = Duration::from_millis(200);
+/// How long to read on after the last answer. Bytes that are unread when a socket is closed make the system
+/// reset the connection, and the caller loses what it hasn't read of the answers. Enough for a round trip
+/// between regions and a caller that takes its time.
+const LINGER: Duration = Duration::from_millis(500);
 
 /// A connection, shared by the server, by its answers and by the task that reads ahead.
 pub(super) struct Connection {
@@ -37,7 +46,9 @@
     /// Whether an answer has ended since the server was last asked for progress.
     answered: bool,
     /// Whether the caller has ever sent a request ahead.
-    pub(super) has_sent_ahead: bool,
+    has_sent_ahead: bool,
+    /// When to check next whether the caller is still there; `None` while the socket is read.
+    caller_check: Option<Pin<Box<Sleep>>>,
 }
 
 /// What has come of reading ahead.
@@ -63,6 +74,7 @@
             running: Default::default(),
             answered: false,
             has_sent_ahead: false,
+            caller_check: None,
         }))
     }
 
@@ -115,6 +127,11 @@
                 self.running.push_back(start(head, arrived));
             }
             if self.pipeline.is_server_reading() {
+                // The server doesn't read a body while whom it is for takes nothing.
+                if self.pipeline.is_in_body() {
+                    return self.poll_caller_left(cx);
+                }
+                self.caller_check = None;
                 // The server may have asked for the next head before the answer was complete.
                 if !std::mem::take(&mut self.answered) {
                     return ReadProgress::Wait;
@@ -127,8 +144,9 @@
                 };
             }
             if !self.pipeline.may_read() {
-                return ReadProgress::Wait;
+                return self.poll_caller_left(cx);
             }
+            self.caller_check = None;
             match self.stream.poll_read_ready(cx) {
                 Poll::Pending => return ReadProgress::Wait,
                 Poll::Ready(Ok(())) => {}
@@ -143,6 +161,38 @@
         }
     }
 
+    /// Checks from time to time whether the caller has disconnected, without reading.
+    fn poll_caller_left(&mut self, cx: &mut Context<'_>) -> ReadProgress {
+        loop {
+            let check = self
+                .caller_check
+                .get_or_insert_with(|| Box::pin(sleep(CALLER_CHECK)));
+            if check.as_mut().poll(cx).is_pending() {
+                return ReadProgress::Wait;
+            }
+            self.caller_check = None;
+            let ready = pin!(self.stream.ready(Interest::READABLE));
+            let ready = ready.poll(&mut Context::from_waker(Waker::noop()));
+            if matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed()) {
+                return ReadProgress::Disconnected;
+            }
+        }
+    }
+
+    /// Discards what the caller still sends. Ends when it closes the connection.
+    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        loop {
+            if ready!(self.stream.poll_read_ready(cx)).is_err() {
+                return Poll::Ready(());
+            }
+            match self.stream.try_read(&mut [0; READ_BYTES]) {
+                Ok(1..) => self.has_sent_ahead = true,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Ok(0) | Err(_) => return Poll::Ready(()),
+            }
+        }
+    }
+
     /// Reads what is available now.
     fn read(&mut self) -> io::Result<usize> {
         let mut buffer = [0; READ_BYTES];
@@ -152,6 +202,21 @@
     }
 }
 
+/// Waits until the caller has got all answers, if it may still be sending requests.
+pub(super) async fn linger(connection: &RefCell<Connection>) {
+    let discarding = poll_fn(|cx| {
+        let mut connection = connection.borrow_mut();
+        let discarded = connection.poll_discard(cx);
+        let is_sending = connection.has_sent_ahead || !connection.pipeline.is_empty();
+        match is_sending {
+            true => discarded,
+            false => Poll::Ready(()),
+        }
+    });
+    // An error means that the time is over.
+    let _ = timeout(LINGER, discarding).await;
+}
+
 /// The socket as the server sees it.
 pub(super) struct ReadAhead(pub(super) Rc<RefCell<Connection>>);
 
--- a/tests/all/pipelining.rs
+++ b/tests/all/pipelining.rs
@@ -4,7 +4,7 @@
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
-use filberthead_testing::site::{HOST, Site, SiteEndpoint, request};
+use filberthead_testing::site::{Behaviour, HOST, Site, SiteEndpoint, request};
 use filberthead_testing::wait_until;
 
 use crate::groups::site;
@@ -120,21 +120,34 @@
     (0..count).map(read).collect()
 }
 
+/// Reads `reads(count)` with their answers.
+#[track_caller]
+fn expect_reads(connection: &mut Connection, count: usize) {
+    for number in 0..count {
+        let answer = connection.receive().expect("an answer");
+        assert_eq!(answer.status, 200, "{}", answer.head);
+        assert_eq!(answer.body, format!("GET /catalogue/{number} 0"));
+        let closes = answer
+            .head
+            .to_ascii_lowercase()
+            .contains("connection: close");
+        assert!(!closes, "requests stand behind it");
+    }
+}
+
 /// Requests that are sent ahead have waited for each other, although they may run side by side. Answers
 /// have to come in the order of the requests, also when later ones are ready first.
 #[test]
 fn requests_that_are_sent_ahead_run_side_by_side() {
     const REQUESTS: usize = 8;
     let site = start();
-    set_run_time(&site, RUN_TIME);
+    for (number, endpoint) in site.endpoints.iter().enumerate() {
+        endpoint.set_run_time(RUN_TIME.mul_f64(1.0 - 0.2 * (number % ENDPOINTS) as f64));
+    }
     let mut connection = Connection::open(&site);
     let sent_at = Instant::now();
     connection.send(&reads(REQUESTS));
-    for number in 0..REQUESTS {
-        let answer = connection.receive().expect("an answer");
-        assert_eq!(answer.status, 200, "{}", answer.head);
-        assert_eq!(answer.body, format!("GET /catalogue/{number} 0"));
-    }
+    expect_reads(&mut connection, REQUESTS);
     let took = sent_at.elapsed();
     assert!(took < 3 * RUN_TIME, "{took:?} one after the other");
     let starts = starts(&site, "read-");
@@ -142,3 +155,169 @@
     let last = starts[REQUESTS - 1] - sent_at;
     assert!(last < RUN_TIME, "{last:?}, after the first was answered");
 }
+
+/// A caller that sends an order between reads may rely on the order of their effects: the order runs once
+/// the reads before it are answered, and those behind it once it is answered itself.
+#[test]
+fn an_order_waits_for_requests_before_it_and_lets_none_pass() {
+    let site = start();
+    set_run_time(&site, RUN_TIME);
+    let mut connection = Connection::open(&site);
+    let requests = [
+        reads(2),
+        head("POST", "/orders/one", "order-1"),
+        head("GET", "/catalogue/last", "last-1"),
+    ];
+    connection.send(&requests.concat());
+    expect_reads(&mut connection, 2);
+    for line in ["POST /orders/one", "GET /catalogue/last"] {
+        let answer = connection.receive().expect("an answer");
+        assert_eq!((answer.status, answer.body), (200, format!("{line} 0")));
+    }
+    let (reads, order, last) = (
+        starts(&site, "read-"),
+        starts(&site, "order-"),
+        starts(&site, "last-"),
+    );
+    assert_eq!((reads.len(), order.len(), last.len()), (2, 1, 1));
+    assert!(order[0] >= reads[1] + RUN_TIME, "a read still ran");
+    assert!(last[0] >= order[0] + RUN_TIME, "the order still ran");
+}
+
+/// An order waits for its turn until its deadline has passed. Its caller has to learn that it has not run
+/// and may be sent again, which no 504 says.
+#[test]
+fn an_order_whose_deadline_passes_in_line_is_answered_that_it_has_not_run() {
+    let site = start();
+    set_run_time(&site, RUN_TIME);
+    let mut connection = Connection::open(&site);
+    let order = head("POST", "/orders/late", "late-1").replace("20000", "200");
+    connection.send(&[reads(1), order].concat());
+    expect_reads(&mut connection, 1);
+    let late = connection.receive().expect("an answer");
+    assert_eq!(late.status, 503, "{}", late.head);
+    assert!(late.head.contains("retry-after"), "{}", late.head);
+    assert!(starts(&site, "late-").is_empty());
+}
+
+/// The body of a request is no request, whatever it looks like, and those behind it are found.
+#[test]
+fn requests_behind_a_body_are_served() {
+    let site = start();
+    let body = head("GET", "/catalogue/none", "none-1");
+    let order = head("POST", "/orders/one", "order-1");
+    let order = order.replace(
+        "\r\n\r\n",
+        &format!("\r\ncontent-length: {}\r\n\r\n{body}", body.len()),
+    );
+    let mut connection = Connection::open(&site);
+    // The second one comes in two pieces, cut in its body.
+    let requests = [&order, &order.replace("order-1", "order-2"), &*reads(3)].concat();
+    let (first, second) = requests.split_at(2 * order.len() - 10);
+    connection.send(first);
+    std::thread::sleep(Duration::from_millis(50));
+    connection.send(second);
+    for _ in 0..2 {
+        let answer = connection.receive().expect("an answer");
+        let expected = format!("POST /orders/one {}", body.len());
+        assert_eq!((answer.status, answer.body), (200, expected));
+    }
+    expect_reads(&mut connection, 3);
+    assert_eq!(starts(&site, "none-").len(), 0);
+}
+
+/// What isn't HTTP behind good requests must not cost them their answers.
+#[test]
+fn a_bad_request_is_refused_once_those_before_it_are_answered() {
+    let site = start();
+    set_run_time(&site, RUN_TIME);
+    let mut connection = Connection::open(&site);
+    connection.send(&[&reads(3), "nonsense\r\n\r\n", &reads(1)].concat());
+    expect_reads(&mut connection, 3);
+    assert_eq!(connection.receive().expect("an answer").status, 400);
+    assert!(connection.receive().is_none(), "the connection ends");
+    assert_eq!(starts(&site, "read-").len(), 3);
+}
+
+/// A gateway is stopped while requests run that were sent ahead. It has read them, so each gets its answer;
+/// an answer that closes the connection before would make the caller send those behind it again.
+#[test]
+fn a_planned_stop_answers_what_was_sent_ahead() {
+    const READS: usize = 4;
+    let mut site = start();
+    set_run_time(&site, RUN_TIME);
+    let mut connection = Connection::open(&site);
+    let order = head("POST", "/orders/one", "order-1");
+    connection.send(&[reads(READS), order].concat());
+    wait_until("the reads run", BOUND, || {
+        starts(&site, "read-").len() == READS
+    });
+    site.gateways[0].process().terminate();
+    wait_until("the gateway is stopping", BOUND, || !site.is_serving(0));
+    expect_reads(&mut connection, READS);
+    let last = connection.receive().expect("the answer to the order");
+    assert_eq!((last.status, &*last.body), (200, "POST /orders/one 0"));
+    let lower = last.head.to_ascii_lowercase();
+    assert!(lower.contains("connection: close"), "{lower}");
+    assert!(connection.receive().is_none(), "the connection ends");
+    assert!(site.gateways[0].wait_exit().success());
+}
+
+/// A caller goes on sending while its connection is closed. Closed with bytes unread, the connection is
+/// reset by the system, and the caller loses answers that it hasn't read.
+#[test]
+fn a_caller_that_goes_on_sending_gets_all_answers_of_a_stopping_gateway() {
+    const READS: usize = 4;
+    let mut site = start();
+    set_run_time(&site, RUN_TIME);
+    let mut connection = Connection::open(&site);
+    connection.send(&reads(READS));
+    wait_until("the reads run", BOUND, || {
+        starts(&site, "read-").len() == READS
+    });
+    site.gateways[0].process().terminate();
+    wait_until("the gateway is stopping", BOUND, || !site.is_serving(0));
+    expect_reads(&mut connection, 1);
+    connection.send(&reads(200));
+    std::thread::sleep(2 * RUN_TIME);
+    let mut answers = 1;
+    while let Some(answer) = connection.receive() {
+        assert_eq!(answer.status, 200);
+        answers += 1;
+    }
+    assert!(answers >= READS, "{answers} answers");
+    let runs = starts(&site, "read-").len();
+    assert!(answers >= runs, "{runs} run, {answers} answered");
+}
+
+/// A caller disconnects while requests run that it has sent ahead, whether the gateway still reads from its
+/// connection or not. None of them may go on taking the place of others.
+#[test]
+fn a_caller_that_leaves_cancels_what_it_has_sent_ahead() {
+    // More than are read ahead.
+    const MANY: usize = 400;
+    let site = start();
+    for endpoint in &site.endpoints {
+        endpoint.set_behaviour(Behaviour::Hangs);
+    }
+    for sent in [4, MANY] {
+        let dropped = || -> usize {
+            let endpoints = site.endpoints.iter();
+            endpoints.map(|endpoint| endpoint.dropped().len()).sum()
+        };
+        let (before, ran) = (dropped(), starts(&site, "read-").len());
+        let mut connection = Connection::open(&site);
+        connection.send(&reads(sent));
+        wait_until("requests run", BOUND, || {
+            starts(&site, "read-").len() >= ran + 4
+        });
+        // All that start of those that were sent have started.
+        std::thread::sleep(Duration::from_millis(300));
+        let running = starts(&site, "read-").len() - ran;
+        drop(connection);
+        let left_at = Instant::now();
+        wait_until("all are cancelled", BOUND, || dropped() == before + running);
+        let took = left_at.elapsed();
+        assert!(took < Duration::from_secs(2), "{took:?} of {sent}");
+    }
+}
