Placement: expect longer answers of endpoints whose VM reports to be slow

An endpoint on a shared VM may report in X-Server-Load, as a fourth figure, how long work currently takes there in hundredths of the usual time. Gateways ignored it: they sent requests to VMs that were 2.5 times slower for the moment, and afterwards held the delay against the endpoint for seconds.

The figure now multiplies the expected time of the next request at that endpoint, with a half-life of 0.3 s. An answer's time is compared with the time expected at that slowdown. Response times are learned at the usual speed, and not at all from answers during which the speed changed. A figure that is missing, zero or not a number is ignored.

--- a/crates/bench/src/placement/endpoint.rs
+++ b/crates/bench/src/placement/endpoint.rs
@@ -67,6 +67,7 @@
         Load {
             running: self.running.len() as u32,
             waiting: self.waiting.len() as u32,
+            slowdown: None,
         }
     }
 
--- a/crates/filberthead/src/gateway/answer_notes.rs
+++ b/crates/filberthead/src/gateway/answer_notes.rs
@@ -198,11 +198,39 @@
     }
 }
 
-/// Parses `running,waiting,slots`; the slots aren't used.
+/// Parses `running,waiting,slots,slowdown`. The slots aren't used. A slowdown that is missing, zero or not a
+/// number is ignored.
 fn parse_load(text: &str) -> Option<Load> {
     let mut numbers = text.split(',').map(|part| part.trim().parse().ok());
     Some(Load {
         running: numbers.next()??,
         waiting: numbers.next()??,
+        slowdown: numbers.nth(1).flatten().filter(|figure| *figure > 0),
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use super::parse_load;
+
+    /// Guards against a report that is dropped, or makes an endpoint infinitely fast or slow, because of its
+    /// fourth figure.
+    #[test]
+    fn a_slowdown_is_read_and_a_wrong_one_ignored() {
+        let slowdown = |text: &str| parse_load(text).map(|load| load.slowdown);
+        assert_eq!(slowdown("3,0,9,250"), Some(Some(250)));
+        assert_eq!(slowdown("3, 0, 9, 100 "), Some(Some(100)));
+        for text in [
+            "3,0",
+            "3,0,9",
+            "3,0,9,",
+            "3,0,9,0",
+            "3,0,9,x",
+            "3,0,9,-1",
+            "3,0,9,1.5",
+        ] {
+            assert_eq!(slowdown(text), Some(None), "{text}");
+        }
+        assert_eq!(slowdown("3"), None);
+    }
+}
--- a/crates/filberthead/src/gateway/protocol.rs
+++ b/crates/filberthead/src/gateway/protocol.rs
@@ -21,7 +21,7 @@
     pub target_instance: HeaderName,
     /// Set by an endpoint that did not run the request.
     pub not_run: HeaderName,
-    /// Set by an endpoint: `running,waiting,slots`.
+    /// Set by an endpoint: `running,waiting,slots`, and `slowdown` in hundredths where it is reported.
     pub load: HeaderName,
     /// Set by an endpoint: remaining warm-up time in milliseconds.
     pub warmup_ms: HeaderName,
--- a/crates/place/src/decide.rs
+++ b/crates/place/src/decide.rs
@@ -48,6 +48,8 @@
     wait: f64,
     rtt: f64,
     response_time: f64,
+    /// The response time at the usual speed of the endpoint's VM.
+    usual: f64,
     affinity: Affinity,
 }
 
@@ -225,6 +227,7 @@
             incarnation: state.incarnation,
             addr: state.addr,
             expected: Duration::from_secs_f64(chosen.response_time),
+            usual: Duration::from_secs_f64(chosen.usual),
             affinity: chosen.affinity,
             has_object: object.is_some(),
             rtt: Duration::from_secs_f64(chosen.rtt),
@@ -454,8 +457,10 @@
             true => e.slowness(now),
             false => 1.0,
         };
-        let response_time = times.expected(affinity) * slowness;
-        let cached = times.cached() * slowness;
+        let usual = times.expected(affinity) * slowness;
+        let slowdown = e.slowdown(now);
+        let response_time = usual * slowdown;
+        let cached = times.cached() * slowness * slowdown;
         // An object settles where all gateways will send it: its first request there is slow,
         // and all later ones are fast. Otherwise a new endpoint would receive nothing as long
         // as the others have capacity.
@@ -466,7 +471,7 @@
         // others.
         let loading = (response_time - cached).max(0.0);
         let weighted = expected + region.pressure * loading;
-        let service_time = times.expected(Affinity::Perhaps(0)) * slowness;
+        let service_time = times.expected(Affinity::Perhaps(0)) * slowness * slowdown;
         let wait = cost::slot_wait(load, e.slots, service_time);
         let failure_cost = match self.cfg.uses(Mechanism::Failing) {
             true => {
@@ -487,6 +492,7 @@
             wait,
             rtt,
             response_time,
+            usual,
             affinity,
         }
     }
--- a/crates/place/src/endpoint.rs
+++ b/crates/place/src/endpoint.rs
@@ -79,6 +79,18 @@
 /// Half-life of the reported number of requests of other gateways: about the time that a
 /// request runs.
 const LOAD_HALF_LIFE: Duration = Duration::from_millis(200);
+/// Half-life of the reported slowdown of an endpoint's VM: VMs that share a host stay slow for about
+/// 0.6 s.
+const SLOWDOWN_HALF_LIFE: Duration = Duration::from_millis(300);
+/// Smallest and largest slowdown that is believed: a wrong figure must not attract or repel all requests.
+const SLOWDOWN_RANGE: (f64, f64) = (0.25, 20.0);
+/// Differences from the usual speed that are ignored: they would move objects between endpoints that are
+/// as good as equal.
+const SLOWDOWN_DEAD_BAND: f64 = 0.1;
+/// Slowdown from which an endpoint is counted as slowed.
+const SLOWED: f64 = 1.5;
+/// Largest ratio of the slowdowns before and after a request at which its time is scaled by them.
+const STEADY_SLOWDOWN: f64 = 1.2;
 /// Half-life of slowness and failure rate. An endpoint that is avoided for them receives no
 /// requests that could improve them, so they have to decay for it to be tried again.
 const SCORE_HALF_LIFE: Duration = Duration::from_secs(3);
@@ -93,12 +105,15 @@
 const OBJECT_TTL: Duration = Duration::from_secs(30);
 
 /// Load that an endpoint reports with a response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
     /// Requests that are running.
     pub running: u32,
     /// Requests in the endpoint's queue.
     pub waiting: u32,
+    /// How long work currently takes on the endpoint's VM, in hundredths of the usual time; `None` if
+    /// it isn't reported.
+    pub slowdown: Option<u32>,
 }
 
 /// The outcome of a request to an endpoint.
@@ -167,6 +182,9 @@
     stall_timeout: Duration,
     /// Whether the last reported load had queued requests.
     has_queue: bool,
+    /// How many times longer work takes on its VM, as last reported, and when that was.
+    reported_slowdown: f64,
+    slowdown_reported_at: Moment,
     /// Moving average of actual by expected response time; 1 is as expected.
     slowness: f64,
     /// Moving average of the share of requests that fail.
@@ -205,6 +223,8 @@
             progress_at: now,
             stall_timeout: STALL_MIN,
             has_queue: false,
+            reported_slowdown: 1.0,
+            slowdown_reported_at: now,
             slowness: 1.0,
             failure_rate: 0.0,
             scored_at: now,
@@ -315,6 +335,48 @@
         self.others_in_flight = (total - f64::from(self.own_in_flight)).max(0.0);
         self.load_reported_at = now;
         self.has_queue = load.waiting > 0;
+        if let Some(hundredths) = load.slowdown.filter(|hundredths| *hundredths > 0) {
+            let (min, max) = SLOWDOWN_RANGE;
+            self.reported_slowdown = (f64::from(hundredths) / 100.0).clamp(min, max);
+            self.slowdown_reported_at = now;
+        }
+    }
+
+    /// How many times longer than usual work takes on its VM, as far as is known: the reported value,
+    /// which approaches 1 with its age.
+    pub(crate) fn slowdown(&self, now: Moment) -> f64 {
+        let age = now.saturating_sub(self.slowdown_reported_at);
+        let half_lives = age.as_secs_f64() / SLOWDOWN_HALF_LIFE.as_secs_f64();
+        let excess = (self.reported_slowdown - 1.0) * 0.5_f64.powf(half_lives);
+        match excess.abs() < SLOWDOWN_DEAD_BAND {
+            true => 1.0,
+            false => 1.0 + excess,
+        }
+    }
+
+    /// Whether its VM works clearly slower than usual.
+    pub(crate) fn is_slowed(&self, now: Moment) -> bool {
+        self.slowdown(now) >= SLOWED
+    }
+
+    /// By what the time of a request that ends now has to be divided to get its usual time. `None` if the
+    /// VM's speed changed meanwhile, so that the time says little.
+    pub(crate) fn slowdown_during(&self, now: Moment, target: &Target) -> Option<f64> {
+        let (before, after) = (target.slowdown(), self.slowdown(now));
+        let is_steady = before.max(after) <= STEADY_SLOWDOWN * before.min(after);
+        is_steady.then_some(after)
+    }
+
+    /// The time that a request took as a multiple of the time that was expected, as far as the slowdown of
+    /// the VM before or after it doesn't explain the difference.
+    fn unexplained(&self, now: Moment, target: &Target, took: Duration) -> f64 {
+        let ratio = took.as_secs_f64() / target.usual.as_secs_f64().max(0.001);
+        let explained = target.slowdown().max(self.slowdown(now)).max(1.0);
+        if ratio > explained {
+            ratio / explained
+        } else {
+            ratio.min(1.0)
+        }
     }
 
     /// Whether this gateway has sent the object there recently.
@@ -360,7 +422,6 @@
 
     /// Records the outcome of a request.
     pub(crate) fn record_outcome(&mut self, now: Moment, outcome: Outcome, target: &Target) {
-        let expected = target.expected;
         self.own_in_flight = self.own_in_flight.saturating_sub(1);
         self.rest.record_ended(target.number);
         self.slowness = self.decayed_slowness(now);
@@ -380,7 +441,7 @@
             Outcome::Served(took) => {
                 self.next_backoff = BACKOFF_MIN;
                 self.failure_rate *= 1.0 - EWMA_WEIGHT;
-                let ratio = took.as_secs_f64() / expected.as_secs_f64().max(0.001);
+                let ratio = self.unexplained(now, target, took);
                 // Time spent in a queue says nothing about the endpoint's own speed, and one
                 // extremely slow response must not outweigh many others.
                 if !self.has_queue {
@@ -409,7 +470,7 @@
             }
             Outcome::Abandoned(waited) => {
                 // The response would have taken even longer.
-                let ratio = waited.as_secs_f64() / expected.as_secs_f64().max(0.001);
+                let ratio = self.unexplained(now, target, waited);
                 if ratio > self.slowness && !self.has_queue {
                     self.slowness += EWMA_WEIGHT * (ratio.min(10.0) - self.slowness);
                 }
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -27,6 +27,9 @@
 /// change is learned within as many responses.
 const RTT_EWMA_WEIGHT: f64 = 0.02;
 
+/// Slowdown of an endpoint's VM below which response times tell the round trip.
+const USUAL_SLOWDOWN: f64 = 1.1;
+
 /// Time for which numbers of gateways count after smaller ones have followed: several times what a
 /// replica that has just started takes to hear of all gateways.
 const COUNTS_KEPT: Duration = Duration::from_secs(10);
@@ -246,6 +249,11 @@
         self.cfg.contention_control = true;
     }
 
+    /// Number of endpoints whose VMs work clearly slower than usual by what they reported.
+    pub fn slowed_endpoints(&self, now: Moment) -> usize {
+        self.endpoints.iter().filter(|e| e.is_slowed(now)).count()
+    }
+
     /// Number of listed endpoints.
     pub fn endpoint_count(&self) -> usize {
         self.endpoints.len()
@@ -454,7 +462,11 @@
         target: &Target,
         outcome: Outcome,
     ) {
-        if let Outcome::Served(took) = outcome {
+        let state = self.endpoints.iter().find(|e| e.is_target(target));
+        let slowdown = state.map_or(Some(1.0), |e| e.slowdown_during(now, target));
+        if let Outcome::Served(took) = outcome
+            && slowdown.is_some_and(|slowdown| slowdown < USUAL_SLOWDOWN)
+        {
             self.learn_rtt(service, target, took);
         }
         self.record_contact(now, target, outcome);
@@ -468,10 +480,11 @@
         if let Some(state) = self.tracked_mut(target) {
             state.record_outcome(now, outcome, target);
         }
-        if let Outcome::Served(took) = outcome
+        if let (Outcome::Served(took), Some(slowdown)) = (outcome, slowdown)
             && let Some(times) = self.response_times.get_mut(service)
         {
-            times.record(target.affinity, target.has_object, took);
+            let usual = took.div_f64(slowdown);
+            times.record(target.affinity, target.has_object, usual);
         }
     }
 
--- a/crates/place/src/request.rs
+++ b/crates/place/src/request.rs
@@ -105,6 +105,8 @@
     pub addr: SocketAddr,
     /// Expected processing time, without `overhead`.
     pub expected: Duration,
+    /// The same at the usual speed of the endpoint's VM.
+    pub usual: Duration,
     /// Whether the endpoint is expected to have the object cached.
     pub affinity: Affinity,
     /// Whether the request is for an object.
@@ -121,6 +123,16 @@
     pub passed_over: PassedOver,
 }
 
+impl Target {
+    /// How many times longer than usual work was expected to take on the endpoint's VM.
+    pub(crate) fn slowdown(&self) -> f64 {
+        match self.usual.is_zero() {
+            true => 1.0,
+            false => self.expected.as_secs_f64() / self.usual.as_secs_f64(),
+        }
+    }
+}
+
 /// Endpoints that a request may run on, but isn't sent to because of what they have said.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PassedOver {
--- a/crates/place/tests/all/refusals.rs
+++ b/crates/place/tests/all/refusals.rs
@@ -15,6 +15,7 @@
     Load {
         running: 1,
         waiting: 0,
+        slowdown: None,
     }
 }
 
--- a/crates/place/tests/all/regions.rs
+++ b/crates/place/tests/all/regions.rs
@@ -274,6 +274,7 @@
     let full = filberthead_place::Load {
         running: 3,
         waiting: 30,
+        slowdown: None,
     };
     let mut before: Option<f64> = None;
     for window in 0..10 {
--- a/crates/place/tests/all/restarts.rs
+++ b/crates/place/tests/all/restarts.rs
@@ -150,6 +150,7 @@
         let load = Load {
             running: 30,
             waiting: 30,
+            slowdown: None,
         };
         placer.record_load(ms(110), &earlier, load);
         placer.record_cold(ms(110), &earlier, ms(60_000));
--- a/crates/place/tests/all/surge.rs
+++ b/crates/place/tests/all/surge.rs
@@ -92,6 +92,7 @@
                 let load = Load {
                     running: endpoint.running.len() as u32,
                     waiting: endpoint.waiting.len() as u32,
+                    slowdown: None,
                 };
                 let placer = &mut gateways[job.gateway];
                 placer.record_outcome(ms(now), &service, &job.target, Outcome::Served(ms(took)));
