Placement: expect times by route under contention control

Requests of one service may do very different work: on one deployment a cached object on one route takes as long (0.7 s) as an unknown one on another. With one pair of times for the service, neither fits, and answers are taken for cached or unknown by the wrong scale.

Each route of a service now has a pair of its own, identified by its prefix (`RouteKey`), with initial values from its own objective. They are always learned and used while contention control is on; without it, decisions are the same as before.

Tests: two routes of 210 and 690 ms learn their own times, initial times follow from each route's objective, times are learned before the switch, and without contention control the routes share their times.

--- a/crates/bench/src/placement/simulation.rs
+++ b/crates/bench/src/placement/simulation.rs
@@ -6,7 +6,7 @@
 
 use filberthead_place::{
     Attempts, Decision, EndpointId, Homes, Load, Mechanism, NextAttempt, Object, Outcome, Placer,
-    Request, RetryDecision, RetryEnd, Target,
+    Request, RetryDecision, RetryEnd, RouteKey, Target,
 };
 use filberthead_types::{Moment, Region, ServiceName};
 use rand::rngs::StdRng;
@@ -246,6 +246,7 @@
             .saturating_sub(now);
         let request_info = Request {
             service: &service,
+            route: RouteKey::new(&prefix),
             object: Some(Object {
                 prefix: &prefix,
                 name: state.spec.name.as_bytes(),
--- a/crates/filberthead/src/gateway/forwarding/mod.rs
+++ b/crates/filberthead/src/gateway/forwarding/mod.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 
 use filberthead_endpoint::RequestBody;
-use filberthead_place::{Attempts, Homes, Object, Placer, Request as PlacementRequest};
+use filberthead_place::{Attempts, Homes, Object, Placer, Request as PlacementRequest, RouteKey};
 use filberthead_route::{Kind, Route};
 use filberthead_types::{Moment, NodeName, RequestPrints, ResultCode, ServiceName};
 use http::Response;
@@ -129,6 +129,7 @@
         let object = object.map(|value| value.as_bytes());
         let request = PlacementRequest {
             service: self.service,
+            route: RouteKey::new(&self.route.prefix),
             object: object.filter(|_| self.route.sticky).map(|name| Object {
                 prefix: &self.route.prefix,
                 name,
--- a/crates/place/src/decide.rs
+++ b/crates/place/src/decide.rs
@@ -11,8 +11,9 @@
 use crate::endpoint::TrackedEndpoint;
 use crate::limit_parts::LimitPart;
 use crate::plan::SHIFT_FRACTION;
+use crate::route_times::ServiceTimes;
 use crate::shift::RegionShares;
-use crate::{Decision, Mechanism, PassedOver, Placer, Refusal, Request, Target, rank};
+use crate::{Decision, Mechanism, PassedOver, Placer, Refusal, Request, RouteKey, Target, rank};
 
 /// Cost in seconds of each further rank in the order, between endpoints that are otherwise
 /// alike: less than any difference that a caller would notice.
@@ -117,7 +118,7 @@
         }
         self.record_region(now, req.service, &chosen);
         let passed_over = self.passed_over(now, &req);
-        let target = self.send(now, object, &chosen);
+        let target = self.send(now, req.route, object, &chosen);
         Decision::Send(Target {
             passed_over,
             ..target
@@ -204,7 +205,13 @@
     }
 
     /// Counts the request at its endpoint, and returns the target.
-    fn send(&mut self, now: Moment, object: Option<u64>, chosen: &Candidate) -> Target {
+    fn send(
+        &mut self,
+        now: Moment,
+        route: RouteKey,
+        object: Option<u64>,
+        chosen: &Candidate,
+    ) -> Target {
         let endpoint = &self.endpoints[chosen.index];
         let share = self.cold_share(now, endpoint);
         let limit = self.limit_part_of(now, endpoint);
@@ -226,6 +233,7 @@
             id: state.id.clone(),
             incarnation: state.incarnation,
             addr: state.addr,
+            route,
             expected: Duration::from_secs_f64(chosen.response_time),
             usual: Duration::from_secs_f64(chosen.usual),
             affinity: chosen.affinity,
@@ -416,11 +424,23 @@
     }
 
     pub(crate) fn response_times(&self, req: &Request<'_>) -> ResponseTimes {
-        let learned = self.response_times.get(req.service).copied();
+        let learned = self.response_times.get(req.service);
+        let learned = learned.map(|times| *self.times_in_use(times, req.route));
         // The service was removed by a change of the routes.
         learned.unwrap_or_else(|| ResponseTimes::new(req.objective))
     }
 
+    /// Those of a service's times that are expected of a route's requests.
+    pub(crate) fn times_in_use<'a>(
+        &self,
+        times: &'a ServiceTimes,
+        route: RouteKey,
+    ) -> &'a ResponseTimes {
+        let of_route = times.of_route(route);
+        let of_route = of_route.filter(|_| self.contention_control());
+        of_route.unwrap_or(times.shared())
+    }
+
     /// Sorts endpoints by an object's preference, or by that of another key. For a large
     /// response, those of this failure domain come first: its callers connect here, and each
     /// response from elsewhere sends its bytes between failure domains.
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -14,6 +14,7 @@
 //! - *Expected time* (`cost`): of the endpoints that may run a request, the one that should
 //!   respond first is chosen, counting its queue, the round trip to it, whether it has the
 //!   object cached, and how slow it has been.
+//! - *Routes* (`route_times`): under contention control, times are expected for each route of a service.
 //! - *Other regions* (`plan`): where a region has too few endpoints, some of its objects are
 //!   placed in another region. The share of requests that run there changes only slowly, so
 //!   that no region receives a step of load.
@@ -65,6 +66,7 @@
 mod request_retries;
 mod rest;
 mod retry_budget;
+mod route_times;
 mod sharing;
 mod shift;
 mod suspicions;
@@ -88,6 +90,7 @@
 pub use retry_budget::{
     BudgetUsage, Holder, RetryBudget, RetryBudgetConfig, RetryDecision, RetryEnd, RetryId,
 };
+pub use route_times::RouteKey;
 pub use sharing::{HELD_FOR, LimitShare};
 pub use suspicions::RunVerdict;
 pub use usual_times::UsualTimes;
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -9,18 +9,19 @@
 use filberthead_types::{FailureDomain, Moment, Region, ServiceName};
 
 use crate::contact::{Contact, ContactChange, ContactState};
-use crate::cost::{Affinity, ResponseTimes};
+use crate::cost::Affinity;
 use crate::endpoint::TrackedEndpoint;
 use crate::plan::{Plan, SlotsByRegion};
 use crate::planning::OwnDemand;
 use crate::priority::PriorityMix;
 use crate::quarantine::Quarantine;
+use crate::route_times::ServiceTimes;
 use crate::sharing::Peak;
 use crate::shift::RegionShares;
 use crate::unlisted::UnlistedStarts;
 use crate::{
     Config, ContactProbe, EndpointRef, Holder, LimitShare, Load, Mechanism, Outcome, RetryBudget,
-    RetryDecision, RetryEnd, RetryId, Target, rank,
+    RetryDecision, RetryEnd, RetryId, RouteKey, Target, rank,
 };
 
 /// Weight of a new observation of a round trip: about the last fifty count, and half of a
@@ -52,7 +53,7 @@
     pub(crate) cfg: Config,
     pub(crate) endpoints: Vec<TrackedEndpoint>,
     pub(crate) services: HashMap<ServiceName, Service>,
-    pub(crate) response_times: HashMap<ServiceName, ResponseTimes>,
+    pub(crate) response_times: HashMap<ServiceName, ServiceTimes>,
     pub(crate) plans: HashMap<ServiceName, Plan>,
     /// Priorities of each service's recent requests.
     pub(crate) priorities: HashMap<ServiceName, PriorityMix>,
@@ -137,9 +138,11 @@
             .retain(|service, _| self.services.contains_key(service));
         self.priorities
             .retain(|service, _| self.services.contains_key(service));
-        for (service, objective) in objectives(table) {
+        for (service, objectives) in objectives(table) {
+            let shortest = objectives.values().min().copied().unwrap_or_default();
             let times = self.response_times.entry(service.clone());
-            times.or_insert_with(|| ResponseTimes::new(objective));
+            let times = times.or_insert_with(|| ServiceTimes::new(shortest));
+            times.set_routes(&objectives);
         }
     }
 
@@ -484,7 +487,7 @@
             && let Some(times) = self.response_times.get_mut(service)
         {
             let usual = took.div_f64(slowdown);
-            times.record(target.affinity, target.has_object, usual);
+            times.record(target.route, target.affinity, target.has_object, usual);
         }
     }
 
@@ -605,9 +608,10 @@
         if target.affinity != Affinity::Sent || waited {
             return;
         }
-        let Some(cached) = self.response_times.get(service).map(ResponseTimes::cached) else {
+        let Some(times) = self.response_times.get(service) else {
             return;
         };
+        let cached = self.times_in_use(times, target.route).cached();
         let endpoint = self.endpoints.iter().find(|e| e.is_target(target));
         let Some(region) = endpoint.and_then(|e| e.region.clone()) else {
             return;
@@ -632,15 +636,17 @@
     }
 }
 
-/// The shortest objective of each service's routes. Rarely used routes may have any objective,
-/// and would give a wrong initial estimate.
-fn objectives(table: &Table) -> HashMap<&ServiceName, Duration> {
-    let mut shortest = HashMap::new();
+/// The objectives of each service's routes. Routes with one prefix and different hosts share the shortest
+/// one. Rarely used routes may have any objective, so the service as a whole starts from the shortest one.
+fn objectives(table: &Table) -> HashMap<&ServiceName, HashMap<RouteKey, Duration>> {
+    let mut by_service: HashMap<_, HashMap<_, Duration>> = HashMap::new();
     for route in &table.routes {
+        let key = RouteKey::new(&route.prefix);
         for target in &route.targets {
-            let previous = shortest.entry(&target.service).or_insert(route.objective);
-            *previous = route.objective.min(*previous);
+            let objectives = by_service.entry(&target.service).or_default();
+            let shortest = objectives.entry(key).or_insert(route.objective);
+            *shortest = route.objective.min(*shortest);
         }
     }
-    shortest
+    by_service
 }
--- a/crates/place/src/planning.rs
+++ b/crates/place/src/planning.rs
@@ -9,7 +9,6 @@
 use filberthead_fleet::Demand;
 use filberthead_types::{Moment, Region, ServiceName};
 
-use crate::cost::ResponseTimes;
 use crate::decide::DEFAULT_INTER_REGION_RTT;
 use crate::endpoint::TrackedEndpoint;
 use crate::plan::{self, Pace, Plan, ServiceModel, SlotsByRegion};
@@ -122,7 +121,7 @@
         let times = &self.response_times;
         let demand_of = |(service, own): (&ServiceName, &mut OwnDemand)| {
             let per_s = own.take(now);
-            let cached = times.get(service).map(ResponseTimes::cached)?;
+            let cached = times.get(service)?.shared().cached();
             Some(Demand {
                 service: service.clone(),
                 busy_milli: (per_s * cached * 1000.0).round() as u32,
@@ -201,7 +200,7 @@
             service_time: self
                 .response_times
                 .get(service)
-                .map_or(0.0, ResponseTimes::cached),
+                .map_or(0.0, |times| times.shared().cached()),
             rtt: self.mean_rtt(),
         }
     }
@@ -246,7 +245,7 @@
         let slots = f64::from(e.slots);
         let times = self.response_times.get(&e.service);
         match (e.limit.per_s(), times) {
-            (Some(per_s), Some(times)) => slots.min(per_s * times.cached()),
+            (Some(per_s), Some(times)) => slots.min(per_s * times.shared().cached()),
             _ => slots,
         }
     }
@@ -275,7 +274,7 @@
             response_times: self
                 .response_times
                 .get(service)
-                .map(ResponseTimes::both)
+                .map(|times| times.shared().both())
                 .unwrap_or_default(),
             remote_shares: self
                 .plans
--- a/crates/place/src/request.rs
+++ b/crates/place/src/request.rs
@@ -6,7 +6,7 @@
 
 use filberthead_types::{FailureDomain, Incarnation, NodeName, Region, ServiceName};
 
-use crate::{Affinity, EndpointId, Mechanism, RetryBudgetConfig};
+use crate::{Affinity, EndpointId, Mechanism, RetryBudgetConfig, RouteKey};
 
 /// Where a gateway runs, and the limits of its decisions.
 #[derive(Clone, Debug)]
@@ -74,6 +74,8 @@
 pub struct Request<'a> {
     /// Service that the request's route selects.
     pub service: &'a ServiceName,
+    /// The request's route.
+    pub route: RouteKey,
     /// The object that the request is for; `None` if endpoints cache nothing for it.
     pub object: Option<Object<'a>>,
     /// Whether a large response is expected.
@@ -103,6 +105,8 @@
     pub incarnation: Option<Incarnation>,
     /// Address that the endpoint listens on.
     pub addr: SocketAddr,
+    /// Route of the request.
+    pub route: RouteKey,
     /// Expected processing time, without `overhead`.
     pub expected: Duration,
     /// The same at the usual speed of the endpoint's VM.
--- a/crates/place/tests/all/main.rs
+++ b/crates/place/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod rest;
 mod restarts;
 mod retries;
+mod routes;
 mod slowdown;
 mod support;
 mod surge;
--- a/crates/place/tests/all/support.rs
+++ b/crates/place/tests/all/support.rs
@@ -8,7 +8,7 @@
 use filberthead_fleet::{Endpoint, EndpointState};
 use filberthead_place::{
     Config, Decision, EndpointId, Homes, Object, Outcome, Placer, Refusal, Request,
-    RetryBudgetConfig, Target,
+    RetryBudgetConfig, RouteKey, Target,
 };
 use filberthead_route::{CallerBounds, Kind, Route, Service, Table};
 use filberthead_types::{FailureDomain, Moment, Region, ServiceName};
@@ -59,7 +59,7 @@
     }
 }
 
-fn table() -> Table {
+pub(crate) fn table() -> Table {
     let target = filberthead_route::Target {
         service: service(),
         weight: 1,
@@ -121,6 +121,7 @@
 pub(crate) fn request<'a>(service: &'a ServiceName, object: &'a [u8]) -> Request<'a> {
     Request {
         service,
+        route: RouteKey::new("/"),
         object: Some(Object {
             prefix: "/",
             name: object,
