Placement: plan by the time that requests really take

Demand counted every request with the time of a cached object. A region whose endpoints can hardly remember its objects was therefore planned with too few slots.

Under contention control, demand, the plan's service time and the slots that a named rate can keep busy are calculated from the mean work of a service's requests, unknown objects included. It is averaged over 10 s; answers of queued requests, of VMs that change speed, and of the first 3 s, in which all objects are unknown, don't count. `Placer::expected_work` tells the work of one request for the other parts. Without contention control, nothing changes.

Tests: demand with every third object unknown, and the expected work of a route.

--- a/crates/place/src/cost.rs
+++ b/crates/place/src/cost.rs
@@ -56,11 +56,11 @@
         }
     }
 
-    /// Records a response time.
-    pub(crate) fn record(&mut self, affinity: Affinity, has_object: bool, took: Duration) {
+    /// Records a response time. Returns the learned time that it counted for, in seconds.
+    pub(crate) fn record(&mut self, affinity: Affinity, has_object: bool, took: Duration) -> f64 {
         // Without an object, there is no expectation to compare the time with.
         if affinity == Affinity::Stranger && !has_object {
-            return;
+            return took.as_secs_f64().min(MAX_OBSERVATION * self.uncached);
         }
         // A much longer response time is due to its endpoint, not to the service. If most
         // responses take that long, the estimate rises step by step.
@@ -72,11 +72,19 @@
             &mut self.uncached
         };
         *mean += EWMA_WEIGHT * (took - *mean);
+        let learned = *mean;
         if let Affinity::Perhaps(rank) = affinity
             && let Some(hit_rate) = self.hit_rates.get_mut(rank)
         {
             *hit_rate += EWMA_WEIGHT * (f64::from(u8::from(was_cached)) - *hit_rate);
         }
+        learned
+    }
+
+    /// Whether the first endpoint in an object's order usually has it cached, as other gateways send it
+    /// there too.
+    pub(crate) fn is_usually_cached(&self) -> bool {
+        self.hit_rates[0] >= 0.5
     }
 
     /// Expected response time in seconds.
--- a/crates/place/src/decide.rs
+++ b/crates/place/src/decide.rs
@@ -13,7 +13,9 @@
 use crate::plan::SHIFT_FRACTION;
 use crate::route_times::ServiceTimes;
 use crate::shift::RegionShares;
-use crate::{Decision, Mechanism, PassedOver, Placer, Refusal, Request, RouteKey, Target, rank};
+use crate::{
+    Decision, Expected, Mechanism, PassedOver, Placer, Refusal, Request, RouteKey, Target, rank,
+};
 
 /// Cost in seconds of each further rank in the order, between endpoints that are otherwise
 /// alike: less than any difference that a caller would notice.
@@ -430,6 +432,22 @@
         learned.unwrap_or_else(|| ResponseTimes::new(req.objective))
     }
 
+    /// The work that a request is expected to be.
+    pub fn expected_work(&self, now: Moment, req: &Request<'_>) -> Expected {
+        let times = self.response_times(req);
+        let (cached, unknown) = times.both();
+        let was_sent = |object| {
+            let mut of_service = self.endpoints.iter().filter(|e| e.service == *req.service);
+            of_service.any(|e| e.is_usable(now) && e.was_recently_sent(now, object))
+        };
+        let object = self.object_key(req);
+        Expected {
+            cached,
+            unknown: unknown.max(cached),
+            is_cached: object.is_some_and(|object| times.is_usually_cached() || was_sent(object)),
+        }
+    }
+
     /// Those of a service's times that are expected of a route's requests.
     pub(crate) fn times_in_use<'a>(
         &self,
--- a/crates/place/src/endpoint.rs
+++ b/crates/place/src/endpoint.rs
@@ -354,6 +354,11 @@
         }
     }
 
+    /// Whether the last reported load had queued requests.
+    pub(crate) fn has_queue(&self) -> bool {
+        self.has_queue
+    }
+
     /// Whether its VM works clearly slower than usual.
     pub(crate) fn is_slowed(&self, now: Moment) -> bool {
         self.slowdown(now) >= SLOWED
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -84,7 +84,9 @@
 pub use named_limit::{LimitChange, NamedLimit};
 pub use placer::{Availability, Placer};
 pub use planning::ServiceEstimate;
-pub use request::{Config, Decision, Homes, Object, PassedOver, Refusal, Request, Target};
+pub use request::{
+    Config, Decision, Expected, Homes, Object, PassedOver, Refusal, Request, Target,
+};
 pub use request_retries::{RequestRetries, RetryRecord};
 pub use rest::{NamedRest, RestChange};
 pub use retry_budget::{
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -28,6 +28,9 @@
 /// change is learned within as many responses.
 const RTT_EWMA_WEIGHT: f64 = 0.02;
 
+/// Time after the first request from which answers tell how much work requests are. At first all objects are
+/// unknown, which says nothing about the share of unknown ones later on.
+const FIRST_WORK_AFTER: Duration = Duration::from_secs(3);
 /// Slowdown of an endpoint's VM below which response times tell the round trip.
 const USUAL_SLOWDOWN: f64 = 1.1;
 
@@ -467,6 +470,7 @@
     ) {
         let state = self.endpoints.iter().find(|e| e.is_target(target));
         let slowdown = state.map_or(Some(1.0), |e| e.slowdown_during(now, target));
+        let queued = state.is_none_or(TrackedEndpoint::has_queue);
         if let Outcome::Served(took) = outcome
             && slowdown.is_some_and(|slowdown| slowdown < USUAL_SLOWDOWN)
         {
@@ -486,8 +490,9 @@
         if let (Outcome::Served(took), Some(slowdown)) = (outcome, slowdown)
             && let Some(times) = self.response_times.get_mut(service)
         {
-            let usual = took.div_f64(slowdown);
-            times.record(target.route, target.affinity, target.has_object, usual);
+            let first = self.first_request_at.unwrap_or(now);
+            let tells_work = !queued && now >= first + FIRST_WORK_AFTER;
+            times.record(target, took.div_f64(slowdown), tells_work);
         }
     }
 
--- a/crates/place/src/plan.rs
+++ b/crates/place/src/plan.rs
@@ -135,7 +135,7 @@
     pub(crate) capacity: &'a SlotsByRegion,
     /// Mean number of slots of an endpoint.
     pub(crate) slots_per_endpoint: f64,
-    /// Seconds that a response takes with the object cached.
+    /// Seconds that a response takes: with the object cached, or on average under contention control.
     pub(crate) service_time: f64,
     /// Round trip to another region in seconds.
     pub(crate) rtt: f64,
--- a/crates/place/src/planning.rs
+++ b/crates/place/src/planning.rs
@@ -118,16 +118,31 @@
 impl Placer {
     /// Demand at this gateway since the last call, for its report to control.
     pub fn take_demand(&mut self, now: Moment) -> Vec<Demand> {
-        let times = &self.response_times;
+        for times in self.response_times.values_mut() {
+            times.update_work(now);
+        }
+        let mut own_demand = std::mem::take(&mut self.own_demand);
         let demand_of = |(service, own): (&ServiceName, &mut OwnDemand)| {
             let per_s = own.take(now);
-            let cached = times.get(service)?.shared().cached();
+            let work = self.work_per_request(service)?;
             Some(Demand {
                 service: service.clone(),
-                busy_milli: (per_s * cached * 1000.0).round() as u32,
+                busy_milli: (per_s * work * 1000.0).round() as u32,
             })
         };
-        self.own_demand.iter_mut().filter_map(demand_of).collect()
+        let demand = own_demand.iter_mut().filter_map(demand_of).collect();
+        self.own_demand = own_demand;
+        demand
+    }
+
+    /// Seconds of a slot that a request of the service needs. Under contention control this is the time that
+    /// requests really take, otherwise the time that they take with their objects cached.
+    fn work_per_request(&self, service: &ServiceName) -> Option<f64> {
+        let times = self.response_times.get(service)?;
+        Some(match self.contention_control() {
+            true => times.mean_work(),
+            false => times.shared().cached(),
+        })
     }
 
     /// Moves the plan of each service towards what demand and capacity ask for.
@@ -197,10 +212,7 @@
             demand,
             capacity,
             slots_per_endpoint: self.slots_per_endpoint(service),
-            service_time: self
-                .response_times
-                .get(service)
-                .map_or(0.0, |times| times.shared().cached()),
+            service_time: self.work_per_request(service).unwrap_or(0.0),
             rtt: self.mean_rtt(),
         }
     }
@@ -243,9 +255,8 @@
     /// Slots of an endpoint that can be busy at the rate that it names.
     fn usable_slots(&self, e: &TrackedEndpoint) -> f64 {
         let slots = f64::from(e.slots);
-        let times = self.response_times.get(&e.service);
-        match (e.limit.per_s(), times) {
-            (Some(per_s), Some(times)) => slots.min(per_s * times.shared().cached()),
+        match (e.limit.per_s(), self.work_per_request(&e.service)) {
+            (Some(per_s), Some(work)) => slots.min(per_s * work),
             _ => slots,
         }
     }
--- a/crates/place/src/request.rs
+++ b/crates/place/src/request.rs
@@ -96,6 +96,17 @@
     pub excluded: &'a [EndpointId],
 }
 
+/// The work that a request is expected to be at an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Expected {
+    /// Time with its object cached.
+    pub cached: Duration,
+    /// Time with its object unknown.
+    pub unknown: Duration,
+    /// Whether an endpoint is expected to have its object cached.
+    pub is_cached: bool,
+}
+
 /// The endpoint that a request is sent to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Target {
--- a/crates/place/src/route_times.rs
+++ b/crates/place/src/route_times.rs
@@ -8,8 +8,10 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use crate::cost::{Affinity, ResponseTimes};
-use crate::rank;
+use filberthead_types::Moment;
+
+use crate::cost::ResponseTimes;
+use crate::{Target, rank};
 
 /// Identity of a route among those of a service: its prefix. It stays the same when the route is renamed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -22,12 +24,47 @@
     }
 }
 
+/// Time over which the work of requests is averaged: longer than a moment in which many objects are new at
+/// their endpoints, and shorter than the load of a service takes to change for good.
+const WORK_AVERAGING: Duration = Duration::from_secs(10);
+
+/// Work that the requests of a service really take, objects that aren't cached included.
+///
+/// The cached time alone undercounts the demand of a region whose endpoints can hardly remember its
+/// objects.
+#[derive(Clone, Copy, Debug)]
+struct MeanWork {
+    /// Moving average in seconds; `None` until the first observation.
+    mean: Option<f64>,
+    /// Observations since `mean` was updated.
+    sum: f64,
+    count: u32,
+    updated_at: Moment,
+}
+
+impl MeanWork {
+    fn update(&mut self, now: Moment, initial: f64) {
+        let elapsed = now.saturating_sub(self.updated_at);
+        self.updated_at = now;
+        let (sum, count) = (
+            std::mem::take(&mut self.sum),
+            std::mem::take(&mut self.count),
+        );
+        if count > 0 {
+            let weight = (elapsed.as_secs_f64() / WORK_AVERAGING.as_secs_f64()).min(1.0);
+            let before = self.mean.unwrap_or(initial);
+            self.mean = Some(before + weight * (sum / f64::from(count) - before));
+        }
+    }
+}
+
 /// The response times of one service.
 #[derive(Clone, Debug)]
 pub(crate) struct ServiceTimes {
     /// Those of all its routes together.
     shared: ResponseTimes,
     by_route: HashMap<RouteKey, ResponseTimes>,
+    work: MeanWork,
 }
 
 impl ServiceTimes {
@@ -36,6 +73,12 @@
         Self {
             shared: ResponseTimes::new(objective),
             by_route: HashMap::new(),
+            work: MeanWork {
+                mean: None,
+                sum: 0.0,
+                count: 0,
+                updated_at: Moment::ZERO,
+            },
         }
     }
 
@@ -49,20 +92,29 @@
         }
     }
 
-    /// Records a response time.
-    pub(crate) fn record(
-        &mut self,
-        route: RouteKey,
-        affinity: Affinity,
-        has_object: bool,
-        took: Duration,
-    ) {
-        self.shared.record(affinity, has_object, took);
-        if let Some(times) = self.by_route.get_mut(&route) {
-            times.record(affinity, has_object, took);
+    /// Records a response time. `tells_work` is whether it says how much work the request was: without a
+    /// queue at its endpoint.
+    pub(crate) fn record(&mut self, target: &Target, took: Duration, tells_work: bool) {
+        let (affinity, has_object) = (target.affinity, target.has_object);
+        let shared = self.shared.record(affinity, has_object, took);
+        let of_route = self.by_route.get_mut(&target.route);
+        let learned = of_route.map(|times| times.record(affinity, has_object, took));
+        if tells_work {
+            self.work.sum += learned.unwrap_or(shared);
+            self.work.count += 1;
         }
     }
 
+    /// Updates the mean work of requests.
+    pub(crate) fn update_work(&mut self, now: Moment) {
+        self.work.update(now, self.shared.cached());
+    }
+
+    /// Mean work of the service's requests in seconds. Until it was observed, that with cached objects.
+    pub(crate) fn mean_work(&self) -> f64 {
+        self.work.mean.unwrap_or(self.shared.cached())
+    }
+
     /// The times of all routes together.
     pub(crate) fn shared(&self) -> &ResponseTimes {
         &self.shared
--- a/crates/place/tests/all/routes.rs
+++ b/crates/place/tests/all/routes.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use filberthead_place::{Decision, Object, Placer, Request, RouteKey, Target};
-use filberthead_route::Route;
+use filberthead_route::{Route, Table};
 use filberthead_types::Moment;
 
 use crate::support::{endpoint, ms, placer, record_served, request, service, table};
@@ -21,6 +21,8 @@
         })
     };
     table.routes = vec![route("/light/", ms(600)), route("/heavy/", ms(2000))];
+    // Forgets the times that were derived from the routes of the other tests.
+    placer.set_routes(&Table::default());
     placer.set_routes(&table);
     if contention_control {
         placer.enable_contention_control();
@@ -112,3 +114,58 @@
     let light = place_on(&mut placer, now, "/light/", "o-19").expected;
     assert!(light > ms(180) && light < ms(260), "{light:?}");
 }
+
+/// Guards against waiting and admission by a wrong size: the expected work is that of the route, and says
+/// whether the request is the fast or the slow one of the two.
+#[test]
+fn expected_work_is_that_of_the_route() {
+    let mut placer = two_routes(true);
+    learn(&mut placer);
+    let service = service();
+    let req = |name: &'static str| Request {
+        route: RouteKey::new("/heavy/"),
+        object: Some(Object {
+            prefix: "/heavy/",
+            name: name.as_bytes(),
+        }),
+        ..request(&service, b"")
+    };
+    let expected = placer.expected_work(ms(400_000), &req("o-19"));
+    assert!(expected.is_cached);
+    assert!(
+        expected.cached > ms(620) && expected.cached < ms(780),
+        "{expected:?}"
+    );
+    assert!(expected.unknown > ms(1600), "{expected:?}");
+    let without_object = Request {
+        object: None,
+        ..req("")
+    };
+    assert!(!placer.expected_work(ms(400_000), &without_object).is_cached);
+}
+
+/// Every third request has to learn its object, since the endpoints remember too few. Demand that counts the
+/// cached time only keeps requests in a region that can't serve them.
+#[test]
+fn demand_counts_the_time_that_requests_really_take() {
+    let demand = |contention_control| {
+        let mut placer = two_routes(contention_control);
+        let service = service();
+        let mut demand = Vec::new();
+        for number in 0..600 {
+            let now = ms(100 * number);
+            placer.record_request(now, &service, 1);
+            let target = place_on(&mut placer, now, "/light/", &format!("o-{}", number % 20));
+            let took = if number % 3 == 0 { ms(700) } else { ms(210) };
+            record_served(&mut placer, now, &target, took);
+            if number % 5 == 4 {
+                demand = placer.take_demand(now);
+            }
+        }
+        demand[0].busy_milli
+    };
+    // 10 requests per second at (700 + 2 * 210) / 3 ms, or at 210 ms.
+    let (with, without) = (demand(true), demand(false));
+    assert!((3300..4200).contains(&with), "{with}");
+    assert!((1900..2500).contains(&without), "{without}");
+}
