--- a/crates/place/src/decide.rs
+++ b/crates/place/src/decide.rs
@@ -11,8 +11,11 @@
 use crate::endpoint::TrackedEndpoint;
 use crate::limit_parts::LimitPart;
 use crate::plan::SHIFT_FRACTION;
+use crate::route_times::ServiceTimes;
 use crate::shift::RegionShares;
-use crate::{Decision, Mechanism, PassedOver, Placer, Refusal, Request, Target, rank};
+use crate::{
+    Decision, Expected, Mechanism, PassedOver, Placer, Refusal, Request, RouteKey, Target, rank,
+};
 
 /// Cost in seconds of each further rank in the order, between endpoints that are otherwise
 /// alike: less than any difference that a caller would notice.
@@ -48,6 +51,8 @@
     wait: f64,
     rtt: f64,
     response_time: f64,
+    /// The response time at the usual speed of the endpoint's VM.
+    usual: f64,
     affinity: Affinity,
 }
 
@@ -115,7 +120,7 @@
         }
         self.record_region(now, req.service, &chosen);
         let passed_over = self.passed_over(now, &req);
-        let target = self.send(now, object, &chosen);
+        let target = self.send(now, req.route, object, &chosen);
         Decision::Send(Target {
             passed_over,
             ..target
@@ -202,7 +207,13 @@
     }
 
     /// Counts the request at its endpoint, and returns the target.
-    fn send(&mut self, now: Moment, object: Option<u64>, chosen: &Candidate) -> Target {
+    fn send(
+        &mut self,
+        now: Moment,
+        route: RouteKey,
+        object: Option<u64>,
+        chosen: &Candidate,
+    ) -> Target {
         let endpoint = &self.endpoints[chosen.index];
         let share = self.cold_share(now, endpoint);
         let limit = self.limit_part_of(now, endpoint);
@@ -224,7 +235,9 @@
             id: state.id.clone(),
             incarnation: state.incarnation,
             addr: state.addr,
+            route,
             expected: Duration::from_secs_f64(chosen.response_time),
+            usual: Duration::from_secs_f64(chosen.usual),
             affinity: chosen.affinity,
             has_object: object.is_some(),
             rtt: Duration::from_secs_f64(chosen.rtt),
@@ -413,11 +426,39 @@
     }
 
     pub(crate) fn response_times(&self, req: &Request<'_>) -> ResponseTimes {
-        let learned = self.response_times.get(req.service).copied();
+        let learned = self.response_times.get(req.service);
+        let learned = learned.map(|times| *self.times_in_use(times, req.route));
         // The service was removed by a change of the routes.
         learned.unwrap_or_else(|| ResponseTimes::new(req.objective))
     }
 
+    /// The work that a request is expected to be.
+    pub fn expected_work(&self, now: Moment, req: &Request<'_>) -> Expected {
+        let times = self.response_times(req);
+        let (cached, unknown) = times.both();
+        let was_sent = |object| {
+            let mut of_service = self.endpoints.iter().filter(|e| e.service == *req.service);
+            of_service.any(|e| e.is_usable(now) && e.was_recently_sent(now, object))
+        };
+        let object = self.object_key(req);
+        Expected {
+            cached,
+            unknown: unknown.max(cached),
+            is_cached: object.is_some_and(|object| times.is_usually_cached() || was_sent(object)),
+        }
+    }
+
+    /// Those of a service's times that are expected of a route's requests.
+    pub(crate) fn times_in_use<'a>(
+        &self,
+        times: &'a ServiceTimes,
+        route: RouteKey,
+    ) -> &'a ResponseTimes {
+        let of_route = times.of_route(route);
+        let of_route = of_route.filter(|_| self.contention_control());
+        of_route.unwrap_or(times.shared())
+    }
+
     /// Sorts endpoints by an object's preference, or by that of another key. For a large
     /// response, those of this failure domain come first: its callers connect here, and each
     /// response from elsewhere sends its bytes between failure domains.
@@ -454,8 +495,10 @@
             true => e.slowness(now),
             false => 1.0,
         };
-        let response_time = times.expected(affinity) * slowness;
-        let cached = times.cached() * slowness;
+        let usual = times.expected(affinity) * slowness;
+        let slowdown = e.slowdown(now);
+        let response_time = usual * slowdown;
+        let cached = times.cached() * slowness * slowdown;
         // An object settles where all gateways will send it: its first request there is slow,
         // and all later ones are fast. Otherwise a new endpoint would receive nothing as long
         // as the others have capacity.
@@ -466,7 +509,7 @@
         // others.
         let loading = (response_time - cached).max(0.0);
         let weighted = expected + region.pressure * loading;
-        let service_time = times.expected(Affinity::Perhaps(0)) * slowness;
+        let service_time = times.expected(Affinity::Perhaps(0)) * slowness * slowdown;
         let wait = cost::slot_wait(load, e.slots, service_time);
         let failure_cost = match self.cfg.uses(Mechanism::Failing) {
             true => {
@@ -487,6 +530,7 @@
             wait,
             rtt,
             response_time,
+            usual,
             affinity,
         }
     }
--- a/crates/place/src/request.rs
+++ b/crates/place/src/request.rs
@@ -6,7 +6,7 @@
 
 use filberthead_types::{FailureDomain, Incarnation, NodeName, Region, ServiceName};
 
-use crate::{Affinity, EndpointId, Mechanism, RetryBudgetConfig};
+use crate::{Affinity, EndpointId, Mechanism, RetryBudgetConfig, RouteKey};
 
 /// Where a gateway runs, and the limits of its decisions.
 #[derive(Clone, Debug)]
@@ -74,6 +74,8 @@
 pub struct Request<'a> {
     /// Service that the request's route selects.
     pub service: &'a ServiceName,
+    /// The request's route.
+    pub route: RouteKey,
     /// The object that the request is for; `None` if endpoints cache nothing for it.
     pub object: Option<Object<'a>>,
     /// Whether a large response is expected.
@@ -94,6 +96,17 @@
     pub excluded: &'a [EndpointId],
 }
 
+/// The work that a request is expected to be at an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Expected {
+    /// Time with its object cached.
+    pub cached: Duration,
+    /// Time with its object unknown.
+    pub unknown: Duration,
+    /// Whether an endpoint is expected to have its object cached.
+    pub is_cached: bool,
+}
+
 /// The endpoint that a request is sent to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Target {
@@ -103,8 +116,12 @@
     pub incarnation: Option<Incarnation>,
     /// Address that the endpoint listens on.
     pub addr: SocketAddr,
+    /// Route of the request.
+    pub route: RouteKey,
     /// Expected processing time, without `overhead`.
     pub expected: Duration,
+    /// The same at the usual speed of the endpoint's VM.
+    pub usual: Duration,
     /// Whether the endpoint is expected to have the object cached.
     pub affinity: Affinity,
     /// Whether the request is for an object.
@@ -121,6 +138,16 @@
     pub passed_over: PassedOver,
 }
 
+impl Target {
+    /// How many times longer than usual work was expected to take on the endpoint's VM.
+    pub(crate) fn slowdown(&self) -> f64 {
+        match self.usual.is_zero() {
+            true => 1.0,
+            false => self.expected.as_secs_f64() / self.usual.as_secs_f64(),
+        }
+    }
+}
+
 /// Endpoints that a request may run on, but isn't sent to because of what they have said.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PassedOver {
--- a/crates/place/tests/all/main.rs
+++ b/crates/place/tests/all/main.rs
@@ -15,6 +15,8 @@
 mod rest;
 mod restarts;
 mod retries;
+mod routes;
+mod slowdown;
 mod support;
 mod surge;
 mod usual_times;
