Test: a stopping gateway's caller that goes on sending gets its last answer

The answer is larger than the caller's buffer, and the caller sends more after the gateway has written it. The test fails without the time in which the gateway reads on.

--- a/tests/all/pipelining.rs
+++ b/tests/all/pipelining.rs
@@ -56,7 +56,10 @@
 struct Received {
     status: u16,
     head: String,
+    /// The body as text.
     body: String,
+    /// Length of the body.
+    len: usize,
 }
 
 /// A connection to a gateway, on which requests are sent without waiting for answers.
@@ -96,6 +99,7 @@
             status,
             head,
             body: String::from_utf8_lossy(&body).into_owned(),
+            len: body.len(),
         })
     }
 }
@@ -263,31 +267,36 @@
     assert!(site.gateways[0].wait_exit().success());
 }
 
-/// A caller goes on sending while its connection is closed. Closed with bytes unread, the connection is
-/// reset by the system, and the caller loses answers that it hasn't read.
+/// A caller goes on sending while its connection is closed, and reads the last answer slowly. Closed with
+/// bytes unread, the connection is reset by the system, and the caller loses what is still on its way.
 #[test]
 fn a_caller_that_goes_on_sending_gets_all_answers_of_a_stopping_gateway() {
-    const READS: usize = 4;
+    const BYTES: usize = 1_000_000;
     let mut site = start();
     set_run_time(&site, RUN_TIME);
     let mut connection = Connection::open(&site);
-    connection.send(&reads(READS));
-    wait_until("the reads run", BOUND, || {
-        starts(&site, "read-").len() == READS
-    });
+    // Less than the answer, so that the rest of it is on its way for a while.
+    let caller = socket2::SockRef::from(connection.stream.get_ref());
+    caller
+        .set_recv_buffer_size(32 * 1024)
+        .expect("a small buffer");
+    let large = format!("/catalogue/large?bytes={BYTES}");
+    connection.send(&[reads(2), head("GET", &large, "read-large")].concat());
+    wait_until("the reads run", BOUND, || starts(&site, "read-").len() == 3);
     site.gateways[0].process().terminate();
     wait_until("the gateway is stopping", BOUND, || !site.is_serving(0));
-    expect_reads(&mut connection, 1);
-    connection.send(&reads(200));
-    std::thread::sleep(2 * RUN_TIME);
-    let mut answers = 1;
-    while let Some(answer) = connection.receive() {
-        assert_eq!(answer.status, 200);
-        answers += 1;
+    expect_reads(&mut connection, 2);
+    // Too late: not read by the gateway any more.
+    for _ in 0..4 {
+        // Fails once the gateway has closed the connection.
+        let late = reads(50);
+        let _ = connection.stream.get_mut().write_all(late.as_bytes());
+        std::thread::sleep(Duration::from_millis(50));
     }
-    assert!(answers >= READS, "{answers} answers");
-    let runs = starts(&site, "read-").len();
-    assert!(answers >= runs, "{runs} run, {answers} answered");
+    let large = connection.receive().expect("the whole answer");
+    assert_eq!((large.status, large.len), (200, BYTES));
+    assert!(connection.receive().is_none(), "the connection ends");
+    assert_eq!(starts(&site, "read-").len(), 3);
 }
 
 /// A caller disconnects while requests run that it has sent ahead, whether the gateway still reads from its
