Operators see requests that were sent ahead

Metric gateway_pipelined_requests (beside or after those before them), the log line "request waited in line" at most 20 times a second for waits of 100 ms or more, its explanation by filberthead explain, and the section of the operators' page. A request counts as sent ahead if it was received whole before the previous one was answered, also if it is not idempotent; before, only one that could start at once turned contention control on.

--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -27,13 +27,16 @@
     ClusterId, FailureDomain, Fingerprint, Meaning, Moment, NodeName, Region, RequestPrints,
     ResultCode, ServiceName, Workspace,
 };
+use http::request::Parts;
 use log::{Level, debug, info, log_enabled, warn};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
 use super::body_memory::BodyMemory;
 use super::bounds::Bounds;
+use super::headers::header_text;
 use super::relay::Helpers;
+use super::request::context::truncate;
 use super::stop::{AnswersDue, Phase};
 use super::{ControlMessage, ProtocolNames};
 use crate::Clock;
@@ -54,6 +57,18 @@
 /// Endpoints that are logged for each kind of value that isn't valid.
 const MAX_INVALID_LOGGED: usize = 64;
 
+/// Least wait for other requests of a connection that is logged. Shorter ones make no answer late by
+/// themselves: the shortest objectives are a quarter of a second.
+const MIN_LOGGED_WAIT: Duration = Duration::from_millis(100);
+
+/// How long a request that was sent ahead has waited for those before it.
+pub(crate) struct InLine {
+    /// From its arrival until it was started.
+    pub(crate) before_start: Duration,
+    /// From its response until those before it were sent; `None` if it wasn't started before its turn.
+    pub(crate) of_answer: Option<Duration>,
+}
+
 /// Everything the requests duty needs at start.
 pub(crate) struct CoreParts {
     pub(crate) clock: Clock,
@@ -190,6 +205,8 @@
     invalid_rests: RefCell<BTreeSet<EndpointId>>,
     /// Rate limit of the log lines about rejected requests, by result code.
     log_limiter: RefCell<LogRateLimiter<ResultCode>>,
+    /// Rate limit of the log lines about requests that waited for others of their connection.
+    line_log_limiter: RefCell<LogRateLimiter<()>>,
 }
 
 /// Counts a request as running until dropped.
@@ -247,6 +264,7 @@
             invalid_limits: RefCell::default(),
             invalid_rests: RefCell::default(),
             log_limiter: RefCell::new(LogRateLimiter::new(LOG_LINES_PER_SECOND)),
+            line_log_limiter: RefCell::new(LogRateLimiter::new(LOG_LINES_PER_SECOND)),
         })
     }
 
@@ -676,6 +694,25 @@
         self.enable_contention_control(&mut self.placer.borrow_mut(), "caller");
     }
 
+    /// Records a request that was sent ahead, once it is answered.
+    pub(crate) fn record_pipelined(&self, head: &Parts, waited: InLine) {
+        let ran_beside = waited.of_answer.is_some();
+        self.metrics.record_pipelined(match ran_beside {
+            true => "beside",
+            false => "after",
+        });
+        let of_answer = waited.of_answer.unwrap_or_default();
+        if waited.before_start.max(of_answer) < MIN_LOGGED_WAIT {
+            return;
+        }
+        let omitted = self.line_log_limiter.borrow_mut().allow(self.now(), ());
+        if let Some(omitted) = omitted {
+            let id = header_text(&head.headers, &self.protocol.request_id);
+            info!(request = truncate(id), before_start_ms = waited.before_start.as_millis(),
+                answer_ms = of_answer.as_millis(), omitted; "request waited in line");
+        }
+    }
+
     /// Turns contention control on, unless the settings say otherwise.
     fn enable_contention_control(&self, placer: &mut Placer, told_by: &'static str) {
         if self.contention_control == ContentionControl::Auto && !placer.contention_control() {
--- a/crates/filberthead/src/gateway/request/context.rs
+++ b/crates/filberthead/src/gateway/request/context.rs
@@ -109,6 +109,7 @@
     host.or_else(|| head.uri.host())
 }
 
-fn truncate(text: &str) -> &str {
+/// What is logged of a text that a caller has sent.
+pub(crate) fn truncate(text: &str) -> &str {
     &text[..text.floor_char_boundary(MAX_LOGGED_BYTES)]
 }
--- a/crates/filberthead/src/gateway/serve/ahead.rs
+++ b/crates/filberthead/src/gateway/serve/ahead.rs
@@ -11,6 +11,7 @@
 use http::request::Parts;
 use http_body::{Body, Frame, SizeHint};
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 
 use super::read_ahead::Connection;
 use crate::gateway::response::ResponseBody;
@@ -19,12 +20,14 @@
 /// A request that was started ahead. Dropped, it is cancelled.
 pub(super) struct RunningAhead {
     head: Rc<Parts>,
+    started: Instant,
     task: JoinHandle<WaitingResponse>,
 }
 
 /// A response that waits for those before it, and the memory that it takes.
 pub(super) struct WaitingResponse {
     response: Response<ResponseBody>,
+    ready: Instant,
     _memory: MemoryShare,
 }
 
@@ -36,6 +39,7 @@
         };
         Self {
             response,
+            ready: Instant::now(),
             _memory: MemoryShare::new(memory, bytes),
         }
     }
@@ -43,7 +47,12 @@
 
 impl RunningAhead {
     pub(super) fn new(head: Rc<Parts>, task: JoinHandle<WaitingResponse>) -> Self {
-        Self { head, task }
+        let started = Instant::now();
+        Self {
+            head,
+            started,
+            task,
+        }
     }
 
     /// Whether the server has parsed the same request.
@@ -52,10 +61,15 @@
         own.method == head.method && own.uri == head.uri && own.headers == head.headers
     }
 
-    /// Waits for its response; `None` if there is none.
-    pub(super) async fn response(mut self) -> Option<Response<ResponseBody>> {
+    /// When it was started.
+    pub(super) fn started(&self) -> Instant {
+        self.started
+    }
+
+    /// Waits for its response, and since when it is there; `None` if there is none.
+    pub(super) async fn response(mut self) -> Option<(Response<ResponseBody>, Instant)> {
         let waiting = (&mut self.task).await.ok()?;
-        Some(waiting.response)
+        Some((waiting.response, waiting.ready))
     }
 }
 
--- a/crates/filberthead/src/gateway/serve/connection.rs
+++ b/crates/filberthead/src/gateway/serve/connection.rs
@@ -29,7 +29,7 @@
 use super::read_ahead::{Connection, ReadAhead, ReadProgress, linger};
 use crate::gateway::attempt::TYPICAL_HEAD_BYTES;
 use crate::gateway::bounds::{IdleTimer, MAX_HEADER_LINES, head_buffer_size, head_limit_raised};
-use crate::gateway::core::Core;
+use crate::gateway::core::{Core, InLine};
 use crate::gateway::request::forward;
 use crate::gateway::response::ResponseBody;
 use crate::gateway::source::RequestSource;
@@ -163,6 +163,8 @@
     head: Rc<Parts>,
     body: RequestBody,
     arrived: Instant,
+    /// Whether it was received before the previous one was answered.
+    sent_ahead: bool,
     /// The same request, if it was started ahead.
     running: Option<RunningAhead>,
 }
@@ -178,6 +180,7 @@
         head,
         body,
         arrived: begun.arrived.map_or_else(Instant::now, Instant::from_std),
+        sent_ahead: begun.sent_ahead,
         running,
     }
 }
@@ -208,15 +211,32 @@
     begun: BegunRequest,
 ) -> Response<AnswerBody> {
     let guard = core.track_request();
+    let reached = Instant::now();
+    let started = begun.running.as_ref().map(RunningAhead::started);
     let response = match begun.running {
         Some(running) => running.response().await,
         None => None,
     };
-    let mut response = match response {
-        Some(response) => response,
-        None => forward(core, (caller, from), &begun.head, begun.body, begun.arrived).await,
+    let (mut response, ready) = match response {
+        Some((response, ready)) => (response, Some(ready)),
+        None => {
+            let source = (caller, from);
+            let response = forward(core, source, &begun.head, begun.body, begun.arrived);
+            (response.await, None)
+        }
     };
     drop(guard);
+    if begun.sent_ahead {
+        core.record_pipelined(
+            &begun.head,
+            InLine {
+                before_start: started
+                    .unwrap_or(reached)
+                    .saturating_duration_since(begun.arrived),
+                of_answer: ready.map(|ready| reached.saturating_duration_since(ready)),
+            },
+        );
+    }
     if let ResponseBody::Buffered(body) = response.body() {
         core.record_sent(TYPICAL_HEAD_BYTES + body.len());
     }
--- a/crates/filberthead/src/gateway/serve/read_ahead.rs
+++ b/crates/filberthead/src/gateway/serve/read_ahead.rs
@@ -121,9 +121,6 @@
             while let Next::Start(head, arrived) =
                 self.pipeline.next(|head| is_idempotent(core, head))
             {
-                if !std::mem::replace(&mut self.has_sent_ahead, true) {
-                    core.record_sent_ahead();
-                }
                 self.running.push_back(start(head, arrived));
             }
             if self.pipeline.is_server_reading() {
@@ -143,6 +140,10 @@
                     false => ReadProgress::Wait,
                 };
             }
+            if !self.has_sent_ahead && self.pipeline.has_request_behind() {
+                self.has_sent_ahead = true;
+                core.record_sent_ahead();
+            }
             if !self.pipeline.may_read() {
                 return self.poll_caller_left(cx);
             }
--- a/crates/observe/src/metrics/gateway.rs
+++ b/crates/observe/src/metrics/gateway.rs
@@ -64,6 +64,7 @@
     workspace_requests: Family<WorkspaceLabels, Counter>,
     workspaces: BoundedValues<String>,
     attempts: Family<ReasonLabels, Counter>,
+    pipelined: Family<ReasonLabels, Counter>,
     relayed: Family<ReasonLabels, Counter>,
     helped: Family<CodeLabels, Counter>,
     contact_probes: Family<ReasonLabels, Counter>,
@@ -102,6 +103,7 @@
             workspace_requests: Family::default(),
             workspaces: BoundedValues::new(MAX_WORKSPACES),
             attempts: Family::default(),
+            pipelined: Family::default(),
             relayed: Family::default(),
             helped: Family::default(),
             contact_probes: Family::default(),
@@ -145,6 +147,13 @@
         );
         let attempts = "Attempts at endpoints by how they ended";
         registry.register("gateway_attempts", attempts, self.attempts.clone());
+        let pipelined = "Requests that callers sent before their previous one was answered, by \
+            whether they ran beside those before them or after";
+        registry.register(
+            "gateway_pipelined_requests",
+            pipelined,
+            self.pipelined.clone(),
+        );
         let relayed = "Attempts to relay a request through another gateway by how they ended";
         registry.register("gateway_relayed", relayed, self.relayed.clone());
         let helped = "Requests that other gateways relayed through this one, by result code";
@@ -248,6 +257,12 @@
         self.attempts.get_or_create_owned(&labels).inc();
     }
 
+    /// Counts a request that was sent ahead: `beside` if it ran beside those before it, else `after`.
+    pub fn record_pipelined(&self, order: &'static str) {
+        let labels = ReasonLabels { reason: order };
+        self.pipelined.get_or_create_owned(&labels).inc();
+    }
+
     /// Counts an attempt to relay a request through another gateway, by its outcome.
     pub fn record_relayed(&self, outcome: &'static str) {
         let labels = ReasonLabels { reason: outcome };
--- a/crates/observe/src/words.rs
+++ b/crates/observe/src/words.rs
@@ -1,4 +1,5 @@
-//! What a log line says of endpoints that want no requests, in plain words.
+//! What a log line says of endpoints that want no requests, and of requests that waited for others, in plain
+//! words.
 
 use crate::Event;
 
@@ -6,7 +7,8 @@
 const OVERLOADED: &str = "1200";
 
 impl Event {
-    /// What the line says of endpoints that are at rest or leaving; `None` if it says nothing of them.
+    /// What the line says of endpoints that are at rest or leaving, or of a wait; `None` if it says nothing
+    /// of them.
     pub fn in_words(&self) -> Option<String> {
         match self.message.as_str() {
             "endpoint asks for rest" => Some(format!(
@@ -29,6 +31,7 @@
             )),
             "attempt ended" => self.passed_over(),
             "refused" => self.refusal(),
+            "request waited in line" => self.wait_in_line(),
             _ => None,
         }
     }
@@ -37,6 +40,18 @@
         format!("endpoint {}", self.field("endpoint").unwrap_or("?"))
     }
 
+    /// How long a request has waited for others that its caller had sent before it on the connection.
+    fn wait_in_line(&self) -> Option<String> {
+        let started = self.count("before_start_ms").map(|ms| {
+            format!("started {ms} ms after it had arrived, as a request before it had to end first")
+        });
+        let answered = self
+            .count("answer_ms")
+            .map(|ms| format!("its answer waited {ms} ms for those of requests before it"));
+        let parts: Vec<String> = [started, answered].into_iter().flatten().collect();
+        (!parts.is_empty()).then(|| format!("sent ahead on its connection: {}", parts.join("; ")))
+    }
+
     fn refusal(&self) -> Option<String> {
         let passed_over = self.passed_over()?;
         let is_overloaded = self.field("code")?.starts_with(OVERLOADED);
--- a/crates/observe/tests/trace.rs
+++ b/crates/observe/tests/trace.rs
@@ -143,6 +143,30 @@
     assert_eq!(words("routes in force", counts), None);
 }
 
+/// An operator reads why a request that endpoints could have run at once has taken long.
+#[test]
+fn a_wait_in_line_is_told_in_words() {
+    let words = |before_start: u64, answer: u64| {
+        let more = format!(r#","before_start_ms":{before_start},"answer_ms":{answer}"#);
+        let event = Event::parse(&line(
+            "01.000",
+            "gateway-1",
+            "request waited in line",
+            &more,
+        ));
+        event.expect("a line").in_words().expect("words")
+    };
+    assert_eq!(
+        words(600, 0),
+        "sent ahead on its connection: started 600 ms after it had arrived, as a request before it \
+         had to end first"
+    );
+    assert_eq!(
+        words(0, 150),
+        "sent ahead on its connection: its answer waited 150 ms for those of requests before it"
+    );
+}
+
 /// Logs may contain lines of other programs, and lines cut off when a disk was full.
 #[test]
 fn arbitrary_log_content_does_not_panic() {
--- a/crates/pipeline/src/pipeline.rs
+++ b/crates/pipeline/src/pipeline.rs
@@ -43,6 +43,8 @@
 pub struct Begun {
     /// When the last byte of its head was received; `None` if that isn't known.
     pub arrived: Option<Instant>,
+    /// Whether it was received before the previous one was answered.
+    pub sent_ahead: bool,
     /// Whether it was started ahead.
     pub started: bool,
 }
@@ -70,10 +72,13 @@
 
 impl Front {
     /// A request that wasn't started ahead.
-    fn passed(arrived: Option<Instant>) -> Self {
-        let started = false;
+    fn passed(arrived: Option<Instant>, sent_ahead: bool) -> Self {
         Self::Passed {
-            begun: Begun { arrived, started },
+            begun: Begun {
+                arrived,
+                sent_ahead,
+                started: false,
+            },
             bytes: 0,
         }
     }
@@ -112,6 +117,8 @@
     marks: VecDeque<Mark>,
     /// Whether the request behind those that run ahead has to become the front first.
     held: bool,
+    /// Whether the next request was received before the last one was answered.
+    is_next_ahead: bool,
     stopped: bool,
 }
 
@@ -128,6 +135,7 @@
             scan: HeadScan::default(),
             marks: VecDeque::new(),
             held: false,
+            is_next_ahead: false,
             stopped: false,
         }
     }
@@ -163,7 +171,7 @@
         }
         match &mut self.front {
             Front::Head { passed: 0 } if is_whole_head(bytes) => {
-                self.front = Front::passed(Some(now));
+                self.front = Front::passed(Some(now), false);
                 bytes.len()
             }
             Front::Begun { body, .. } => {
@@ -226,6 +234,7 @@
                         self.front = Front::Passed {
                             begun: Begun {
                                 arrived: Some(*arrived),
+                                sent_ahead: true,
                                 started: true,
                             },
                             bytes: *len,
@@ -248,7 +257,8 @@
                     let bytes = Bytes::copy_from_slice(&self.rest[*passed..until]);
                     *passed = until;
                     if end == Some(until) {
-                        self.front = Front::passed(self.consume(until));
+                        let arrived = self.consume(until);
+                        self.front = Front::passed(arrived, self.is_next_ahead);
                     }
                     bytes
                 }
@@ -300,6 +310,7 @@
             (Front::Passed { begun, .. }, None) => begun,
             _ => Begun {
                 arrived: None,
+                sent_ahead: false,
                 started: false,
             },
         }
@@ -308,6 +319,7 @@
     /// The server has the whole answer to the request it has begun with.
     pub fn finish(&mut self) {
         if let Front::Begun { body, .. } = self.front {
+            self.is_next_ahead = self.has_request_behind();
             self.front = match body {
                 0 => Front::Head { passed: 0 },
                 // The server reads what is left of the body, or closes the connection.
@@ -352,6 +364,13 @@
     }
 
     /// Whether a complete request stands behind the one whose answer is due.
+    pub fn has_request_behind(&mut self) -> bool {
+        !self.ahead.is_empty()
+            || !self.is_in_body() && matches!(self.scan.search(&self.rest), Scan::End(_))
+    }
+
+    /// Whether a request stands behind the one whose answer is due that the server can answer, be it with
+    /// an error.
     pub fn has_behind(&mut self) -> bool {
         if self.is_in_body() {
             // The server closes the connection if it answers before the end of a body.
--- a/tests/all/explained.rs
+++ b/tests/all/explained.rs
@@ -1,9 +1,11 @@
 //! From the id of a failed request to its cause, by logs and metrics alone.
 
+use std::io::Write;
+use std::net::TcpStream;
 use std::process::Command;
 use std::time::Duration;
 
-use filberthead_testing::site::{Behaviour, Site, request};
+use filberthead_testing::site::{Behaviour, HOST, Site, request};
 use filberthead_testing::{eventually, wait_until};
 
 use crate::groups::site;
@@ -106,6 +108,25 @@
     );
 }
 
+/// An order has waited for another one that was sent before it on the same connection. Nothing at its
+/// endpoint shows why it was late.
+#[test]
+fn an_order_that_waited_in_line_is_explained() {
+    let site = start_explained(&["zagreb-a"]);
+    site.endpoints[0].set_run_time(Duration::from_millis(400));
+    let order = |id: &str| {
+        format!("POST /orders/{id} HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: {id}\r\n\r\n")
+    };
+    let caller = TcpStream::connect(site.gateways[0].addr("caller"));
+    let mut caller = caller.expect("a connection");
+    let orders = [order("first-1"), order("second-1")].concat();
+    caller.write_all(orders.as_bytes()).expect("sent orders");
+    let words = ["sent ahead on its connection: started", "had to end first"];
+    wait_explained(&site, "second-1", &words);
+    let explanation = explain(&site, "first-1");
+    assert!(!explanation.contains("sent ahead"), "{explanation}");
+}
+
 /// An order's answer is lost: the log names the endpoint that got the order, and says
 /// that it may have run.
 #[test]
--- a/tests/all/pipelining.rs
+++ b/tests/all/pipelining.rs
@@ -158,6 +158,8 @@
     assert_eq!(starts.len(), REQUESTS);
     let last = starts[REQUESTS - 1] - sent_at;
     assert!(last < RUN_TIME, "{last:?}, after the first was answered");
+    let beside = site.gateways[0].metric("gateway_pipelined_requests_total{reason=\"beside\"}");
+    assert_eq!(beside, (REQUESTS - 1) as f64);
 }
 
 /// A caller that sends an order between reads may rely on the order of their effects: the order runs once
@@ -200,6 +202,7 @@
     expect_reads(&mut connection, 1);
     let late = connection.receive().expect("an answer");
     assert_eq!(late.status, 503, "{}", late.head);
+    assert!(late.head.contains("filberthead-result: 1203"), "{}", late.head);
     assert!(late.head.contains("retry-after"), "{}", late.head);
     assert!(starts(&site, "late-").is_empty());
 }
