Gateway: requests wait in order of priority while a service is congested

A gateway forwarded each request at once or rejected it, so under overload requests waited in the endpoints' queues, first come first served, and the most urgent ones behind all others.

While contention control is on, a request needs a place in the window of its service and region. The window is unlimited until half of the load reports say that requests wait longer at the endpoints than callers can afford. Requests beyond it wait in the gateway by priority, share of the workspace, objective and age, and are rejected at once if they can't be started in time.

cargo test -p filberthead-place -p filberthead-observe -p filberthead passes; nothing was measured under load yet.

--- a/crates/filberthead/src/gateway/answer_notes.rs
+++ b/crates/filberthead/src/gateway/answer_notes.rs
@@ -137,6 +137,8 @@
     if let Some(load) = load {
         let mut placer = core.placer.borrow_mut();
         placer.record_load(core.now(), answer.endpoint, load);
+        drop(placer);
+        core.waiting.record_report(core, answer.endpoint, load);
     }
 }
 
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -34,6 +34,7 @@
 use super::bounds::Bounds;
 use super::relay::Helpers;
 use super::stop::{AnswersDue, Phase};
+use super::waiting::Waiting;
 use super::{ControlMessage, ProtocolNames};
 use crate::Clock;
 use crate::peers::Outgoing;
@@ -138,6 +139,8 @@
     /// Memory of the responses that are being read.
     pub(crate) body_memory: BodyMemory,
     pub(crate) placer: RefCell<Placer>,
+    /// Requests that wait while their service is congested.
+    pub(crate) waiting: Waiting,
     /// How long requests usually take.
     pub(crate) usual_times: RefCell<UsualTimes>,
     /// Keeps workspaces within their allotments.
@@ -211,6 +214,7 @@
             protocol: parts.protocol,
             client: Client::with_connect_timeout(CONNECT_TIMEOUT),
             placer: RefCell::new(parts.placer),
+            waiting: Waiting::new(rand::random()),
             usual_times: RefCell::default(),
             limiter: RefCell::new(parts.limiter),
             refusals: RefCell::default(),
@@ -711,6 +715,7 @@
         let limited = self.placer.borrow().limited_endpoints();
         self.metrics.set_limited_endpoints(limited);
         self.log_ended_rests(now);
+        self.waiting.tick(self);
         let placer = &self.placer;
         let out = member.tick(now, || {
             let mut placer = placer.borrow_mut();
--- a/crates/filberthead/src/gateway/forwarding/mod.rs
+++ b/crates/filberthead/src/gateway/forwarding/mod.rs
@@ -5,6 +5,7 @@
 mod next;
 mod retries;
 mod start;
+mod wait;
 
 use std::rc::Rc;
 
@@ -22,7 +23,7 @@
 use super::headers::header_text;
 use super::response::ResponseBody;
 use super::retry::GrantedRetry;
-use super::under_way::{Event, UnderWay};
+use super::under_way::{Destination, Event, UnderWay};
 
 /// A request being forwarded.
 pub(super) struct Forwarding<'a> {
@@ -74,12 +75,20 @@
         if is_large && let Err(retry_after) = self.core.admit_large(self.is_retry) {
             return self.final_response(ResultCode::LinkBusy, retry_after);
         }
+        let place = match self.wait_for_place(&body).await {
+            Ok(place) => place,
+            Err(no_place) => return self.reject_without_place(no_place),
+        };
         let mut under_way = UnderWay::new(core);
         let mut next = Next::Send(body);
         loop {
             next = match next {
                 Next::Send(body) => match self.start(body, &mut charge, Reach::Any) {
                     Start::Started(attempt) => {
+                        if let (Some(place), Destination::Endpoint(target)) = (&place, &attempt.to)
+                        {
+                            place.move_to(target.into());
+                        }
                         under_way.push(*attempt);
                         Next::Wait
                     }
--- a/crates/filberthead/src/gateway/mod.rs
+++ b/crates/filberthead/src/gateway/mod.rs
@@ -37,6 +37,7 @@
 mod streamed;
 mod timing;
 mod under_way;
+mod waiting;
 
 use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener};
--- a/crates/observe/src/metrics/gateway.rs
+++ b/crates/observe/src/metrics/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use filberthead_types::{ResultCode, ServiceName, Workspace};
+use filberthead_types::{Region, ResultCode, ServiceName, Workspace};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -50,6 +50,14 @@
     result: &'static str,
 }
 
+/// Labels of figures about a service in a region.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct SiteLabels {
+    service: String,
+    region: String,
+}
+
 /// Services that get series of their own; all others share one.
 const MAX_SERVICES: usize = 256;
 /// Workspaces that get series of their own; all others share one.
@@ -78,6 +86,9 @@
     longest_rest: Gauge,
     rests: Counter,
     leaving_endpoints: Gauge,
+    waiting_requests: Gauge,
+    waited: Histogram,
+    windows: Family<SiteLabels, Gauge>,
     running: Gauge,
     routes_version: Gauge,
     routes_proven: Gauge,
@@ -116,6 +127,9 @@
             longest_rest: Gauge::default(),
             rests: Counter::default(),
             leaving_endpoints: Gauge::default(),
+            waiting_requests: Gauge::default(),
+            waited: wait_histogram(),
+            windows: Family::default(),
             running: Gauge::default(),
             routes_version: Gauge::default(),
             routes_proven: Gauge::default(),
@@ -201,6 +215,21 @@
             leaving,
             self.leaving_endpoints.clone(),
         );
+        let waiting = "Requests that wait until the endpoints of their service have room";
+        registry.register(
+            "gateway_waiting_requests",
+            waiting,
+            self.waiting_requests.clone(),
+        );
+        registry.register_with_unit(
+            "gateway_waited",
+            "Time for which requests have waited, whether they were started or rejected then",
+            Unit::Seconds,
+            self.waited.clone(),
+        );
+        let windows =
+            "Requests that may be in flight for a service in a region while that is limited";
+        registry.register("gateway_window", windows, self.windows.clone());
         let running = "Requests without a final answer";
         registry.register("gateway_running", running, self.running.clone());
         let version = "Operators' number of the routes in force";
@@ -330,6 +359,36 @@
         self.rests.inc();
     }
 
+    /// Sets the number of requests that wait for room at endpoints.
+    pub fn set_waiting(&self, requests: usize) {
+        set(&self.waiting_requests, requests as u64);
+    }
+
+    /// Records how long a request has waited.
+    pub fn record_waited(&self, waited: Duration) {
+        observe(&self.waited, waited);
+    }
+
+    /// Sets how many requests may be in flight for a service in a region.
+    pub fn set_window(&self, service: &ServiceName, region: &Region, window: f64) {
+        let labels = self.site_labels(service, region);
+        let gauge = self.windows.get_or_create_owned(&labels);
+        set(&gauge, window as u64);
+    }
+
+    /// Removes the figure of a window that is unlimited again.
+    pub fn remove_window(&self, service: &ServiceName, region: &Region) {
+        self.windows.remove(&self.site_labels(service, region));
+    }
+
+    fn site_labels(&self, service: &ServiceName, region: &Region) -> SiteLabels {
+        let service = service.as_str().to_owned();
+        SiteLabels {
+            service: self.services.admit(service).unwrap_or_else(other),
+            region: region.as_str().to_owned(),
+        }
+    }
+
     /// Sets the number of gateways that the retry floor is divided by; 0 if this one has no part.
     pub fn set_floor_divisor(&self, gateways: u32) {
         set(&self.floor_divisor, gateways.into());
--- a/crates/place/src/decide.rs
+++ b/crates/place/src/decide.rs
@@ -144,7 +144,7 @@
     }
 
     /// Hash of the request's object; `None` if it has none.
-    fn object_key(&self, req: &Request<'_>) -> Option<u64> {
+    pub(crate) fn object_key(&self, req: &Request<'_>) -> Option<u64> {
         let object = req.object.filter(|_| self.cfg.uses(Mechanism::Objects))?;
         if self.cfg.uses(Mechanism::Routes) {
             Some(rank::hash_object(object))
@@ -154,7 +154,7 @@
     }
 
     /// The region that the plan places the request in; `None` is the gateway's own region.
-    fn planned_region(&mut self, req: &Request<'_>, object: Option<u64>) -> Option<Region> {
+    pub(crate) fn planned_region(&self, req: &Request<'_>, object: Option<u64>) -> Option<Region> {
         // A large response takes many round trips and many bytes between regions.
         if req.large || !self.cfg.uses(Mechanism::Plan) {
             return None;
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -38,6 +38,7 @@
 //!   whether they or its own links are down.
 //! - *Crashing requests* (`quarantine`): a request under which endpoints have ended is refused.
 //! - *Usual times* (`usual_times`): a gateway that is about to end takes the requests that end before it.
+//! - *Waiting* (`waiting`): while a service is congested, requests wait at the gateway in order of priority.
 //! - *Limits on a sum* (`sharing`): by how many gateways they are divided, and when a gateway has
 //!   a part of them.
 
@@ -70,6 +71,7 @@
 mod suspicions;
 mod unlisted;
 mod usual_times;
+pub mod waiting;
 
 pub use admission::LargeResponseAdmission;
 pub use attempts::{Attempts, NextAttempt};
--- /dev/null
+++ b/crates/place/src/waiting/room.rs
@@ -0,0 +1,316 @@
+//! The requests of a gateway that wait, for all services.
+
+use std::time::Duration;
+
+use filberthead_types::Moment;
+
+use super::queue::{Expected, Queue};
+use super::{Site, Waiter, Window};
+use crate::{Load, rank};
+
+/// Shortest and longest time after which a rejected caller is asked to retry.
+const RETRY_AFTER_RANGE: (Duration, Duration) =
+    (Duration::from_millis(100), Duration::from_secs(2));
+/// Width of the range in which retry times are spread, relative to the time itself.
+const SPREAD: f64 = 0.75;
+/// Sites that are told apart: the services of a deployment in each of its regions. Requests for further ones
+/// don't wait.
+const MAX_SITES: usize = 256;
+
+/// Bounds of a waiting room.
+#[derive(Clone, Copy, Debug)]
+pub struct RoomLimits {
+    /// Requests that wait, of all sites.
+    pub requests: usize,
+    /// Memory that they occupy, in bytes.
+    pub bytes: usize,
+}
+
+impl Default for RoomLimits {
+    fn default() -> Self {
+        // A gateway at 110 requests per second has 330 waiting if all wait for the longest route timeout of 3 s.
+        Self {
+            requests: 512,
+            bytes: 8 * 1024 * 1024,
+        }
+    }
+}
+
+/// A request in the waiting room, or one that was started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Ticket {
+    number: u64,
+    /// Index of its queue; `None` if it isn't counted.
+    queue: Option<usize>,
+}
+
+/// What becomes of a request that asks for a place.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Enqueued {
+    /// It is started. Its end has to be reported.
+    Start(Ticket),
+    /// It waits, until its ticket is returned as started or rejected, or is withdrawn.
+    Wait(Ticket),
+    /// It is rejected: the time after which there may be room for it.
+    Reject(Duration),
+}
+
+/// A window that is limited now, or no more.
+#[derive(Clone, Debug)]
+pub struct WindowChange {
+    /// Where it applies.
+    pub site: Site,
+    /// The new limit.
+    pub limit: Option<f64>,
+    /// Requests in flight.
+    pub in_flight: u32,
+    /// Requests that wait.
+    pub waiting: usize,
+}
+
+/// Windows, and the requests that wait for them.
+#[derive(Clone, Debug, Default)]
+pub struct WaitingRoom {
+    limits: RoomLimits,
+    queues: Vec<Queue>,
+    next_number: u64,
+    waiting: usize,
+    bytes: usize,
+    /// Requests that gave way to others.
+    gave_way: Vec<(Ticket, Duration)>,
+}
+
+impl WaitingRoom {
+    /// An empty room with these bounds. `seed` makes the retry times of gateways differ.
+    pub fn new(limits: RoomLimits, seed: u64) -> Self {
+        Self {
+            limits,
+            next_number: seed,
+            ..Self::default()
+        }
+    }
+
+    /// Number of requests that wait.
+    pub fn len(&self) -> usize {
+        self.waiting
+    }
+
+    /// Whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting == 0
+    }
+
+    /// The window of a site; `None` if it has had no requests.
+    pub fn window(&self, site: &Site) -> Option<&Window> {
+        let queue = self.queues.iter().find(|queue| queue.site == *site);
+        queue.map(|queue| &queue.window)
+    }
+
+    /// The limited windows.
+    pub fn limited(&self) -> impl Iterator<Item = (&Site, f64)> {
+        let queues = self.queues.iter();
+        queues.filter_map(|queue| Some((&queue.site, queue.window.limit()?)))
+    }
+
+    /// Asks for a place for a request.
+    pub fn enqueue(&mut self, now: Moment, waiter: Waiter) -> Enqueued {
+        self.next_number = self.next_number.wrapping_add(1);
+        let number = self.next_number;
+        let Some(index) = self.queue_index(&waiter.site) else {
+            return Enqueued::Start(Ticket {
+                number,
+                queue: None,
+            });
+        };
+        let ticket = Ticket {
+            number,
+            queue: Some(index),
+        };
+        let queue = &mut self.queues[index];
+        queue.refresh(now);
+        queue.record_arrival(now, &waiter);
+        if queue.waiting.is_empty() && queue.has_room() {
+            queue.start(now, number, &waiter);
+            return Enqueued::Start(ticket);
+        }
+        queue.window.record_exceeded(now);
+        let rank = queue.rank_of(now, &waiter, number);
+        let expected = queue.expected(now, &waiter, rank);
+        let is_full =
+            self.waiting >= self.limits.requests || self.bytes + waiter.bytes > self.limits.bytes;
+        if now + expected.wait > waiter.latest_start() {
+            return Enqueued::Reject(self.retry_after(number, expected));
+        }
+        if is_full && !self.make_way(now, index, &waiter, number) {
+            return Enqueued::Reject(self.retry_after(number, expected));
+        }
+        self.waiting += 1;
+        self.bytes += waiter.bytes;
+        self.queues[index].push(now, number, waiter);
+        Enqueued::Wait(ticket)
+    }
+
+    fn queue_index(&mut self, site: &Site) -> Option<usize> {
+        if let Some(index) = self.queues.iter().position(|queue| queue.site == *site) {
+            return Some(index);
+        }
+        if self.queues.len() >= MAX_SITES {
+            return None;
+        }
+        self.queues.push(Queue::new(site.clone()));
+        Some(self.queues.len() - 1)
+    }
+
+    /// Rejects the last request of the queue in favour of this one, if that goes before it.
+    fn make_way(&mut self, now: Moment, index: usize, waiter: &Waiter, number: u64) -> bool {
+        let queue = &mut self.queues[index];
+        let rank = queue.rank_of(now, waiter, number);
+        let Some((position, last)) = queue.last(now) else {
+            return false;
+        };
+        let freed = queue.waiting[position].waiter.bytes;
+        if last < rank || self.bytes - freed + waiter.bytes > self.limits.bytes {
+            return false;
+        }
+        let removed = queue.remove_at(position);
+        let expected = queue.expected(now, &removed.waiter, last);
+        self.forget(&removed.waiter);
+        let ticket = Ticket {
+            number: removed.number,
+            queue: Some(index),
+        };
+        let retry_after = self.retry_after(removed.number, expected);
+        self.gave_way.push((ticket, retry_after));
+        true
+    }
+
+    fn forget(&mut self, waiter: &Waiter) {
+        self.waiting -= 1;
+        self.bytes -= waiter.bytes;
+    }
+
+    /// Time after which what waits now has been started, spread so that callers don't return together.
+    fn retry_after(&self, number: u64, expected: Expected) -> Duration {
+        let (min, max) = RETRY_AFTER_RANGE;
+        let position = rank::unit_position(rank::spread_sequence(number));
+        let after = expected.drained.clamp(min, max);
+        after.mul_f64(1.0 - SPREAD / 2.0 + SPREAD * position)
+    }
+
+    /// Starts requests that wait, as far as windows have room. Each has to be reported when it ends.
+    pub fn on_slot_free(&mut self, now: Moment) -> Vec<Ticket> {
+        let mut started = Vec::new();
+        if self.waiting == 0 {
+            return started;
+        }
+        for index in 0..self.queues.len() {
+            let queue = &mut self.queues[index];
+            if queue.waiting.is_empty() {
+                continue;
+            }
+            queue.refresh(now);
+            while let Some(next) = self.queues[index].start_next(now) {
+                self.forget(&next.waiter);
+                started.push(Ticket {
+                    number: next.number,
+                    queue: Some(index),
+                });
+            }
+        }
+        started
+    }
+
+    /// Rejects requests that can't meet their deadline any more, and those that gave way to others. Returns
+    /// them with the time after which there may be room for them.
+    pub fn on_deadline(&mut self, now: Moment) -> Vec<(Ticket, Duration)> {
+        let mut rejected = std::mem::take(&mut self.gave_way);
+        if self.waiting == 0 {
+            return rejected;
+        }
+        for index in 0..self.queues.len() {
+            let is_due = |w: &super::queue::Waiting| now >= w.waiter.latest_start();
+            while let Some(position) = self.queues[index].waiting.iter().position(is_due) {
+                let removed = self.queues[index].remove_at(position);
+                self.forget(&removed.waiter);
+                let queue = &mut self.queues[index];
+                let rank = queue.rank_of(now, &removed.waiter, removed.number);
+                let expected = queue.expected(now, &removed.waiter, rank);
+                let ticket = Ticket {
+                    number: removed.number,
+                    queue: Some(index),
+                };
+                rejected.push((ticket, self.retry_after(removed.number, expected)));
+            }
+        }
+        rejected
+    }
+
+    /// Removes a request whose caller has left: one that waits, or one that was started.
+    pub fn withdraw(&mut self, now: Moment, ticket: Ticket) {
+        let Some(index) = ticket.queue else {
+            return;
+        };
+        if let Some(removed) = self.queues[index].remove(ticket.number) {
+            self.forget(&removed.waiter);
+        } else {
+            self.queues[index].end(now, ticket.number);
+        }
+    }
+
+    /// Ends a request that was started.
+    pub fn end(&mut self, now: Moment, ticket: Ticket) {
+        if let Some(index) = ticket.queue {
+            self.queues[index].end(now, ticket.number);
+        }
+    }
+
+    /// Counts a started request for another site than it was started for.
+    pub fn move_to(&mut self, ticket: Ticket, site: &Site) -> Ticket {
+        let Some(from) = ticket.queue else {
+            return ticket;
+        };
+        if self.queues[from].site == *site {
+            return ticket;
+        }
+        let Some(to) = self.queue_index(site) else {
+            return ticket;
+        };
+        match self.queues[from].take_started(ticket.number) {
+            Some(started) => {
+                self.queues[to].put_started(ticket.number, started);
+                Ticket {
+                    queue: Some(to),
+                    ..ticket
+                }
+            }
+            None => ticket,
+        }
+    }
+
+    /// Records the load that an endpoint with this many slots has reported.
+    pub fn record_report(&mut self, now: Moment, site: &Site, load: Load, slots: u32) {
+        let queue = self.queues.iter_mut().find(|queue| queue.site == *site);
+        if let Some(queue) = queue {
+            queue.window.record_report(now, load, slots);
+        }
+    }
+
+    /// Windows that have become limited or unlimited since the last call.
+    pub fn take_changes(&mut self, now: Moment) -> Vec<WindowChange> {
+        let mut changes = Vec::new();
+        for queue in &mut self.queues {
+            queue.refresh(now);
+            let limit = queue.window.limit();
+            if limit.is_some() != queue.was_limited {
+                queue.was_limited = limit.is_some();
+                changes.push(WindowChange {
+                    site: queue.site.clone(),
+                    limit,
+                    in_flight: queue.window.in_flight(),
+                    waiting: queue.waiting.len(),
+                });
+            }
+        }
+        changes
+    }
+}
