--- a/crates/filberthead/src/gateway/waiting.rs
+++ b/crates/filberthead/src/gateway/waiting.rs
@@ -61,10 +61,11 @@
 impl Place<'_> {
     /// Counts the request where it runs, which may be another region than was expected.
     pub(crate) fn move_to(&self, endpoint: EndpointRef<'_>) {
-        let site = self.core.placer.borrow().site_of(endpoint);
-        if let Some((site, _)) = site {
+        let found = self.core.placer.borrow().site_of(endpoint);
+        if let Some(found) = found {
             let mut room = self.core.waiting.room.borrow_mut();
-            self.ticket.set(room.move_to(self.ticket.get(), &site));
+            self.ticket
+                .set(room.move_to(self.ticket.get(), &found.site));
         }
     }
 }
@@ -190,8 +191,8 @@
     pub(crate) fn wake(&self, core: &Core) {
         let now = core.now();
         let mut room = self.room.borrow_mut();
-        let rejected = room.on_deadline(now);
         let started = room.on_slot_free(now);
+        let rejected = room.on_deadline(now);
         drop(room);
         let mut wakers = self.wakers.borrow_mut();
         for (ticket, retry_after) in rejected {
@@ -209,13 +210,13 @@
     /// Records the load that an endpoint has reported.
     pub(crate) fn record_report(&self, core: &Core, endpoint: EndpointRef<'_>, load: Load) {
         let placer = core.placer.borrow();
-        let site = placer
+        let from = placer
             .contention_control()
             .then(|| placer.site_of(endpoint));
         drop(placer);
-        if let Some((site, slots)) = site.flatten() {
+        if let Some(from) = from.flatten() {
             let mut room = self.room.borrow_mut();
-            room.record_report(core.now(), &site, load, slots);
+            room.record_report(core.now(), &from, load);
             let is_empty = room.is_empty();
             drop(room);
             if !is_empty {
--- a/crates/place/src/waiting/mod.rs
+++ b/crates/place/src/waiting/mod.rs
@@ -18,7 +18,7 @@
 mod window;
 
 pub use room::{Enqueued, RoomLimits, Ticket, WaitingRoom, WindowChange};
-pub use site::{ExpectedWork, Site};
+pub use site::{ExpectedWork, Site, SiteEndpoint};
 pub use window::Window;
 
 use std::time::Duration;
--- a/crates/place/src/waiting/room.rs
+++ b/crates/place/src/waiting/room.rs
@@ -4,8 +4,8 @@
 
 use filberthead_types::Moment;
 
-use super::queue::{Expected, Queue};
-use super::{Site, Waiter, Window};
+use super::queue::{Expected, Queue, Waiting};
+use super::{Site, SiteEndpoint, Waiter, Window};
 use crate::{Load, rank};
 
 /// Shortest and longest time after which a rejected caller is asked to retry.
@@ -76,8 +76,8 @@
     next_number: u64,
     waiting: usize,
     bytes: usize,
-    /// Requests that gave way to others.
-    gave_way: Vec<(Ticket, Duration)>,
+    /// Requests that were rejected after they had waited, until the caller is told.
+    rejected: Vec<(Ticket, Duration)>,
 }
 
 impl WaitingRoom {
@@ -175,12 +175,7 @@
         let removed = queue.remove_at(position);
         let expected = queue.expected(now, &removed.waiter, last);
         self.forget(&removed.waiter);
-        let ticket = Ticket {
-            number: removed.number,
-            queue: Some(index),
-        };
-        let retry_after = self.retry_after(removed.number, expected);
-        self.gave_way.push((ticket, retry_after));
+        self.reject(index, removed.number, expected);
         true
     }
 
@@ -204,11 +199,12 @@
             return started;
         }
         for index in 0..self.queues.len() {
-            let queue = &mut self.queues[index];
-            if queue.waiting.is_empty() {
+            if self.queues[index].waiting.is_empty() {
                 continue;
             }
-            queue.refresh(now);
+            // After a suspension, deadlines may have passed that nobody has looked at.
+            self.remove_due(now, index);
+            self.queues[index].refresh(now);
             while let Some(next) = self.queues[index].start_next(now) {
                 self.forget(&next.waiter);
                 started.push(Ticket {
@@ -223,26 +219,34 @@
     /// Rejects requests that can't meet their deadline any more, and those that gave way to others. Returns
     /// them with the time after which there may be room for them.
     pub fn on_deadline(&mut self, now: Moment) -> Vec<(Ticket, Duration)> {
-        let mut rejected = std::mem::take(&mut self.gave_way);
-        if self.waiting == 0 {
-            return rejected;
-        }
-        for index in 0..self.queues.len() {
-            let is_due = |w: &super::queue::Waiting| now >= w.waiter.latest_start();
-            while let Some(position) = self.queues[index].waiting.iter().position(is_due) {
-                let removed = self.queues[index].remove_at(position);
-                self.forget(&removed.waiter);
-                let queue = &mut self.queues[index];
-                let rank = queue.rank_of(now, &removed.waiter, removed.number);
-                let expected = queue.expected(now, &removed.waiter, rank);
-                let ticket = Ticket {
-                    number: removed.number,
-                    queue: Some(index),
-                };
-                rejected.push((ticket, self.retry_after(removed.number, expected)));
+        if self.waiting > 0 {
+            for index in 0..self.queues.len() {
+                self.remove_due(now, index);
             }
         }
-        rejected
+        std::mem::take(&mut self.rejected)
+    }
+
+    /// Removes the requests of a queue that can't meet their deadline any more.
+    fn remove_due(&mut self, now: Moment, index: usize) {
+        let is_due = |w: &Waiting| now >= w.waiter.latest_start();
+        while let Some(position) = self.queues[index].waiting.iter().position(is_due) {
+            let queue = &mut self.queues[index];
+            let removed = queue.remove_at(position);
+            let rank = queue.rank_of(now, &removed.waiter, removed.number);
+            let expected = queue.expected(now, &removed.waiter, rank);
+            self.forget(&removed.waiter);
+            self.reject(index, removed.number, expected);
+        }
+    }
+
+    fn reject(&mut self, index: usize, number: u64, expected: Expected) {
+        let ticket = Ticket {
+            number,
+            queue: Some(index),
+        };
+        let retry_after = self.retry_after(number, expected);
+        self.rejected.push((ticket, retry_after));
     }
 
     /// Removes a request whose caller has left: one that waits, or one that was started.
@@ -287,11 +291,11 @@
         }
     }
 
-    /// Records the load that an endpoint with this many slots has reported.
-    pub fn record_report(&mut self, now: Moment, site: &Site, load: Load, slots: u32) {
-        let queue = self.queues.iter_mut().find(|queue| queue.site == *site);
-        if let Some(queue) = queue {
-            queue.window.record_report(now, load, slots);
+    /// Records the load that an endpoint has reported.
+    pub fn record_report(&mut self, now: Moment, from: &SiteEndpoint, load: Load) {
+        let mut queues = self.queues.iter_mut();
+        if let Some(queue) = queues.find(|queue| queue.site == from.site) {
+            queue.window.record_report(now, from, load);
         }
     }
 
--- a/crates/place/src/waiting/site.rs
+++ b/crates/place/src/waiting/site.rs
@@ -4,7 +4,7 @@
 
 use filberthead_types::{Moment, Region, ServiceName};
 
-use crate::{Affinity, EndpointRef, Placer, Request};
+use crate::{Affinity, EndpointRef, Placer, Request, rank};
 
 /// A service in a region.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -15,6 +15,17 @@
     pub region: Region,
 }
 
+/// An endpoint, as far as a window needs to know it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SiteEndpoint {
+    /// Where it runs.
+    pub site: Site,
+    /// Hash of its id.
+    pub key: u64,
+    /// Its slots.
+    pub slots: u32,
+}
+
 /// Time that a request is expected to take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ExpectedWork {
@@ -34,15 +45,19 @@
         }
     }
 
-    /// Where an endpoint runs, and its slots; `None` if it isn't listed.
-    pub fn site_of<'a>(&self, endpoint: impl Into<EndpointRef<'a>>) -> Option<(Site, u32)> {
+    /// Where an endpoint runs; `None` if it isn't listed.
+    pub fn site_of<'a>(&self, endpoint: impl Into<EndpointRef<'a>>) -> Option<SiteEndpoint> {
         let endpoint = endpoint.into();
         let state = self.endpoints.iter().find(|e| e.is_target(endpoint))?;
         let site = Site {
             service: state.service.clone(),
             region: state.region.clone()?,
         };
-        Some((site, state.slots))
+        Some(SiteEndpoint {
+            site,
+            key: rank::hash_name(state.id.as_bytes()),
+            slots: state.slots,
+        })
     }
 
     /// Time that a request is expected to take at its endpoint.
--- a/crates/place/src/waiting/window.rs
+++ b/crates/place/src/waiting/window.rs
@@ -5,17 +5,23 @@
 //! endpoints beside idle ones. It decreases in proportion to how much more is at the endpoints than they can
 //! handle in time, once per response time, as the effect of a decrease shows only then.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use filberthead_types::Moment;
 
+use super::SiteEndpoint;
 use crate::Load;
 
-/// Weight of a new report: about the last eight count. A gateway hears from a small service four times a
-/// second.
-const WEIGHT: f64 = 0.125;
+/// Weight of a new report while there is no limit: about the last sixteen count. With 0.125, a gateway that
+/// hears of 8 endpoints, one of them full, limited the window of a calm service once in 80 s.
+const WEIGHT: f64 = 0.0625;
+/// The same while there is one. With 0.0625, the rate of answers in time in an overload was a tenth lower.
+const LIMITED_WEIGHT: f64 = 0.125;
 /// Share of congested reports from which a service counts as congested.
 const CONGESTED: f64 = 0.5;
+/// Endpoints whose latest report is kept.
+const MAX_RECENT: usize = 16;
 /// Share of congested reports that is assumed after a decrease, so that the next one needs new reports.
 const AFTER_DECREASE: f64 = 0.25;
 /// Share of congested reports up to which a window may become unlimited.
@@ -40,6 +46,13 @@
 /// Response time in seconds until one is known.
 const DEFAULT_RESPONSE: f64 = 0.5;
 
+/// What an endpoint reported last.
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    endpoint: u64,
+    is_congested: bool,
+}
+
 /// How many requests a gateway may have in flight for a service in a region.
 #[derive(Clone, Debug)]
 pub struct Window {
@@ -48,6 +61,8 @@
     in_flight: u32,
     /// Share of the recent reports that are congested.
     congested: f64,
+    /// The latest report of each of the endpoints that were heard from last.
+    recent: VecDeque<Report>,
     /// Requests at an endpoint per slot.
     fill: f64,
     /// Seconds of work of a request, and of its objective.
@@ -71,6 +86,7 @@
             limit: None,
             in_flight: 0,
             congested: 0.0,
+            recent: VecDeque::new(),
             fill: 0.0,
             work: 0.0,
             objective: 0.0,
@@ -143,23 +159,42 @@
         (QUEUE_SHARE * spare).max(MIN_QUEUE_SHARE * self.objective)
     }
 
-    /// Records a report of an endpoint with this many slots.
-    pub fn record_report(&mut self, now: Moment, load: Load, slots: u32) {
-        let slots = f64::from(slots.max(1));
+    /// Records a report of an endpoint.
+    pub fn record_report(&mut self, now: Moment, from: &SiteEndpoint, load: Load) {
+        let slots = f64::from(from.slots.max(1));
         let wait = f64::from(load.waiting) / slots * self.work;
         let fill = f64::from(load.running + load.waiting) / slots;
         let is_congested = load.waiting > 0 && wait > self.affordable_wait();
         self.reported_at = now;
         self.grown_at = now;
-        self.fill += WEIGHT * (fill - self.fill);
-        self.congested += WEIGHT * (f64::from(u8::from(is_congested)) - self.congested);
+        let weight = match self.limit {
+            None => WEIGHT,
+            Some(_) => LIMITED_WEIGHT,
+        };
+        self.fill += weight * (fill - self.fill);
+        self.congested += weight * (f64::from(u8::from(is_congested)) - self.congested);
+        self.recent.retain(|report| report.endpoint != from.key);
+        if self.recent.len() == MAX_RECENT {
+            self.recent.pop_front();
+        }
+        self.recent.push_back(Report {
+            endpoint: from.key,
+            is_congested,
+        });
         if !is_congested {
             self.increase();
-        } else if self.congested >= CONGESTED && now >= self.next_decrease {
+        } else if self.is_congested() && now >= self.next_decrease {
             self.decrease(now);
         }
     }
 
+    /// Whether half of the reports are congested, and half of the endpoints that they are from: a gateway that
+    /// sends most of its requests to one full endpoint hears mostly from that one.
+    fn is_congested(&self) -> bool {
+        let congested = self.recent.iter().filter(|report| report.is_congested);
+        self.congested >= CONGESTED && 2 * congested.count() >= self.recent.len()
+    }
+
     /// One request more per window of answers, as long as the window is used.
     fn increase(&mut self) {
         if let Some(limit) = &mut self.limit
--- a/crates/place/tests/all/main.rs
+++ b/crates/place/tests/all/main.rs
@@ -18,3 +18,5 @@
 mod support;
 mod surge;
 mod usual_times;
+mod waiting;
+mod waiting_room;
