Gateway: 503 for requests of which no byte was written, cheaper rejections

A request handed to its connection just before its deadline was written after it, when the gateway was short of processor time, and answered 504 although it could have been rejected. The first byte now leaves by the deadline or never, and what was never written, at the deadline or when the connection breaks, is answered 503 with Retry-After. So is a request whose body wasn't complete at its deadline; its 503 lacked the header.

While contention control is on, a rejection looks up the endpoints for its log line only if that line is within the limit of lines per second.

cargo test -p filberthead-endpoint -p filberthead passes, with a test for the first.

--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -22,6 +22,9 @@
     Answer(Answer),
     /// No byte of the request reached the other side; returns the request.
     NotSent(Request<RequestBody>, Unsent),
+    /// The same, but the request can't be returned: the connection had it, and had not written any of it. It
+    /// is closed, so none of it is written later.
+    Unwritten(Unsent),
     /// The connection broke after sending began: the request may have run.
     Lost,
     /// Bytes came that are no answer to the request, or no end of its head: the request may have run. The
@@ -176,7 +179,8 @@
             return SendOutcome::NotSent(req, Unsent::Withdrawn);
         }
         let method = req.method().clone();
-        let sending = Sending::start(connection, req, self.late_heads.clone());
+        let outstanding = connection.outstanding.clone();
+        let sending = Sending::start(connection, req, deadline, self.late_heads.clone());
         let (connection, response) = match timeout_at(deadline, sending).await {
             Ok((connection, Ok(response))) => (connection, response),
             Ok((connection, Err(mut e))) => {
@@ -184,10 +188,17 @@
                 // hyper returns the request only if it had not begun to write it.
                 return match e.take_message() {
                     Some(req) => SendOutcome::NotSent(req, Unsent::ConnectionEnded),
+                    None if !outstanding.is_begun() => {
+                        SendOutcome::Unwritten(Unsent::ConnectionEnded)
+                    }
                     None if connection.outstanding.has_received() => SendOutcome::Invalid,
                     None => SendOutcome::Lost,
                 };
             }
+            // The wait has ended, and with it the connection's task, which would have written the request.
+            Err(_) if !outstanding.is_begun() => {
+                return SendOutcome::Unwritten(Unsent::DeadlinePassed);
+            }
             Err(_) => return SendOutcome::TimedOut,
         };
         connection.outstanding.head_received();
--- a/crates/endpoint/src/late.rs
+++ b/crates/endpoint/src/late.rs
@@ -15,7 +15,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use tokio::task::spawn_local;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use crate::pool::Pool;
 use crate::{Connection, RequestBody};
@@ -81,13 +81,14 @@
 }
 
 impl Sending {
-    /// Sends a request.
+    /// Sends a request, unless nothing of it can be written by `deadline`.
     pub(crate) fn start(
         mut connection: Connection,
         req: Request<RequestBody>,
+        deadline: Instant,
         late_heads: Option<LateHeads>,
     ) -> Self {
-        connection.outstanding.begin(late_heads);
+        connection.outstanding.begin(deadline, late_heads);
         let head = Box::pin(connection.sender.try_send_request(req));
         Self(Some(Waiting { head, connection }))
     }
--- a/crates/endpoint/src/stream.rs
+++ b/crates/endpoint/src/stream.rs
@@ -39,6 +39,8 @@
     late_reads: Cell<u32>,
     /// Whether a byte of the request has left.
     is_begun: Cell<bool>,
+    /// By when it has to leave. A process without processor time may get to it only after the deadline.
+    begin_by: Cell<Option<Instant>>,
     given_up: Cell<GivenUp>,
     /// Who waits for bytes on the socket.
     reader: RefCell<Option<Waker>>,
@@ -62,8 +64,9 @@
 pub(crate) struct Outstanding(Rc<Exchange>);
 
 impl Outstanding {
-    /// Notes that a request is sent, and who gets the head of its answer if that comes late.
-    pub(crate) fn begin(&self, late_heads: Option<LateHeads>) {
+    /// Notes that a request is sent whose first byte is to leave by `deadline`, and who gets the head of its
+    /// answer if that comes late.
+    pub(crate) fn begin(&self, deadline: Instant, late_heads: Option<LateHeads>) {
         self.0.outstanding.set(true);
         self.0.awaits_head.set(true);
         self.0.received.set(0);
@@ -71,6 +74,7 @@
         self.0.first_byte.set(None);
         self.0.late_reads.set(0);
         self.0.is_begun.set(false);
+        self.0.begin_by.set(Some(deadline));
         self.0.late_heads.replace(late_heads);
     }
 
@@ -88,6 +92,11 @@
         Some(late_heads)
     }
 
+    /// Whether a byte of the request has left.
+    pub(crate) fn is_begun(&self) -> bool {
+        self.0.is_begun.get()
+    }
+
     /// Notes that the answer's head is complete.
     pub(crate) fn head_received(&self) {
         self.0.awaits_head.set(false);
@@ -142,7 +151,11 @@
 
     /// Whether more of the request may be written.
     fn may_write(&self) -> bool {
-        self.0.given_up.get() == GivenUp::No
+        let may_begin = || {
+            let begin_by = self.0.begin_by.get();
+            begin_by.is_none_or(|deadline| Instant::now() < deadline)
+        };
+        self.0.given_up.get() == GivenUp::No && (self.is_begun() || may_begin())
     }
 
     /// Whether the socket's write side is to be shut down. True once.
--- a/crates/endpoint/tests/client.rs
+++ b/crates/endpoint/tests/client.rs
@@ -41,6 +41,15 @@
     addr: SocketAddr,
     deadline: Instant,
     may_send: bool,
+) -> SendOutcome {
+    send_asking(client, addr, deadline, || may_send).await
+}
+
+async fn send_asking(
+    client: &Client,
+    addr: SocketAddr,
+    deadline: Instant,
+    may_send: impl FnOnce() -> bool,
 ) -> SendOutcome {
     let mut req = Request::new(RequestBody::Buffered(Bytes::new()));
     *req.uri_mut() = "/one".parse().expect("a path");
@@ -49,7 +58,7 @@
         value: &HeaderValue::from_static(""),
     };
     client
-        .send_if(addr, check, Reuse::Allowed, deadline, req, || may_send)
+        .send_if(addr, check, Reuse::Allowed, deadline, req, may_send)
         .await
 }
 
@@ -396,3 +405,27 @@
         })
         .await;
 }
+
+/// A gateway without processor time hands a request to its connection and gets no further until the deadline.
+/// Its caller must be told that nothing was sent, and nothing may be sent later.
+#[tokio::test(flavor = "current_thread")]
+async fn a_request_that_was_not_written_by_its_deadline_counts_as_not_sent() {
+    LocalSet::new()
+        .run_until(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let addr = listener.local_addr().expect("an address");
+            let client = Client::with_connect_timeout(BOUND);
+            let deadline = Instant::now() + Duration::from_millis(200);
+            let unwritten = send_asking(&client, addr, deadline, || {
+                std::thread::sleep(Duration::from_millis(300));
+                true
+            });
+            let unwritten = unwritten.await;
+            let is_unwritten = matches!(unwritten, SendOutcome::Unwritten(Unsent::DeadlinePassed));
+            assert!(is_unwritten, "{unwritten:?}");
+            let (stream, _) = listener.accept().await.expect("a connection");
+            let (bytes, _) = read_to_end(stream).await;
+            assert_eq!(bytes, 0);
+        })
+        .await;
+}
--- a/crates/filberthead/src/entry/forward/attempt.rs
+++ b/crates/filberthead/src/entry/forward/attempt.rs
@@ -207,7 +207,9 @@
             slot.finish(FinishKind::ConnectFailed);
             Attempt::NotSent(req.into_body())
         }
-        SendOutcome::Lost | SendOutcome::Invalid => {
+        // Counts as one that may have run, which is safe for a key that is sent again.
+        SendOutcome::Unwritten(Unsent::DeadlinePassed) => Attempt::TimedOut,
+        SendOutcome::Unwritten(_) | SendOutcome::Lost | SendOutcome::Invalid => {
             slot.finish(FinishKind::Broken);
             Attempt::Lost
         }
--- a/crates/filberthead/src/entry/forward/keyed.rs
+++ b/crates/filberthead/src/entry/forward/keyed.rs
@@ -12,7 +12,7 @@
 
 use bytes::{Bytes, BytesMut};
 use filberthead_caller::{Refusal, insert_result_headers};
-use filberthead_endpoint::{AnswerCheck, RequestBody, Reuse, SendOutcome};
+use filberthead_endpoint::{AnswerCheck, RequestBody, Reuse, SendOutcome, Unsent};
 use filberthead_ledger::Digest;
 use filberthead_types::{Meaning, NodeName, ResultCode, header};
 use http::response::Parts;
@@ -195,8 +195,13 @@
         .await;
     let answer = match sent {
         SendOutcome::Answer(answer) => answer,
-        SendOutcome::NotSent(..) | SendOutcome::Lost | SendOutcome::Invalid => return None,
-        SendOutcome::TimedOut => return Some(refused(ResultCode::DeadlineWhileRunning)),
+        SendOutcome::NotSent(..)
+        | SendOutcome::Unwritten(Unsent::ConnectionEnded)
+        | SendOutcome::Lost
+        | SendOutcome::Invalid => return None,
+        SendOutcome::Unwritten(_) | SendOutcome::TimedOut => {
+            return Some(refused(ResultCode::DeadlineWhileRunning));
+        }
     };
     let (mut head, body) = answer.response.into_parts();
     clean_headers(&target, &mut head);
--- a/crates/filberthead/src/gateway/attempt.rs
+++ b/crates/filberthead/src/gateway/attempt.rs
@@ -54,6 +54,8 @@
     Failed(Response<ResponseBody>),
     /// The request was not sent; the body is returned.
     NotSent(RequestBody),
+    /// No byte of the request was written, and the connection that had it is closed.
+    Unwritten,
     /// The request was not sent, as its endpoint had said meanwhile that it takes none; the body is
     /// returned.
     Withdrawn(RequestBody),
@@ -276,6 +278,16 @@
             in_flight.outcome = Outcome::Unreached;
             Attempt::NotSent(req.into_body())
         }
+        SendOutcome::Unwritten(unsent) => {
+            progress.sent_at.set(None);
+            in_flight.unsent = Some(unsent);
+            match unsent {
+                // This gateway may be what is slow.
+                Unsent::DeadlinePassed => in_flight.progress.given_up.set(GivenUp::Deadline),
+                _ => in_flight.outcome = Outcome::Unreached,
+            }
+            Attempt::Unwritten
+        }
         SendOutcome::Lost => {
             in_flight.outcome = Outcome::Broken;
             Attempt::Lost
--- a/crates/filberthead/src/gateway/contact.rs
+++ b/crates/filberthead/src/gateway/contact.rs
@@ -77,7 +77,9 @@
         SendOutcome::NotSent(_, Unsent::Withdrawn) => true,
         // Bytes that are no answer come from there as well.
         SendOutcome::Invalid => true,
-        SendOutcome::NotSent(_, unsent) => log_unanswered(probe, unsent.as_str()),
+        SendOutcome::NotSent(_, unsent) | SendOutcome::Unwritten(unsent) => {
+            log_unanswered(probe, unsent.as_str())
+        }
         SendOutcome::Lost => log_unanswered(probe, "connection-broke"),
         SendOutcome::TimedOut => log_unanswered(probe, "no-response"),
     }
--- a/crates/filberthead/src/gateway/forwarding/after.rs
+++ b/crates/filberthead/src/gateway/forwarding/after.rs
@@ -36,6 +36,10 @@
                 charge.restore();
                 self.after_unreached(body)
             }
+            Attempt::Unwritten => {
+                charge.restore();
+                self.after_unwritten(body)
+            }
             Attempt::Withdrawn(body) => {
                 charge.restore();
                 self.attempts.record_withdrawn();
@@ -98,6 +102,17 @@
         }
     }
 
+    /// The connection ended, or the deadline passed, before a byte of the request was written.
+    pub(super) fn after_unwritten(&mut self, retry_body: Option<RequestBody>) -> Next {
+        match retry_body {
+            Some(body) => self.after_unreached(body),
+            None => {
+                self.attempts.record_unreachable();
+                Next::reject(ResultCode::NoEndpoint, RETRY_AFTER_STARTING)
+            }
+        }
+    }
+
     /// The endpoint refused to run the request.
     pub(super) fn after_not_run(
         &mut self,
--- a/crates/filberthead/src/gateway/forwarding/finish.rs
+++ b/crates/filberthead/src/gateway/forwarding/finish.rs
@@ -35,6 +35,26 @@
             _ => (code, retry_after),
         };
         let retry_after = self.book_return(code).max(retry_after);
+        self.log_refusal(code, retry_after);
+        if let Some(response) = self.failed_response.take() {
+            return response;
+        }
+        if self.attempts.may_have_run() > 0 {
+            return gateway_response(ResultCode::EndpointLost, None);
+        }
+        gateway_response(code, Some(retry_after))
+    }
+
+    /// Logs that no further attempt is made. While contention control is on, there are many such lines, and
+    /// looking up what they say takes longer than the rejection itself.
+    fn log_refusal(&self, code: ResultCode, retry_after: Duration) {
+        let is_limited = self.core.placer.borrow().contention_control();
+        let Some(omitted) = (match is_limited {
+            true => self.core.may_log(code),
+            false => Some(0),
+        }) else {
+            return;
+        };
         let left = self.deadline.remaining().as_millis();
         let (list_ms, control_ms) = self.core.data_ages();
         let now = self.core.now();
@@ -49,15 +69,8 @@
             resting = over.resting, returning = over.returning, leaving = over.leaving,
             first_back_ms = over.first_back.map(|left| left.as_millis()),
             all_at_rest = rest_left.is_some(), answered_ms, retry_after_ms = retry_after.as_millis(),
-            stopping = self.core.is_leaving(), fingerprint:% = self.prints.of_request;
+            stopping = self.core.is_leaving(), fingerprint:% = self.prints.of_request, omitted;
             "refused");
-        if let Some(response) = self.failed_response.take() {
-            return response;
-        }
-        if self.attempts.may_have_run() > 0 {
-            return gateway_response(ResultCode::EndpointLost, None);
-        }
-        gateway_response(code, Some(retry_after))
     }
 
     /// Books the return of a caller that is refused because all endpoints rest; zero for any other.
--- a/crates/filberthead/src/gateway/relay/send.rs
+++ b/crates/filberthead/src/gateway/relay/send.rs
@@ -115,7 +115,7 @@
 impl Arrival {
     fn of(attempt: &Attempt) -> Self {
         match attempt {
-            Attempt::NotSent(_) | Attempt::Withdrawn(_) => Self::None,
+            Attempt::NotSent(_) | Attempt::Unwritten | Attempt::Withdrawn(_) => Self::None,
             Attempt::Rejected { code, .. } if is_unhelpful(*code) => Self::None,
             Attempt::Answered(_)
             | Attempt::Failed(_)
@@ -168,6 +168,10 @@
             sent_at.set(None);
             return (Attempt::NotSent(req.into_body()), None);
         }
+        SendOutcome::Unwritten(_) => {
+            sent_at.set(None);
+            return (Attempt::Unwritten, None);
+        }
         SendOutcome::Lost | SendOutcome::Invalid => return (Attempt::Lost, None),
         SendOutcome::TimedOut => return (Attempt::TimedOut, None),
         SendOutcome::Answer(answer) => answer,
@@ -234,7 +238,7 @@
     match attempt {
         Attempt::Answered(_) => "answered",
         Attempt::Failed(_) => "failed",
-        Attempt::NotSent(_) | Attempt::Withdrawn(_) => "not-sent",
+        Attempt::NotSent(_) | Attempt::Unwritten | Attempt::Withdrawn(_) => "not-sent",
         Attempt::NotRun { .. } | Attempt::Rejected { .. } => "rejected",
         Attempt::Lost => "lost",
         Attempt::TimedOut => "timed-out",
--- a/crates/filberthead/src/gateway/request/mod.rs
+++ b/crates/filberthead/src/gateway/request/mod.rs
@@ -91,7 +91,11 @@
     }
     let body = match read_body(body, &deadline).await {
         Ok(body) => body,
-        Err(code) => return ctx.reject(code, None),
+        Err(code) => {
+            // At the deadline, nothing of it was forwarded.
+            let may_return = code == ResultCode::DeadlineBeforeRun;
+            return ctx.reject(code, may_return.then_some(RETRY_AFTER_REFUSED));
+        }
     };
     let priority = caller.priority().unwrap_or(route.priority);
     if relayed.is_none() {
