--- a/crates/place/tests/all/main.rs
+++ b/crates/place/tests/all/main.rs
@@ -20,3 +20,5 @@
 mod support;
 mod surge;
 mod usual_times;
+mod waiting;
+mod waiting_room;
