Pipelining: requests with Connection: close start ahead, repeated lengths don't

A request that asks to close the connection was held until its turn, although nothing about its framing is in doubt; now it starts beside those before it, and nothing behind it does. hyper keeps one of several equal lengths, so such a request never matched the one started ahead and ran twice; it is left to hyper. Requests of callers with bodies that hyper doesn't read, chunked ones too, end when the caller disconnects. Usual times for a planned stop count from the start of a request, not from its arrival.

--- a/crates/filberthead/src/gateway/request/mod.rs
+++ b/crates/filberthead/src/gateway/request/mod.rs
@@ -52,6 +52,7 @@
     body: RequestBody,
     arrived: Instant,
 ) -> Response<ResponseBody> {
+    let started = Instant::now();
     let mut ctx = RequestContext::new(core, caller, arrived, head);
     let relayed = match from {
         RequestSource::Caller => None,
@@ -150,7 +151,7 @@
         core: Rc::clone(core),
         service: target.service.clone(),
         kind: route.kind,
-        started: arrived,
+        started,
     };
     measure(timer, &mut response, code);
     if let Some(relayed) = &relayed {
--- a/crates/filberthead/src/gateway/serve/connection.rs
+++ b/crates/filberthead/src/gateway/serve/connection.rs
@@ -78,9 +78,9 @@
         }
     };
     let result = serve(&core, caller, &connection, serving, closing).await;
-    connection.borrow_mut().running.clear();
+    let ahead = std::mem::take(&mut connection.borrow_mut().running).len();
     match result {
-        None => debug!(caller:%; "caller has disconnected before it was answered"),
+        None => debug!(caller:%, ahead; "caller has disconnected before it was answered"),
         Some(Ok(())) => linger(&connection).await,
         Some(Err(e)) => {
             record_connection_error(&core, caller, &e);
@@ -210,7 +210,8 @@
     connection: Rc<RefCell<Connection>>,
     begun: BegunRequest,
 ) -> Response<AnswerBody> {
-    let guard = core.track_request();
+    // One that was started ahead is tracked by its task.
+    let guard = begun.running.is_none().then(|| core.track_request());
     let reached = Instant::now();
     let started = begun.running.as_ref().map(RunningAhead::started);
     let response = match begun.running {
--- a/crates/filberthead/src/gateway/serve/read_ahead.rs
+++ b/crates/filberthead/src/gateway/serve/read_ahead.rs
@@ -41,8 +41,12 @@
 pub(super) struct Connection {
     stream: TcpStream,
     pub(super) pipeline: Pipeline,
+    /// Whether this isn't a connection of another gateway.
+    reads_ahead: bool,
     /// Requests that were started ahead, in order.
     pub(super) running: VecDeque<RunningAhead>,
+    /// Whether the server is at a request of a caller.
+    is_busy: bool,
     /// Whether an answer has ended since the server was last asked for progress.
     answered: bool,
     /// Whether the caller has ever sent a request ahead.
@@ -71,7 +75,9 @@
         Rc::new(RefCell::new(Self {
             stream,
             pipeline,
-            running: Default::default(),
+            reads_ahead: from == RequestSource::Caller,
+            running: VecDeque::new(),
+            is_busy: false,
             answered: false,
             has_sent_ahead: false,
             caller_check: None,
@@ -84,6 +90,7 @@
         head: &Rc<Parts>,
         body: Option<u64>,
     ) -> (Begun, Option<RunningAhead>) {
+        self.is_busy = true;
         let begun = self.pipeline.begin(head, body);
         let running = match begun.started {
             true => self.running.pop_front(),
@@ -107,6 +114,7 @@
     /// The server has a whole answer.
     pub(super) fn finish(&mut self) {
         self.pipeline.finish();
+        self.is_busy = false;
         self.answered = true;
     }
 
@@ -124,8 +132,8 @@
                 self.running.push_back(start(head, arrived));
             }
             if self.pipeline.is_server_reading() {
-                // The server doesn't read a body while whom it is for takes nothing.
-                if self.pipeline.is_in_body() {
+                // The server doesn't read a body while the endpoint takes none of it.
+                if self.is_busy && self.reads_ahead {
                     return self.poll_caller_left(cx);
                 }
                 self.caller_check = None;
@@ -181,13 +189,13 @@
     }
 
     /// Discards what the caller still sends. Ends when it closes the connection.
-    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+    fn poll_discard(&mut self, cx: &mut Context<'_>, is_sending: &mut bool) -> Poll<()> {
         loop {
             if ready!(self.stream.poll_read_ready(cx)).is_err() {
                 return Poll::Ready(());
             }
             match self.stream.try_read(&mut [0; READ_BYTES]) {
-                Ok(1..) => self.has_sent_ahead = true,
+                Ok(1..) => *is_sending = true,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 Ok(0) | Err(_) => return Poll::Ready(()),
             }
@@ -205,10 +213,12 @@
 
 /// Waits until the caller has got all answers, if it may still be sending requests.
 pub(super) async fn linger(connection: &RefCell<Connection>) {
+    let mut is_sending = {
+        let connection = connection.borrow();
+        connection.has_sent_ahead || !connection.pipeline.is_empty()
+    };
     let discarding = poll_fn(|cx| {
-        let mut connection = connection.borrow_mut();
-        let discarded = connection.poll_discard(cx);
-        let is_sending = connection.has_sent_ahead || !connection.pipeline.is_empty();
+        let discarded = connection.borrow_mut().poll_discard(cx, &mut is_sending);
         match is_sending {
             true => discarded,
             false => Poll::Ready(()),
--- a/crates/pipeline/src/head.rs
+++ b/crates/pipeline/src/head.rs
@@ -53,7 +53,7 @@
 }
 
 /// Parses a complete head; `None` if it isn't valid, or if it announces a body or anything else
-/// that makes a difference to what follows it.
+/// than the end of the connection that makes a difference to what follows it.
 pub(crate) fn parse_plain(raw: &Bytes, max_headers: usize) -> Option<Parts> {
     let lines = memchr_iter(b'\n', raw).count();
     let mut headers = vec![httparse::EMPTY_HEADER; lines.min(max_headers)];
@@ -76,7 +76,9 @@
     head.headers.reserve(parsed.headers.len());
     for header in parsed.headers.iter() {
         let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
-        if !leaves_no_doubt(&name, header.value) {
+        // Servers keep one of several lengths.
+        let is_repeated = name == CONTENT_LENGTH && head.headers.contains_key(&name);
+        if is_repeated || !(leaves_no_doubt(&name, header.value) || is_close(&name, header.value)) {
             return None;
         }
         let value = HeaderValue::from_maybe_shared(raw.slice_ref(header.value)).ok()?;
@@ -95,6 +97,10 @@
     }
 }
 
+fn is_close(name: &HeaderName, value: &[u8]) -> bool {
+    name == CONNECTION && value.eq_ignore_ascii_case(b"close")
+}
+
 /// Whether further requests may follow this one, whatever its body.
 pub(crate) fn may_be_followed(head: &Parts) -> bool {
     let mut headers = head.headers.iter();
--- a/crates/pipeline/src/pipeline.rs
+++ b/crates/pipeline/src/pipeline.rs
@@ -219,6 +219,8 @@
         let Some(arrived) = self.consume(end) else {
             return Next::Hold;
         };
+        // Nothing is answered behind one that closes the connection.
+        self.held = !may_be_followed(&head);
         let len = raw.len();
         self.ahead.push_back(Ahead { raw, len, arrived });
         Next::Start(Rc::new(head), arrived)
--- a/crates/pipeline/tests/all/order.rs
+++ b/crates/pipeline/tests/all/order.rs
@@ -60,6 +60,14 @@
         connection.receive(format!("{closing}{}", get("/b")).as_bytes(), 0);
         connection.serve(usize::MAX);
         assert!(matches!(connection.start(), Next::Hold), "{closing}");
+        let mut connection = Connection::new();
+        connection.receive([&get("/first"), closing, &get("/b")].concat().as_bytes(), 0);
+        for _ in 0..2 {
+            connection.serve(usize::MAX);
+            assert!(matches!(connection.start(), Next::Hold), "{closing}");
+            connection.answer();
+        }
+        assert!(!connection.started.contains(&"GET /b".to_owned()));
     }
 }
 
