Tests: an answer that breaks off, and callers that send one request at a time

A connection whose answer breaks off ends, and the requests behind are cancelled. A caller that waits for each answer is never taken for one that sends ahead, however its requests are cut.

--- a/tests/all/pipelining.rs
+++ b/tests/all/pipelining.rs
@@ -12,7 +12,11 @@
 const BOUND: Duration = Duration::from_secs(60);
 /// How long endpoints take for a request where it matters.
 const RUN_TIME: Duration = Duration::from_millis(600);
-const SERVICES: &[(&str, &str)] = &[("orders", "unsafe"), ("catalogue", "safe")];
+const SERVICES: &[(&str, &str)] = &[
+    ("orders", "unsafe"),
+    ("catalogue", "safe"),
+    ("lessons", "download"),
+];
 
 /// Endpoints of each service, with 3 slots each: enough for all requests of a test.
 const ENDPOINTS: usize = 4;
@@ -306,6 +310,81 @@
     assert_eq!(starts(&site, "read-").len(), 3);
 }
 
+/// An endpoint dies in the middle of an answer that a caller already gets, with requests behind it. The
+/// caller must not take the next answer for the rest of it, and what it gets no answer to has to end.
+#[test]
+fn an_answer_that_breaks_off_ends_the_connection_and_cancels_what_is_behind() {
+    let site = start();
+    for endpoint in &site.endpoints {
+        match endpoint.service() {
+            "lessons" => {
+                endpoint.set_run_time(RUN_TIME);
+                endpoint.set_behaviour(Behaviour::Truncates);
+            }
+            _ => endpoint.set_behaviour(Behaviour::Hangs),
+        }
+    }
+    let mut connection = Connection::open(&site);
+    let lesson = head("GET", "/lessons/1?bytes=3000000", "lesson-1");
+    connection.send(&[lesson, reads(2)].concat());
+    wait_until("the reads run", BOUND, || starts(&site, "read-").len() == 2);
+    assert!(connection.receive().is_none(), "half of the lesson");
+    wait_until("the reads are cancelled", BOUND, || dropped(&site) == 2);
+}
+
+/// A caller that waits for each answer sends nothing ahead, however its requests are cut into pieces. Taken
+/// for one that does, it would change how all gateways place requests.
+#[test]
+fn a_caller_that_sends_one_request_at_a_time_sends_nothing_ahead() {
+    let site = start();
+    let mut connection = Connection::open(&site);
+    let read = head("GET", "/catalogue/0", "read-0");
+    let order = head("POST", "/orders/one", "order-1")
+        .replace("\r\n\r\n", "\r\ncontent-length: 5\r\n\r\nhello");
+    let chunked = head("POST", "/orders/one", "order-1").replace(
+        "\r\n\r\n",
+        "\r\ntransfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+    );
+    // What is behind a chunked body is the server's alone, so that one comes last.
+    for request in [&read, &order, &read, &order, &chunked, &read, &chunked] {
+        for cut in [request.len(), request.len() - 3, 10] {
+            let (first, second) = request.split_at(cut);
+            connection.send(first);
+            if !second.is_empty() {
+                std::thread::sleep(Duration::from_millis(20));
+                connection.send(second);
+            }
+            let answer = connection.receive().expect("an answer");
+            let expected = match request == &read {
+                true => "GET /catalogue/0 0",
+                false => "POST /orders/one 5",
+            };
+            assert_eq!((answer.status, &*answer.body), (200, expected));
+        }
+    }
+    let gateway = &site.gateways[0];
+    assert_eq!(gateway.metric("gateway_pipelined_requests_total"), 0.0);
+    assert!(!logs_contention_control(&site));
+    connection = Connection::open(&site);
+    connection.send(&reads(2));
+    expect_reads(&mut connection, 2);
+    wait_until("contention control is on", BOUND, || {
+        logs_contention_control(&site)
+    });
+}
+
+/// Whether the gateway has turned contention control on for a caller of its own.
+fn logs_contention_control(site: &Site) -> bool {
+    let log = site.gateways[0].process_ref().log();
+    log.contains("contention control is on told_by=caller")
+}
+
+/// Number of requests whose connection closed while endpoints ran them.
+fn dropped(site: &Site) -> usize {
+    let endpoints = site.endpoints.iter();
+    endpoints.map(|endpoint| endpoint.dropped().len()).sum()
+}
+
 /// A caller disconnects while requests run that it has sent ahead, whether the gateway still reads from its
 /// connection or not. None of them may go on taking the place of others.
 #[test]
@@ -317,11 +396,7 @@
         endpoint.set_behaviour(Behaviour::Hangs);
     }
     for sent in [4, MANY] {
-        let dropped = || -> usize {
-            let endpoints = site.endpoints.iter();
-            endpoints.map(|endpoint| endpoint.dropped().len()).sum()
-        };
-        let (before, ran) = (dropped(), starts(&site, "read-").len());
+        let (before, ran) = (dropped(&site), starts(&site, "read-").len());
         let mut connection = Connection::open(&site);
         connection.send(&reads(sent));
         wait_until("requests run", BOUND, || {
@@ -332,7 +407,9 @@
         let running = starts(&site, "read-").len() - ran;
         drop(connection);
         let left_at = Instant::now();
-        wait_until("all are cancelled", BOUND, || dropped() == before + running);
+        wait_until("all are cancelled", BOUND, || {
+            dropped(&site) == before + running
+        });
         let took = left_at.elapsed();
         assert!(took < Duration::from_secs(2), "{took:?} of {sent}");
     }
