Windows learn how long requests run; urgent requests aren't refused after their wait

In the test with real processes, windows took the placer's expected time, which falls to nothing when it overestimates the waits at a full endpoint, and were released although requests queued. A window now learns the time from the answers and the queues that they report.

A request that can't meet its objective any more, and isn't expected to have its turn, is rejected then and not at its deadline, up to 3 s later. explain puts the lines about requests that wait into words.

--- a/crates/filberthead/src/gateway/answer_notes.rs
+++ b/crates/filberthead/src/gateway/answer_notes.rs
@@ -138,7 +138,10 @@
         let mut placer = core.placer.borrow_mut();
         placer.record_load(core.now(), answer.endpoint, load);
         drop(placer);
-        core.waiting.record_report(core, answer.endpoint, load);
+        let took = core.now().saturating_sub(answer.sent_at);
+        let took = answer.ran.then_some(took);
+        core.waiting
+            .record_report(core, answer.endpoint, load, took);
     }
 }
 
--- a/crates/filberthead/src/gateway/forwarding/mod.rs
+++ b/crates/filberthead/src/gateway/forwarding/mod.rs
@@ -24,6 +24,7 @@
 use super::response::ResponseBody;
 use super::retry::GrantedRetry;
 use super::under_way::{Destination, Event, UnderWay};
+use super::waiting::Place;
 
 /// A request being forwarded.
 pub(super) struct Forwarding<'a> {
@@ -39,6 +40,9 @@
     pub(super) priority: u8,
     /// Whether an earlier attempt of the caller has used part of its deadline.
     pub(super) is_retry: bool,
+    /// Whether it has a place in a limited window. The window keeps the queues at endpoints short, so that an
+    /// estimated wait there speaks less against the request.
+    pub(super) is_windowed: bool,
     /// Version and revision of the routes that it was matched against.
     pub(super) version: u64,
     pub(super) revision: u64,
@@ -79,6 +83,7 @@
             Ok(place) => place,
             Err(no_place) => return self.reject_without_place(no_place),
         };
+        self.is_windowed = place.as_ref().is_some_and(Place::is_limited);
         let mut under_way = UnderWay::new(core);
         let mut next = Next::Send(body);
         loop {
@@ -146,7 +151,7 @@
             objective: self.route.objective,
             remaining: self.deadline.remaining(),
             priority: self.priority,
-            is_caller_retry: self.is_retry,
+            is_caller_retry: self.is_retry || self.is_windowed,
             homes: self.homes(),
             excluded: self.attempts.excluded(),
         };
--- a/crates/filberthead/src/gateway/forwarding/wait.rs
+++ b/crates/filberthead/src/gateway/forwarding/wait.rs
@@ -71,7 +71,7 @@
         if let Some(omitted) = self.core.may_log(code) {
             let left = self.deadline.remaining().as_millis();
             info!(request = self.request_id(), route = self.route.name.as_str(),
-                workspace = self.caller.workspace().map(WorkspaceName::as_str), code:%, left,
+                workspace = self.caller.workspace().map(WorkspaceName::as_str), code:%, by = "waiting-room", left,
                 waited_ms = waited.map(|waited| waited.as_millis()), returned = self.is_retry,
                 version = self.version, retry_after_ms = retry_after.as_millis(),
                 stopping = self.core.is_leaving(), fingerprint:% = self.prints.of_request, omitted;
--- a/crates/filberthead/src/gateway/request/mod.rs
+++ b/crates/filberthead/src/gateway/request/mod.rs
@@ -128,6 +128,7 @@
         prints,
         priority,
         is_retry,
+        is_windowed: false,
         version: active_routes.version,
         revision: active_routes.revision,
         attempts: Attempts::new(route.max_attempts.min(attempts_left)),
--- a/crates/filberthead/src/gateway/waiting.rs
+++ b/crates/filberthead/src/gateway/waiting.rs
@@ -59,6 +59,12 @@
 }
 
 impl Place<'_> {
+    /// Whether the window is limited that it is in.
+    pub(crate) fn is_limited(&self) -> bool {
+        let room = self.core.waiting.room.borrow();
+        room.is_limited(self.ticket.get())
+    }
+
     /// Counts the request where it runs, which may be another region than was expected.
     pub(crate) fn move_to(&self, endpoint: EndpointRef<'_>) {
         let found = self.core.placer.borrow().site_of(endpoint);
@@ -207,8 +213,15 @@
         }
     }
 
-    /// Records the load that an endpoint has reported.
-    pub(crate) fn record_report(&self, core: &Core, endpoint: EndpointRef<'_>, load: Load) {
+    /// Records the load that an endpoint has reported. `took` is how long the request took that it came with, if
+    /// that ran.
+    pub(crate) fn record_report(
+        &self,
+        core: &Core,
+        endpoint: EndpointRef<'_>,
+        load: Load,
+        took: Option<Duration>,
+    ) {
         let placer = core.placer.borrow();
         let from = placer
             .contention_control()
@@ -216,7 +229,7 @@
         drop(placer);
         if let Some(from) = from.flatten() {
             let mut room = self.room.borrow_mut();
-            room.record_report(core.now(), &from, load);
+            room.record_report(core.now(), &from, load, took);
             let is_empty = room.is_empty();
             drop(room);
             if !is_empty {
--- a/crates/observe/src/words.rs
+++ b/crates/observe/src/words.rs
@@ -1,4 +1,4 @@
-//! What a log line says of endpoints that want no requests, in plain words.
+//! What a log line says of endpoints that want no requests, and of requests that wait, in plain words.
 
 use crate::Event;
 
@@ -6,7 +6,8 @@
 const OVERLOADED: &str = "1200";
 
 impl Event {
-    /// What the line says of endpoints that are at rest or leaving; `None` if it says nothing of them.
+    /// What the line says of endpoints that are at rest or leaving, or of a request that waits; `None` if it
+    /// says nothing of them.
     pub fn in_words(&self) -> Option<String> {
         match self.message.as_str() {
             "endpoint asks for rest" => Some(format!(
@@ -28,11 +29,58 @@
                 self.endpoint()
             )),
             "attempt ended" => self.passed_over(),
+            "refused" if self.field("by") == Some("waiting-room") => self.rejection(),
             "refused" => self.refusal(),
+            _ => self.wait(),
+        }
+    }
+
+    /// What the line says of a request that waits for room at endpoints.
+    fn wait(&self) -> Option<String> {
+        match self.message.as_str() {
+            "service is short of room" => Some(format!(
+                "requests wait too long at the endpoints of {}: this gateway had {} requests in flight there, \
+                 and lets further ones wait",
+                self.site()?,
+                self.field("in_flight")?
+            )),
+            "service has room again" => Some(format!(
+                "requests for {} are forwarded at once",
+                self.site()?
+            )),
+            "request waits" => Some(format!(
+                "waits at the gateway, as the endpoints of {} are congested",
+                self.site()?
+            )),
+            "request started after waiting" => {
+                Some(format!("was started after {} ms", self.field("waited_ms")?))
+            }
+            "request gave way" => Some(format!(
+                "waited {} ms, and others went before it until it couldn't be answered in time any more",
+                self.field("waited_ms")?
+            )),
             _ => None,
         }
     }
 
+    fn site(&self) -> Option<String> {
+        let (service, region) = (self.field("service")?, self.field("region")?);
+        Some(format!("{service} in {region}"))
+    }
+
+    /// Why the waiting room has rejected a request.
+    fn rejection(&self) -> Option<String> {
+        let retry_after = self.field("retry_after_ms")?;
+        let waited = match self.count("waited_ms") {
+            Some(waited) => format!("it had waited {waited} ms"),
+            None => "it couldn't have been started in time".to_owned(),
+        };
+        Some(format!(
+            "the endpoints of the service are congested, and {waited}; no endpoint has received it; the caller \
+             may return after {retry_after} ms"
+        ))
+    }
+
     fn endpoint(&self) -> String {
         format!("endpoint {}", self.field("endpoint").unwrap_or("?"))
     }
--- a/crates/observe/tests/trace.rs
+++ b/crates/observe/tests/trace.rs
@@ -143,6 +143,35 @@
     assert_eq!(words("routes in force", counts), None);
 }
 
+/// An operator must see why a request waited, or was rejected although endpoints are there.
+#[test]
+fn lines_about_requests_that_wait_are_explained() {
+    let site = r#","service":"orders","region":"north""#;
+    let of = |region: &str, ts: &str, msg: &str| {
+        let more = format!(r#","service":"orders","region":"{region}","in_flight":4"#);
+        line(ts, "gateway-1", msg, &more)
+    };
+    let short = of("north", "01.000", "service is short of room");
+    let again = of("north", "02.000", "service has room again");
+    let other = of("south", "03.000", "service is short of room");
+    let waits = format!(r#"{site},"request":"a1""#);
+    let waits = line("04.000", "gateway-1", "request waits", &waits);
+    let refused =
+        r#","request":"a1","code":"1203","by":"waiting-room","waited_ms":70,"retry_after_ms":200"#;
+    let refused = line("05.000", "gateway-1", "refused", refused);
+    let lines = [&short, &again, &other, &waits, &refused];
+    let trace = RequestTrace::from_lines("a1", lines.into_iter().map(String::as_str));
+    let states: Vec<_> = trace.process_states.iter().map(|e| &*e.message).collect();
+    assert_eq!(
+        states,
+        ["service has room again", "service is short of room"]
+    );
+    let words = |event: &Event| event.in_words().expect("words");
+    assert!(words(&trace.process_states[1]).contains("orders in south: this gateway had 4"));
+    assert!(words(&trace.events[0]).starts_with("waits at the gateway"));
+    assert!(words(&trace.events[1]).contains("waited 70 ms; no endpoint has received it"));
+}
+
 /// Logs may contain lines of other programs, and lines cut off when a disk was full.
 #[test]
 fn arbitrary_log_content_does_not_panic() {
--- a/crates/place/src/waiting/queue.rs
+++ b/crates/place/src/waiting/queue.rs
@@ -22,6 +22,8 @@
     pub(crate) number: u64,
     pub(crate) waiter: Waiter,
     share: ShareIndex,
+    /// Whether it was looked at since it can't meet its objective any more.
+    is_reviewed: bool,
 }
 
 /// A request that was started, and its expected work.
@@ -109,7 +111,7 @@
         work: Duration,
         objective: Duration,
     ) {
-        self.window.start(work, objective);
+        self.window.start(objective);
         self.shares.record_served(share, work);
         let at = now;
         let started = Started {
@@ -129,6 +131,7 @@
             number,
             waiter,
             share,
+            is_reviewed: false,
         });
     }
 
@@ -144,6 +147,26 @@
         removed
     }
 
+    /// Removes a request that won't be answered: one that can't meet its deadline any more, or that can't meet
+    /// its objective and isn't expected to have its turn. Returns it with when it might have had its turn.
+    pub(crate) fn remove_hopeless(&mut self, now: Moment) -> Option<(Waiting, Expected)> {
+        let mut index = 0;
+        while let Some(waiting) = self.waiting.get(index) {
+            let is_due = now >= waiting.waiter.latest_start();
+            let is_to_review = !waiting.is_reviewed && !waiting.waiter.can_be_in_time(now);
+            if is_due || is_to_review {
+                let rank = self.rank(now, waiting, self.shares.mean());
+                let expected = self.expected(now, &waiting.waiter, rank);
+                if is_due || now + expected.wait > waiting.waiter.latest_start() {
+                    return Some((self.remove_at(index), expected));
+                }
+                self.waiting[index].is_reviewed = true;
+            }
+            index += 1;
+        }
+        None
+    }
+
     /// Starts the next request that waits, if the window has room for one.
     pub(crate) fn start_next(&mut self, now: Moment) -> Option<Waiting> {
         if self.waiting.is_empty() || !self.has_room() {
@@ -252,7 +275,7 @@
         number: u64,
         (at, work, objective): (Moment, Duration, Duration),
     ) {
-        self.window.start(work, objective);
+        self.window.start(objective);
         let started = Started {
             at,
             work,
--- a/crates/place/src/waiting/room.rs
+++ b/crates/place/src/waiting/room.rs
@@ -4,7 +4,7 @@
 
 use filberthead_types::Moment;
 
-use super::queue::{Expected, Queue, Waiting};
+use super::queue::{Expected, Queue};
 use super::{Site, SiteEndpoint, Waiter, Window};
 use crate::{Load, rank};
 
@@ -106,6 +106,12 @@
         queue.map(|queue| &queue.window)
     }
 
+    /// Whether the window is limited that a request waits for or was started in.
+    pub fn is_limited(&self, ticket: Ticket) -> bool {
+        let queue = ticket.queue.map(|index| &self.queues[index]);
+        queue.is_some_and(|queue| queue.window.limit().is_some())
+    }
+
     /// The limited windows.
     pub fn limited(&self) -> impl Iterator<Item = (&Site, f64)> {
         let queues = self.queues.iter();
@@ -203,7 +209,7 @@
                 continue;
             }
             // After a suspension, deadlines may have passed that nobody has looked at.
-            self.remove_due(now, index);
+            self.remove_hopeless(now, index);
             self.queues[index].refresh(now);
             while let Some(next) = self.queues[index].start_next(now) {
                 self.forget(&next.waiter);
@@ -216,25 +222,20 @@
         started
     }
 
-    /// Rejects requests that can't meet their deadline any more, and those that gave way to others. Returns
-    /// them with the time after which there may be room for them.
+    /// Rejects requests that can't meet their deadline any more, or aren't expected to, and those that gave way to
+    /// others. Returns them with the time after which there may be room for them.
     pub fn on_deadline(&mut self, now: Moment) -> Vec<(Ticket, Duration)> {
         if self.waiting > 0 {
             for index in 0..self.queues.len() {
-                self.remove_due(now, index);
+                self.remove_hopeless(now, index);
             }
         }
         std::mem::take(&mut self.rejected)
     }
 
-    /// Removes the requests of a queue that can't meet their deadline any more.
-    fn remove_due(&mut self, now: Moment, index: usize) {
-        let is_due = |w: &Waiting| now >= w.waiter.latest_start();
-        while let Some(position) = self.queues[index].waiting.iter().position(is_due) {
-            let queue = &mut self.queues[index];
-            let removed = queue.remove_at(position);
-            let rank = queue.rank_of(now, &removed.waiter, removed.number);
-            let expected = queue.expected(now, &removed.waiter, rank);
+    /// Rejects the requests of a queue that won't be answered.
+    fn remove_hopeless(&mut self, now: Moment, index: usize) {
+        while let Some((removed, expected)) = self.queues[index].remove_hopeless(now) {
             self.forget(&removed.waiter);
             self.reject(index, removed.number, expected);
         }
@@ -291,11 +292,18 @@
         }
     }
 
-    /// Records the load that an endpoint has reported.
-    pub fn record_report(&mut self, now: Moment, from: &SiteEndpoint, load: Load) {
+    /// Records the load that an endpoint has reported. `took` is how long the request took that it came with, if
+    /// that ran.
+    pub fn record_report(
+        &mut self,
+        now: Moment,
+        from: &SiteEndpoint,
+        load: Load,
+        took: Option<Duration>,
+    ) {
         let mut queues = self.queues.iter_mut();
         if let Some(queue) = queues.find(|queue| queue.site == from.site) {
-            queue.window.record_report(now, from, load);
+            queue.window.record_report(now, from, load, took);
         }
     }
 
--- a/crates/place/src/waiting/window.rs
+++ b/crates/place/src/waiting/window.rs
@@ -46,6 +46,12 @@
 /// Response time in seconds until one is known.
 const DEFAULT_RESPONSE: f64 = 0.5;
 
+/// Learns a mean of times. The first one counts fully.
+fn learn(mean: &mut f64, seconds: f64) {
+    let weight = if *mean == 0.0 { 1.0 } else { TIME_WEIGHT };
+    *mean += weight * (seconds - *mean);
+}
+
 /// What an endpoint reported last.
 #[derive(Clone, Copy, Debug)]
 struct Report {
@@ -65,7 +71,7 @@
     recent: VecDeque<Report>,
     /// Requests at an endpoint per slot.
     fill: f64,
-    /// Seconds of work of a request, and of its objective.
+    /// Seconds that a request runs at an endpoint, without its wait there, and those of its objective.
     work: f64,
     objective: f64,
     /// Seconds from the start of a request to its end.
@@ -124,15 +130,9 @@
     }
 
     /// Counts a request that is started.
-    pub fn start(&mut self, work: Duration, objective: Duration) {
+    pub fn start(&mut self, objective: Duration) {
         self.in_flight += 1;
-        let weight = if self.objective == 0.0 {
-            1.0
-        } else {
-            TIME_WEIGHT
-        };
-        self.work += weight * (work.as_secs_f64() - self.work);
-        self.objective += weight * (objective.as_secs_f64() - self.objective);
+        learn(&mut self.objective, objective.as_secs_f64());
     }
 
     /// Counts a request that has ended, this long after its start.
@@ -159,10 +159,21 @@
         (QUEUE_SHARE * spare).max(MIN_QUEUE_SHARE * self.objective)
     }
 
-    /// Records a report of an endpoint.
-    pub fn record_report(&mut self, now: Moment, from: &SiteEndpoint, load: Load) {
+    /// Records a report of an endpoint. `took` is how long the request took that it came with, if that ran.
+    pub fn record_report(
+        &mut self,
+        now: Moment,
+        from: &SiteEndpoint,
+        load: Load,
+        took: Option<Duration>,
+    ) {
         let slots = f64::from(from.slots.max(1));
-        let wait = f64::from(load.waiting) / slots * self.work;
+        let queue = f64::from(load.waiting) / slots;
+        if let Some(took) = took {
+            // It has waited for about as many rounds as wait there now.
+            learn(&mut self.work, took.as_secs_f64() / (1.0 + queue));
+        }
+        let wait = queue * self.work;
         let fill = f64::from(load.running + load.waiting) / slots;
         let is_congested = load.waiting > 0 && wait > self.affordable_wait();
         self.reported_at = now;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -33,4 +33,5 @@
 mod spreading;
 mod stops;
 mod support;
+mod waiting;
 mod workspaces;
