--- a/crates/filberthead/src/gateway/waiting.rs
+++ b/crates/filberthead/src/gateway/waiting.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use filberthead_observe::LogRateLimiter;
-use filberthead_place::waiting::{Enqueued, RoomLimits, Ticket, Waiter, WaitingRoom, WindowChange};
+use filberthead_place::waiting::{
+    Enqueued, RoomLimits, Ticket, UsualDeadlines, Waiter, WaitingRoom, WindowChange,
+};
 use filberthead_place::{EndpointRef, Load};
 use log::info;
 use tokio::sync::oneshot;
@@ -16,6 +18,8 @@
 
 use super::core::Core;
 
+/// Routes whose callers' usual deadlines are kept.
+const MAX_ROUTES: usize = 1024;
 /// Log lines per second about requests that wait, of each kind.
 const LOG_LINES_PER_SECOND: u32 = 5;
 
@@ -40,6 +44,8 @@
     room: RefCell<WaitingRoom>,
     /// How to wake each request that waits.
     wakers: RefCell<HashMap<Ticket, oneshot::Sender<Decision>>>,
+    /// How long callers usually wait, by the name of the route.
+    usual_deadlines: RefCell<HashMap<String, UsualDeadlines>>,
     log_limiter: RefCell<LogRateLimiter<LogEvent>>,
 }
 
@@ -59,6 +65,12 @@
 }
 
 impl Place<'_> {
+    /// Whether the window is limited that it is in.
+    pub(crate) fn is_limited(&self) -> bool {
+        let room = self.core.waiting.room.borrow();
+        room.is_limited(self.ticket.get())
+    }
+
     /// Counts the request where it runs, which may be another region than was expected.
     pub(crate) fn move_to(&self, endpoint: EndpointRef<'_>) {
         let found = self.core.placer.borrow().site_of(endpoint);
@@ -104,6 +116,7 @@
         Self {
             room: RefCell::new(WaitingRoom::new(RoomLimits::default(), seed)),
             wakers: RefCell::default(),
+            usual_deadlines: RefCell::default(),
             log_limiter: RefCell::new(LogRateLimiter::new(LOG_LINES_PER_SECOND)),
         }
     }
@@ -183,6 +196,19 @@
         }
     }
 
+    /// How long a caller that goes on waiting for `left` has waited before, as far as is known.
+    pub(crate) fn waited_before(&self, route: &str, left: Duration) -> Duration {
+        let mut routes = self.usual_deadlines.borrow_mut();
+        if let Some(usual) = routes.get_mut(route) {
+            return usual.record(left);
+        }
+        if routes.len() >= MAX_ROUTES {
+            // Routes have been renamed; those in use are learned again.
+            routes.clear();
+        }
+        routes.entry(route.to_owned()).or_default().record(left)
+    }
+
     fn may_log(&self, core: &Core, event: LogEvent) -> Option<u64> {
         self.log_limiter.borrow_mut().allow(core.now(), event)
     }
@@ -207,8 +233,15 @@
         }
     }
 
-    /// Records the load that an endpoint has reported.
-    pub(crate) fn record_report(&self, core: &Core, endpoint: EndpointRef<'_>, load: Load) {
+    /// Records the load that an endpoint has reported. `took` is how long the request took that it came with, if
+    /// that ran.
+    pub(crate) fn record_report(
+        &self,
+        core: &Core,
+        endpoint: EndpointRef<'_>,
+        load: Load,
+        took: Option<Duration>,
+    ) {
         let placer = core.placer.borrow();
         let from = placer
             .contention_control()
@@ -216,7 +249,7 @@
         drop(placer);
         if let Some(from) = from.flatten() {
             let mut room = self.room.borrow_mut();
-            room.record_report(core.now(), &from, load);
+            room.record_report(core.now(), &from, load, took);
             let is_empty = room.is_empty();
             drop(room);
             if !is_empty {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -34,4 +34,5 @@
 mod spreading;
 mod stops;
 mod support;
+mod waiting;
 mod workspaces;
