Placement: an endpoint in each failure domain for objects, by reported load

Hashing a few hundred objects onto dozens of endpoints gave the busiest endpoint 2.2 times the mean, and half of the requests crossed failure domains.

Under contention control an object now has one endpoint in each failure domain of its region. A gateway uses that of its own domain, or the other one if that has clearly less load by what endpoints have reported over the last 10 s. Gateways that judge differently do no harm, as the object is cached at both. The second endpoint comes 8 s after the first request, gradually, and only while the estimated number of objects fits the memory of the endpoints. An object whose rate of work outgrows half of an endpoint gets further ones and gives them up slowly.

--- a/crates/place/src/cost.rs
+++ b/crates/place/src/cost.rs
@@ -47,6 +47,15 @@
     Stranger,
 }
 
+/// What a response time counted as.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Counted {
+    /// The learned time in seconds that it counted for.
+    pub(crate) work: f64,
+    /// Whether the object was cached.
+    pub(crate) was_cached: bool,
+}
+
 impl ResponseTimes {
     pub(crate) fn new(objective: Duration) -> Self {
         Self {
@@ -56,11 +65,19 @@
         }
     }
 
-    /// Records a response time. Returns the learned time that it counted for, in seconds.
-    pub(crate) fn record(&mut self, affinity: Affinity, has_object: bool, took: Duration) -> f64 {
+    /// Records a response time.
+    pub(crate) fn record(
+        &mut self,
+        affinity: Affinity,
+        has_object: bool,
+        took: Duration,
+    ) -> Counted {
         // Without an object, there is no expectation to compare the time with.
         if affinity == Affinity::Stranger && !has_object {
-            return took.as_secs_f64().min(MAX_OBSERVATION * self.uncached);
+            return Counted {
+                work: took.as_secs_f64().min(MAX_OBSERVATION * self.uncached),
+                was_cached: false,
+            };
         }
         // A much longer response time is due to its endpoint, not to the service. If most
         // responses take that long, the estimate rises step by step.
@@ -72,13 +89,13 @@
             &mut self.uncached
         };
         *mean += EWMA_WEIGHT * (took - *mean);
-        let learned = *mean;
+        let work = *mean;
         if let Affinity::Perhaps(rank) = affinity
             && let Some(hit_rate) = self.hit_rates.get_mut(rank)
         {
             *hit_rate += EWMA_WEIGHT * (f64::from(u8::from(was_cached)) - *hit_rate);
         }
-        learned
+        Counted { work, was_cached }
     }
 
     /// Whether the first endpoint in an object's order usually has it cached, as other gateways send it
--- a/crates/place/src/decide.rs
+++ b/crates/place/src/decide.rs
@@ -102,6 +102,7 @@
     fn place_among(&mut self, now: Moment, req: Request<'_>, eligibility: Eligibility) -> Decision {
         self.request_counter = self.request_counter.wrapping_add(1);
         let object = self.object_key(&req);
+        self.record_object(now, &req, object);
         let planned = self.planned_region(&req, object);
         let eligible = self.eligible(now, &req, eligibility);
         let best = self.best_by_region(now, &req, object, planned.as_ref(), &eligible);
@@ -270,7 +271,13 @@
                 pressure: self.pressure(now, &indices),
                 failure_rate: self.mean_failure_rate(now, &indices),
             };
-            let order = self.by_preference(&indices, key, req.large);
+            let is_local = region == self.cfg.region;
+            let local = object.filter(|_| is_local && !req.large);
+            let near = local.is_some_and(|object| self.prefers_own_domain(req.service, object));
+            let mut order = self.by_preference(&indices, key, req.large || near);
+            if let Some(object) = local {
+                self.arrange(req.service, object, &mut order);
+            }
             let count = order.len() as f64;
             for (rank, index) in order.into_iter().enumerate() {
                 let candidate = self.candidate(
@@ -459,14 +466,14 @@
         of_route.unwrap_or(times.shared())
     }
 
-    /// Sorts endpoints by an object's preference, or by that of another key. For a large
-    /// response, those of this failure domain come first: its callers connect here, and each
-    /// response from elsewhere sends its bytes between failure domains.
-    fn by_preference(&self, indices: &[usize], key: u64, large: bool) -> Vec<usize> {
+    /// Sorts endpoints by an object's preference, or by that of another key. With `near`, for a large
+    /// response for instance, those of this failure domain come first: its callers connect here, and
+    /// each response from elsewhere sends its bytes between failure domains.
+    fn by_preference(&self, indices: &[usize], key: u64, near: bool) -> Vec<usize> {
         let mut order = indices.to_vec();
         let preference = |i: &usize| {
             let e = &self.endpoints[*i];
-            let in_domain = large && e.domain == self.cfg.domain;
+            let in_domain = near && e.domain == self.cfg.domain;
             std::cmp::Reverse((in_domain, rank::score(key, &e.id)))
         };
         order.sort_by_cached_key(preference);
--- a/crates/place/src/endpoint.rs
+++ b/crates/place/src/endpoint.rs
@@ -79,6 +79,9 @@
 /// Half-life of the reported number of requests of other gateways: about the time that a
 /// request runs.
 const LOAD_HALF_LIFE: Duration = Duration::from_millis(200);
+/// Time over which reported loads are averaged: several reports, as a gateway hears from an endpoint only
+/// every few seconds.
+const LOAD_AVERAGING: Duration = Duration::from_secs(10);
 /// Half-life of the reported slowdown of an endpoint's VM: VMs that share a host stay slow for about
 /// 0.6 s.
 const SLOWDOWN_HALF_LIFE: Duration = Duration::from_millis(300);
@@ -182,6 +185,8 @@
     stall_timeout: Duration,
     /// Whether the last reported load had queued requests.
     has_queue: bool,
+    /// Moving average of the reported load for each slot; `None` until the first report.
+    mean_load: Option<f64>,
     /// How many times longer work takes on its VM, as last reported, and when that was.
     reported_slowdown: f64,
     slowdown_reported_at: Moment,
@@ -223,6 +228,7 @@
             progress_at: now,
             stall_timeout: STALL_MIN,
             has_queue: false,
+            mean_load: None,
             reported_slowdown: 1.0,
             slowdown_reported_at: now,
             slowness: 1.0,
@@ -333,6 +339,11 @@
         let total = f64::from(load.running + load.waiting);
         // The request that this response belongs to may or may not be included in the load.
         self.others_in_flight = (total - f64::from(self.own_in_flight)).max(0.0);
+        let age = now.saturating_sub(self.load_reported_at);
+        let weight = 1.0 - (-age.as_secs_f64() / LOAD_AVERAGING.as_secs_f64()).exp();
+        let per_slot = total / f64::from(self.slots);
+        let before = self.mean_load.unwrap_or(per_slot);
+        self.mean_load = Some(before + weight * (per_slot - before));
         self.load_reported_at = now;
         self.has_queue = load.waiting > 0;
         if let Some(hundredths) = load.slowdown.filter(|hundredths| *hundredths > 0) {
@@ -354,6 +365,11 @@
         }
     }
 
+    /// Moving average of its load for each slot; `None` until it has reported one.
+    pub(crate) fn mean_load(&self) -> Option<f64> {
+        self.mean_load
+    }
+
     /// Whether the last reported load had queued requests.
     pub(crate) fn has_queue(&self) -> bool {
         self.has_queue
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -15,6 +15,8 @@
 //!   respond first is chosen, counting its queue, the round trip to it, whether it has the
 //!   object cached, and how slow it has been.
 //! - *Routes* (`route_times`): under contention control, times are expected for each route of a service.
+//! - *Popular objects* (`objects`): under contention control, an object has an endpoint in each failure domain
+//!   of its region, and more if it needs them.
 //! - *Other regions* (`plan`): where a region has too few endpoints, some of its objects are
 //!   placed in another region. The share of requests that run there changes only slowly, so
 //!   that no region receives a step of load.
@@ -56,6 +58,7 @@
 mod link;
 mod mechanism;
 mod named_limit;
+mod objects;
 mod placer;
 mod plan;
 mod planning;
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -11,6 +11,7 @@
 use crate::contact::{Contact, ContactChange, ContactState};
 use crate::cost::Affinity;
 use crate::endpoint::TrackedEndpoint;
+use crate::objects::ServiceObjects;
 use crate::plan::{Plan, SlotsByRegion};
 use crate::planning::OwnDemand;
 use crate::priority::PriorityMix;
@@ -64,6 +65,8 @@
     pub(crate) region_shares: HashMap<ServiceName, RegionShares>,
     /// Busy slots that the callers of each region need, as summed up by control.
     pub(crate) demand: BTreeMap<ServiceName, SlotsByRegion>,
+    /// The objects of each service, under contention control.
+    pub(crate) objects: HashMap<ServiceName, ServiceObjects>,
     /// When `demand` was last received.
     pub(crate) demand_at: Moment,
     /// Requests at this gateway since the last report.
@@ -110,6 +113,7 @@
             priorities: HashMap::new(),
             region_shares: HashMap::new(),
             demand: BTreeMap::new(),
+            objects: HashMap::new(),
             demand_at: Moment::ZERO,
             own_demand: HashMap::new(),
             endpoints_known_at: None,
--- a/crates/place/src/planning.rs
+++ b/crates/place/src/planning.rs
@@ -147,6 +147,7 @@
 
     /// Moves the plan of each service towards what demand and capacity ask for.
     pub fn update_plans(&mut self, now: Moment) {
+        self.update_objects(now);
         let stage = self.stage(now);
         let services: Vec<ServiceName> = self.services.keys().cloned().collect();
         for service in services {
--- a/crates/place/src/route_times.rs
+++ b/crates/place/src/route_times.rs
@@ -10,7 +10,7 @@
 
 use filberthead_types::Moment;
 
-use crate::cost::ResponseTimes;
+use crate::cost::{Affinity, ResponseTimes};
 use crate::{Target, rank};
 
 /// Identity of a route among those of a service: its prefix. It stays the same when the route is renamed.
@@ -28,6 +28,9 @@
 /// their endpoints, and shorter than the load of a service takes to change for good.
 const WORK_AVERAGING: Duration = Duration::from_secs(10);
 
+/// Weight of a new observation in the share of forgotten objects: about the last fifty count.
+const FORGOTTEN_WEIGHT: f64 = 0.02;
+
 /// Work that the requests of a service really take, objects that aren't cached included.
 ///
 /// The cached time alone undercounts the demand of a region whose endpoints can hardly remember its
@@ -65,6 +68,8 @@
     shared: ResponseTimes,
     by_route: HashMap<RouteKey, ResponseTimes>,
     work: MeanWork,
+    /// Moving average of the share of requests whose object had been sent to their endpoint and wasn't cached.
+    forgotten: f64,
 }
 
 impl ServiceTimes {
@@ -79,6 +84,7 @@
                 count: 0,
                 updated_at: Moment::ZERO,
             },
+            forgotten: 0.0,
         }
     }
 
@@ -98,13 +104,23 @@
         let (affinity, has_object) = (target.affinity, target.has_object);
         let shared = self.shared.record(affinity, has_object, took);
         let of_route = self.by_route.get_mut(&target.route);
-        let learned = of_route.map(|times| times.record(affinity, has_object, took));
+        let of_route = of_route.map(|times| times.record(affinity, has_object, took));
+        let counted = of_route.unwrap_or(shared);
         if tells_work {
-            self.work.sum += learned.unwrap_or(shared);
+            self.work.sum += counted.work;
             self.work.count += 1;
+            if affinity == Affinity::Sent {
+                let forgotten = f64::from(u8::from(!counted.was_cached));
+                self.forgotten += FORGOTTEN_WEIGHT * (forgotten - self.forgotten);
+            }
         }
     }
 
+    /// Share of the requests whose object had been sent to their endpoint and wasn't cached there any more.
+    pub(crate) fn forgotten(&self) -> f64 {
+        self.forgotten
+    }
+
     /// Updates the mean work of requests.
     pub(crate) fn update_work(&mut self, now: Moment) {
         self.work.update(now, self.shared.cached());
--- a/crates/place/tests/all/main.rs
+++ b/crates/place/tests/all/main.rs
@@ -7,6 +7,7 @@
 mod limits;
 mod link;
 mod objects;
+mod popular;
 mod priorities;
 mod quarantine;
 mod refusals;
