--- a/crates/observe/tests/trace.rs
+++ b/crates/observe/tests/trace.rs
@@ -165,6 +165,7 @@
         words(0, 150),
         "sent ahead on its connection: its answer waited 150 ms for those of requests before it"
     );
+}
 
 /// An operator must see why a request waited, or was rejected although endpoints are there.
 #[test]
--- a/crates/place/src/decide.rs
+++ b/crates/place/src/decide.rs
@@ -103,8 +103,11 @@
         self.request_counter = self.request_counter.wrapping_add(1);
         let object = self.object_key(&req);
         let planned = self.planned_region(&req, object);
-        let eligible = self.eligible(now, &req, eligibility);
-        let best = self.best_by_region(now, &req, object, planned.as_ref(), &eligible);
+        // Objects that the plan places elsewhere take no memory here.
+        if planned.is_none() {
+            self.record_object(now, &req, object);
+        }
+        let best = self.best(now, &req, object, planned.as_ref(), eligibility);
         let is_pinned = planned
             .as_ref()
             .is_some_and(|r| !self.may_decrease(&req, r));
@@ -248,6 +251,31 @@
         }
     }
 
+    /// The candidates with the lowest cost in this and the planned region, or in all regions if no endpoint
+    /// of this region may run the request. Others are never chosen, and comparing them takes most of a
+    /// decision's time.
+    fn best(
+        &self,
+        now: Moment,
+        req: &Request<'_>,
+        object: Option<u64>,
+        planned: Option<&Region>,
+        eligibility: Eligibility,
+    ) -> BTreeMap<Region, Candidate> {
+        let own = Some(&self.cfg.region);
+        let is_first = |e: &TrackedEndpoint| {
+            let region = e.region.as_ref();
+            region == own || (planned.is_some() && region == planned)
+        };
+        let eligible = self.eligible_where(now, req, eligibility, is_first);
+        let best = self.best_by_region(now, req, object, planned, &eligible);
+        if best.contains_key(&self.cfg.region) {
+            return best;
+        }
+        let eligible = self.eligible(now, req, eligibility);
+        self.best_by_region(now, req, object, planned, &eligible)
+    }
+
     /// The candidate with the lowest cost in each region.
     fn best_by_region(
         &self,
@@ -270,7 +298,13 @@
                 pressure: self.pressure(now, &indices),
                 failure_rate: self.mean_failure_rate(now, &indices),
             };
-            let order = self.by_preference(&indices, key, req.large);
+            let is_local = region == self.cfg.region;
+            let local = object.filter(|_| is_local && !req.large);
+            let near = local.is_some_and(|object| self.prefers_own_domain(req.service, object));
+            let mut order = self.by_preference(&indices, key, req.large || near);
+            if let Some(object) = local {
+                self.arrange(req.service, object, &mut order);
+            }
             let count = order.len() as f64;
             for (rank, index) in order.into_iter().enumerate() {
                 let candidate = self.candidate(
@@ -362,6 +396,17 @@
 
     /// Indices of the endpoints that may run the request.
     fn eligible(&self, now: Moment, req: &Request<'_>, eligibility: Eligibility) -> Vec<usize> {
+        self.eligible_where(now, req, eligibility, |_| true)
+    }
+
+    /// Those of them that meet another condition.
+    fn eligible_where(
+        &self,
+        now: Moment,
+        req: &Request<'_>,
+        eligibility: Eligibility,
+        condition: impl Fn(&TrackedEndpoint) -> bool,
+    ) -> Vec<usize> {
         let is_in_reach = |e: &TrackedEndpoint| match eligibility {
             Eligibility::InReach | Eligibility::BeyondLimit => {
                 e.is_usable(now) && e.rest_allows(now) && self.contact.is_usable(&e.domain)
@@ -377,6 +422,7 @@
         };
         let is_eligible = |e: &TrackedEndpoint| {
             e.service == *req.service
+                && condition(e)
                 && is_in_reach(e)
                 && !self.evacuated.contains(&e.domain)
                 && !req.excluded.contains(&e.id)
@@ -459,14 +505,14 @@
         of_route.unwrap_or(times.shared())
     }
 
-    /// Sorts endpoints by an object's preference, or by that of another key. For a large
-    /// response, those of this failure domain come first: its callers connect here, and each
-    /// response from elsewhere sends its bytes between failure domains.
-    fn by_preference(&self, indices: &[usize], key: u64, large: bool) -> Vec<usize> {
+    /// Sorts endpoints by an object's preference, or by that of another key. With `near`, for a large
+    /// response for instance, those of this failure domain come first: its callers connect here, and
+    /// each response from elsewhere sends its bytes between failure domains.
+    fn by_preference(&self, indices: &[usize], key: u64, near: bool) -> Vec<usize> {
         let mut order = indices.to_vec();
         let preference = |i: &usize| {
             let e = &self.endpoints[*i];
-            let in_domain = large && e.domain == self.cfg.domain;
+            let in_domain = near && e.domain == self.cfg.domain;
             std::cmp::Reverse((in_domain, rank::score(key, &e.id)))
         };
         order.sort_by_cached_key(preference);
@@ -595,8 +641,14 @@
 fn by_region(endpoints: &[TrackedEndpoint], eligible: &[usize]) -> BTreeMap<Region, Vec<usize>> {
     let mut regions: BTreeMap<Region, Vec<usize>> = BTreeMap::new();
     for index in eligible {
-        if let Some(region) = &endpoints[*index].region {
-            regions.entry(region.clone()).or_default().push(*index);
+        let Some(region) = &endpoints[*index].region else {
+            continue;
+        };
+        match regions.get_mut(region) {
+            Some(indices) => indices.push(*index),
+            None => {
+                regions.insert(region.clone(), vec![*index]);
+            }
         }
     }
     regions
--- a/crates/place/src/endpoint.rs
+++ b/crates/place/src/endpoint.rs
@@ -79,6 +79,9 @@
 /// Half-life of the reported number of requests of other gateways: about the time that a
 /// request runs.
 const LOAD_HALF_LIFE: Duration = Duration::from_millis(200);
+/// Time over which reported loads are averaged: several reports, as a gateway hears from an endpoint only
+/// every few seconds.
+const LOAD_AVERAGING: Duration = Duration::from_secs(10);
 /// Half-life of the reported slowdown of an endpoint's VM: VMs that share a host stay slow for about
 /// 0.6 s.
 const SLOWDOWN_HALF_LIFE: Duration = Duration::from_millis(300);
@@ -182,6 +185,8 @@
     stall_timeout: Duration,
     /// Whether the last reported load had queued requests.
     has_queue: bool,
+    /// Moving average of the reported load for each slot; `None` until the first report.
+    mean_load: Option<f64>,
     /// How many times longer work takes on its VM, as last reported, and when that was.
     reported_slowdown: f64,
     slowdown_reported_at: Moment,
@@ -223,6 +228,7 @@
             progress_at: now,
             stall_timeout: STALL_MIN,
             has_queue: false,
+            mean_load: None,
             reported_slowdown: 1.0,
             slowdown_reported_at: now,
             slowness: 1.0,
@@ -292,9 +298,10 @@
 
     /// Estimated number of requests at the endpoint, running and queued.
     pub(crate) fn load(&self, now: Moment) -> f64 {
-        let age = now.saturating_sub(self.load_reported_at);
-        let half_lives = age.as_secs_f64() / LOAD_HALF_LIFE.as_secs_f64();
-        let others = self.others_in_flight * 0.5_f64.powf(half_lives);
+        let others = match self.others_in_flight > 0.0 {
+            true => self.others_in_flight * decay(now, self.load_reported_at, LOAD_HALF_LIFE),
+            false => 0.0,
+        };
         let min_load = if now < self.full_until {
             f64::from(2 * self.slots)
         } else {
@@ -306,6 +313,10 @@
     /// How much longer than expected its responses take, decayed by age; 1 below the
     /// threshold.
     pub(crate) fn slowness(&self, now: Moment) -> f64 {
+        // It only decays, so a value below the threshold stays there.
+        if self.slowness < SLOWNESS_THRESHOLD {
+            return 1.0;
+        }
         let slowness = self.decayed_slowness(now);
         if slowness < SLOWNESS_THRESHOLD {
             1.0
@@ -315,17 +326,15 @@
     }
 
     fn decayed_slowness(&self, now: Moment) -> f64 {
-        1.0 + (self.slowness - 1.0) * self.decay(now)
+        1.0 + (self.slowness - 1.0) * decay(now, self.scored_at, SCORE_HALF_LIFE)
     }
 
     /// Share of its requests that fail, decayed by age.
     pub(crate) fn failure_rate(&self, now: Moment) -> f64 {
-        self.failure_rate * self.decay(now)
-    }
-
-    fn decay(&self, now: Moment) -> f64 {
-        let age = now.saturating_sub(self.scored_at);
-        0.5_f64.powf(age.as_secs_f64() / SCORE_HALF_LIFE.as_secs_f64())
+        if self.failure_rate == 0.0 {
+            return 0.0;
+        }
+        self.failure_rate * decay(now, self.scored_at, SCORE_HALF_LIFE)
     }
 
     /// Records the load that the endpoint reported with a response.
@@ -333,6 +342,11 @@
         let total = f64::from(load.running + load.waiting);
         // The request that this response belongs to may or may not be included in the load.
         self.others_in_flight = (total - f64::from(self.own_in_flight)).max(0.0);
+        let age = now.saturating_sub(self.load_reported_at);
+        let weight = 1.0 - (-age.as_secs_f64() / LOAD_AVERAGING.as_secs_f64()).exp();
+        let per_slot = total / f64::from(self.slots);
+        let before = self.mean_load.unwrap_or(per_slot);
+        self.mean_load = Some(before + weight * (per_slot - before));
         self.load_reported_at = now;
         self.has_queue = load.waiting > 0;
         if let Some(hundredths) = load.slowdown.filter(|hundredths| *hundredths > 0) {
@@ -345,15 +359,22 @@
     /// How many times longer than usual work takes on its VM, as far as is known: the reported value,
     /// which approaches 1 with its age.
     pub(crate) fn slowdown(&self, now: Moment) -> f64 {
-        let age = now.saturating_sub(self.slowdown_reported_at);
-        let half_lives = age.as_secs_f64() / SLOWDOWN_HALF_LIFE.as_secs_f64();
-        let excess = (self.reported_slowdown - 1.0) * 0.5_f64.powf(half_lives);
+        let reported = self.reported_slowdown - 1.0;
+        if reported.abs() < SLOWDOWN_DEAD_BAND {
+            return 1.0;
+        }
+        let excess = reported * decay(now, self.slowdown_reported_at, SLOWDOWN_HALF_LIFE);
         match excess.abs() < SLOWDOWN_DEAD_BAND {
             true => 1.0,
             false => 1.0 + excess,
         }
     }
 
+    /// Moving average of its load for each slot; `None` until it has reported one.
+    pub(crate) fn mean_load(&self) -> Option<f64> {
+        self.mean_load
+    }
+
     /// Whether the last reported load had queued requests.
     pub(crate) fn has_queue(&self) -> bool {
         self.has_queue
@@ -487,3 +508,9 @@
         }
     }
 }
+
+/// What is left of a value that was last updated at `at`.
+fn decay(now: Moment, at: Moment, half_life: Duration) -> f64 {
+    let age = now.saturating_sub(at);
+    0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64())
+}
--- a/crates/place/tests/all/waiting.rs
+++ b/crates/place/tests/all/waiting.rs
@@ -111,6 +111,7 @@
         Load {
             running: self.running.len() as u32,
             waiting: self.waiting.len() as u32,
+            slowdown: None,
         }
     }
 
--- a/crates/place/tests/all/waiting_room.rs
+++ b/crates/place/tests/all/waiting_room.rs
@@ -18,10 +18,12 @@
 const FULL: Load = Load {
     running: SLOTS,
     waiting: 12,
+    slowdown: None,
 };
 const FREE: Load = Load {
     running: 2,
     waiting: 0,
+    slowdown: None,
 };
 
 fn site(name: &str) -> Site {
