Gateways: divide services that are short of capacity among workspaces

While a service was short of capacity, a workspace that sent many times its usual rate got most of it, as far as its allotment let it. Gateways now measure the expected work that workspaces ask for and that is served, control adds it up over all gateways, estimates what the service can serve, divides it by max-min fairness in order of priority, and tells the gateways the part of each workspace's requests that they may send. Requests beyond it are answered 503 with the new code 1215 share-used and a Retry-After. Without control, a gateway goes by its own counts.

Only acts while contention control is on and for callers of workspaces.

--- a/crates/allot/src/lib.rs
+++ b/crates/allot/src/lib.rs
@@ -28,9 +28,14 @@
 mod pool;
 mod rate;
 mod refusals;
+mod shares;
 mod usage;
 
 pub use limiter::{Admission, Contact, Limiter, LimiterConfig};
 pub use pool::{Pool, Presence, WorkspaceTotals, sum_up};
 pub use refusals::{RefusalMeter, RefusedRate};
+pub use shares::{
+    DividedService, MAX_NAMED, Offer, OtherShare, OtherWork, ServiceShares, ServiceWork, Share,
+    ShareMeter, SharePool, Shares, WorkspaceWork,
+};
 pub use usage::{AdmitRatio, Usage};
--- a/crates/filberthead/src/gateway/caller.rs
+++ b/crates/filberthead/src/gateway/caller.rs
@@ -138,22 +138,47 @@
     unspent: u32,
     /// Units that were taken here. Another gateway gives its own back.
     taken: u32,
+    /// Service and expected work, while contention control is on.
+    work: Option<(&'a ServiceName, Duration)>,
+}
+
+/// Why a request isn't admitted, and the time after which it may be.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum NotAdmitted {
+    /// The workspace has used up its allotment.
+    Allotment(Duration),
+    /// The service is short of capacity, and the workspace has had its share of it.
+    Share(Duration),
 }
 
 impl<'a> Charge<'a> {
-    /// Takes one unit from the caller's allotment, or returns the time after which there may
-    /// be room for it.
-    pub(crate) fn take(core: &'a Core, caller: &'a Caller) -> Result<Self, Duration> {
+    /// Takes one unit from the caller's allotment, if the workspace's share of the service also has room
+    /// for it.
+    pub(crate) fn take(
+        core: &'a Core,
+        caller: &'a Caller,
+        (service, priority): (&'a ServiceName, u8),
+    ) -> Result<Self, NotAdmitted> {
         let workspace = caller.workspace();
-        match workspace.map(|workspace| core.admit(workspace)) {
-            None | Some(Admission::Admitted) => Ok(Self {
-                core,
-                workspace,
-                unspent: 1,
-                taken: 1,
-            }),
-            Some(Admission::Refused { retry_after }) => Err(retry_after),
+        let mut charge = Self {
+            core,
+            workspace,
+            unspent: 0,
+            taken: 0,
+            work: None,
+        };
+        if let Some(workspace) = workspace {
+            if let Admission::Refused { retry_after } = core.admit(workspace) {
+                return Err(NotAdmitted::Allotment(retry_after));
+            }
+            // Dropped when the share is used, the charge gives the unit back.
+            (charge.unspent, charge.taken) = (1, 1);
+            let work = core.admit_share(service, workspace, priority);
+            let work = work.map_err(NotAdmitted::Share)?;
+            charge.work = work.map(|work| (service, work));
         }
+        (charge.unspent, charge.taken) = (1, 1);
+        Ok(charge)
     }
 
     /// The charge of a relayed request, whose first unit its sender has taken.
@@ -163,6 +188,7 @@
             workspace: caller.workspace(),
             unspent: 1,
             taken: 0,
+            work: None,
         }
     }
 
@@ -187,6 +213,13 @@
         is_admitted
     }
 
+    /// Counts the request's work as served.
+    pub(crate) fn record_served(&mut self) {
+        if let Some((service, work)) = self.work.take() {
+            self.core.record_share_served(service, work);
+        }
+    }
+
     /// Takes a unit back after an attempt that no endpoint has run.
     pub(crate) fn restore(&mut self) {
         self.unspent += 1;
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use filberthead_allot::{Admission, Contact, Limiter, RefusalMeter};
+use filberthead_allot::{Admission, Contact, Limiter, Offer, RefusalMeter};
 use filberthead_endpoint::Client;
 use filberthead_fleet::{Load, Member, Outbound, Stamp, Update, UpdateDelay};
 use filberthead_observe::{GatewayMetrics, LogRateLimiter};
@@ -33,6 +33,7 @@
 use super::body_memory::BodyMemory;
 use super::bounds::Bounds;
 use super::relay::Helpers;
+use super::shares::FairShares;
 use super::stop::{AnswersDue, Phase};
 use super::{ControlMessage, ProtocolNames};
 use crate::Clock;
@@ -56,6 +57,8 @@
     pub(crate) protocol: Arc<ProtocolNames>,
     pub(crate) placer: Placer,
     pub(crate) limiter: Limiter,
+    /// Divides services that are short of capacity among workspaces.
+    pub(crate) shares: FairShares,
     pub(crate) member: Member,
     pub(crate) identity: Identity,
     /// Region of each failure domain.
@@ -142,6 +145,8 @@
     pub(crate) usual_times: RefCell<UsualTimes>,
     /// Keeps workspaces within their allotments.
     limiter: RefCell<Limiter>,
+    /// Divides services that are short of capacity among workspaces.
+    shares: RefCell<FairShares>,
     /// Refused requests by workspace, for the report to control.
     refusals: RefCell<RefusalMeter>,
     pub(crate) metrics: Arc<GatewayMetrics>,
@@ -213,6 +218,7 @@
             placer: RefCell::new(parts.placer),
             usual_times: RefCell::default(),
             limiter: RefCell::new(parts.limiter),
+            shares: RefCell::new(parts.shares),
             refusals: RefCell::default(),
             metrics: parts.metrics,
             contention_control: parts.contention_control,
@@ -346,6 +352,53 @@
         admission
     }
 
+    /// Decides whether a workspace's request exceeds its share of a service that is short of capacity.
+    /// Returns the work that is expected of the request if it is admitted; `None` while contention
+    /// control is off.
+    pub(crate) fn admit_share(
+        &self,
+        service: &ServiceName,
+        workspace: &Workspace,
+        priority: u8,
+    ) -> Result<Option<Duration>, Duration> {
+        let placer = self.placer.borrow();
+        if !placer.contention_control() {
+            return Ok(None);
+        }
+        let Some(work) = placer.response_time(service) else {
+            return Ok(None);
+        };
+        drop(placer);
+        let offer = Offer {
+            service,
+            workspace,
+            priority,
+            work,
+        };
+        match self.shares.borrow_mut().admit(self.now(), offer) {
+            Admission::Admitted => Ok(Some(work)),
+            Admission::Refused { retry_after } => Err(retry_after),
+        }
+    }
+
+    /// Counts the work of a workspace's request that was answered.
+    pub(crate) fn record_share_served(&self, service: &ServiceName, work: Duration) {
+        let mut shares = self.shares.borrow_mut();
+        shares.record_served(self.now(), service, work);
+    }
+
+    /// Records that a request was rejected or an attempt was refused or timed out, as happens when a
+    /// service is short of capacity.
+    pub(crate) fn record_shortage(&self, service: &ServiceName) {
+        if !self.placer.borrow().contention_control() {
+            return;
+        }
+        let mut shares = self.shares.borrow_mut();
+        if shares.record_shortage(self.now(), service) {
+            self.member.borrow_mut().hasten_report();
+        }
+    }
+
     /// Takes a retry from the service's budget if there is one left.
     pub(crate) fn try_spend_retry(&self, now: Moment, service: &ServiceName) -> RetryDecision {
         let decision = self.placer.borrow_mut().try_spend_retry(now, service);
@@ -618,6 +671,7 @@
                 let services = table.services.iter().map(|service| &service.name);
                 self.usual_times.borrow_mut().retain(services);
                 self.limiter.borrow_mut().set_workspaces(&table.workspaces);
+                self.shares.borrow_mut().set_routes(&table);
                 let active_routes = ActiveRoutes::new(&table, (version, revision), from, now);
                 self.active_routes.replace(Some(Rc::new(active_routes)));
                 let bounds = Some(table.bounds);
@@ -652,6 +706,7 @@
             }
             Update::ReportAnswered => self.limiter.borrow_mut().confirm_report(),
             Update::Ratios(ratios) => self.limiter.borrow_mut().set_ratios(now, from, &ratios),
+            Update::Shares(shares) => self.shares.borrow_mut().set(now, from, shares),
             Update::Suspicions(told) => placer.set_suspicions(now, told),
             Update::Contended => self.enable_contention_control(&mut placer, "control"),
             Update::Helpers(list) => self.helpers.borrow_mut().set(list),
@@ -711,6 +766,7 @@
         let limited = self.placer.borrow().limited_endpoints();
         self.metrics.set_limited_endpoints(limited);
         self.log_ended_rests(now);
+        self.shares.borrow_mut().tick(now, &self.metrics);
         let placer = &self.placer;
         let out = member.tick(now, || {
             let mut placer = placer.borrow_mut();
@@ -729,6 +785,7 @@
                 demand: placer.take_demand(now),
                 usage: self.limiter.borrow_mut().usage(now),
                 refused: self.refusals.borrow_mut().report(now),
+                work: self.shares.borrow_mut().report(now),
                 link_milli: self.link_milli(now),
                 suspicions: placer.suspicions(now),
             }
--- a/crates/filberthead/src/gateway/forwarding/after.rs
+++ b/crates/filberthead/src/gateway/forwarding/after.rs
@@ -31,7 +31,10 @@
         }
         let to = to.id();
         match attempt {
-            Attempt::Answered(response) => Next::respond(response),
+            Attempt::Answered(response) => {
+                charge.record_served();
+                Next::respond(response)
+            }
             Attempt::NotSent(body) => {
                 charge.restore();
                 self.after_unreached(body)
@@ -43,6 +46,7 @@
             }
             Attempt::NotRun { load_reported } => {
                 charge.restore();
+                self.core.record_shortage(self.service);
                 self.after_not_run(&to, load_reported, body, charge)
             }
             Attempt::Rejected { code, retry_after } => {
@@ -53,6 +57,7 @@
             Attempt::Lost => self.after_loss(&to, body, charge),
             Attempt::TimedOut => {
                 self.attempts.record_ran();
+                self.core.record_shortage(self.service);
                 self.log_attempt("deadline passed before the endpoint responded", &to);
                 Next::expire(gateway_response(ResultCode::DeadlineWhileRunning, None))
             }
--- a/crates/filberthead/src/gateway/forwarding/finish.rs
+++ b/crates/filberthead/src/gateway/forwarding/finish.rs
@@ -34,6 +34,9 @@
             }
             _ => (code, retry_after),
         };
+        if code == ResultCode::Overloaded {
+            self.core.record_shortage(self.service);
+        }
         let retry_after = self.book_return(code).max(retry_after);
         let left = self.deadline.remaining().as_millis();
         let (list_ms, control_ms) = self.core.data_ages();
@@ -60,6 +63,19 @@
         gateway_response(code, Some(retry_after))
     }
 
+    /// Builds the response to a request that exceeds its workspace's share. Such requests are many while a
+    /// service is short of capacity, so nothing is looked up for the log.
+    pub(super) fn refuse_by_share(&self, retry_after: Duration) -> Response<ResponseBody> {
+        let code = ResultCode::ShareUsed;
+        if let Some(omitted) = self.core.may_log(code) {
+            info!(request = self.request_id(), route = self.route.name.as_str(),
+                service:% = self.service, priority = self.priority,
+                workspace = self.caller.workspace().map(WorkspaceName::as_str), code:%,
+                retry_after_ms = retry_after.as_millis(), omitted; "refused");
+        }
+        gateway_response(code, Some(retry_after))
+    }
+
     /// Books the return of a caller that is refused because all endpoints rest; zero for any other.
     pub(super) fn book_return(&self, code: ResultCode) -> Duration {
         let is_told = self.failed_response.is_none() && self.attempts.may_have_run() == 0;
--- a/crates/filberthead/src/gateway/forwarding/mod.rs
+++ b/crates/filberthead/src/gateway/forwarding/mod.rs
@@ -16,7 +16,7 @@
 use http::request::Parts;
 
 use self::next::{Next, Reach, Start};
-use super::caller::{Caller, Charge};
+use super::caller::{Caller, Charge, NotAdmitted};
 use super::core::Core;
 use super::deadline::Deadline;
 use super::headers::header_text;
@@ -62,13 +62,14 @@
         let core = self.core;
         let charge = match self.relayed_by.is_some() {
             true => Ok(Charge::taken_elsewhere(core, self.caller)),
-            false => Charge::take(core, self.caller),
+            false => Charge::take(core, self.caller, (self.service, self.priority)),
         };
         let mut charge = match charge {
             Ok(charge) => charge,
-            Err(retry_after) => {
+            Err(NotAdmitted::Allotment(retry_after)) => {
                 return self.final_response(ResultCode::AllotmentUsed, retry_after);
             }
+            Err(NotAdmitted::Share(retry_after)) => return self.refuse_by_share(retry_after),
         };
         let is_large = self.route.kind == Kind::Download;
         if is_large && let Err(retry_after) = self.core.admit_large(self.is_retry) {
--- a/crates/filberthead/src/gateway/mod.rs
+++ b/crates/filberthead/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 mod retry;
 mod retry_after;
 mod serve;
+mod shares;
 mod source;
 mod stop;
 mod streamed;
@@ -56,6 +57,7 @@
 
 use self::core::{Core, CoreParts, Identity};
 pub use self::protocol::ProtocolNames;
+use self::shares::FairShares;
 use self::stop::{AnswersDue, Phase, PlannedStop};
 use crate::ready::announce;
 use crate::stop::{Stop, stop_pair};
@@ -279,6 +281,7 @@
             seed: rand::random(),
             unreserved: cfg.budgets.allotment_slack,
         }),
+        shares: FairShares::new(rand::random()),
         member: Member::new(info, cfg.seeds.clone(), rand::random()),
         identity: Identity {
             cluster: cluster_id(&cfg.cluster),
--- a/crates/fleet/src/api.rs
+++ b/crates/fleet/src/api.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use filberthead_allot::{AdmitRatio, RefusedRate, Usage};
+use filberthead_allot::{AdmitRatio, RefusedRate, ServiceShares, ServiceWork, Usage};
 use filberthead_route::{Change, Delta, Table};
 use filberthead_types::{FailureDomain, Incarnation, NodeName, Region, ServiceName};
 use serde::{Deserialize, Serialize};
@@ -214,6 +214,8 @@
     pub usage: Vec<Usage>,
     /// Requests of workspaces that it has refused lately.
     pub refused: Vec<RefusedRate>,
+    /// Expected work of workspaces' requests to each service.
+    pub work: Vec<ServiceWork>,
     /// Utilisation of its network link in thousandths.
     pub link_milli: u32,
     /// What it holds against requests that may crash endpoints.
@@ -240,6 +242,8 @@
     pub usage: Vec<Usage>,
     /// Requests of workspaces that it has refused lately.
     pub refused: Vec<RefusedRate>,
+    /// Expected work of workspaces' requests to each service.
+    pub work: Vec<ServiceWork>,
     /// Utilisation of its network link in thousandths.
     pub link_milli: u32,
     /// What it holds against requests that may crash endpoints.
@@ -318,6 +322,8 @@
         demand: Vec<(Region, ServiceName, u32)>,
         /// The part of its requests that may be sent, for each workspace near its allotment.
         ratios: Vec<AdmitRatio>,
+        /// How the capacity of services that are short of it is divided among workspaces.
+        shares: Vec<ServiceShares>,
         /// Mean link utilisation of the ready gateways in the receiver's failure domain, in
         /// thousandths; `None` if there are none.
         link_milli: Option<u32>,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -23,6 +23,7 @@
 mod allotments;
 mod api;
 mod contacts;
+mod division;
 mod list;
 mod member;
 mod parts;
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use filberthead_allot::{AdmitRatio, RefusedRate, Usage};
+use filberthead_allot::{AdmitRatio, RefusedRate, ServiceShares, ServiceWork, Usage};
 use filberthead_route::{Delta, Table};
 use filberthead_types::{FailureDomain, Moment, Region, ServiceName};
 
@@ -62,6 +62,8 @@
     Demand(Vec<(Region, ServiceName, u32)>),
     /// The part of its requests that may be sent, for each workspace near its allotment.
     Ratios(Vec<AdmitRatio>),
+    /// How the capacity of services that are short of it is divided among workspaces.
+    Shares(Vec<ServiceShares>),
     /// A replica has received the last report.
     ReportAnswered,
     /// A replica has proved that it is in contact with the leader.
@@ -109,6 +111,8 @@
     pub usage: Vec<Usage>,
     /// Requests of workspaces that it has refused lately.
     pub refused: Vec<RefusedRate>,
+    /// Expected work of workspaces' requests to each service.
+    pub work: Vec<ServiceWork>,
     /// Utilisation of its network link in thousandths.
     pub link_milli: u32,
     /// What this gateway holds against requests that may crash endpoints.
@@ -301,6 +305,7 @@
             demand,
             usage,
             refused,
+            work,
             link_milli,
             suspicions,
         } = load();
@@ -314,6 +319,7 @@
             demand,
             usage,
             refused,
+            work,
             link_milli,
             suspicions,
             id,
@@ -391,6 +397,7 @@
                 gateways,
                 demand,
                 ratios,
+                shares,
                 link_milli,
                 helpers,
                 suspicions,
@@ -407,6 +414,7 @@
                     Update::Gateways(gateways),
                     Update::Demand(demand),
                     Update::Ratios(ratios),
+                    Update::Shares(shares),
                     Update::Links(link_milli),
                     Update::Helpers(self.without_this(helpers)),
                     Update::Suspicions(suspicions),
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -6,13 +6,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use filberthead_allot::{AdmitRatio, Presence, RefusedRate, Usage, WorkspaceTotals, sum_up};
+use filberthead_allot::{
+    AdmitRatio, DividedService, Presence, RefusedRate, ServiceShares, ServiceWork, Usage,
+    WorkspaceTotals, sum_up,
+};
 use filberthead_route::{Table, Workspace};
 use filberthead_types::{
     FailureDomain, Moment, NodeName, Region, ResultCode, ServiceName, Workspace as WorkspaceName,
 };
 
 use crate::allotments::Allotments;
+use crate::division::Division;
 use crate::list::{EndpointList, ListOutcome};
 use crate::parts::OutgoingTransfers;
 use crate::routes::Routes;
@@ -72,6 +76,7 @@
     demand: Vec<Demand>,
     usage: Vec<Usage>,
     refused: Vec<RefusedRate>,
+    work: Vec<ServiceWork>,
     link_milli: u32,
     suspicions: Vec<Suspicion>,
 }
@@ -105,6 +110,7 @@
     gateways: Vec<(FailureDomain, u32)>,
     demand: Vec<(Region, ServiceName, u32)>,
     ratios: Vec<AdmitRatio>,
+    shares: Vec<ServiceShares>,
     links: BTreeMap<FailureDomain, u32>,
     /// Helpers for the gateways of each failure domain.
     helpers: BTreeMap<FailureDomain, Vec<Helper>>,
@@ -132,6 +138,7 @@
     last_roster: Moment,
     totals: RefCell<Option<Totals>>,
     allotments: RefCell<Allotments>,
+    division: RefCell<Division>,
 }
 
 impl Registry {
@@ -294,6 +301,7 @@
             demand: report.demand,
             usage: report.usage,
             refused: report.refused,
+            work: report.work,
             link_milli: report.link_milli,
             suspicions: report.suspicions,
         };
@@ -302,6 +310,7 @@
             // It tells of a surge: the answer has to count it.
             self.totals.replace(None);
             self.allotments.borrow_mut().expire(now);
+            self.division.borrow_mut().expire(now);
         }
         self.store(gateway);
         if !proven && self.proof_requests.len() < MAX_PROOF_REQUESTS {
@@ -352,6 +361,7 @@
                 demand: relayed.demand,
                 usage: relayed.usage,
                 refused: relayed.refused,
+                work: relayed.work,
                 link_milli: relayed.link_milli,
                 suspicions: relayed.suspicions,
             });
@@ -377,6 +387,7 @@
             demand: gateway.demand.clone(),
             usage: gateway.usage.clone(),
             refused: gateway.refused.clone(),
+            work: gateway.work.clone(),
             link_milli: gateway.link_milli,
             suspicions: gateway.suspicions.clone(),
             age: now.saturating_sub(gateway.last_seen),
@@ -524,6 +535,7 @@
             gateways: totals.gateways.clone(),
             demand: totals.demand.clone(),
             ratios: totals.ratios.clone(),
+            shares: totals.shares.clone(),
             link_milli: totals.links.get(domain).copied(),
             helpers: totals.helpers.get(domain).cloned().unwrap_or_default(),
             suspicions: totals.suspicions.clone(),
@@ -540,6 +552,7 @@
             gateways: self.gateway_counts(now),
             demand: self.demand(now),
             ratios: self.ratios(now),
+            shares: self.shares(now),
             links: self.link_means(now),
             helpers: self.helpers(now),
             suspicions: self.suspicions(now),
@@ -563,6 +576,24 @@
         self.allotments.borrow_mut().ratios(now, self.usage(now))
     }
 
+    /// How the capacity of services that are short of it is divided among workspaces.
+    fn shares(&self, now: Moment) -> Vec<ServiceShares> {
+        let workspaces = self
+            .routes
+            .table()
+            .map_or(0, |table| table.workspaces.len());
+        let gateways = self.gateways.values();
+        let live = gateways.filter(|gateway| gateway.is_live(now));
+        let work = live.flat_map(|gateway| &gateway.work);
+        self.division.borrow_mut().shares(now, workspaces, work)
+    }
+
+    /// The services whose capacity is divided among workspaces.
+    pub fn divided_services(&self, now: Moment) -> Vec<DividedService> {
+        self.shares(now);
+        self.division.borrow().services().to_vec()
+    }
+
     /// The last reported usage of each gateway.
     fn usage(&self, now: Moment) -> impl Iterator<Item = (Presence, &Usage)> {
         self.gateways.values().flat_map(move |gateway| {
--- a/crates/fleet/tests/all/support.rs
+++ b/crates/fleet/tests/all/support.rs
@@ -85,6 +85,7 @@
         gateways: Vec::new(),
         demand: Vec::new(),
         ratios: Vec::new(),
+        shares: Vec::new(),
         link_milli: None,
         helpers: Vec::new(),
         suspicions: Vec::new(),
--- a/crates/observe/src/metrics/gateway.rs
+++ b/crates/observe/src/metrics/gateway.rs
@@ -78,6 +78,7 @@
     longest_rest: Gauge,
     rests: Counter,
     leaving_endpoints: Gauge,
+    shared_services: Gauge,
     running: Gauge,
     routes_version: Gauge,
     routes_proven: Gauge,
@@ -116,6 +117,7 @@
             longest_rest: Gauge::default(),
             rests: Counter::default(),
             leaving_endpoints: Gauge::default(),
+            shared_services: Gauge::default(),
             running: Gauge::default(),
             routes_version: Gauge::default(),
             routes_proven: Gauge::default(),
@@ -201,6 +203,12 @@
             leaving,
             self.leaving_endpoints.clone(),
         );
+        let shared = "Services short of capacity that is divided among workspaces";
+        registry.register(
+            "gateway_shared_services",
+            shared,
+            self.shared_services.clone(),
+        );
         let running = "Requests without a final answer";
         registry.register("gateway_running", running, self.running.clone());
         let version = "Operators' number of the routes in force";
@@ -325,6 +333,11 @@
         set(&self.leaving_endpoints, endpoints as u64);
     }
 
+    /// Sets the number of services whose capacity is divided among workspaces.
+    pub fn set_shared_services(&self, services: usize) {
+        set(&self.shared_services, services as u64);
+    }
+
     /// Counts an answer of an endpoint that asked for rest.
     pub fn record_rest(&self) {
         self.rests.inc();
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -246,6 +246,13 @@
         self.cfg.contention_control = true;
     }
 
+    /// How long requests to a service take at an endpoint that knows their objects; `None` if the routes
+    /// don't define the service.
+    pub fn response_time(&self, service: &ServiceName) -> Option<Duration> {
+        let times = self.response_times.get(service)?;
+        Some(Duration::from_secs_f64(times.cached()))
+    }
+
     /// Number of listed endpoints.
     pub fn endpoint_count(&self) -> usize {
         self.endpoints.len()
--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -147,6 +147,8 @@
     AllotmentUsed = 1213, 429, NotRun, "allotment-used";
     /// Endpoints have ended while they ran the same request.
     CrashesEndpoints = 1214, 503, NotRun, "crashes-endpoints";
+    /// The service is short of capacity, and the workspace asks for more than its share of it.
+    ShareUsed = 1215, 503, NotRun, "share-used";
     /// The deadline passed while an endpoint had the request.
     DeadlineWhileRunning = 1300, 504, MayHaveRun, "deadline-while-running";
     /// The endpoint's connection ended before its whole answer came.
