--- a/crates/allot/src/shares/gateway.rs
+++ b/crates/allot/src/shares/gateway.rs
@@ -198,10 +198,9 @@
         for shares in all {
             let in_force = self.in_force.entry(shares.service.clone()).or_default();
             for share in &shares.shares {
-                let ratio = ratio_from_milli(share.ratio_milli);
                 let named = &mut in_force.named[class(share.priority)];
                 let least = named.entry(share.workspace.clone()).or_insert(1.0);
-                *least = least.min(ratio);
+                *least = least.min(share.ratio());
             }
             for other in &shares.others {
                 let least = &mut in_force.others[class(other.priority)];
--- a/crates/allot/src/shares/messages.rs
+++ b/crates/allot/src/shares/messages.rs
@@ -68,6 +68,13 @@
     pub ratio_milli: u16,
 }
 
+impl Share {
+    /// The part, from 0 to 1.
+    pub fn ratio(&self) -> f64 {
+        ratio_from_milli(self.ratio_milli)
+    }
+}
+
 /// The part that each gateway may send of the work of all workspaces of a priority that aren't named.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/filberthead/src/control/status.rs
+++ b/crates/filberthead/src/control/status.rs
@@ -5,8 +5,8 @@
 use filberthead_consensus::{self as consensus, Role};
 use filberthead_fleet::WorkspaceUsage;
 use filberthead_operator::{
-    AllotmentStatus, RefusedStatus, ReplicaRole, ReplicaStatus, Status, WorkspaceStatus,
-    WorkspacesBody,
+    AllotmentStatus, RefusedStatus, ReplicaRole, ReplicaStatus, ShareStatus, ShortServiceStatus,
+    Status, WorkspaceStatus, WorkspacesBody,
 };
 use filberthead_types::ReplicaId;
 
@@ -36,9 +36,19 @@
     }
 
     pub(super) fn workspaces(&self) -> WorkspacesBody {
-        let workspaces = self.fleet.registry.workspaces(self.clock.now());
+        let now = self.clock.now();
+        let workspaces = self.fleet.registry.workspaces(now);
+        let short = self.fleet.registry.divided_services(now).into_iter();
         WorkspacesBody {
             workspaces: workspaces.into_iter().map(workspace_status).collect(),
+            short: short
+                .map(|divided| ShortServiceStatus {
+                    service: divided.service,
+                    capacity: divided.capacity,
+                    offered: divided.offered,
+                    served: divided.served,
+                })
+                .collect(),
         }
     }
 
@@ -105,6 +115,15 @@
                 rate: *rate,
             })
             .collect(),
+        shares: usage
+            .shares
+            .into_iter()
+            .map(|(service, priority, admitted)| ShareStatus {
+                service,
+                priority,
+                admitted,
+            })
+            .collect(),
     }
 }
 
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -101,6 +101,9 @@
     pub ratio: f64,
     /// Its refused requests per second over the last seconds, by code.
     pub refused: Vec<(ResultCode, f64)>,
+    /// Services of which it asks for more than its share: priority of the requests, and the part of them
+    /// that gateways may send.
+    pub shares: Vec<(ServiceName, u8, f64)>,
 }
 
 /// Totals over all gateways, as sent in notices.
@@ -588,6 +591,24 @@
         self.division.borrow_mut().shares(now, workspaces, work)
     }
 
+    /// The services of which each named workspace asks for more than its share.
+    fn shares_by_workspace(
+        &self,
+        now: Moment,
+    ) -> HashMap<WorkspaceName, Vec<(ServiceName, u8, f64)>> {
+        let mut by_workspace: HashMap<_, Vec<_>> = HashMap::new();
+        for ServiceShares {
+            service, shares, ..
+        } in self.shares(now)
+        {
+            for share in shares {
+                let part = (service.clone(), share.priority, share.ratio());
+                by_workspace.entry(share.workspace).or_default().push(part);
+            }
+        }
+        by_workspace
+    }
+
     /// The services whose capacity is divided among workspaces.
     pub fn divided_services(&self, now: Moment) -> Vec<DividedService> {
         self.shares(now);
@@ -614,16 +635,18 @@
         let ratios = self.ratios(now);
         let ratios: HashMap<_, _> = ratios.iter().map(|r| (&r.workspace, r.ratio())).collect();
         let refused = self.refused(now);
-        let usage = |workspace: &Arc<Workspace>| {
+        let mut shares = self.shares_by_workspace(now);
+        let mut usage = |workspace: &Arc<Workspace>| {
             let name = &workspace.name;
             WorkspaceUsage {
                 totals: totals.get(name).copied().unwrap_or_default(),
                 ratio: ratios.get(name).copied().unwrap_or(1.0),
                 refused: refused.get(name).cloned().unwrap_or_default(),
+                shares: shares.remove(name).unwrap_or_default(),
                 workspace: Arc::clone(workspace),
             }
         };
-        table.workspaces.iter().map(usage).collect()
+        table.workspaces.iter().map(&mut usage).collect()
     }
 
     /// Refused requests per second of each workspace, by code.
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -8,6 +8,7 @@
 mod proofs;
 mod reporting;
 mod restarts;
+mod shares;
 mod support;
 mod surges;
 mod suspicions;
--- a/crates/operator/src/administration.rs
+++ b/crates/operator/src/administration.rs
@@ -243,6 +243,9 @@
 pub struct WorkspacesBody {
     /// The workspaces.
     pub workspaces: Vec<WorkspaceStatus>,
+    /// The services that are short of capacity, which is divided among workspaces.
+    #[serde(default)]
+    pub short: Vec<ShortServiceStatus>,
 }
 
 /// A workspace, and its requests over all gateways that report. Rates are in requests per second
@@ -262,6 +265,35 @@
     pub allotment: Option<AllotmentStatus>,
     /// Its refused requests over the last seconds.
     pub refused: Vec<RefusedStatus>,
+    /// The services that are short of capacity and of which it asks for more than its share.
+    #[serde(default)]
+    pub shares: Vec<ShareStatus>,
+}
+
+/// A workspace's share of a service that is short of capacity.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct ShareStatus {
+    /// The service.
+    pub service: ServiceName,
+    /// Priority of the requests, 0 the highest.
+    pub priority: u8,
+    /// The part of its requests that gateways admit, from 0 to 1.
+    pub admitted: f64,
+}
+
+/// A service whose capacity is divided among workspaces, in slots that are busy with their work.
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct ShortServiceStatus {
+    /// The service.
+    pub service: ServiceName,
+    /// What it is expected to serve.
+    pub capacity: f64,
+    /// What workspaces ask for.
+    pub offered: f64,
+    /// What is served.
+    pub served: f64,
 }
 
 /// The allotment of a workspace and its use.
--- a/crates/operator/src/lib.rs
+++ b/crates/operator/src/lib.rs
@@ -20,7 +20,8 @@
 
 pub use administration::{
     Administration, AdministrationError, AllotmentStatus, BoxFuture, EntryStatus, MembershipChange,
-    RefusedStatus, ReplicaRole, ReplicaStatus, RowReading, Status, WorkspaceStatus, WorkspacesBody,
+    RefusedStatus, ReplicaRole, ReplicaStatus, RowReading, ShareStatus, ShortServiceStatus, Status,
+    WorkspaceStatus, WorkspacesBody,
 };
 pub use answer::{
     Answer, ConflictBody, DifferenceBody, HandOverBody, HandOverNote, HistoryBody, ProposalBody,
--- a/crates/operator/tests/common/mod.rs
+++ b/crates/operator/tests/common/mod.rs
@@ -136,6 +136,7 @@
     fn workspaces(&self) -> BoxFuture<'_, Result<WorkspacesBody, AdministrationError>> {
         Box::pin(async move {
             Ok(WorkspacesBody {
+                short: Vec::new(),
                 workspaces: Vec::new(),
             })
         })
--- a/src/cli/workspaces.rs
+++ b/src/cli/workspaces.rs
@@ -1,6 +1,9 @@
 //! `filberthead workspaces`.
 
-use filberthead_operator::{AllotmentStatus, RefusedStatus, WorkspaceStatus, WorkspacesBody};
+use filberthead_operator::{
+    AllotmentStatus, RefusedStatus, ShareStatus, ShortServiceStatus, WorkspaceStatus,
+    WorkspacesBody,
+};
 use filberthead_types::{Region, Workspace};
 
 use super::args::Args;
@@ -18,7 +21,10 @@
             return Err(CliError::usage(format!("no workspace is named `{name}`")));
         }
     }
-    session.show(&body, || body.workspaces.iter().map(line).collect());
+    session.show(&body, || {
+        let workspaces = body.workspaces.iter().map(line);
+        workspaces.chain(body.short.iter().map(short)).collect()
+    });
     Ok(Exit::Done)
 }
 
@@ -57,6 +63,7 @@
         Some(allotment) => use_of(allotment),
         None => "no limit".to_owned(),
     });
+    parts.extend(workspace.shares.iter().map(share));
     parts.extend(workspace.refused.iter().map(refused));
     format!(
         "{}: {}\n",
@@ -87,6 +94,31 @@
     text
 }
 
+fn share(share: &ShareStatus) -> String {
+    let ShareStatus {
+        service,
+        priority,
+        admitted,
+    } = share;
+    let percent = 100.0 * admitted;
+    format!(
+        "above its share of {service}, {percent:.0} % of its requests of priority {priority} admitted"
+    )
+}
+
+fn short(short: &ShortServiceStatus) -> String {
+    let ShortServiceStatus {
+        service,
+        capacity,
+        offered,
+        served,
+    } = short;
+    format!(
+        "service {service} is short of capacity: workspaces ask for {offered:.1} slots, {capacity:.1} are \
+        shared among them, {served:.1} served\n"
+    )
+}
+
 fn refused(refused: &RefusedStatus) -> String {
     let RefusedStatus { code, rate } = refused;
     format!("{rate:.1}/s refused with {code}")
