Test fair shares with real processes

One workspace floods a service from all gateways, another asks for less than half of its share; then control is killed, and then two gateways restart.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -29,6 +29,7 @@
 mod requests;
 mod rest;
 mod retries;
+mod shares;
 mod soak;
 mod spreading;
 mod stops;
