Explain refusals by share, and log the workspaces above their share

filberthead explain now says of a request refused with 1215 which workspace asks for more than its share of which service, and shows whether the service was short of capacity before. Gateways log workspaces that control newly names, at most five lines a second.

--- a/crates/allot/src/shares/gateway.rs
+++ b/crates/allot/src/shares/gateway.rs
@@ -96,6 +96,23 @@
         self.in_force.keys()
     }
 
+    /// The workspaces that control names, with service and priority, and the part of their requests that is
+    /// admitted.
+    pub fn named(
+        &mut self,
+        now: Moment,
+    ) -> impl Iterator<Item = (ServiceName, u8, Workspace, f64)> {
+        self.expire(now);
+        self.in_force.iter().flat_map(|(service, shares)| {
+            let classes = shares.named.iter().enumerate();
+            classes.flat_map(move |(class, named)| {
+                named.iter().map(move |(workspace, ratio)| {
+                    (service.clone(), class as u8, workspace.clone(), *ratio)
+                })
+            })
+        })
+    }
+
     /// The work at this gateway, for its report to control.
     pub fn report(&mut self, now: Moment) -> Vec<ServiceWork> {
         self.expire(now);
--- a/crates/filberthead/src/gateway/shares.rs
+++ b/crates/filberthead/src/gateway/shares.rs
@@ -5,11 +5,15 @@
 use std::time::Duration;
 
 use filberthead_allot::{Admission, Offer, ServiceShares, ServiceWork, Shares, Shortages};
-use filberthead_observe::GatewayMetrics;
+use filberthead_observe::{GatewayMetrics, LogRateLimiter};
 use filberthead_route::Table;
 use filberthead_types::{Moment, ServiceName, Workspace};
 use log::info;
 
+/// Log lines per second about workspaces that ask for more than their share. A workspace close to its
+/// share may be above it time and again.
+const LOG_LINES_PER_SECOND: u32 = 5;
+
 /// Admits workspaces by their shares, and finds out which services are short of capacity here.
 #[derive(Debug)]
 pub(crate) struct FairShares {
@@ -17,6 +21,10 @@
     shortages: Shortages,
     /// Services whose capacity control divides.
     divided: BTreeSet<ServiceName>,
+    /// Workspaces above their share, with the service and priority.
+    named: BTreeSet<(ServiceName, u8, Workspace)>,
+    /// Rate limit of the log lines about workspaces.
+    log_limiter: LogRateLimiter<()>,
 }
 
 impl FairShares {
@@ -25,6 +33,8 @@
             shares: Shares::new(seed),
             shortages: Shortages::default(),
             divided: BTreeSet::new(),
+            named: BTreeSet::new(),
+            log_limiter: LogRateLimiter::new(LOG_LINES_PER_SECOND),
         }
     }
 
@@ -89,5 +99,23 @@
         }
         metrics.set_shared_services(divided.len());
         self.divided = divided;
+        self.log_named(now);
+    }
+
+    /// Logs the workspaces that control has told since the last call to be above their share.
+    fn log_named(&mut self, now: Moment) {
+        let named: Vec<_> = self.shares.named(now).collect();
+        for (service, priority, workspace, ratio) in &named {
+            let key = (service.clone(), *priority, workspace.clone());
+            if !self.named.contains(&key)
+                && let Some(omitted) = self.log_limiter.allow(now, ())
+            {
+                info!(service:%, workspace = workspace.as_str(), priority, admitted = ratio, omitted;
+                    "share of a workspace");
+            }
+        }
+        let keys = named.into_iter();
+        let keys = keys.map(|(service, priority, name, _)| (service, priority, name));
+        self.named = keys.collect();
     }
 }
--- a/crates/observe/src/trace.rs
+++ b/crates/observe/src/trace.rs
@@ -33,6 +33,12 @@
     ("rest of an endpoint is over", "rest"),
     ("endpoint is leaving", "leaving"),
 ];
+/// Messages that log the state of a service, each with its topic. A later message replaces an earlier
+/// one of the same topic and service.
+const SERVICE_MESSAGES: [(&str, &str); 2] = [
+    ("service is short of room", "room"),
+    ("service has room again", "room"),
+];
 /// Message that a start of an endpoint has ended, so that what it has said is void.
 const NEW_START: &str = "an endpoint has started anew";
 /// What endpoints have said last, of each process.
@@ -111,6 +117,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Topic {
     Process(&'static str),
+    Service(&'static str, String),
     Endpoint(&'static str, String),
 }
 
@@ -119,6 +126,9 @@
         if let Some(topic) = find(&STATE_MESSAGES, &event.message) {
             return Some(Self::Process(topic));
         }
+        if let Some(topic) = find(&SERVICE_MESSAGES, &event.message) {
+            return Some(Self::Service(topic, event.field("service")?.to_owned()));
+        }
         let topic = find(&ENDPOINT_MESSAGES, &event.message)?;
         Some(Self::Endpoint(topic, event.field("endpoint")?.to_owned()))
     }
--- a/crates/observe/src/words.rs
+++ b/crates/observe/src/words.rs
@@ -1,12 +1,16 @@
-//! What a log line says of endpoints that want no requests, in plain words.
+//! What a log line says of endpoints that want no requests, and of services that are short of capacity, in
+//! plain words.
 
 use crate::Event;
 
 /// Result code of a request for which endpoints have no room.
 const OVERLOADED: &str = "1200";
+/// Result code of a request that exceeds its workspace's share of a service.
+const SHARE_USED: &str = "1215";
 
 impl Event {
-    /// What the line says of endpoints that are at rest or leaving; `None` if it says nothing of them.
+    /// What the line says of endpoints that are at rest or leaving, or of services that are short of capacity;
+    /// `None` if it says nothing of them.
     pub fn in_words(&self) -> Option<String> {
         match self.message.as_str() {
             "endpoint asks for rest" => Some(format!(
@@ -28,6 +32,17 @@
                 self.endpoint()
             )),
             "attempt ended" => self.passed_over(),
+            "service is short of room" => Some(format!(
+                "workspaces ask for more of service {} than it serves; control divides it among them",
+                self.field("service")?
+            )),
+            "refused" if self.field("code")?.starts_with(SHARE_USED) => Some(format!(
+                "workspace {} asks for more than its share of service {}, which is short of capacity; \
+                 the caller may come back in {} ms",
+                self.field("workspace")?,
+                self.field("service")?,
+                self.field("retry_after_ms")?
+            )),
             "refused" => self.refusal(),
             _ => None,
         }
--- a/crates/observe/tests/trace.rs
+++ b/crates/observe/tests/trace.rs
@@ -152,3 +152,20 @@
         assert!(RequestTrace::from_lines("a1", text.lines()).events.len() <= text.lines().count());
     });
 }
+
+/// A request that exceeds its workspace's share says so, beside the service that is short of capacity.
+#[test]
+fn a_refusal_by_share_is_explained() {
+    let log = [
+        r#"{"ts":"2026-01-01T00:00:00.000Z","process":"g","msg":"service is short of room","service":"orders"}"#,
+        r#"{"ts":"2026-01-01T00:00:01.000Z","process":"g","msg":"service is short of room","service":"stock"}"#,
+        r#"{"ts":"2026-01-01T00:00:02.000Z","process":"g","msg":"refused","request":"r-1","service":"orders","workspace":"alpha","code":"1215 share-used","retry_after_ms":"700"}"#,
+        r#"{"ts":"2026-01-01T00:00:03.000Z","process":"g","msg":"service has room again","service":"orders"}"#,
+    ];
+    let trace = RequestTrace::from_lines("r-1", log);
+    let words: Vec<_> = trace.events.iter().map(Event::in_words).collect();
+    let expected = "workspace alpha asks for more than its share of service orders, which is short of \
+        capacity; the caller may come back in 700 ms";
+    assert_eq!(words, [Some(expected.to_owned())]);
+    assert_eq!(trace.process_states.len(), 2, "{:?}", trace.process_states);
+}
