--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -6,13 +6,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use filberthead_allot::{AdmitRatio, Presence, RefusedRate, Usage, WorkspaceTotals, sum_up};
+use filberthead_allot::{
+    AdmitRatio, DividedService, Presence, RefusedRate, ServiceShares, ServiceWork, Usage,
+    WorkspaceTotals, sum_up,
+};
 use filberthead_route::{Table, Workspace};
 use filberthead_types::{
     FailureDomain, Moment, NodeName, Region, ResultCode, ServiceName, Workspace as WorkspaceName,
 };
 
 use crate::allotments::Allotments;
+use crate::division::Division;
 use crate::list::{EndpointList, ListOutcome};
 use crate::parts::OutgoingTransfers;
 use crate::routes::Routes;
@@ -72,6 +76,7 @@
     demand: Vec<Demand>,
     usage: Vec<Usage>,
     refused: Vec<RefusedRate>,
+    work: Vec<ServiceWork>,
     link_milli: u32,
     suspicions: Vec<Suspicion>,
 }
@@ -96,6 +101,9 @@
     pub ratio: f64,
     /// Its refused requests per second over the last seconds, by code.
     pub refused: Vec<(ResultCode, f64)>,
+    /// Services of which it asks for more than its share: priority of the requests, and the part of them
+    /// that gateways may send.
+    pub shares: Vec<(ServiceName, u8, f64)>,
 }
 
 /// Totals over all gateways, as sent in notices.
@@ -105,6 +113,7 @@
     gateways: Vec<(FailureDomain, u32)>,
     demand: Vec<(Region, ServiceName, u32)>,
     ratios: Vec<AdmitRatio>,
+    shares: Vec<ServiceShares>,
     links: BTreeMap<FailureDomain, u32>,
     /// Helpers for the gateways of each failure domain.
     helpers: BTreeMap<FailureDomain, Vec<Helper>>,
@@ -132,6 +141,7 @@
     last_roster: Moment,
     totals: RefCell<Option<Totals>>,
     allotments: RefCell<Allotments>,
+    division: RefCell<Division>,
 }
 
 impl Registry {
@@ -294,6 +304,7 @@
             demand: report.demand,
             usage: report.usage,
             refused: report.refused,
+            work: report.work,
             link_milli: report.link_milli,
             suspicions: report.suspicions,
         };
@@ -302,6 +313,7 @@
             // It tells of a surge: the answer has to count it.
             self.totals.replace(None);
             self.allotments.borrow_mut().expire(now);
+            self.division.borrow_mut().expire(now);
         }
         self.store(gateway);
         if !proven && self.proof_requests.len() < MAX_PROOF_REQUESTS {
@@ -352,6 +364,7 @@
                 demand: relayed.demand,
                 usage: relayed.usage,
                 refused: relayed.refused,
+                work: relayed.work,
                 link_milli: relayed.link_milli,
                 suspicions: relayed.suspicions,
             });
@@ -377,6 +390,7 @@
             demand: gateway.demand.clone(),
             usage: gateway.usage.clone(),
             refused: gateway.refused.clone(),
+            work: gateway.work.clone(),
             link_milli: gateway.link_milli,
             suspicions: gateway.suspicions.clone(),
             age: now.saturating_sub(gateway.last_seen),
@@ -524,6 +538,7 @@
             gateways: totals.gateways.clone(),
             demand: totals.demand.clone(),
             ratios: totals.ratios.clone(),
+            shares: totals.shares.clone(),
             link_milli: totals.links.get(domain).copied(),
             helpers: totals.helpers.get(domain).cloned().unwrap_or_default(),
             suspicions: totals.suspicions.clone(),
@@ -540,6 +555,7 @@
             gateways: self.gateway_counts(now),
             demand: self.demand(now),
             ratios: self.ratios(now),
+            shares: self.shares(now),
             links: self.link_means(now),
             helpers: self.helpers(now),
             suspicions: self.suspicions(now),
@@ -563,6 +579,42 @@
         self.allotments.borrow_mut().ratios(now, self.usage(now))
     }
 
+    /// How the capacity of services that are short of it is divided among workspaces.
+    fn shares(&self, now: Moment) -> Vec<ServiceShares> {
+        let workspaces = self
+            .routes
+            .table()
+            .map_or(0, |table| table.workspaces.len());
+        let gateways = self.gateways.values();
+        let live = gateways.filter(|gateway| gateway.is_live(now));
+        let work = live.flat_map(|gateway| &gateway.work);
+        self.division.borrow_mut().shares(now, workspaces, work)
+    }
+
+    /// The services of which each named workspace asks for more than its share.
+    fn shares_by_workspace(
+        &self,
+        now: Moment,
+    ) -> HashMap<WorkspaceName, Vec<(ServiceName, u8, f64)>> {
+        let mut by_workspace: HashMap<_, Vec<_>> = HashMap::new();
+        for ServiceShares {
+            service, shares, ..
+        } in self.shares(now)
+        {
+            for share in shares {
+                let part = (service.clone(), share.priority, share.ratio());
+                by_workspace.entry(share.workspace).or_default().push(part);
+            }
+        }
+        by_workspace
+    }
+
+    /// The services whose capacity is divided among workspaces.
+    pub fn divided_services(&self, now: Moment) -> Vec<DividedService> {
+        self.shares(now);
+        self.division.borrow().services().to_vec()
+    }
+
     /// The last reported usage of each gateway.
     fn usage(&self, now: Moment) -> impl Iterator<Item = (Presence, &Usage)> {
         self.gateways.values().flat_map(move |gateway| {
@@ -583,16 +635,18 @@
         let ratios = self.ratios(now);
         let ratios: HashMap<_, _> = ratios.iter().map(|r| (&r.workspace, r.ratio())).collect();
         let refused = self.refused(now);
-        let usage = |workspace: &Arc<Workspace>| {
+        let mut shares = self.shares_by_workspace(now);
+        let mut usage = |workspace: &Arc<Workspace>| {
             let name = &workspace.name;
             WorkspaceUsage {
                 totals: totals.get(name).copied().unwrap_or_default(),
                 ratio: ratios.get(name).copied().unwrap_or(1.0),
                 refused: refused.get(name).cloned().unwrap_or_default(),
+                shares: shares.remove(name).unwrap_or_default(),
                 workspace: Arc::clone(workspace),
             }
         };
-        table.workspaces.iter().map(usage).collect()
+        table.workspaces.iter().map(&mut usage).collect()
     }
 
     /// Refused requests per second of each workspace, by code.
--- a/crates/observe/src/metrics/gateway.rs
+++ b/crates/observe/src/metrics/gateway.rs
@@ -90,6 +90,7 @@
     waiting_requests: Gauge,
     waited: Histogram,
     windows: Family<SiteLabels, Gauge>,
+    shared_services: Gauge,
     running: Gauge,
     routes_version: Gauge,
     routes_proven: Gauge,
@@ -132,6 +133,7 @@
             waiting_requests: Gauge::default(),
             waited: wait_histogram(),
             windows: Family::default(),
+            shared_services: Gauge::default(),
             running: Gauge::default(),
             routes_version: Gauge::default(),
             routes_proven: Gauge::default(),
@@ -239,6 +241,12 @@
         let windows =
             "Requests that may be in flight for a service in a region while that is limited";
         registry.register("gateway_window", windows, self.windows.clone());
+        let shared = "Services short of capacity that is divided among workspaces";
+        registry.register(
+            "gateway_shared_services",
+            shared,
+            self.shared_services.clone(),
+        );
         let running = "Requests without a final answer";
         registry.register("gateway_running", running, self.running.clone());
         let version = "Operators' number of the routes in force";
@@ -369,6 +377,11 @@
         set(&self.leaving_endpoints, endpoints as u64);
     }
 
+    /// Sets the number of services whose capacity is divided among workspaces.
+    pub fn set_shared_services(&self, services: usize) {
+        set(&self.shared_services, services as u64);
+    }
+
     /// Counts an answer of an endpoint that asked for rest.
     pub fn record_rest(&self) {
         self.rests.inc();
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -264,6 +264,12 @@
         self.endpoints.iter().filter(|e| e.is_slowed(now)).count()
     }
 
+    /// Mean time that requests to a service keep a slot busy; `None` if the routes don't define the service.
+    pub fn mean_work(&self, service: &ServiceName) -> Option<Duration> {
+        let times = self.response_times.get(service)?;
+        Some(Duration::from_secs_f64(times.mean_work()))
+    }
+
     /// Number of listed endpoints.
     pub fn endpoint_count(&self) -> usize {
         self.endpoints.len()
