--- a/crates/filberthead/src/gateway/attempt.rs
+++ b/crates/filberthead/src/gateway/attempt.rs
@@ -181,6 +181,8 @@
             relayed_by = self.relayed_by.map(NodeName::as_str), sent_after_ms,
             known:? = self.target.affinity,
             expected_ms = self.target.expected.as_millis(),
+            slowdown_percent = self.target.slowdown_percent(),
+            replicated = self.target.is_replicated,
             overhead_ms = self.target.overhead.as_millis(),
             took_ms = now.saturating_sub(self.started).as_millis(), outcome:? = self.outcome,
             unsent = self.unsent.map(Unsent::as_str),
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -405,6 +405,18 @@
             .set_leaving_endpoints(placer.leaving_endpoints());
     }
 
+    fn log_object_changes(&self, now: Moment) {
+        let mut placer = self.placer.borrow_mut();
+        for change in placer.take_object_changes() {
+            info!(service:% = change.service, in_each_domain = change.in_each_domain,
+                objects = change.objects; "distribution of objects changed");
+        }
+        self.metrics
+            .set_slowed_endpoints(placer.slowed_endpoints(now));
+        self.metrics
+            .set_replicated_objects(placer.replicated_objects());
+    }
+
     fn expire_suspicions(&self, now: Moment) {
         let mut placer = self.placer.borrow_mut();
         for request in placer.expire_suspicions(now) {
@@ -711,6 +723,7 @@
         let limited = self.placer.borrow().limited_endpoints();
         self.metrics.set_limited_endpoints(limited);
         self.log_ended_rests(now);
+        self.log_object_changes(now);
         let placer = &self.placer;
         let out = member.tick(now, || {
             let mut placer = placer.borrow_mut();
--- a/crates/observe/src/metrics/gateway.rs
+++ b/crates/observe/src/metrics/gateway.rs
@@ -74,6 +74,8 @@
     unanswered_retries: Gauge,
     suspected_requests: Gauge,
     limited_endpoints: Gauge,
+    slowed_endpoints: Gauge,
+    replicated_objects: Gauge,
     resting_endpoints: Gauge,
     longest_rest: Gauge,
     rests: Counter,
@@ -112,6 +114,8 @@
             unanswered_retries: Gauge::default(),
             suspected_requests: Gauge::default(),
             limited_endpoints: Gauge::default(),
+            slowed_endpoints: Gauge::default(),
+            replicated_objects: Gauge::default(),
             resting_endpoints: Gauge::default(),
             longest_rest: Gauge::default(),
             rests: Counter::default(),
@@ -181,6 +185,18 @@
             limited,
             self.limited_endpoints.clone(),
         );
+        let slowed = "Endpoints whose VMs work slower than usual by what they report";
+        registry.register(
+            "gateway_slowed_endpoints",
+            slowed,
+            self.slowed_endpoints.clone(),
+        );
+        let replicated = "Objects that this gateway sends to more than one endpoint";
+        registry.register(
+            "gateway_replicated_objects",
+            replicated,
+            self.replicated_objects.clone(),
+        );
         let resting = "Endpoints that have asked this gateway for rest and get no requests";
         registry.register(
             "gateway_resting_endpoints",
@@ -310,6 +326,16 @@
         set(&self.limited_endpoints, endpoints as u64);
     }
 
+    /// Sets the number of endpoints whose VMs work slower than usual.
+    pub fn set_slowed_endpoints(&self, endpoints: usize) {
+        set(&self.slowed_endpoints, endpoints as u64);
+    }
+
+    /// Sets the number of objects that are sent to more than one endpoint.
+    pub fn set_replicated_objects(&self, objects: usize) {
+        set(&self.replicated_objects, objects as u64);
+    }
+
     /// Sets the number of endpoints that are at rest.
     pub fn set_resting_endpoints(&self, endpoints: usize) {
         set(&self.resting_endpoints, endpoints as u64);
--- a/crates/observe/src/words.rs
+++ b/crates/observe/src/words.rs
@@ -1,4 +1,4 @@
-//! What a log line says of endpoints that want no requests, in plain words.
+//! What a log line says of endpoints, in plain words: those that want no requests, and why one was chosen.
 
 use crate::Event;
 
@@ -6,7 +6,8 @@
 const OVERLOADED: &str = "1200";
 
 impl Event {
-    /// What the line says of endpoints that are at rest or leaving; `None` if it says nothing of them.
+    /// What the line says of endpoints that are at rest, leaving or on slow VMs, and of objects at several
+    /// endpoints; `None` if it says nothing of them.
     pub fn in_words(&self) -> Option<String> {
         match self.message.as_str() {
             "endpoint asks for rest" => Some(format!(
@@ -27,7 +28,7 @@
                 "not sent: {} had asked for rest, or said that it is leaving, since it was chosen",
                 self.endpoint()
             )),
-            "attempt ended" => self.passed_over(),
+            "attempt ended" => self.choice(),
             "refused" => self.refusal(),
             _ => None,
         }
@@ -37,6 +38,21 @@
         format!("endpoint {}", self.field("endpoint").unwrap_or("?"))
     }
 
+    /// What was known when the endpoint was chosen.
+    fn choice(&self) -> Option<String> {
+        let slowed = self.count("slowdown_percent").map(|percent| {
+            let endpoint = self.endpoint();
+            format!(
+                "{endpoint} had reported that work takes {percent} % of the usual time on its VM"
+            )
+        });
+        let replicated = (self.field("replicated") == Some("true"))
+            .then(|| "the object is at several endpoints".to_owned());
+        let parts = [self.passed_over(), slowed, replicated];
+        let parts: Vec<String> = parts.into_iter().flatten().collect();
+        (!parts.is_empty()).then(|| parts.join("; "))
+    }
+
     fn refusal(&self) -> Option<String> {
         let passed_over = self.passed_over()?;
         let is_overloaded = self.field("code")?.starts_with(OVERLOADED);
--- a/crates/observe/tests/trace.rs
+++ b/crates/observe/tests/trace.rs
@@ -122,6 +122,18 @@
         words("attempt ended", &served).as_deref(),
         Some(passed_over)
     );
+    let slowed =
+        r#","endpoint":"i-1","slowdown_percent":250,"replicated":true,"outcome":"Served(5ms)""#;
+    assert_eq!(
+        words("attempt ended", slowed).as_deref(),
+        Some(
+            "endpoint i-1 had reported that work takes 250 % of the usual time on its VM; the object \
+             is at several endpoints"
+        )
+    );
+    let usual =
+        r#","endpoint":"i-1","slowdown_percent":null,"replicated":false,"outcome":"Failed""#;
+    assert_eq!(words("attempt ended", usual), None);
     let refused = |code: &str| format!(r#"{counts},"code":"{code}","all_at_rest":true"#);
     assert_eq!(
         words("refused", &refused("1200 overloaded")),
--- a/crates/place/src/decide.rs
+++ b/crates/place/src/decide.rs
@@ -220,6 +220,7 @@
         let endpoint = &self.endpoints[chosen.index];
         let share = self.cold_share(now, endpoint);
         let limit = self.limit_part_of(now, endpoint);
+        let objects = self.objects.get(&endpoint.service);
         let state = &mut self.endpoints[chosen.index];
         state.record_sent(
             now,
@@ -243,6 +244,8 @@
             usual: Duration::from_secs_f64(chosen.usual),
             affinity: chosen.affinity,
             has_object: object.is_some(),
+            is_replicated: object
+                .is_some_and(|object| objects.is_some_and(|o| o.is_replicated(object))),
             rtt: Duration::from_secs_f64(chosen.rtt),
             overhead: Duration::from_secs_f64(chosen.rtt + chosen.wait),
             number: self.request_counter,
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -85,6 +85,7 @@
 pub use link::Link;
 pub use mechanism::{Mechanism, UnknownMechanism};
 pub use named_limit::{LimitChange, NamedLimit};
+pub use objects::ObjectChange;
 pub use placer::{Availability, Placer};
 pub use planning::ServiceEstimate;
 pub use request::{
--- a/crates/place/src/objects/mod.rs
+++ b/crates/place/src/objects/mod.rs
@@ -47,6 +47,8 @@
     pub(crate) rates: ObjectRates,
     /// Share of the objects that have an endpoint in each failure domain.
     near_share: f64,
+    /// Whether the last change that was told was to all objects.
+    told_near: bool,
     /// Mean load of this region's endpoints for each slot.
     mean_load: f64,
     updated_at: Moment,
@@ -59,6 +61,22 @@
         let position = rank::unit_position(rank::spread_sequence(object ^ 1));
         position < self.near_share
     }
+
+    /// Whether an object has more than one endpoint.
+    pub(crate) fn is_replicated(&self, object: u64) -> bool {
+        self.rates.copies(object) > 1 || self.is_near(object)
+    }
+}
+
+/// A change of how a service's objects are distributed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ObjectChange {
+    /// The service.
+    pub service: ServiceName,
+    /// Whether all objects have an endpoint in each failure domain of the region now, or none has any more.
+    pub in_each_domain: bool,
+    /// Estimated number of the objects that callers of the region ask for.
+    pub objects: Option<u64>,
 }
 
 impl Placer {
@@ -190,11 +208,29 @@
     /// Number of objects that this gateway sends to more than one endpoint.
     pub fn replicated_objects(&self) -> usize {
         let replicated = |objects: &ServiceObjects| {
-            let of_service = objects.rates.objects();
-            of_service
-                .filter(|(object, copies)| *copies > 1 || objects.is_near(*object))
-                .count()
+            let all = objects.rates.objects();
+            all.filter(|object| objects.is_replicated(*object)).count()
         };
         self.objects.values().map(replicated).sum()
     }
+
+    /// Changes of how objects are distributed since the last call.
+    pub fn take_object_changes(&mut self) -> Vec<ObjectChange> {
+        let mut changes = Vec::new();
+        for (service, objects) in &mut self.objects {
+            let in_each_domain = match objects.near_share {
+                share if share >= 1.0 => true,
+                share if share <= 0.0 => false,
+                _ => continue,
+            };
+            if std::mem::replace(&mut objects.told_near, in_each_domain) != in_each_domain {
+                changes.push(ObjectChange {
+                    service: service.clone(),
+                    in_each_domain,
+                    objects: objects.rates.estimated_count().map(|count| count as u64),
+                });
+            }
+        }
+        changes
+    }
 }
--- a/crates/place/src/objects/rates.rs
+++ b/crates/place/src/objects/rates.rs
@@ -125,10 +125,8 @@
         self.seen.get(&object).map_or(1, |seen| seen.copies)
     }
 
-    /// All objects, with their numbers of endpoints.
-    pub(crate) fn objects(&self) -> impl Iterator<Item = (u64, usize)> {
-        self.seen
-            .iter()
-            .map(|(object, seen)| (*object, seen.copies))
+    /// All objects.
+    pub(crate) fn objects(&self) -> impl Iterator<Item = u64> {
+        self.seen.keys().copied()
     }
 }
--- a/crates/place/src/request.rs
+++ b/crates/place/src/request.rs
@@ -126,6 +126,8 @@
     pub affinity: Affinity,
     /// Whether the request is for an object.
     pub has_object: bool,
+    /// Whether its object is sent to more than one endpoint.
+    pub is_replicated: bool,
     /// Network round trip, a part of `overhead`.
     pub rtt: Duration,
     /// Network round trip and wait for a free slot.
@@ -146,6 +148,13 @@
             false => self.expected.as_secs_f64() / self.usual.as_secs_f64(),
         }
     }
+
+    /// How long work was expected to take on the endpoint's VM, in hundredths of the usual time; `None` if
+    /// it is as usual.
+    pub fn slowdown_percent(&self) -> Option<u32> {
+        let percent = (100.0 * self.slowdown()).round() as u32;
+        (percent != 100).then_some(percent)
+    }
 }
 
 /// Endpoints that a request may run on, but isn't sent to because of what they have said.
--- a/crates/place/tests/all/popular.rs
+++ b/crates/place/tests/all/popular.rs
@@ -450,6 +450,13 @@
 fn the_next_endpoint_takes_over_when_an_objects_endpoint_is_lost() {
     let (mut placer, now) = settled(1);
     assert_eq!(placer.replicated_objects(), 20);
+    let changes = placer.take_object_changes();
+    assert!(
+        changes.len() == 1 && changes[0].in_each_domain,
+        "{changes:?}"
+    );
+    assert_eq!(changes[0].objects, Some(20));
+    assert_eq!(placer.take_object_changes(), []);
     let first = send(&mut placer, now, "o-7", ms(100));
     assert!(first.starts_with("near"), "{first}");
     let service = service();
