--- a/crates/place/src/objects/mod.rs
+++ b/crates/place/src/objects/mod.rs
@@ -49,6 +49,8 @@
     near_share: f64,
     /// Whether the last change that was told was to all objects.
     told_near: bool,
+    /// Number of objects with more than one endpoint.
+    replicated: usize,
     /// Mean load of this region's endpoints for each slot.
     mean_load: f64,
     updated_at: Moment,
@@ -133,6 +135,8 @@
             false => self.gateways_of(now, Some(&self.cfg.region)),
         };
         objects.rates.update_copies(now, slots, gateways);
+        let all = objects.rates.objects();
+        objects.replicated = all.filter(|object| objects.is_replicated(*object)).count();
     }
 
     /// Whether the endpoints of each failure domain of this region remember all objects.
@@ -205,13 +209,12 @@
         }
     }
 
-    /// Number of objects that this gateway sends to more than one endpoint.
+    /// Number of objects that this gateway sends to more than one endpoint, as of the last update of the plans.
     pub fn replicated_objects(&self) -> usize {
-        let replicated = |objects: &ServiceObjects| {
-            let all = objects.rates.objects();
-            all.filter(|object| objects.is_replicated(*object)).count()
-        };
-        self.objects.values().map(replicated).sum()
+        self.objects
+            .values()
+            .map(|objects| objects.replicated)
+            .sum()
     }
 
     /// Changes of how objects are distributed since the last call.
