--- a/crates/observe/src/words.rs
+++ b/crates/observe/src/words.rs
@@ -1,5 +1,5 @@
-//! What a log line says of endpoints that want no requests, of requests that wait, and of services that are
-//! short of capacity, in plain words.
+//! What a log line says of endpoints, of requests that wait and of services that are short of capacity, in
+//! plain words.
 
 use crate::Event;
 
@@ -9,7 +9,7 @@
 const SHARE_USED: &str = "1215";
 
 impl Event {
-    /// What the line says of endpoints that are at rest or leaving, of a request that waits, or of a service
+    /// What the line says of endpoints, of objects at several of them, of a request that waits, or of a service
     /// that is short of capacity; `None` if it says nothing of them.
     pub fn in_words(&self) -> Option<String> {
         match self.message.as_str() {
@@ -31,7 +31,7 @@
                 "not sent: {} had asked for rest, or said that it is leaving, since it was chosen",
                 self.endpoint()
             )),
-            "attempt ended" => self.passed_over(),
+            "attempt ended" => self.choice(),
             "refused" if self.field("by") == Some("waiting-room") => self.rejection(),
             "service is divided among workspaces" => Some(format!(
                 "workspaces ask for more of service {} than it serves; control divides it among them",
@@ -112,6 +112,21 @@
         (!parts.is_empty()).then(|| format!("sent ahead on its connection: {}", parts.join("; ")))
     }
 
+    /// What was known when the endpoint was chosen.
+    fn choice(&self) -> Option<String> {
+        let slowed = self.count("slowdown_percent").map(|percent| {
+            let endpoint = self.endpoint();
+            format!(
+                "{endpoint} had reported that work takes {percent} % of the usual time on its VM"
+            )
+        });
+        let replicated = (self.field("replicated") == Some("true"))
+            .then(|| "the object is at several endpoints".to_owned());
+        let parts = [self.passed_over(), slowed, replicated];
+        let parts: Vec<String> = parts.into_iter().flatten().collect();
+        (!parts.is_empty()).then(|| parts.join("; "))
+    }
+
     fn refusal(&self) -> Option<String> {
         let passed_over = self.passed_over()?;
         let is_overloaded = self.field("code")?.starts_with(OVERLOADED);
