--- a/crates/allot/tests/shares.rs
+++ b/crates/allot/tests/shares.rs
@@ -91,6 +91,8 @@
     /// Factor on the usual rate, and priority, of each workspace.
     factors: Vec<f64>,
     priorities: Vec<u8>,
+    /// Number of gateways that each workspace's callers use.
+    used: usize,
     slots: usize,
     running: VecDeque<(Moment, Request)>,
     waiting: VecDeque<Request>,
@@ -115,6 +117,7 @@
             control_lost: false,
             factors: vec![1.0; WORKSPACES],
             priorities: vec![1; WORKSPACES],
+            used: GATEWAYS,
             slots: SLOTS,
             running: VecDeque::new(),
             waiting: VecDeque::new(),
@@ -145,7 +148,8 @@
                 let requests =
                     expected as usize + usize::from(self.rng.random_bool(expected.fract()));
                 for _ in 0..requests {
-                    let gateway = self.rng.random_range(0..GATEWAYS);
+                    let gateway = workspace * 7 + self.rng.random_range(0..self.used);
+                    let gateway = gateway % GATEWAYS;
                     self.counts[workspace].asked += WORK.as_secs_f64();
                     self.arrive(Request {
                         workspace,
@@ -369,6 +373,17 @@
     }
 }
 
+/// Guards against shares that hold only if callers use all gateways alike.
+#[test]
+fn callers_may_use_a_few_gateways() {
+    let mut site = Site::new(12);
+    site.used = 8;
+    site.run(Duration::from_secs(10));
+    overload(&mut site);
+    site.count(Duration::from_secs(20));
+    site.check(SLOTS as f64, &all(), 0.01);
+}
+
 /// Guards against shares that outlast the overload, and against shares on a calm day.
 #[test]
 fn nobody_is_refused_while_there_is_capacity() {
