Fair shares: division ends when it isn't needed, and only unserved requests count as a shortage

Division went on as long as more than 0.945 of the served work was asked for, which is always so once an overload has ended. It now ends when nothing was short and no more asked for than the estimate for 3 s. A request that a full endpoint refused and another one served no longer counts as a sign of shortage: a popular object at one endpoint would have had workspaces refused. The floor of the estimate is forgotten over 300 s instead of 60 s, which failures that have nothing to do with load would have brought to half of the capacity within 20 s.

--- a/crates/allot/src/shares/capacity.rs
+++ b/crates/allot/src/shares/capacity.rs
@@ -18,13 +18,11 @@
 /// Time in which the most that was served is forgotten, and the part of it below which the estimate
 /// doesn't fall. Requests may fail for other reasons than their number, and then each estimate would be
 /// lower than the one before.
-const PEAK_DECAY: Duration = Duration::from_secs(60);
+const PEAK_DECAY: Duration = Duration::from_secs(300);
 const MIN_OF_PEAK: f64 = 0.7;
-/// Time without shortage after which the capacity isn't divided any more, if it exceeds what is asked
-/// for. Otherwise, division would end whenever it has taken effect.
+/// Time after which the capacity isn't divided any more, if nothing is short of it and what is asked for
+/// doesn't exceed the estimate. Otherwise, division would end whenever it has taken effect.
 const SETTLED_AFTER: Duration = Duration::from_secs(3);
-/// Part of the estimate up to which the work asked for must have fallen for that.
-const SETTLED_BELOW: f64 = 0.9;
 /// Longest step at once. After a longer pause the measurements say nothing about the time between.
 const MAX_STEP: Duration = Duration::from_secs(1);
 
@@ -34,14 +32,15 @@
     work: f64,
     peak: f64,
     updated_at: Moment,
-    /// When shortage was last seen, while the capacity is divided.
-    short_at: Option<Moment>,
+    /// When the service was last short or more was asked for than the estimate, while the capacity is
+    /// divided.
+    needed_at: Option<Moment>,
 }
 
 impl Capacity {
     /// Whether the capacity is divided.
     pub(super) fn is_divided(&self) -> bool {
-        self.short_at.is_some()
+        self.needed_at.is_some()
     }
 
     /// Updates the estimate by the work that is served and asked for, and returns it if it has to be
@@ -64,15 +63,66 @@
         self.work = decayed(self.work, DECAY)
             .max(headroom * served)
             .max(MIN_OF_PEAK * self.peak);
-        if is_short {
-            self.short_at = Some(now);
+        if is_short || (self.is_divided() && offered > self.work) {
+            self.needed_at = Some(now);
         }
-        let is_settled = self
-            .short_at
-            .is_some_and(|at| now >= at + SETTLED_AFTER && offered <= SETTLED_BELOW * self.work);
-        if is_settled {
-            self.short_at = None;
+        if self.needed_at.is_some_and(|at| now >= at + SETTLED_AFTER) {
+            self.needed_at = None;
         }
         self.is_divided().then_some(self.work)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Updates every 250 ms for a while, and returns the last result.
+    fn run(
+        capacity: &mut Capacity,
+        now: &mut Moment,
+        seconds: u32,
+        (served, offered, is_short): (f64, f64, bool),
+    ) -> Option<f64> {
+        let mut last = None;
+        for _ in 0..4 * seconds {
+            *now += Duration::from_millis(250);
+            last = capacity.update(*now, served, offered, is_short);
+        }
+        last
+    }
+
+    /// Guards against a division that goes on while as much is served as is asked for, and against one that
+    /// ends because it has taken effect.
+    #[test]
+    fn division_lasts_while_more_is_asked_for_than_served() {
+        let (mut capacity, mut now) = (Capacity::default(), Duration::from_secs(100));
+        let calm = (150.0, 150.0, false);
+        assert_eq!(run(&mut capacity, &mut now, 10, calm), None);
+        let short = run(&mut capacity, &mut now, 20, (200.0, 300.0, true));
+        assert!(
+            short.is_some_and(|work| (189.0..200.0).contains(&work)),
+            "{short:?}"
+        );
+        let shared = run(&mut capacity, &mut now, 20, (200.0, 300.0, false));
+        assert!(
+            shared.is_some_and(|work| (200.0..220.0).contains(&work)),
+            "{shared:?}"
+        );
+        assert_eq!(run(&mut capacity, &mut now, 5, calm), None);
+    }
+
+    /// Guards against an estimate that falls on and on while a part of the requests fails whatever is
+    /// admitted.
+    #[test]
+    fn failures_without_overload_take_a_bounded_part() {
+        let (mut capacity, mut now) = (Capacity::default(), Duration::from_secs(100));
+        run(&mut capacity, &mut now, 10, (200.0, 200.0, false));
+        let mut work = 200.0;
+        for _ in 0..20 {
+            let failing = (0.8 * work, 200.0, true);
+            work = run(&mut capacity, &mut now, 1, failing).expect("it is divided");
+        }
+        assert!(work >= 0.65 * 200.0, "{work}");
+    }
+}
--- a/crates/allot/src/shares/shortage.rs
+++ b/crates/allot/src/shares/shortage.rs
@@ -11,8 +11,8 @@
 /// time out on any day.
 const MIN_SHORTAGE: f64 = 0.05;
 
-/// Requests of a service in the current second and the one before: how many, and how often one was
-/// rejected, refused or timed out.
+/// Requests of a service in the current second and the one before: how many, and how many were rejected
+/// or timed out.
 #[derive(Clone, Copy, Debug, Default)]
 struct Counts {
     since: Moment,
@@ -52,8 +52,7 @@
         self.counts(now, service).current.0 += 1;
     }
 
-    /// Counts a request that was rejected, or an attempt that was refused or timed out, and returns
-    /// whether the service is short of capacity.
+    /// Counts a request that was rejected or timed out, and returns whether the service is short of capacity.
     pub fn record_unserved(&mut self, now: Moment, service: &ServiceName) -> bool {
         let counts = self.counts(now, service);
         counts.current.1 += 1;
--- a/crates/allot/tests/shares.rs
+++ b/crates/allot/tests/shares.rs
@@ -398,6 +398,22 @@
     assert!(site.replicas[0].pool.divided().is_empty());
 }
 
+/// Guards against a division that goes on because an overload ends step by step.
+#[test]
+fn division_ends_while_load_is_high() {
+    let mut site = Site::new(13);
+    site.run(Duration::from_secs(10));
+    overload(&mut site);
+    site.run(Duration::from_secs(20));
+    for factor in [2.0, 1.7, 1.6, 1.5, 1.45] {
+        site.factors.fill(factor);
+        site.run(Duration::from_secs(4));
+    }
+    site.count(Duration::from_secs(10));
+    assert!(site.replicas[0].pool.divided().is_empty());
+    assert!(site.counts.iter().all(|counts| counts.refused == 0.0));
+}
+
 /// Guards against less urgent requests that take the capacity of more urgent ones, and against unfairness
 /// within one priority.
 #[test]
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -403,8 +403,8 @@
         shares.record_served(self.now(), service, work);
     }
 
-    /// Records that a request was rejected or an attempt was refused or timed out, as happens when a
-    /// service is short of capacity.
+    /// Records that a request was rejected or timed out, as happens when a service is short of capacity.
+    /// An attempt that a full endpoint refuses doesn't count by itself: another one may serve the request.
     pub(crate) fn record_shortage(&self, service: &ServiceName) {
         if !self.placer.borrow().contention_control() {
             return;
--- a/crates/filberthead/src/gateway/forwarding/after.rs
+++ b/crates/filberthead/src/gateway/forwarding/after.rs
@@ -46,7 +46,6 @@
             }
             Attempt::NotRun { load_reported } => {
                 charge.restore();
-                self.core.record_shortage(self.service);
                 self.after_not_run(&to, load_reported, body, charge)
             }
             Attempt::Rejected { code, retry_after } => {
--- a/crates/filberthead/src/gateway/shares.rs
+++ b/crates/filberthead/src/gateway/shares.rs
@@ -73,7 +73,7 @@
         self.shares.meter().record_served(now, service, work);
     }
 
-    /// Counts a request that was rejected, or an attempt that was refused or timed out. Returns whether
+    /// Counts a request that was rejected or timed out. Returns whether
     /// the service is short of capacity since then.
     pub(crate) fn record_shortage(&mut self, now: Moment, service: &ServiceName) -> bool {
         self.shortages.record_unserved(now, service)
