--- a/crates/allot/tests/shares.rs
+++ b/crates/allot/tests/shares.rs
@@ -91,6 +91,8 @@
     /// Factor on the usual rate, and priority, of each workspace.
     factors: Vec<f64>,
     priorities: Vec<u8>,
+    /// Number of gateways that each workspace's callers use.
+    used: usize,
     slots: usize,
     running: VecDeque<(Moment, Request)>,
     waiting: VecDeque<Request>,
@@ -115,6 +117,7 @@
             control_lost: false,
             factors: vec![1.0; WORKSPACES],
             priorities: vec![1; WORKSPACES],
+            used: GATEWAYS,
             slots: SLOTS,
             running: VecDeque::new(),
             waiting: VecDeque::new(),
@@ -145,7 +148,8 @@
                 let requests =
                     expected as usize + usize::from(self.rng.random_bool(expected.fract()));
                 for _ in 0..requests {
-                    let gateway = self.rng.random_range(0..GATEWAYS);
+                    let gateway = workspace * 7 + self.rng.random_range(0..self.used);
+                    let gateway = gateway % GATEWAYS;
                     self.counts[workspace].asked += WORK.as_secs_f64();
                     self.arrive(Request {
                         workspace,
@@ -369,6 +373,17 @@
     }
 }
 
+/// Guards against shares that hold only if callers use all gateways alike.
+#[test]
+fn callers_may_use_a_few_gateways() {
+    let mut site = Site::new(12);
+    site.used = 8;
+    site.run(Duration::from_secs(10));
+    overload(&mut site);
+    site.count(Duration::from_secs(20));
+    site.check(SLOTS as f64, &all(), 0.01);
+}
+
 /// Guards against shares that outlast the overload, and against shares on a calm day.
 #[test]
 fn nobody_is_refused_while_there_is_capacity() {
@@ -383,6 +398,22 @@
     assert!(site.replicas[0].pool.divided().is_empty());
 }
 
+/// Guards against a division that goes on because an overload ends step by step.
+#[test]
+fn division_ends_while_load_is_high() {
+    let mut site = Site::new(13);
+    site.run(Duration::from_secs(10));
+    overload(&mut site);
+    site.run(Duration::from_secs(20));
+    for factor in [2.0, 1.7, 1.6, 1.5, 1.45] {
+        site.factors.fill(factor);
+        site.run(Duration::from_secs(4));
+    }
+    site.count(Duration::from_secs(10));
+    assert!(site.replicas[0].pool.divided().is_empty());
+    assert!(site.counts.iter().all(|counts| counts.refused == 0.0));
+}
+
 /// Guards against less urgent requests that take the capacity of more urgent ones, and against unfairness
 /// within one priority.
 #[test]
