--- a/crates/filberthead/src/gateway/forwarding/after.rs
+++ b/crates/filberthead/src/gateway/forwarding/after.rs
@@ -25,9 +25,17 @@
             to,
             body,
         } = ended;
-        if let Destination::Gateway { addr, reserved } = to {
+        let mut is_kept_due = false;
+        if let Destination::Gateway {
+            addr,
+            reserved,
+            kept,
+            ..
+        } = to
+        {
             self.attempts.record_relayed(reserved, reached);
             self.note_helper(addr, &attempt);
+            is_kept_due = kept && reached.is_some_and(|reached| reached > reserved);
         }
         let to = to.id();
         match attempt {
@@ -45,6 +53,14 @@
                 charge.restore();
                 self.after_not_run(&to, load_reported, body, charge)
             }
+            // The gateway would have made the attempt that was kept from it.
+            Attempt::Rejected {
+                code: ResultCode::Overloaded,
+                retry_after,
+            } if is_kept_due => {
+                charge.restore();
+                self.after_all_lent(&to, retry_after, body, charge)
+            }
             Attempt::Rejected { code, retry_after } => {
                 charge.restore();
                 self.after_rejection(code, retry_after, body)
@@ -73,6 +89,21 @@
         }
     }
 
+    /// Endpoints have rejected all attempts that the gateway was lent through which it was relayed.
+    pub(super) fn after_all_lent(
+        &mut self,
+        helper: &EndpointId,
+        retry_after: Duration,
+        retry_body: Option<RequestBody>,
+        charge: &mut Charge<'_>,
+    ) -> Next {
+        let further = self.attempts.record_refused(helper, true);
+        match retry_body.filter(|_| self.may_retry(further, charge)) {
+            Some(body) => Next::Send(body),
+            None => Next::reject(ResultCode::Overloaded, retry_after),
+        }
+    }
+
     /// Remembers a helper that couldn't be reached, or couldn't help.
     pub(super) fn note_helper(&self, helper: SocketAddr, attempt: &Attempt) {
         let now = self.core.now();
--- a/crates/filberthead/src/gateway/forwarding/start.rs
+++ b/crates/filberthead/src/gateway/forwarding/start.rs
@@ -126,24 +126,35 @@
         helper: ChosenHelper,
         charge: &mut Charge<'_>,
     ) -> Start<'a> {
+        let (addr, key) = (helper.addr, self.caller.key());
+        self.attempts
+            .record_sent(EndpointId::from(addr.to_string()));
+        let may_send_again = self.route.kind.is_idempotent() && self.relays < MAX_RELAYS;
+        let reserved = self.attempts.reserve_elsewhere(may_send_again);
+        let usual = {
+            let usual_times = self.core.usual_times.borrow();
+            usual_times.usual(self.service, self.route.kind)
+        };
+        let watch = helper.watch(usual);
         let relayed = RelayHead {
             cluster: self.core.identity.cluster,
             gateway: self.core.identity.gateway.clone(),
             revision: self.revision,
             service: self.service.clone(),
-            attempts: self.attempts.left(),
+            attempts: 1 + reserved,
             is_caller_retry: self.is_retry,
             fingerprint: self.prints.of_caller,
         };
-        let (addr, key) = (helper.addr, self.caller.key());
-        self.attempts
-            .record_sent(EndpointId::from(addr.to_string()));
-        let reserved = self.attempts.reserve_elsewhere();
-        let to = Destination::Gateway { addr, reserved };
+        let to = Destination::Gateway {
+            addr,
+            reserved,
+            kept: self.attempts.left() > 0,
+            watch: watch.clone(),
+        };
         self.send(body, to, charge, |core, job, body, progress| {
             Box::pin(async move {
                 let head = (&relayed, key);
-                let relayed = relay(core, &job, body, &helper, head, &progress).await;
+                let relayed = relay(core, &job, body, (&helper, &watch), head, &progress).await;
                 (relayed.attempt, relayed.reached)
             })
         })
--- a/crates/filberthead/src/gateway/relay/helpers.rs
+++ b/crates/filberthead/src/gateway/relay/helpers.rs
@@ -42,8 +42,29 @@
         self.count.set(self.count.get() + 1);
     }
 
+    /// When it has been silent for too long, if it stays so. Only for one with requests.
+    fn stalls_at(&self) -> Moment {
+        self.progress_at.get() + SILENCE_MAX
+    }
+
     fn is_stalled(&self, now: Moment) -> bool {
-        self.count.get() > 0 && now >= self.progress_at.get() + SILENCE_MAX
+        self.count.get() > 0 && now >= self.stalls_at()
+    }
+}
+
+/// Watches a helper while a request is on its way through it.
+#[derive(Clone, Debug)]
+pub(crate) struct HelperWatch {
+    in_flight: Rc<InFlight>,
+    /// Time within which the request usually ends.
+    usual: Duration,
+}
+
+impl HelperWatch {
+    /// When the helper counts as silent with a request that was sent then, unless it answers any request
+    /// before: not while the request usually runs.
+    pub(crate) fn silent_at(&self, sent_at: Moment) -> Moment {
+        self.in_flight.stalls_at().max(sent_at + self.usual)
     }
 }
 
@@ -70,6 +91,15 @@
 }
 
 impl ChosenHelper {
+    /// Watches it while a request that usually takes this long is on its way. A request of which nothing is
+    /// known is taken to last as long as a helper may be silent.
+    pub(crate) fn watch(&self, usual: Option<Duration>) -> HelperWatch {
+        HelperWatch {
+            in_flight: Rc::clone(&self.in_flight),
+            usual: usual.unwrap_or(SILENCE_MAX),
+        }
+    }
+
     /// Records that it has answered.
     pub(crate) fn record_answer(&self, now: Moment) {
         self.in_flight.progress_at.set(now);
@@ -257,6 +287,32 @@
         assert_eq!(next.addr, addr(2));
     }
 
+    #[test]
+    fn a_helper_is_silent_from_its_last_answer_on() {
+        let helpers = helpers();
+        let waiting = choose(&helpers, 0, NO_HOMES).expect("a helper");
+        let watch = waiting.watch(Some(Duration::from_millis(10)));
+        assert_eq!(watch.silent_at(Duration::ZERO), SILENCE_MAX);
+        waiting.record_answer(Duration::from_millis(700));
+        let silent_at = Duration::from_millis(700) + SILENCE_MAX;
+        assert_eq!(watch.silent_at(Duration::ZERO), silent_at);
+    }
+
+    /// Requests that run for longer than a helper may be silent counted as silence.
+    #[test]
+    fn a_helper_isnt_silent_while_its_request_usually_runs() {
+        let helpers = helpers();
+        let waiting = choose(&helpers, 0, NO_HOMES).expect("a helper");
+        let usual = Duration::from_secs(3);
+        let sent_at = Duration::from_millis(200);
+        assert_eq!(
+            waiting.watch(Some(usual)).silent_at(sent_at),
+            sent_at + usual
+        );
+        let unknown = waiting.watch(None);
+        assert_eq!(unknown.silent_at(sent_at), sent_at + SILENCE_MAX);
+    }
+
     #[test]
     fn a_request_with_homes_is_relayed_there_only() {
         let helpers = helpers();
--- a/crates/filberthead/src/gateway/relay/mod.rs
+++ b/crates/filberthead/src/gateway/relay/mod.rs
@@ -18,5 +18,5 @@
 pub(crate) use head::{
     HelperReport, RELAY, RELAYED_ATTEMPT, RELAYED_KEY, RelayHead, read_attempt, read_key,
 };
-pub(crate) use helpers::{ChosenHelper, Helpers};
+pub(crate) use helpers::{ChosenHelper, HelperWatch, Helpers};
 pub(crate) use send::{is_unhelpful, relay};
--- a/crates/filberthead/src/gateway/relay/send.rs
+++ b/crates/filberthead/src/gateway/relay/send.rs
@@ -13,14 +13,16 @@
 use http_body::Body;
 use log::info;
 
-use super::{ChosenHelper, HelperReport, RELAY, RELAYED_ATTEMPT, RELAYED_KEY, RelayHead};
+use super::{
+    ChosenHelper, HelperReport, HelperWatch, RELAY, RELAYED_ATTEMPT, RELAYED_KEY, RelayHead,
+};
 use crate::gateway::answer_notes::record_leaving;
 use crate::gateway::attempt::{
     Attempt, Job, MAX_IDLE_FOR_UNSAFE, TYPICAL_HEAD_BYTES, build_request, read_body,
 };
 use crate::gateway::core::Core;
 use crate::gateway::headers::header_text;
-use crate::gateway::progress::Progress;
+use crate::gateway::progress::{GivenUp, Progress};
 use crate::gateway::response::gateway_response;
 use crate::gateway::retry::StartedAttempt;
 
@@ -41,7 +43,7 @@
     core: &Rc<Core>,
     job: &Job<'_>,
     body: RequestBody,
-    helper: &ChosenHelper,
+    (helper, watch): (&ChosenHelper, &HelperWatch),
     (head, key): (&RelayHead, Option<KeyDigest>),
     progress: &Progress,
 ) -> Relayed {
@@ -50,6 +52,7 @@
         core,
         job,
         helper,
+        watch,
         attempt: job.retry.start(Holder::Gateway(helper.addr, started)),
         started,
         progress,
@@ -78,6 +81,7 @@
     core: &'a Core,
     job: &'a Job<'a>,
     helper: &'a ChosenHelper,
+    watch: &'a HelperWatch,
     attempt: StartedAttempt<'a>,
     started: Moment,
     progress: &'a Progress,
@@ -92,12 +96,18 @@
         let Self {
             core, job, helper, ..
         } = self;
-        let took_ms = core.now().saturating_sub(self.started).as_millis();
+        let now = core.now();
+        let took_ms = now.saturating_sub(self.started).as_millis();
+        let given_up = (self.outcome == ABANDONED).then(|| self.progress.given_up.get());
+        if given_up == Some(GivenUp::Superseded) && now >= self.watch.silent_at(self.started) {
+            let mut helpers = core.helpers.borrow_mut();
+            helpers.record_unreachable(now, helper.addr);
+        }
         core.metrics.record_relayed(self.outcome);
         info!(request = header_text(&job.head.headers, &core.protocol.request_id),
             route = job.route, service:% = job.service, attempt = job.number,
             helper:% = helper.addr, domain:% = helper.domain, took_ms, outcome = self.outcome,
-            given_up = (self.outcome == ABANDONED).then(|| self.progress.given_up.get().as_str());
+            given_up = given_up.map(GivenUp::as_str);
             "relayed through another gateway");
     }
 }
--- a/crates/filberthead/src/gateway/timing.rs
+++ b/crates/filberthead/src/gateway/timing.rs
@@ -1,4 +1,4 @@
-//! Measures how long requests take, for the planned stop.
+//! Measures how long requests take, for the planned stop and for helpers that are silent.
 
 use std::rc::Rc;
 
--- a/crates/filberthead/src/gateway/under_way.rs
+++ b/crates/filberthead/src/gateway/under_way.rs
@@ -2,7 +2,8 @@
 //!
 //! An endpoint may be at work although contact with its failure domain counts as lost: under overload it
 //! answers health checks as late as requests. So an attempt is neither ended because another one is to
-//! replace it, nor because none can. They run side by side until one of them is answered.
+//! replace it, nor because none can. They run side by side until one of them is answered. A request on its way
+//! through another gateway that is silent is treated alike.
 
 use std::future::poll_fn;
 use std::net::SocketAddr;
@@ -13,12 +14,14 @@
 
 use filberthead_endpoint::RequestBody;
 use filberthead_place::{EndpointId, Target};
+use filberthead_types::Moment;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep_until};
 
 use super::attempt::Attempt;
 use super::core::Core;
 use super::progress::{GivenUp, Progress};
+use super::relay::HelperWatch;
 
 /// Time after which another attempt is asked for again while none under way is in contact.
 const REPLACEMENT_PAUSE: Duration = Duration::from_millis(500);
@@ -33,6 +36,10 @@
         addr: SocketAddr,
         /// Endpoints beyond the first one that it may send the request to.
         reserved: u32,
+        /// Whether an attempt was kept for the case that it is silent.
+        kept: bool,
+        /// Tells when it is silent.
+        watch: HelperWatch,
     },
 }
 
@@ -75,7 +82,7 @@
 pub(crate) enum Event {
     /// One of them has ended.
     Ended(Box<EndedAttempt>),
-    /// Contact is lost with the endpoints of all of them. The request can be sent again with this body.
+    /// Contact is lost with the endpoints and gateways of all of them. The request can be sent again with this body.
     OutOfContact(RequestBody),
 }
 
@@ -84,7 +91,7 @@
     core: &'a Core,
     attempts: Vec<RunningAttempt<'a>>,
     losses: watch::Receiver<u32>,
-    /// When another attempt is asked for again, if contact is lost with all endpoints.
+    /// When another attempt is asked for again, if contact is lost with all of them.
     next_check: Option<Instant>,
 }
 
@@ -141,28 +148,52 @@
         }
     }
 
-    /// When contact is looked at next without a notice: an attempt may have been sent since its endpoint's
-    /// failure domain was lost, and what wasn't to be had may be now.
+    /// When contact is looked at next without a notice: a gateway may be silent by then, an attempt may have
+    /// been sent since its endpoint's failure domain was lost, and what wasn't to be had may be now.
     fn schedule_check(&mut self) -> Option<Instant> {
-        if !self.attempts.iter().all(|attempt| self.is_lost(attempt)) {
-            self.next_check = None;
-            return None;
+        let now = self.core.now();
+        let lost_at = self
+            .attempts
+            .iter()
+            .map(|attempt| self.lost_at(attempt, now));
+        let all_lost_at = lost_at.collect::<Option<Vec<Moment>>>();
+        let all_lost_at = all_lost_at.and_then(|times| times.into_iter().max());
+        match all_lost_at {
+            Some(at) if at <= now => {
+                let at = || Instant::now() + REPLACEMENT_PAUSE;
+                Some(*self.next_check.get_or_insert_with(at))
+            }
+            not_yet => {
+                self.next_check = None;
+                not_yet.map(|at| Instant::now() + at.saturating_sub(now))
+            }
         }
-        let at = || Instant::now() + REPLACEMENT_PAUSE;
-        Some(*self.next_check.get_or_insert_with(at))
     }
 
-    /// Whether contact is lost with the endpoint of an attempt that needn't be the only one.
-    fn is_lost(&self, attempt: &RunningAttempt<'_>) -> bool {
+    /// When contact counts as lost with the endpoint or gateway of an attempt that needn't be the only one,
+    /// unless something is heard before; `None` if there will be a notice of it.
+    fn lost_at(&self, attempt: &RunningAttempt<'_>, now: Moment) -> Option<Moment> {
+        if !attempt.is_replaceable {
+            return None;
+        }
         match &attempt.to {
             Destination::Endpoint(target) => {
-                attempt.is_replaceable && !self.core.placer.borrow().has_contact(target)
+                let has_contact = self.core.placer.borrow().has_contact(target);
+                (!has_contact).then_some(Moment::ZERO)
+            }
+            Destination::Gateway { watch, .. } => {
+                let sent_at = attempt.progress.sent_at.get().unwrap_or(now);
+                Some(watch.silent_at(sent_at))
             }
-            Destination::Gateway { .. } => false,
         }
     }
 
-    /// The body for another attempt, if all have been sent to endpoints with which contact is lost.
+    fn is_lost(&self, attempt: &RunningAttempt<'_>) -> bool {
+        let now = self.core.now();
+        self.lost_at(attempt, now).is_some_and(|at| at <= now)
+    }
+
+    /// The body for another attempt, if all have been sent and contact is lost with all of them.
     fn body_out_of_contact(&self) -> Option<RequestBody> {
         let is_out = |attempt: &RunningAttempt<'_>| {
             attempt.progress.sent_at.get().is_some() && self.is_lost(attempt)
--- a/crates/place/src/attempts.rs
+++ b/crates/place/src/attempts.rs
@@ -72,9 +72,11 @@
     }
 
     /// Lets another gateway, which the last attempt is relayed through, send it to as many endpoints as are
-    /// left. Returns how many these are, beyond the first one.
-    pub fn reserve_elsewhere(&mut self) -> u32 {
-        let further = self.left();
+    /// left. Returns how many these are, beyond the first one. If the request may be sent again while it is
+    /// there, one is kept for that, unless the other gateway then had no further one itself.
+    pub fn reserve_elsewhere(&mut self, may_send_again: bool) -> u32 {
+        let kept = u32::from(may_send_again && self.left() > 1);
+        let further = self.left() - kept;
         self.elsewhere += further;
         further
     }
--- a/crates/place/tests/all/refusals.rs
+++ b/crates/place/tests/all/refusals.rs
@@ -141,9 +141,34 @@
     let mut attempts = Attempts::new(3);
     attempts.record_sent("a".into());
     attempts.record_sent("helper".into());
-    let reserved = attempts.reserve_elsewhere();
+    let reserved = attempts.reserve_elsewhere(false);
     assert_eq!((reserved, attempts.left()), (1, 0));
     assert_eq!(attempts.record_ran(), NextAttempt::Exhausted);
     attempts.record_relayed(reserved, Some(1));
     assert_eq!(attempts.left(), 1);
 }
+
+/// A gateway that was silent with a request held all attempts, so none could be made beside it.
+#[test]
+fn an_attempt_is_kept_while_another_gateway_has_the_request() {
+    for (max, reserved, left) in [(1, 0, 0), (2, 1, 0), (3, 1, 1), (4, 2, 1)] {
+        let mut attempts = Attempts::new(max);
+        attempts.record_sent("helper".into());
+        assert_eq!(attempts.reserve_elsewhere(true), reserved, "of {max}");
+        assert_eq!(attempts.left(), left, "of {max}");
+    }
+}
+
+/// Endpoints that rejected a relayed request weren't counted, but for one, so it could reach more than allowed.
+#[test]
+fn endpoints_that_reject_a_relayed_request_count() {
+    let mut attempts = Attempts::new(3);
+    attempts.record_sent("helper".into());
+    let reserved = attempts.reserve_elsewhere(true);
+    attempts.record_relayed(reserved, Some(2));
+    assert_eq!(
+        attempts.record_refused(&"helper".into(), true),
+        NextAttempt::Allowed
+    );
+    assert_eq!((attempts.reached(), attempts.left()), (2, 1));
+}
--- a/tests/all/at_work.rs
+++ b/tests/all/at_work.rs
@@ -37,6 +37,14 @@
 const TOO_LATE: Duration = Duration::from_millis(4600);
 /// Result code of requests that a stopping gateway doesn't take.
 const STOPPING: &str = "1209";
+/// Requests that are sent while two of three endpoints reject, and retries that the gateways together may make
+/// without earning them, enough for each gateway to make all: helpers earn none.
+const REJECTED: usize = 10;
+const RETRY_FLOOR: u32 = 90;
+/// Longer than a helper may be silent.
+const SLOW_RUN_TIME: Duration = Duration::from_millis(1500);
+/// As many as tell that requests are slow.
+const SLOW_REQUESTS: usize = 8;
 const REQUESTS: usize = 4;
 /// Requests that let the gateway retry all of these.
 const EARNING: usize = 40;
@@ -222,10 +230,16 @@
 
 /// A site whose first gateway relays all requests, and may send each to three endpoints.
 fn start_relaying(earning: usize) -> Site {
+    start_relaying_to(&[NEAR, FAR], 0, earning)
+}
+
+/// The same, with endpoints of each service in these failure domains, and retries that the gateways together may
+/// make without earning them.
+fn start_relaying_to(domains: &[&str], retry_floor: u32, earning: usize) -> Site {
     let builder = site().replicas(1).tolerate(0).gateways(GATEWAYS);
-    let mut site = builder.retry_floor(0).start();
+    let mut site = builder.retry_floor(retry_floor).start();
     for (service, _) in SERVICES_OF_RELAYED {
-        for domain in [NEAR, FAR] {
+        for domain in domains {
             site.add_linked_endpoint(service, domain);
         }
     }
@@ -298,3 +312,41 @@
     let outcome = relay_through_silent_helper(&site, "POST", "orders");
     assert_eq!(outcome, (504, 1));
 }
+
+/// An attempt was kept for a silent gateway, and was missing where one rejected a request: callers got 503
+/// though a third endpoint would have served them.
+#[test]
+fn a_relayed_request_that_two_endpoints_reject_is_served_by_the_third() {
+    let site = start_relaying_to(&[NEAR; 3], RETRY_FLOOR, EARNING);
+    let of_service = site.endpoints.iter().filter(|e| e.service() == "catalogue");
+    let shedding: Vec<&SiteEndpoint> = of_service.take(2).collect();
+    for endpoint in &shedding {
+        endpoint.set_behaviour(Behaviour::Sheds);
+    }
+    let rejected = |endpoint: &SiteEndpoint, id: &str| {
+        let arrivals = endpoint.arrivals();
+        arrivals.iter().any(|arrival| arrival.id == id)
+    };
+    let mut rejected_twice = 0;
+    for number in 0..REJECTED {
+        let id = format!("rejected-{number}");
+        assert_eq!(read(&site, &id).status, 200, "{id}");
+        rejected_twice += usize::from(shedding.iter().all(|e| rejected(e, &id)));
+    }
+    assert!(rejected_twice > 0, "none was rejected by two endpoints");
+}
+
+/// A gateway was taken for silent whose requests usually run for longer than it may be silent.
+#[test]
+fn a_relayed_request_that_usually_runs_for_long_is_sent_once() {
+    let site = start_relaying(EARNING);
+    for endpoint in &site.endpoints {
+        endpoint.set_run_time(SLOW_RUN_TIME);
+    }
+    for number in 0..SLOW_REQUESTS {
+        assert_eq!(read(&site, &format!("usual-{number}")).status, 200);
+    }
+    assert_eq!(read(&site, "slow").status, 200);
+    let arrivals = site.endpoints.iter().flat_map(SiteEndpoint::arrivals);
+    assert_eq!(arrivals.filter(|arrival| arrival.id == "slow").count(), 1);
+}
