Test of replaced failure domains: endpoints count what runs at once

The test counted requests that ran at once from when callers noted their answers, 100 ms left out at both ends.

The stand-ins now note when a request began and ended, and the test counts over all of them, from the beginning to the end and also requests without an answer, so the check is as strict without a margin. The other test of the module uses the same count.

--- a/crates/testing/src/standin/record.rs
+++ b/crates/testing/src/standin/record.rs
@@ -4,7 +4,8 @@
 use std::fs::File;
 use std::io::Write;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Mutex, PoisonError};
+use std::sync::{LazyLock, Mutex, PoisonError};
+use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 
@@ -48,8 +49,14 @@
     pub stage: Stage,
     /// The request.
     pub seen: ObservedRequest,
+    /// When, by a clock that all stand-ins of this process share. Journals don't keep it.
+    #[serde(skip)]
+    pub at: Duration,
 }
 
+/// Where the clock of events begins.
+static CLOCK_START: LazyLock<Instant> = LazyLock::new(Instant::now);
+
 /// Events of one or several stand-ins; those of each stand-in are in order.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -85,6 +92,25 @@
         counts
     }
 
+    /// Most requests matching `predicate` that ran at the same moment, on all stand-ins together. These must
+    /// be stand-ins of this process.
+    pub fn most_at_once(&self, predicate: impl Fn(&ObservedRequest) -> bool) -> usize {
+        let matching = self.events.iter().filter(|event| predicate(&event.seen));
+        let mut changes: Vec<(Duration, i32)> = matching
+            .filter_map(|event| match event.stage {
+                Stage::Executed => Some((event.at, 1)),
+                Stage::Answered | Stage::Cancelled => Some((event.at, -1)),
+                Stage::Received | Stage::Shed => None,
+            })
+            .collect();
+        changes.sort_unstable();
+        let running = changes.iter().scan(0, |running, (_, change)| {
+            *running += change;
+            Some(*running)
+        });
+        usize::try_from(running.max().unwrap_or(0)).unwrap_or(0)
+    }
+
     /// Adds the record of another stand-in.
     pub fn merge(&mut self, other: Self) {
         self.events.extend(other.events);
@@ -116,6 +142,7 @@
         let event = Event {
             stage,
             seen: request.clone(),
+            at: CLOCK_START.elapsed(),
         };
         if let Some(journal) = &self.journal {
             let mut line = serde_json::to_vec(&event).expect("an event is plain data");
@@ -179,3 +206,39 @@
         self.peak.load(Ordering::SeqCst)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Requests that follow one another at the same moment counted as running at once.
+    #[test]
+    fn requests_that_run_at_once_are_counted_over_all_standins() {
+        let event = |stage, path: &str, at| Event {
+            stage,
+            seen: ObservedRequest {
+                path: path.to_owned(),
+                ..ObservedRequest::default()
+            },
+            at: Duration::from_millis(at),
+        };
+        let record = |events: &[Event]| Record {
+            events: events.to_vec(),
+            ..Record::default()
+        };
+        let mut both = record(&[
+            event(Stage::Received, "/a", 0),
+            event(Stage::Executed, "/a", 1),
+            event(Stage::Answered, "/a", 4),
+            event(Stage::Executed, "/a", 4),
+        ]);
+        both.merge(record(&[
+            event(Stage::Executed, "/a", 2),
+            event(Stage::Executed, "/b", 3),
+            event(Stage::Cancelled, "/a", 5),
+        ]));
+        assert_eq!(both.most_at_once(|request| request.path == "/a"), 2);
+        assert_eq!(both.most_at_once(|_| true), 3);
+        assert_eq!(both.most_at_once(|request| request.path == "/c"), 0);
+    }
+}
--- a/tests/all/operators/leases.rs
+++ b/tests/all/operators/leases.rs
@@ -1,16 +1,16 @@
 //! Limits over a change of control's leader, with entries that can't reach the next one.
 
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread::JoinHandle;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use filberthead_operator::Status;
 use filberthead_testing::client::Call;
 use filberthead_testing::cluster::Cluster;
 use filberthead_testing::operator::Operator;
-use filberthead_testing::standin::{Fault, Rule, When};
+use filberthead_testing::standin::{Fault, Record, Rule, When};
 use filberthead_testing::{eventually, wait_until};
 
 use super::session::Session;
@@ -21,9 +21,6 @@
 const LIMIT: usize = 4;
 /// Time that an endpoint takes for a request.
 const WORK: Duration = Duration::from_secs(1);
-/// Part of it that is left out at both ends when requests that ran at once are counted: a caller
-/// doesn't see exactly when an endpoint began and ended.
-const UNCERTAIN: Duration = Duration::from_millis(100);
 /// Longer than a new leader waits for what its predecessor granted.
 const WATCHED: Duration = Duration::from_secs(15);
 const CALLERS_EACH: usize = 6;
@@ -31,16 +28,21 @@
 const CUT_OFF: [&str; 2] = ["entry-split-a-1", "entry-split-a-2"];
 const JOINING: &str = "entry-split-a-3";
 
-/// Callers who read all the time, and when their answers came.
+/// Callers who read all the time.
 struct Readers {
+    /// What they read; others read something else.
+    object: String,
     stop: Arc<AtomicBool>,
-    served: Arc<Mutex<Vec<Instant>>>,
+    served: Arc<AtomicUsize>,
     threads: Vec<JoinHandle<()>>,
 }
 
 impl Readers {
     fn new() -> Self {
+        static COUNT: AtomicUsize = AtomicUsize::new(0);
+        let number = COUNT.fetch_add(1, Ordering::SeqCst);
         Self {
+            object: format!("read-{number}"),
             stop: Arc::new(AtomicBool::new(false)),
             served: Arc::default(),
             threads: Vec::new(),
@@ -50,11 +52,12 @@
     fn add(&mut self, entry: SocketAddr) {
         for _ in 0..CALLERS_EACH {
             let (stop, served) = (Arc::clone(&self.stop), Arc::clone(&self.served));
+            let read = Call::get(&format!("/v1/services/orders/{}", self.object));
             self.threads.push(std::thread::spawn(move || {
                 while !stop.load(Ordering::SeqCst) {
-                    let answer = Call::get("/v1/services/orders/read").send(entry);
+                    let answer = read.clone().send(entry);
                     if answer.is_ok_and(|answer| answer.result() == Some(1000)) {
-                        served.lock().expect("no panic").push(Instant::now());
+                        served.fetch_add(1, Ordering::SeqCst);
                     }
                     std::thread::sleep(Duration::from_millis(20));
                 }
@@ -63,23 +66,22 @@
     }
 
     fn served(&self) -> usize {
-        self.served.lock().expect("no panic").len()
+        self.served.load(Ordering::SeqCst)
     }
 
-    /// Stops, and returns the most requests that certainly ran at the same moment.
-    fn most_at_once(self) -> usize {
+    /// Stops, and returns the most requests that ran at the same moment. The endpoints count them: callers that
+    /// get processor time late get answers late, and can't tell when requests ran.
+    fn most_at_once(self, session: &Session) -> usize {
         self.stop.store(true, Ordering::SeqCst);
         for thread in self.threads {
             thread.join().expect("a caller ends");
         }
-        let served = self.served.lock().expect("no panic");
-        let span = |end: &Instant| (*end - WORK + UNCERTAIN, *end - UNCERTAIN);
-        let spans: Vec<_> = served.iter().map(span).collect();
-        let at_once = |(at, _): &(Instant, Instant)| {
-            let runs = |(from, to): &&(Instant, Instant)| from <= at && at < to;
-            spans.iter().filter(runs).count()
-        };
-        spans.iter().map(at_once).max().unwrap_or(0)
+        let mut record = Record::default();
+        for endpoint in &session.cluster.endpoints {
+            record.merge(endpoint.standin.record());
+        }
+        let path = format!("/{}", self.object);
+        record.most_at_once(|request| request.path == path)
     }
 }
 
@@ -138,7 +140,7 @@
     wait_until("requests are served again", BOUND, || {
         readers.served() >= served + 5 * LIMIT
     });
-    let most = readers.most_at_once();
+    let most = readers.most_at_once(&session);
     assert!(most <= LIMIT, "{most} of {LIMIT} ran at once");
 }
 
@@ -155,7 +157,7 @@
     wait_until("the limit is shared out", BOUND, || {
         readers.served() >= 5 * LIMIT
     });
-    readers.most_at_once();
+    readers.most_at_once(&session);
     for name in CUT_OFF {
         session.cluster.entry(name).kill();
     }
@@ -164,7 +166,7 @@
     let mut readers = Readers::new();
     readers.add(joined);
     std::thread::sleep(WATCHED);
-    let most = readers.most_at_once();
+    let most = readers.most_at_once(&session);
     assert!(most < LIMIT, "{most} of {LIMIT} ran at once");
     for name in CUT_OFF {
         let command = ["control", "forget-entry", name];
@@ -176,7 +178,7 @@
         wait_until("requests are served", BOUND, || {
             readers.served() >= 2 * LIMIT
         });
-        let most = readers.most_at_once();
+        let most = readers.most_at_once(&session);
         assert!(most <= LIMIT, "{most} of {LIMIT} ran at once");
         (most == LIMIT).then_some(())
     });
