--- a/ci/measure.sh
+++ b/ci/measure.sh
@@ -6,11 +6,11 @@
 failed=0
 
 # The figures of a package: crates/NAME/examples/cost.rs prints them.
-for example in crates/*/examples/cost.rs; do
+for example in crates/*/examples/{cost,waiting_cost}.rs; do
     [[ -f $example ]] || continue
     package="filberthead-$(cut -d/ -f2 <<<"$example")"
     [[ $package == filberthead-filberthead ]] && package=filberthead
-    cargo run --release --quiet -p "$package" --example cost || failed=1
+    cargo run --release --quiet -p "$package" --example "$(basename "$example" .rs)" || failed=1
 done
 
 # The figures of whole systems of real processes. Their names begin with
--- a/crates/filberthead/src/gateway/attempt.rs
+++ b/crates/filberthead/src/gateway/attempt.rs
@@ -54,6 +54,8 @@
     Failed(Response<ResponseBody>),
     /// The request was not sent; the body is returned.
     NotSent(RequestBody),
+    /// No byte of the request was written, and the connection that had it is closed.
+    Unwritten,
     /// The request was not sent, as its endpoint had said meanwhile that it takes none; the body is
     /// returned.
     Withdrawn(RequestBody),
@@ -181,6 +183,8 @@
             relayed_by = self.relayed_by.map(NodeName::as_str), sent_after_ms,
             known:? = self.target.affinity,
             expected_ms = self.target.expected.as_millis(),
+            slowdown_percent = self.target.slowdown_percent(),
+            replicated = self.target.is_replicated,
             overhead_ms = self.target.overhead.as_millis(),
             took_ms = now.saturating_sub(self.started).as_millis(), outcome:? = self.outcome,
             unsent = self.unsent.map(Unsent::as_str),
@@ -276,6 +280,16 @@
             in_flight.outcome = Outcome::Unreached;
             Attempt::NotSent(req.into_body())
         }
+        SendOutcome::Unwritten(unsent) => {
+            progress.sent_at.set(None);
+            in_flight.unsent = Some(unsent);
+            match unsent {
+                // This gateway may be what is slow.
+                Unsent::DeadlinePassed => in_flight.progress.given_up.set(GivenUp::Deadline),
+                _ => in_flight.outcome = Outcome::Unreached,
+            }
+            Attempt::Unwritten
+        }
         SendOutcome::Lost => {
             in_flight.outcome = Outcome::Broken;
             Attempt::Lost
@@ -364,6 +378,10 @@
     match read_body(core, job, head, body, connection).await {
         Ok(response) => {
             in_flight.mark_served();
+            if let ResponseBody::Buffered(body) = response.body() {
+                let mut placer = core.placer.borrow_mut();
+                placer.record_answer_bytes(job.service, body.len());
+            }
             finish(in_flight, response)
         }
         Err(failure) => {
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -10,11 +10,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use filberthead_allot::{Admission, Contact, Limiter, RefusalMeter};
+use filberthead_allot::{Admission, Contact, Limiter, Offer, RefusalMeter};
 use filberthead_endpoint::Client;
 use filberthead_fleet::{Load, Member, Outbound, Stamp, Update, UpdateDelay};
 use filberthead_observe::{GatewayMetrics, LogRateLimiter};
 use filberthead_peer::Body;
+use filberthead_pipeline::Memory;
 use filberthead_place::{
     ConnectionBalancer, EndpointId, Holder, LargeResponseAdmission, Link, Placer, RetryDecision,
     RetryEnd, RetryId, RunVerdict, UsualTimes,
@@ -26,14 +27,19 @@
     ClusterId, FailureDomain, Fingerprint, Meaning, Moment, NodeName, Region, RequestPrints,
     ResultCode, ServiceName, Workspace,
 };
+use http::request::Parts;
 use log::{Level, debug, info, log_enabled, warn};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
 use super::body_memory::BodyMemory;
 use super::bounds::Bounds;
+use super::headers::header_text;
 use super::relay::Helpers;
+use super::request::context::truncate;
+use super::shares::FairShares;
 use super::stop::{AnswersDue, Phase};
+use super::waiting::Waiting;
 use super::{ControlMessage, ProtocolNames};
 use crate::Clock;
 use crate::peers::Outgoing;
@@ -47,15 +53,33 @@
 /// all codes together stay below 100 kB per second whatever callers send.
 const LOG_LINES_PER_SECOND: u32 = 20;
 
+/// Bytes of all requests together that are read ahead, and of answers that wait for those before
+/// them. Enough for 8 requests of 1 KiB on each of 1,000 connections.
+const MAX_AHEAD_MEMORY: usize = 8 * 1024 * 1024;
 /// Endpoints that are logged for each kind of value that isn't valid.
 const MAX_INVALID_LOGGED: usize = 64;
 
+/// Least wait for other requests of a connection that is logged. Shorter ones make no answer late by
+/// themselves: the shortest objectives are a quarter of a second.
+const MIN_LOGGED_WAIT: Duration = Duration::from_millis(100);
+
+/// How long a request that was sent ahead has waited for those before it.
+pub(crate) struct InLine {
+    /// From its arrival until it was started.
+    pub(crate) before_start: Duration,
+    /// From its response until those before it were sent; `None` if it wasn't started before its turn.
+    pub(crate) of_answer: Option<Duration>,
+}
+
 /// Everything the requests duty needs at start.
 pub(crate) struct CoreParts {
     pub(crate) clock: Clock,
     pub(crate) protocol: Arc<ProtocolNames>,
     pub(crate) placer: Placer,
     pub(crate) limiter: Limiter,
+    /// Divides services that are short of capacity among workspaces.
+    /// Shares of workspaces, if the settings turn them on.
+    pub(crate) shares: Option<FairShares>,
     pub(crate) member: Member,
     pub(crate) identity: Identity,
     /// Region of each failure domain.
@@ -137,11 +161,17 @@
     pub(crate) client: Client,
     /// Memory of the responses that are being read.
     pub(crate) body_memory: BodyMemory,
+    /// Memory of what is read ahead on callers' connections.
+    pub(crate) ahead_memory: Rc<Memory>,
     pub(crate) placer: RefCell<Placer>,
+    /// Requests that wait while their service is congested.
+    pub(crate) waiting: Waiting,
     /// How long requests usually take.
     pub(crate) usual_times: RefCell<UsualTimes>,
     /// Keeps workspaces within their allotments.
     limiter: RefCell<Limiter>,
+    /// Divides services that are short of capacity among workspaces.
+    shares: Option<RefCell<FairShares>>,
     /// Refused requests by workspace, for the report to control.
     refusals: RefCell<RefusalMeter>,
     pub(crate) metrics: Arc<GatewayMetrics>,
@@ -184,6 +214,8 @@
     invalid_rests: RefCell<BTreeSet<EndpointId>>,
     /// Rate limit of the log lines about rejected requests, by result code.
     log_limiter: RefCell<LogRateLimiter<ResultCode>>,
+    /// Rate limit of the log lines about requests that waited for others of their connection.
+    line_log_limiter: RefCell<LogRateLimiter<()>>,
 }
 
 /// Counts a request as running until dropped.
@@ -211,13 +243,16 @@
             protocol: parts.protocol,
             client: Client::with_connect_timeout(CONNECT_TIMEOUT),
             placer: RefCell::new(parts.placer),
+            waiting: Waiting::new(rand::random()),
             usual_times: RefCell::default(),
             limiter: RefCell::new(parts.limiter),
+            shares: parts.shares.map(RefCell::new),
             refusals: RefCell::default(),
             metrics: parts.metrics,
             contention_control: parts.contention_control,
             link: parts.link.map(RefCell::new),
             body_memory: BodyMemory::default(),
+            ahead_memory: Memory::new(MAX_AHEAD_MEMORY),
             large_admission: parts.large_admission.map(RefCell::new),
             balancer: RefCell::default(),
             helpers: RefCell::new(Helpers::new(&parts.identity, parts.regions)),
@@ -240,6 +275,7 @@
             invalid_limits: RefCell::default(),
             invalid_rests: RefCell::default(),
             log_limiter: RefCell::new(LogRateLimiter::new(LOG_LINES_PER_SECOND)),
+            line_log_limiter: RefCell::new(LogRateLimiter::new(LOG_LINES_PER_SECOND)),
         })
     }
 
@@ -346,6 +382,71 @@
         admission
     }
 
+    /// Decides whether a workspace's request exceeds its share of a service that is short of capacity.
+    /// Returns the work that is expected of the request if it is admitted; `None` while contention
+    /// control is off.
+    pub(crate) fn admit_share(
+        &self,
+        service: &ServiceName,
+        workspace: &Workspace,
+        priority: u8,
+    ) -> Result<Option<Duration>, Duration> {
+        let placer = self.placer.borrow();
+        let Some(shares) = self.shares.as_ref().filter(|_| placer.contention_control()) else {
+            return Ok(None);
+        };
+        let Some(work) = placer.mean_work(service) else {
+            return Ok(None);
+        };
+        drop(placer);
+        let offer = Offer {
+            service,
+            workspace,
+            priority,
+            work,
+        };
+        match shares.borrow_mut().admit(self.now(), offer) {
+            Admission::Admitted => Ok(Some(work)),
+            Admission::Refused { retry_after } => Err(retry_after),
+        }
+    }
+
+    /// Records that a workspace's request was rejected and may come back.
+    pub(crate) fn record_share_rejected(
+        &self,
+        service: &ServiceName,
+        from: (&Workspace, u8),
+        retry_after: Duration,
+    ) {
+        let placer = self.placer.borrow();
+        if let Some(work) = placer.mean_work(service)
+            && placer.contention_control()
+            && let Some(shares) = &self.shares
+        {
+            let mut shares = shares.borrow_mut();
+            shares.record_rejected(self.now(), service, from, (work, retry_after));
+        }
+    }
+
+    /// Counts the work of a workspace's request that was answered.
+    pub(crate) fn record_share_served(&self, service: &ServiceName, work: Duration) {
+        if let Some(shares) = &self.shares {
+            shares.borrow_mut().record_served(self.now(), service, work);
+        }
+    }
+
+    /// Records that a request was rejected or timed out, as happens when a service is short of capacity.
+    /// An attempt that a full endpoint refuses doesn't count by itself: another one may serve the request.
+    pub(crate) fn record_shortage(&self, service: &ServiceName) {
+        let is_on = self.placer.borrow().contention_control();
+        let Some(shares) = self.shares.as_ref().filter(|_| is_on) else {
+            return;
+        };
+        if shares.borrow_mut().record_shortage(self.now(), service) {
+            self.member.borrow_mut().hasten_report();
+        }
+    }
+
     /// Takes a retry from the service's budget if there is one left.
     pub(crate) fn try_spend_retry(&self, now: Moment, service: &ServiceName) -> RetryDecision {
         let decision = self.placer.borrow_mut().try_spend_retry(now, service);
@@ -405,6 +506,18 @@
             .set_leaving_endpoints(placer.leaving_endpoints());
     }
 
+    fn log_object_changes(&self, now: Moment) {
+        let mut placer = self.placer.borrow_mut();
+        for change in placer.take_object_changes() {
+            info!(service:% = change.service, in_each_domain = change.in_each_domain,
+                objects = change.objects; "distribution of objects changed");
+        }
+        self.metrics
+            .set_slowed_endpoints(placer.slowed_endpoints(now));
+        self.metrics
+            .set_replicated_objects(placer.replicated_objects());
+    }
+
     fn expire_suspicions(&self, now: Moment) {
         let mut placer = self.placer.borrow_mut();
         for request in placer.expire_suspicions(now) {
@@ -618,6 +731,9 @@
                 let services = table.services.iter().map(|service| &service.name);
                 self.usual_times.borrow_mut().retain(services);
                 self.limiter.borrow_mut().set_workspaces(&table.workspaces);
+                if let Some(shares) = &self.shares {
+                    shares.borrow_mut().set_routes(&table);
+                }
                 let active_routes = ActiveRoutes::new(&table, (version, revision), from, now);
                 self.active_routes.replace(Some(Rc::new(active_routes)));
                 let bounds = Some(table.bounds);
@@ -652,6 +768,11 @@
             }
             Update::ReportAnswered => self.limiter.borrow_mut().confirm_report(),
             Update::Ratios(ratios) => self.limiter.borrow_mut().set_ratios(now, from, &ratios),
+            Update::Shares(told) => {
+                if let Some(shares) = &self.shares {
+                    shares.borrow_mut().set(now, from, told);
+                }
+            }
             Update::Suspicions(told) => placer.set_suspicions(now, told),
             Update::Contended => self.enable_contention_control(&mut placer, "control"),
             Update::Helpers(list) => self.helpers.borrow_mut().set(list),
@@ -662,7 +783,6 @@
         }
     }
 
-    #[expect(dead_code, reason = "called once connections are read ahead")]
     /// Records that a caller has sent a request before its previous one was answered. Other gateways
     /// learn of it through control.
     pub(crate) fn record_sent_ahead(&self) {
@@ -670,6 +790,25 @@
         self.enable_contention_control(&mut self.placer.borrow_mut(), "caller");
     }
 
+    /// Records a request that was sent ahead, once it is answered.
+    pub(crate) fn record_pipelined(&self, head: &Parts, waited: InLine) {
+        let ran_beside = waited.of_answer.is_some();
+        self.metrics.record_pipelined(match ran_beside {
+            true => "beside",
+            false => "after",
+        });
+        let of_answer = waited.of_answer.unwrap_or_default();
+        if waited.before_start.max(of_answer) < MIN_LOGGED_WAIT {
+            return;
+        }
+        let omitted = self.line_log_limiter.borrow_mut().allow(self.now(), ());
+        if let Some(omitted) = omitted {
+            let id = header_text(&head.headers, &self.protocol.request_id);
+            info!(request = truncate(id), before_start_ms = waited.before_start.as_millis(),
+                answer_ms = of_answer.as_millis(), omitted; "request waited in line");
+        }
+    }
+
     /// Turns contention control on, unless the settings say otherwise.
     fn enable_contention_control(&self, placer: &mut Placer, told_by: &'static str) {
         if self.contention_control == ContentionControl::Auto && !placer.contention_control() {
@@ -711,6 +850,11 @@
         let limited = self.placer.borrow().limited_endpoints();
         self.metrics.set_limited_endpoints(limited);
         self.log_ended_rests(now);
+        self.waiting.tick(self);
+        if let Some(shares) = &self.shares {
+            shares.borrow_mut().tick(now, &self.metrics);
+        }
+        self.log_object_changes(now);
         let placer = &self.placer;
         let out = member.tick(now, || {
             let mut placer = placer.borrow_mut();
@@ -729,6 +873,10 @@
                 demand: placer.take_demand(now),
                 usage: self.limiter.borrow_mut().usage(now),
                 refused: self.refusals.borrow_mut().report(now),
+                work: match &self.shares {
+                    Some(shares) => shares.borrow_mut().report(now),
+                    None => Vec::new(),
+                },
                 link_milli: self.link_milli(now),
                 suspicions: placer.suspicions(now),
             }
--- a/crates/filberthead/src/gateway/forwarding/after.rs
+++ b/crates/filberthead/src/gateway/forwarding/after.rs
@@ -25,17 +25,32 @@
             to,
             body,
         } = ended;
-        if let Destination::Gateway { addr, reserved } = to {
+        let mut is_kept_due = false;
+        if let Destination::Gateway {
+            addr,
+            reserved,
+            kept,
+            ..
+        } = to
+        {
             self.attempts.record_relayed(reserved, reached);
             self.note_helper(addr, &attempt);
+            is_kept_due = kept && reached.is_some_and(|reached| reached > reserved);
         }
         let to = to.id();
         match attempt {
-            Attempt::Answered(response) => Next::respond(response),
+            Attempt::Answered(response) => {
+                charge.record_served();
+                Next::respond(response)
+            }
             Attempt::NotSent(body) => {
                 charge.restore();
                 self.after_unreached(body)
             }
+            Attempt::Unwritten => {
+                charge.restore();
+                self.after_unwritten(body)
+            }
             Attempt::Withdrawn(body) => {
                 charge.restore();
                 self.attempts.record_withdrawn();
@@ -45,6 +60,14 @@
                 charge.restore();
                 self.after_not_run(&to, load_reported, body, charge)
             }
+            // The gateway would have made the attempt that was kept from it.
+            Attempt::Rejected {
+                code: ResultCode::Overloaded,
+                retry_after,
+            } if is_kept_due => {
+                charge.restore();
+                self.after_all_lent(&to, retry_after, body, charge)
+            }
             Attempt::Rejected { code, retry_after } => {
                 charge.restore();
                 self.after_rejection(code, retry_after, body)
@@ -53,6 +76,7 @@
             Attempt::Lost => self.after_loss(&to, body, charge),
             Attempt::TimedOut => {
                 self.attempts.record_ran();
+                self.core.record_shortage(self.service);
                 self.log_attempt("deadline passed before the endpoint responded", &to);
                 Next::expire(gateway_response(ResultCode::DeadlineWhileRunning, None))
             }
@@ -73,6 +97,21 @@
         }
     }
 
+    /// Endpoints have rejected all attempts that the gateway was lent through which it was relayed.
+    pub(super) fn after_all_lent(
+        &mut self,
+        helper: &EndpointId,
+        retry_after: Duration,
+        retry_body: Option<RequestBody>,
+        charge: &mut Charge<'_>,
+    ) -> Next {
+        let further = self.attempts.record_refused(helper, true);
+        match retry_body.filter(|_| self.may_retry(further, charge)) {
+            Some(body) => Next::Send(body),
+            None => Next::reject(ResultCode::Overloaded, retry_after),
+        }
+    }
+
     /// Remembers a helper that couldn't be reached, or couldn't help.
     pub(super) fn note_helper(&self, helper: SocketAddr, attempt: &Attempt) {
         let now = self.core.now();
@@ -98,6 +137,17 @@
         }
     }
 
+    /// The connection ended, or the deadline passed, before a byte of the request was written.
+    pub(super) fn after_unwritten(&mut self, retry_body: Option<RequestBody>) -> Next {
+        match retry_body {
+            Some(body) => self.after_unreached(body),
+            None => {
+                self.attempts.record_unreachable();
+                Next::reject(ResultCode::NoEndpoint, RETRY_AFTER_STARTING)
+            }
+        }
+    }
+
     /// The endpoint refused to run the request.
     pub(super) fn after_not_run(
         &mut self,
--- a/crates/filberthead/src/gateway/forwarding/mod.rs
+++ b/crates/filberthead/src/gateway/forwarding/mod.rs
@@ -5,24 +5,26 @@
 mod next;
 mod retries;
 mod start;
+mod wait;
 
 use std::rc::Rc;
 
 use filberthead_endpoint::RequestBody;
-use filberthead_place::{Attempts, Homes, Object, Placer, Request as PlacementRequest};
+use filberthead_place::{Attempts, Homes, Object, Placer, Request as PlacementRequest, RouteKey};
 use filberthead_route::{Kind, Route};
 use filberthead_types::{Moment, NodeName, RequestPrints, ResultCode, ServiceName};
 use http::Response;
 use http::request::Parts;
 
 use self::next::{Next, Reach, Start};
-use super::caller::{Caller, Charge};
+use super::caller::{Caller, Charge, NotAdmitted};
 use super::core::Core;
 use super::deadline::Deadline;
 use super::headers::header_text;
 use super::response::ResponseBody;
 use super::retry::GrantedRetry;
-use super::under_way::{Event, UnderWay};
+use super::under_way::{Destination, Event, UnderWay};
+use super::waiting::Place;
 
 /// A request being forwarded.
 pub(super) struct Forwarding<'a> {
@@ -38,6 +40,9 @@
     pub(super) priority: u8,
     /// Whether an earlier attempt of the caller has used part of its deadline.
     pub(super) is_retry: bool,
+    /// Whether it has a place in a limited window. The window keeps the queues at endpoints short, so that an
+    /// estimated wait there speaks less against the request.
+    pub(super) is_windowed: bool,
     /// Version and revision of the routes that it was matched against.
     pub(super) version: u64,
     pub(super) revision: u64,
@@ -62,24 +67,34 @@
         let core = self.core;
         let charge = match self.relayed_by.is_some() {
             true => Ok(Charge::taken_elsewhere(core, self.caller)),
-            false => Charge::take(core, self.caller),
+            false => Charge::take(core, self.caller, (self.service, self.priority)),
         };
         let mut charge = match charge {
             Ok(charge) => charge,
-            Err(retry_after) => {
+            Err(NotAdmitted::Allotment(retry_after)) => {
                 return self.final_response(ResultCode::AllotmentUsed, retry_after);
             }
+            Err(NotAdmitted::Share(retry_after)) => return self.refuse_by_share(retry_after),
         };
         let is_large = self.route.kind == Kind::Download;
         if is_large && let Err(retry_after) = self.core.admit_large(self.is_retry) {
             return self.final_response(ResultCode::LinkBusy, retry_after);
         }
+        let place = match self.wait_for_place(&body).await {
+            Ok(place) => place,
+            Err(no_place) => return self.reject_without_place(no_place),
+        };
+        self.is_windowed = place.as_ref().is_some_and(Place::is_limited);
         let mut under_way = UnderWay::new(core);
         let mut next = Next::Send(body);
         loop {
             next = match next {
                 Next::Send(body) => match self.start(body, &mut charge, Reach::Any) {
                     Start::Started(attempt) => {
+                        if let (Some(place), Destination::Endpoint(target)) = (&place, &attempt.to)
+                        {
+                            place.move_to(target.into());
+                        }
                         under_way.push(*attempt);
                         Next::Wait
                     }
@@ -129,6 +144,7 @@
         let object = object.map(|value| value.as_bytes());
         let request = PlacementRequest {
             service: self.service,
+            route: RouteKey::new(&self.route.prefix),
             object: object.filter(|_| self.route.sticky).map(|name| Object {
                 prefix: &self.route.prefix,
                 name,
@@ -137,7 +153,7 @@
             objective: self.route.objective,
             remaining: self.deadline.remaining(),
             priority: self.priority,
-            is_caller_retry: self.is_retry,
+            is_caller_retry: self.is_retry || self.is_windowed,
             homes: self.homes(),
             excluded: self.attempts.excluded(),
         };
--- a/crates/filberthead/src/gateway/mod.rs
+++ b/crates/filberthead/src/gateway/mod.rs
@@ -32,11 +32,13 @@
 mod retry;
 mod retry_after;
 mod serve;
+mod shares;
 mod source;
 mod stop;
 mod streamed;
 mod timing;
 mod under_way;
+mod waiting;
 
 use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener};
@@ -56,6 +58,7 @@
 
 use self::core::{Core, CoreParts, Identity};
 pub use self::protocol::ProtocolNames;
+use self::shares::FairShares;
 use self::stop::{AnswersDue, Phase, PlannedStop};
 use crate::ready::announce;
 use crate::stop::{Stop, stop_pair};
@@ -279,6 +282,7 @@
             seed: rand::random(),
             unreserved: cfg.budgets.allotment_slack,
         }),
+        shares: cfg.fair_shares.then(|| FairShares::new(rand::random())),
         member: Member::new(info, cfg.seeds.clone(), rand::random()),
         identity: Identity {
             cluster: cluster_id(&cfg.cluster),
--- a/crates/observe/src/metrics/gateway.rs
+++ b/crates/observe/src/metrics/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use filberthead_types::{ResultCode, ServiceName, Workspace};
+use filberthead_types::{Region, ResultCode, ServiceName, Workspace};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -50,6 +50,14 @@
     result: &'static str,
 }
 
+/// Labels of figures about a service in a region.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct SiteLabels {
+    service: String,
+    region: String,
+}
+
 /// Services that get series of their own; all others share one.
 const MAX_SERVICES: usize = 256;
 /// Workspaces that get series of their own; all others share one.
@@ -64,6 +72,7 @@
     workspace_requests: Family<WorkspaceLabels, Counter>,
     workspaces: BoundedValues<String>,
     attempts: Family<ReasonLabels, Counter>,
+    pipelined: Family<ReasonLabels, Counter>,
     relayed: Family<ReasonLabels, Counter>,
     helped: Family<CodeLabels, Counter>,
     contact_probes: Family<ReasonLabels, Counter>,
@@ -74,10 +83,16 @@
     unanswered_retries: Gauge,
     suspected_requests: Gauge,
     limited_endpoints: Gauge,
+    slowed_endpoints: Gauge,
+    replicated_objects: Gauge,
     resting_endpoints: Gauge,
     longest_rest: Gauge,
     rests: Counter,
     leaving_endpoints: Gauge,
+    waiting_requests: Gauge,
+    waited: Histogram,
+    windows: Family<SiteLabels, Gauge>,
+    shared_services: Gauge,
     running: Gauge,
     routes_version: Gauge,
     routes_proven: Gauge,
@@ -102,6 +117,7 @@
             workspace_requests: Family::default(),
             workspaces: BoundedValues::new(MAX_WORKSPACES),
             attempts: Family::default(),
+            pipelined: Family::default(),
             relayed: Family::default(),
             helped: Family::default(),
             contact_probes: Family::default(),
@@ -112,10 +128,16 @@
             unanswered_retries: Gauge::default(),
             suspected_requests: Gauge::default(),
             limited_endpoints: Gauge::default(),
+            slowed_endpoints: Gauge::default(),
+            replicated_objects: Gauge::default(),
             resting_endpoints: Gauge::default(),
             longest_rest: Gauge::default(),
             rests: Counter::default(),
             leaving_endpoints: Gauge::default(),
+            waiting_requests: Gauge::default(),
+            waited: wait_histogram(),
+            windows: Family::default(),
+            shared_services: Gauge::default(),
             running: Gauge::default(),
             routes_version: Gauge::default(),
             routes_proven: Gauge::default(),
@@ -145,6 +167,13 @@
         );
         let attempts = "Attempts at endpoints by how they ended";
         registry.register("gateway_attempts", attempts, self.attempts.clone());
+        let pipelined = "Requests that callers sent before their previous one was answered, by \
+            whether they ran beside those before them or after";
+        registry.register(
+            "gateway_pipelined_requests",
+            pipelined,
+            self.pipelined.clone(),
+        );
         let relayed = "Attempts to relay a request through another gateway by how they ended";
         registry.register("gateway_relayed", relayed, self.relayed.clone());
         let helped = "Requests that other gateways relayed through this one, by result code";
@@ -181,6 +210,18 @@
             limited,
             self.limited_endpoints.clone(),
         );
+        let slowed = "Endpoints whose VMs work slower than usual by what they report";
+        registry.register(
+            "gateway_slowed_endpoints",
+            slowed,
+            self.slowed_endpoints.clone(),
+        );
+        let replicated = "Objects that this gateway sends to more than one endpoint";
+        registry.register(
+            "gateway_replicated_objects",
+            replicated,
+            self.replicated_objects.clone(),
+        );
         let resting = "Endpoints that have asked this gateway for rest and get no requests";
         registry.register(
             "gateway_resting_endpoints",
@@ -201,6 +242,27 @@
             leaving,
             self.leaving_endpoints.clone(),
         );
+        let waiting = "Requests that wait until the endpoints of their service have room";
+        registry.register(
+            "gateway_waiting_requests",
+            waiting,
+            self.waiting_requests.clone(),
+        );
+        registry.register_with_unit(
+            "gateway_waited",
+            "Time for which requests have waited, whether they were started or rejected then",
+            Unit::Seconds,
+            self.waited.clone(),
+        );
+        let windows =
+            "Requests that may be in flight for a service in a region while that is limited";
+        registry.register("gateway_window", windows, self.windows.clone());
+        let shared = "Services short of capacity that is divided among workspaces";
+        registry.register(
+            "gateway_shared_services",
+            shared,
+            self.shared_services.clone(),
+        );
         let running = "Requests without a final answer";
         registry.register("gateway_running", running, self.running.clone());
         let version = "Operators' number of the routes in force";
@@ -248,6 +310,12 @@
         self.attempts.get_or_create_owned(&labels).inc();
     }
 
+    /// Counts a request that was sent ahead: `beside` if it ran beside those before it, else `after`.
+    pub fn record_pipelined(&self, order: &'static str) {
+        let labels = ReasonLabels { reason: order };
+        self.pipelined.get_or_create_owned(&labels).inc();
+    }
+
     /// Counts an attempt to relay a request through another gateway, by its outcome.
     pub fn record_relayed(&self, outcome: &'static str) {
         let labels = ReasonLabels { reason: outcome };
@@ -310,6 +378,16 @@
         set(&self.limited_endpoints, endpoints as u64);
     }
 
+    /// Sets the number of endpoints whose VMs work slower than usual.
+    pub fn set_slowed_endpoints(&self, endpoints: usize) {
+        set(&self.slowed_endpoints, endpoints as u64);
+    }
+
+    /// Sets the number of objects that are sent to more than one endpoint.
+    pub fn set_replicated_objects(&self, objects: usize) {
+        set(&self.replicated_objects, objects as u64);
+    }
+
     /// Sets the number of endpoints that are at rest.
     pub fn set_resting_endpoints(&self, endpoints: usize) {
         set(&self.resting_endpoints, endpoints as u64);
@@ -325,11 +403,46 @@
         set(&self.leaving_endpoints, endpoints as u64);
     }
 
+    /// Sets the number of services whose capacity is divided among workspaces.
+    pub fn set_shared_services(&self, services: usize) {
+        set(&self.shared_services, services as u64);
+    }
+
     /// Counts an answer of an endpoint that asked for rest.
     pub fn record_rest(&self) {
         self.rests.inc();
     }
 
+    /// Sets the number of requests that wait for room at endpoints.
+    pub fn set_waiting(&self, requests: usize) {
+        set(&self.waiting_requests, requests as u64);
+    }
+
+    /// Records how long a request has waited.
+    pub fn record_waited(&self, waited: Duration) {
+        observe(&self.waited, waited);
+    }
+
+    /// Sets how many requests may be in flight for a service in a region.
+    pub fn set_window(&self, service: &ServiceName, region: &Region, window: f64) {
+        let labels = self.site_labels(service, region);
+        let gauge = self.windows.get_or_create_owned(&labels);
+        set(&gauge, window as u64);
+    }
+
+    /// Removes the figure of a window that is unlimited again.
+    pub fn remove_window(&self, service: &ServiceName, region: &Region) {
+        self.windows.remove(&self.site_labels(service, region));
+    }
+
+    fn site_labels(&self, service: &ServiceName, region: &Region) -> SiteLabels {
+        let service = service.as_str().to_owned();
+        SiteLabels {
+            service: self.services.admit(service).unwrap_or_else(other),
+            region: region.as_str().to_owned(),
+        }
+    }
+
     /// Sets the number of gateways that the retry floor is divided by; 0 if this one has no part.
     pub fn set_floor_divisor(&self, gateways: u32) {
         set(&self.floor_divisor, gateways.into());
--- a/crates/observe/tests/trace.rs
+++ b/crates/observe/tests/trace.rs
@@ -122,6 +122,18 @@
         words("attempt ended", &served).as_deref(),
         Some(passed_over)
     );
+    let slowed =
+        r#","endpoint":"i-1","slowdown_percent":250,"replicated":true,"outcome":"Served(5ms)""#;
+    assert_eq!(
+        words("attempt ended", slowed).as_deref(),
+        Some(
+            "endpoint i-1 had reported that work takes 250 % of the usual time on its VM; the object \
+             is at several endpoints"
+        )
+    );
+    let usual =
+        r#","endpoint":"i-1","slowdown_percent":null,"replicated":false,"outcome":"Failed""#;
+    assert_eq!(words("attempt ended", usual), None);
     let refused = |code: &str| format!(r#"{counts},"code":"{code}","all_at_rest":true"#);
     assert_eq!(
         words("refused", &refused("1200 overloaded")),
@@ -143,6 +155,59 @@
     assert_eq!(words("routes in force", counts), None);
 }
 
+/// An operator reads why a request that endpoints could have run at once has taken long.
+#[test]
+fn a_wait_in_line_is_told_in_words() {
+    let words = |before_start: u64, answer: u64| {
+        let more = format!(r#","before_start_ms":{before_start},"answer_ms":{answer}"#);
+        let event = Event::parse(&line(
+            "01.000",
+            "gateway-1",
+            "request waited in line",
+            &more,
+        ));
+        event.expect("a line").in_words().expect("words")
+    };
+    assert_eq!(
+        words(600, 0),
+        "sent ahead on its connection: started 600 ms after it had arrived, as a request before it \
+         had to end first"
+    );
+    assert_eq!(
+        words(0, 150),
+        "sent ahead on its connection: its answer waited 150 ms for those of requests before it"
+    );
+}
+
+/// An operator must see why a request waited, or was rejected although endpoints are there.
+#[test]
+fn lines_about_requests_that_wait_are_explained() {
+    let site = r#","service":"orders","region":"north""#;
+    let of = |region: &str, ts: &str, msg: &str| {
+        let more = format!(r#","service":"orders","region":"{region}","in_flight":4"#);
+        line(ts, "gateway-1", msg, &more)
+    };
+    let short = of("north", "01.000", "service is short of room");
+    let again = of("north", "02.000", "service has room again");
+    let other = of("south", "03.000", "service is short of room");
+    let waits = format!(r#"{site},"request":"a1""#);
+    let waits = line("04.000", "gateway-1", "request waits", &waits);
+    let refused =
+        r#","request":"a1","code":"1203","by":"waiting-room","waited_ms":70,"retry_after_ms":200"#;
+    let refused = line("05.000", "gateway-1", "refused", refused);
+    let lines = [&short, &again, &other, &waits, &refused];
+    let trace = RequestTrace::from_lines("a1", lines.into_iter().map(String::as_str));
+    let states: Vec<_> = trace.process_states.iter().map(|e| &*e.message).collect();
+    assert_eq!(
+        states,
+        ["service has room again", "service is short of room"]
+    );
+    let words = |event: &Event| event.in_words().expect("words");
+    assert!(words(&trace.process_states[1]).contains("orders in south: this gateway had 4"));
+    assert!(words(&trace.events[0]).starts_with("waits at the gateway"));
+    assert!(words(&trace.events[1]).contains("waited 70 ms; no endpoint has received it"));
+}
+
 /// Logs may contain lines of other programs, and lines cut off when a disk was full.
 #[test]
 fn arbitrary_log_content_does_not_panic() {
@@ -152,3 +217,20 @@
         assert!(RequestTrace::from_lines("a1", text.lines()).events.len() <= text.lines().count());
     });
 }
+
+/// A request that exceeds its workspace's share says so, beside the service that is short of capacity.
+#[test]
+fn a_refusal_by_share_is_explained() {
+    let log = [
+        r#"{"ts":"2026-01-01T00:00:00.000Z","process":"g","msg":"service is divided among workspaces","service":"orders"}"#,
+        r#"{"ts":"2026-01-01T00:00:01.000Z","process":"g","msg":"service is divided among workspaces","service":"stock"}"#,
+        r#"{"ts":"2026-01-01T00:00:02.000Z","process":"g","msg":"refused","request":"r-1","service":"orders","workspace":"alpha","code":"1215 share-used","retry_after_ms":"700"}"#,
+        r#"{"ts":"2026-01-01T00:00:03.000Z","process":"g","msg":"service is no longer divided among workspaces","service":"orders"}"#,
+    ];
+    let trace = RequestTrace::from_lines("r-1", log);
+    let words: Vec<_> = trace.events.iter().map(Event::in_words).collect();
+    let expected = "workspace alpha asks for more than its share of service orders, which is short of \
+        capacity; the caller may come back in 700 ms";
+    assert_eq!(words, [Some(expected.to_owned())]);
+    assert_eq!(trace.process_states.len(), 2, "{:?}", trace.process_states);
+}
--- a/crates/place/src/decide.rs
+++ b/crates/place/src/decide.rs
@@ -11,8 +11,11 @@
 use crate::endpoint::TrackedEndpoint;
 use crate::limit_parts::LimitPart;
 use crate::plan::SHIFT_FRACTION;
+use crate::route_times::ServiceTimes;
 use crate::shift::RegionShares;
-use crate::{Decision, Mechanism, PassedOver, Placer, Refusal, Request, Target, rank};
+use crate::{
+    Decision, Expected, Mechanism, PassedOver, Placer, Refusal, Request, RouteKey, Target, rank,
+};
 
 /// Cost in seconds of each further rank in the order, between endpoints that are otherwise
 /// alike: less than any difference that a caller would notice.
@@ -48,6 +51,8 @@
     wait: f64,
     rtt: f64,
     response_time: f64,
+    /// The response time at the usual speed of the endpoint's VM.
+    usual: f64,
     affinity: Affinity,
 }
 
@@ -98,8 +103,11 @@
         self.request_counter = self.request_counter.wrapping_add(1);
         let object = self.object_key(&req);
         let planned = self.planned_region(&req, object);
-        let eligible = self.eligible(now, &req, eligibility);
-        let best = self.best_by_region(now, &req, object, planned.as_ref(), &eligible);
+        // Objects that the plan places elsewhere take no memory here.
+        if planned.is_none() {
+            self.record_object(now, &req, object);
+        }
+        let best = self.best(now, &req, object, planned.as_ref(), eligibility);
         let is_pinned = planned
             .as_ref()
             .is_some_and(|r| !self.may_decrease(&req, r));
@@ -115,7 +123,7 @@
         }
         self.record_region(now, req.service, &chosen);
         let passed_over = self.passed_over(now, &req);
-        let target = self.send(now, object, &chosen);
+        let target = self.send(now, req.route, object, &chosen);
         Decision::Send(Target {
             passed_over,
             ..target
@@ -144,7 +152,7 @@
     }
 
     /// Hash of the request's object; `None` if it has none.
-    fn object_key(&self, req: &Request<'_>) -> Option<u64> {
+    pub(crate) fn object_key(&self, req: &Request<'_>) -> Option<u64> {
         let object = req.object.filter(|_| self.cfg.uses(Mechanism::Objects))?;
         if self.cfg.uses(Mechanism::Routes) {
             Some(rank::hash_object(object))
@@ -154,7 +162,7 @@
     }
 
     /// The region that the plan places the request in; `None` is the gateway's own region.
-    fn planned_region(&mut self, req: &Request<'_>, object: Option<u64>) -> Option<Region> {
+    pub(crate) fn planned_region(&self, req: &Request<'_>, object: Option<u64>) -> Option<Region> {
         // A large response takes many round trips and many bytes between regions.
         if req.large || !self.cfg.uses(Mechanism::Plan) {
             return None;
@@ -202,10 +210,17 @@
     }
 
     /// Counts the request at its endpoint, and returns the target.
-    fn send(&mut self, now: Moment, object: Option<u64>, chosen: &Candidate) -> Target {
+    fn send(
+        &mut self,
+        now: Moment,
+        route: RouteKey,
+        object: Option<u64>,
+        chosen: &Candidate,
+    ) -> Target {
         let endpoint = &self.endpoints[chosen.index];
         let share = self.cold_share(now, endpoint);
         let limit = self.limit_part_of(now, endpoint);
+        let objects = self.objects.get(&endpoint.service);
         let state = &mut self.endpoints[chosen.index];
         state.record_sent(
             now,
@@ -224,9 +239,13 @@
             id: state.id.clone(),
             incarnation: state.incarnation,
             addr: state.addr,
+            route,
             expected: Duration::from_secs_f64(chosen.response_time),
+            usual: Duration::from_secs_f64(chosen.usual),
             affinity: chosen.affinity,
             has_object: object.is_some(),
+            is_replicated: object
+                .is_some_and(|object| objects.is_some_and(|o| o.is_replicated(object))),
             rtt: Duration::from_secs_f64(chosen.rtt),
             overhead: Duration::from_secs_f64(chosen.rtt + chosen.wait),
             number: self.request_counter,
@@ -235,6 +254,31 @@
         }
     }
 
+    /// The candidates with the lowest cost in this and the planned region, or in all regions if no endpoint
+    /// of this region may run the request. Others are never chosen, and comparing them takes most of a
+    /// decision's time.
+    fn best(
+        &self,
+        now: Moment,
+        req: &Request<'_>,
+        object: Option<u64>,
+        planned: Option<&Region>,
+        eligibility: Eligibility,
+    ) -> BTreeMap<Region, Candidate> {
+        let own = Some(&self.cfg.region);
+        let is_first = |e: &TrackedEndpoint| {
+            let region = e.region.as_ref();
+            region == own || (planned.is_some() && region == planned)
+        };
+        let eligible = self.eligible_where(now, req, eligibility, is_first);
+        let best = self.best_by_region(now, req, object, planned, &eligible);
+        if best.contains_key(&self.cfg.region) {
+            return best;
+        }
+        let eligible = self.eligible(now, req, eligibility);
+        self.best_by_region(now, req, object, planned, &eligible)
+    }
+
     /// The candidate with the lowest cost in each region.
     fn best_by_region(
         &self,
@@ -257,7 +301,13 @@
                 pressure: self.pressure(now, &indices),
                 failure_rate: self.mean_failure_rate(now, &indices),
             };
-            let order = self.by_preference(&indices, key, req.large);
+            let is_local = region == self.cfg.region;
+            let local = object.filter(|_| is_local && !req.large);
+            let near = local.is_some_and(|object| self.prefers_own_domain(req.service, object));
+            let mut order = self.by_preference(&indices, key, req.large || near);
+            if let Some(object) = local {
+                self.arrange(req.service, object, &mut order);
+            }
             let count = order.len() as f64;
             for (rank, index) in order.into_iter().enumerate() {
                 let candidate = self.candidate(
@@ -349,6 +399,17 @@
 
     /// Indices of the endpoints that may run the request.
     fn eligible(&self, now: Moment, req: &Request<'_>, eligibility: Eligibility) -> Vec<usize> {
+        self.eligible_where(now, req, eligibility, |_| true)
+    }
+
+    /// Those of them that meet another condition.
+    fn eligible_where(
+        &self,
+        now: Moment,
+        req: &Request<'_>,
+        eligibility: Eligibility,
+        condition: impl Fn(&TrackedEndpoint) -> bool,
+    ) -> Vec<usize> {
         let is_in_reach = |e: &TrackedEndpoint| match eligibility {
             Eligibility::InReach | Eligibility::BeyondLimit => {
                 e.is_usable(now) && e.rest_allows(now) && self.contact.is_usable(&e.domain)
@@ -364,6 +425,7 @@
         };
         let is_eligible = |e: &TrackedEndpoint| {
             e.service == *req.service
+                && condition(e)
                 && is_in_reach(e)
                 && !self.evacuated.contains(&e.domain)
                 && !req.excluded.contains(&e.id)
@@ -413,19 +475,47 @@
     }
 
     pub(crate) fn response_times(&self, req: &Request<'_>) -> ResponseTimes {
-        let learned = self.response_times.get(req.service).copied();
+        let learned = self.response_times.get(req.service);
+        let learned = learned.map(|times| *self.times_in_use(times, req.route));
         // The service was removed by a change of the routes.
         learned.unwrap_or_else(|| ResponseTimes::new(req.objective))
     }
 
-    /// Sorts endpoints by an object's preference, or by that of another key. For a large
-    /// response, those of this failure domain come first: its callers connect here, and each
-    /// response from elsewhere sends its bytes between failure domains.
-    fn by_preference(&self, indices: &[usize], key: u64, large: bool) -> Vec<usize> {
+    /// The work that a request is expected to be.
+    pub fn expected_work(&self, now: Moment, req: &Request<'_>) -> Expected {
+        let times = self.response_times(req);
+        let (cached, unknown) = times.both();
+        let was_sent = |object| {
+            let mut of_service = self.endpoints.iter().filter(|e| e.service == *req.service);
+            of_service.any(|e| e.is_usable(now) && e.was_recently_sent(now, object))
+        };
+        let object = self.object_key(req);
+        Expected {
+            cached,
+            unknown: unknown.max(cached),
+            is_cached: object.is_some_and(|object| times.is_usually_cached() || was_sent(object)),
+        }
+    }
+
+    /// Those of a service's times that are expected of a route's requests.
+    pub(crate) fn times_in_use<'a>(
+        &self,
+        times: &'a ServiceTimes,
+        route: RouteKey,
+    ) -> &'a ResponseTimes {
+        let of_route = times.of_route(route);
+        let of_route = of_route.filter(|_| self.contention_control());
+        of_route.unwrap_or(times.shared())
+    }
+
+    /// Sorts endpoints by an object's preference, or by that of another key. With `near`, for a large
+    /// response for instance, those of this failure domain come first: its callers connect here, and
+    /// each response from elsewhere sends its bytes between failure domains.
+    fn by_preference(&self, indices: &[usize], key: u64, near: bool) -> Vec<usize> {
         let mut order = indices.to_vec();
         let preference = |i: &usize| {
             let e = &self.endpoints[*i];
-            let in_domain = large && e.domain == self.cfg.domain;
+            let in_domain = near && e.domain == self.cfg.domain;
             std::cmp::Reverse((in_domain, rank::score(key, &e.id)))
         };
         order.sort_by_cached_key(preference);
@@ -454,8 +544,10 @@
             true => e.slowness(now),
             false => 1.0,
         };
-        let response_time = times.expected(affinity) * slowness;
-        let cached = times.cached() * slowness;
+        let usual = times.expected(affinity) * slowness;
+        let slowdown = e.slowdown(now);
+        let response_time = usual * slowdown;
+        let cached = times.cached() * slowness * slowdown;
         // An object settles where all gateways will send it: its first request there is slow,
         // and all later ones are fast. Otherwise a new endpoint would receive nothing as long
         // as the others have capacity.
@@ -466,7 +558,7 @@
         // others.
         let loading = (response_time - cached).max(0.0);
         let weighted = expected + region.pressure * loading;
-        let service_time = times.expected(Affinity::Perhaps(0)) * slowness;
+        let service_time = times.expected(Affinity::Perhaps(0)) * slowness * slowdown;
         let wait = cost::slot_wait(load, e.slots, service_time);
         let failure_cost = match self.cfg.uses(Mechanism::Failing) {
             true => {
@@ -487,6 +579,7 @@
             wait,
             rtt,
             response_time,
+            usual,
             affinity,
         }
     }
@@ -551,8 +644,14 @@
 fn by_region(endpoints: &[TrackedEndpoint], eligible: &[usize]) -> BTreeMap<Region, Vec<usize>> {
     let mut regions: BTreeMap<Region, Vec<usize>> = BTreeMap::new();
     for index in eligible {
-        if let Some(region) = &endpoints[*index].region {
-            regions.entry(region.clone()).or_default().push(*index);
+        let Some(region) = &endpoints[*index].region else {
+            continue;
+        };
+        match regions.get_mut(region) {
+            Some(indices) => indices.push(*index),
+            None => {
+                regions.insert(region.clone(), vec![*index]);
+            }
         }
     }
     regions
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -14,6 +14,9 @@
 //! - *Expected time* (`cost`): of the endpoints that may run a request, the one that should
 //!   respond first is chosen, counting its queue, the round trip to it, whether it has the
 //!   object cached, and how slow it has been.
+//! - *Routes* (`route_times`): under contention control, times are expected for each route of a service.
+//! - *Popular objects* (`objects`): under contention control, an object has an endpoint in each failure domain
+//!   of its region, and more if it needs them.
 //! - *Other regions* (`plan`): where a region has too few endpoints, some of its objects are
 //!   placed in another region. The share of requests that run there changes only slowly, so
 //!   that no region receives a step of load.
@@ -38,6 +41,7 @@
 //!   whether they or its own links are down.
 //! - *Crashing requests* (`quarantine`): a request under which endpoints have ended is refused.
 //! - *Usual times* (`usual_times`): a gateway that is about to end takes the requests that end before it.
+//! - *Waiting* (`waiting`): while a service is congested, requests wait at the gateway in order of priority.
 //! - *Limits on a sum* (`sharing`): by how many gateways they are divided, and when a gateway has
 //!   a part of them.
 
@@ -55,6 +59,7 @@
 mod link;
 mod mechanism;
 mod named_limit;
+mod objects;
 mod placer;
 mod plan;
 mod planning;
@@ -65,11 +70,13 @@
 mod request_retries;
 mod rest;
 mod retry_budget;
+mod route_times;
 mod sharing;
 mod shift;
 mod suspicions;
 mod unlisted;
 mod usual_times;
+pub mod waiting;
 
 pub use admission::LargeResponseAdmission;
 pub use attempts::{Attempts, NextAttempt};
@@ -80,14 +87,18 @@
 pub use link::Link;
 pub use mechanism::{Mechanism, UnknownMechanism};
 pub use named_limit::{LimitChange, NamedLimit};
+pub use objects::ObjectChange;
 pub use placer::{Availability, Placer};
 pub use planning::ServiceEstimate;
-pub use request::{Config, Decision, Homes, Object, PassedOver, Refusal, Request, Target};
+pub use request::{
+    Config, Decision, Expected, Homes, Object, PassedOver, Refusal, Request, Target,
+};
 pub use request_retries::{RequestRetries, RetryRecord};
 pub use rest::{NamedRest, RestChange};
 pub use retry_budget::{
     BudgetUsage, Holder, RetryBudget, RetryBudgetConfig, RetryDecision, RetryEnd, RetryId,
 };
+pub use route_times::RouteKey;
 pub use sharing::{HELD_FOR, LimitShare};
 pub use suspicions::RunVerdict;
 pub use usual_times::UsualTimes;
--- a/crates/place/src/placer.rs
+++ b/crates/place/src/placer.rs
@@ -9,24 +9,32 @@
 use filberthead_types::{FailureDomain, Moment, Region, ServiceName};
 
 use crate::contact::{Contact, ContactChange, ContactState};
-use crate::cost::{Affinity, ResponseTimes};
+use crate::cost::Affinity;
 use crate::endpoint::TrackedEndpoint;
+use crate::objects::ServiceObjects;
 use crate::plan::{Plan, SlotsByRegion};
 use crate::planning::OwnDemand;
 use crate::priority::PriorityMix;
 use crate::quarantine::Quarantine;
+use crate::route_times::ServiceTimes;
 use crate::sharing::Peak;
 use crate::shift::RegionShares;
 use crate::unlisted::UnlistedStarts;
 use crate::{
     Config, ContactProbe, EndpointRef, Holder, LimitShare, Load, Mechanism, Outcome, RetryBudget,
-    RetryDecision, RetryEnd, RetryId, Target, rank,
+    RetryDecision, RetryEnd, RetryId, RouteKey, Target, rank,
 };
 
 /// Weight of a new observation of a round trip: about the last fifty count, and half of a
 /// change is learned within as many responses.
 const RTT_EWMA_WEIGHT: f64 = 0.02;
 
+/// Time after the first request from which answers tell how much work requests are. At first all objects are
+/// unknown, which says nothing about the share of unknown ones later on.
+const FIRST_WORK_AFTER: Duration = Duration::from_secs(3);
+/// Slowdown of an endpoint's VM below which response times tell the round trip.
+const USUAL_SLOWDOWN: f64 = 1.1;
+
 /// Time for which numbers of gateways count after smaller ones have followed: several times what a
 /// replica that has just started takes to hear of all gateways.
 const COUNTS_KEPT: Duration = Duration::from_secs(10);
@@ -49,7 +57,7 @@
     pub(crate) cfg: Config,
     pub(crate) endpoints: Vec<TrackedEndpoint>,
     pub(crate) services: HashMap<ServiceName, Service>,
-    pub(crate) response_times: HashMap<ServiceName, ResponseTimes>,
+    pub(crate) response_times: HashMap<ServiceName, ServiceTimes>,
     pub(crate) plans: HashMap<ServiceName, Plan>,
     /// Priorities of each service's recent requests.
     pub(crate) priorities: HashMap<ServiceName, PriorityMix>,
@@ -57,6 +65,8 @@
     pub(crate) region_shares: HashMap<ServiceName, RegionShares>,
     /// Busy slots that the callers of each region need, as summed up by control.
     pub(crate) demand: BTreeMap<ServiceName, SlotsByRegion>,
+    /// The objects of each service, under contention control.
+    pub(crate) objects: HashMap<ServiceName, ServiceObjects>,
     /// When `demand` was last received.
     pub(crate) demand_at: Moment,
     /// Requests at this gateway since the last report.
@@ -103,6 +113,7 @@
             priorities: HashMap::new(),
             region_shares: HashMap::new(),
             demand: BTreeMap::new(),
+            objects: HashMap::new(),
             demand_at: Moment::ZERO,
             own_demand: HashMap::new(),
             endpoints_known_at: None,
@@ -134,9 +145,11 @@
             .retain(|service, _| self.services.contains_key(service));
         self.priorities
             .retain(|service, _| self.services.contains_key(service));
-        for (service, objective) in objectives(table) {
+        for (service, objectives) in objectives(table) {
+            let shortest = objectives.values().min().copied().unwrap_or_default();
             let times = self.response_times.entry(service.clone());
-            times.or_insert_with(|| ResponseTimes::new(objective));
+            let times = times.or_insert_with(|| ServiceTimes::new(shortest));
+            times.set_routes(&objectives);
         }
     }
 
@@ -246,6 +259,17 @@
         self.cfg.contention_control = true;
     }
 
+    /// Number of endpoints whose VMs work clearly slower than usual by what they reported.
+    pub fn slowed_endpoints(&self, now: Moment) -> usize {
+        self.endpoints.iter().filter(|e| e.is_slowed(now)).count()
+    }
+
+    /// Mean time that requests to a service keep a slot busy; `None` if the routes don't define the service.
+    pub fn mean_work(&self, service: &ServiceName) -> Option<Duration> {
+        let times = self.response_times.get(service)?;
+        Some(Duration::from_secs_f64(times.mean_work()))
+    }
+
     /// Number of listed endpoints.
     pub fn endpoint_count(&self) -> usize {
         self.endpoints.len()
@@ -454,7 +478,12 @@
         target: &Target,
         outcome: Outcome,
     ) {
-        if let Outcome::Served(took) = outcome {
+        let state = self.endpoints.iter().find(|e| e.is_target(target));
+        let slowdown = state.map_or(Some(1.0), |e| e.slowdown_during(now, target));
+        let queued = state.is_none_or(TrackedEndpoint::has_queue);
+        if let Outcome::Served(took) = outcome
+            && slowdown.is_some_and(|slowdown| slowdown < USUAL_SLOWDOWN)
+        {
             self.learn_rtt(service, target, took);
         }
         self.record_contact(now, target, outcome);
@@ -468,10 +497,12 @@
         if let Some(state) = self.tracked_mut(target) {
             state.record_outcome(now, outcome, target);
         }
-        if let Outcome::Served(took) = outcome
+        if let (Outcome::Served(took), Some(slowdown)) = (outcome, slowdown)
             && let Some(times) = self.response_times.get_mut(service)
         {
-            times.record(target.affinity, target.has_object, took);
+            let first = self.first_request_at.unwrap_or(now);
+            let tells_work = !queued && now >= first + FIRST_WORK_AFTER;
+            times.record(target, took.div_f64(slowdown), tells_work);
         }
     }
 
@@ -592,9 +623,10 @@
         if target.affinity != Affinity::Sent || waited {
             return;
         }
-        let Some(cached) = self.response_times.get(service).map(ResponseTimes::cached) else {
+        let Some(times) = self.response_times.get(service) else {
             return;
         };
+        let cached = self.times_in_use(times, target.route).cached();
         let endpoint = self.endpoints.iter().find(|e| e.is_target(target));
         let Some(region) = endpoint.and_then(|e| e.region.clone()) else {
             return;
@@ -619,15 +651,17 @@
     }
 }
 
-/// The shortest objective of each service's routes. Rarely used routes may have any objective,
-/// and would give a wrong initial estimate.
-fn objectives(table: &Table) -> HashMap<&ServiceName, Duration> {
-    let mut shortest = HashMap::new();
+/// The objectives of each service's routes. Routes with one prefix and different hosts share the shortest
+/// one. Rarely used routes may have any objective, so the service as a whole starts from the shortest one.
+fn objectives(table: &Table) -> HashMap<&ServiceName, HashMap<RouteKey, Duration>> {
+    let mut by_service: HashMap<_, HashMap<_, Duration>> = HashMap::new();
     for route in &table.routes {
+        let key = RouteKey::new(&route.prefix);
         for target in &route.targets {
-            let previous = shortest.entry(&target.service).or_insert(route.objective);
-            *previous = route.objective.min(*previous);
+            let objectives = by_service.entry(&target.service).or_default();
+            let shortest = objectives.entry(key).or_insert(route.objective);
+            *shortest = route.objective.min(*shortest);
         }
     }
-    shortest
+    by_service
 }
