Soak: services that fail all the time, and arrivals held against grants

The report names each request that arrived more often than retries were granted for it, by the gateways' lines: a hole shows by itself, whether or not the budget is used up.

--- a/crates/testing/src/bin/soak.rs
+++ b/crates/testing/src/bin/soak.rs
@@ -16,7 +16,7 @@
 
 const USAGE: &str = "usage: filberthead-soak [--seed FIRST] [--seeds COUNT] [--controls N] \
 [--gateways N] [--callers N] [--seconds N] [--failing-endpoints] [--deployment FILE] \
-[--faults KIND,...] [--every MILLISECONDS] [--programs DIR] [--without-relay] [--show]";
+[--faults KIND,...] [--failing-services] [--every MILLISECONDS] [--programs DIR] [--without-relay] [--show]";
 
 /// What `--faults` takes for a soak without any.
 const NO_FAULTS: &str = "none";
@@ -32,7 +32,9 @@
     deployment: Option<PathBuf>,
     /// Kinds of faults that a deployment gets; `None` for all.
     faults: Option<Vec<TroubleKind>>,
-    /// Mean time between the starts of two of them.
+    /// Whether the services of a deployment fail again and again beside them.
+    failing_services: bool,
+    /// Mean time between the starts of two faults.
     interval: Duration,
     /// Folder of the programs under test; that of this program if it isn't given.
     programs: Option<PathBuf>,
@@ -50,6 +52,7 @@
         failing_endpoints: false,
         deployment: None,
         faults: None,
+        failing_services: false,
         interval: Duration::from_millis(850),
         programs: None,
         relays: true,
@@ -73,6 +76,7 @@
                 let kinds = kinds.split(',').filter(|kind| *kind != NO_FAULTS);
                 options.faults = Some(kinds.map(str::parse).collect::<Result<_, _>>()?);
             }
+            Arg::Long("failing-services") => options.failing_services = true,
             Arg::Long("every") => {
                 options.interval = Duration::from_millis(parser.value()?.parse()?);
             }
@@ -109,7 +113,10 @@
     let mut broken = 0;
     for seed in options.first..options.first + options.seeds {
         let times = (options.size.duration, options.interval);
-        let plan = DeployedPlan::new(seed, deployment.clone(), times, &kinds);
+        let plan = match options.failing_services {
+            true => DeployedPlan::with_failing_services(seed, deployment.clone(), times, &kinds),
+            false => DeployedPlan::new(seed, deployment.clone(), times, &kinds),
+        };
         if options.show {
             println!("{plan:#?}");
             continue;
--- a/crates/testing/src/soak/deployed/plan.rs
+++ b/crates/testing/src/soak/deployed/plan.rs
@@ -97,14 +97,42 @@
     pub actions: Vec<TimedAction>,
 }
 
+/// What goes on beside the faults of a plan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Background {
+    None,
+    FailingServices,
+}
+
 impl DeployedPlan {
     /// Generates the plan of a seed out of faults of these kinds.
     /// The time between the starts of two is drawn around `interval`.
     pub fn new(
+        seed: u64,
+        deployment: Deployment,
+        times: (Duration, Duration),
+        kinds: &[TroubleKind],
+    ) -> Self {
+        Self::generate(seed, deployment, times, kinds, Background::None)
+    }
+
+    /// Like [`new`](Self::new), while the endpoints of each service fail again and again, so that retries are
+    /// wanted all the time.
+    pub fn with_failing_services(
+        seed: u64,
+        deployment: Deployment,
+        times: (Duration, Duration),
+        kinds: &[TroubleKind],
+    ) -> Self {
+        Self::generate(seed, deployment, times, kinds, Background::FailingServices)
+    }
+
+    fn generate(
         seed: u64,
         deployment: Deployment,
         (duration, interval): (Duration, Duration),
         kinds: &[TroubleKind],
+        background: Background,
     ) -> Self {
         let mut generator = Generator::new(StdRng::seed_from_u64(seed), &deployment);
         let mut troubles = Vec::new();
@@ -115,6 +143,9 @@
             troubles.push((at, kind));
             at += interval.mul_f64(generator.rng.random_range(INTERVAL_SPREAD));
         }
+        if background == Background::FailingServices {
+            trouble::fail_services(&mut generator, INITIAL_DELAY, duration);
+        }
         let mut actions = generator.actions;
         actions.retain(|timed| timed.at < duration);
         actions.sort_by_key(|timed| timed.at);
--- a/crates/testing/src/soak/deployed/runner.rs
+++ b/crates/testing/src/soak/deployed/runner.rs
@@ -16,6 +16,7 @@
 use super::deployment::{Deployment, ServiceSpec};
 use super::faults::{Downtime, Faults};
 use super::given_up::{PlannedStop, find_given_up};
+use super::grants::{Grants, Ungranted, find_ungranted};
 use super::leaving::{LeavingSummary, find_sent_to_leaving, leaving_summary};
 use super::limits::{LimitSummary, find_exceeded, limit_summaries};
 use super::plan::{Action, DeployedPlan, EndpointAction, endpoints};
@@ -102,6 +103,8 @@
     pub rests: Vec<RestSummary>,
     /// The endpoints that said that they were leaving.
     pub leaving: Vec<LeavingSummary>,
+    /// The requests that arrived at endpoints more often than gateways have granted.
+    pub ungranted: Vec<Ungranted>,
     /// Violated guarantees.
     pub violations: Vec<Violation>,
     /// Folder with settings, logs, journals and data; it is kept if there are violations.
@@ -167,6 +170,19 @@
         for leaving in &self.leaving {
             write!(f, "\n  {leaving}")?;
         }
+        for request in &self.ungranted {
+            let (first, last) = (request.arrivals.first(), request.arrivals.last());
+            let within = last.zip(first).map(|(last, first)| *last - *first);
+            write!(
+                f,
+                "\n  {} arrived {} times within {:.2} s, last at {}, with {} retries granted",
+                request.id,
+                request.arrivals.len(),
+                within.unwrap_or_default().as_secs_f64(),
+                request.service,
+                request.granted
+            )?;
+        }
         for violation in &self.violations {
             write!(f, "\n  {violation}")?;
         }
@@ -602,6 +618,7 @@
         let leaving = self.leaving(requests, &records, &senders);
         self.violations.extend(find_sent_to_leaving(&leaving));
         let cold = self.check_cold(&records);
+        let ungranted = find_ungranted(&arrivals, &self.grants());
         if !self.violations.is_empty() {
             self.nodes.site.keep();
         }
@@ -618,6 +635,7 @@
             limits: limits_named,
             rests,
             leaving,
+            ungranted,
             violations: self.violations,
             dir: self.nodes.site.dir().to_owned(),
         }
@@ -637,6 +655,15 @@
         arrivals.collect()
     }
 
+    /// The retries that the gateways have logged.
+    fn grants(&self) -> Grants {
+        let mut grants = Grants::default();
+        for gateway in &self.nodes.site.gateways {
+            grants.read(&gateway.process_ref().log());
+        }
+        grants
+    }
+
     fn find_given_up(
         &self,
         requests: &[CallerRequest],
--- a/crates/testing/src/soak/deployed/trouble.rs
+++ b/crates/testing/src/soak/deployed/trouble.rs
@@ -386,6 +386,25 @@
     g.endpoint(span.1, endpoint, command(Behaviour::Serves, 1.0));
 }
 
+/// Lets the endpoints of each service fail again and again, most of the time.
+pub(super) fn fail_services(g: &mut Generator, from: Duration, to: Duration) {
+    const FAILS_MS: std::ops::Range<u64> = 8_000..14_000;
+    const SERVES_MS: std::ops::Range<u64> = 500..4_000;
+    for service in 0..g.service_count {
+        let mut at = from + g.millis(SERVES_MS);
+        while at < to {
+            let end = at + g.millis(FAILS_MS);
+            let share = g.rng.random_range(0.6..1.0);
+            for endpoint in 0..g.services.len() {
+                if g.services[endpoint] == service {
+                    fail(g, (at, end), endpoint, share);
+                }
+            }
+            at = end + g.millis(SERVES_MS);
+        }
+    }
+}
+
 /// All endpoints answer with a failure, also to gateways that have to relay their requests, and callers
 /// leave while they wait.
 fn failures_beside_relays(g: &mut Generator, at: Duration) {
