Gateway: count what is sent by what allowed it

When endpoints got more retries than their budget allows, nothing told whether requests had been sent again without asking it or whether the grants added up to too many: grants were logged and counted, an attempt without one was not.

`gateway_sent` counts each attempt of which something was sent, by service, destination and what allowed it: the first of its request, a retry, a retry of another gateway, or nothing. The last has a line of its own.

--- a/crates/filberthead/src/gateway/retry.rs
+++ b/crates/filberthead/src/gateway/retry.rs
@@ -6,9 +6,9 @@
 
 use std::cell::RefCell;
 
-use filberthead_place::{Holder, RequestRetries, RetryEnd, RetryId, RetryRecord};
+use filberthead_place::{Holder, RequestRetries, RetryEnd, RetryId, RetryRecord, SentAs};
 use filberthead_types::ServiceName;
-use log::info;
+use log::{info, warn};
 
 use super::core::Core;
 
@@ -60,6 +60,10 @@
         StartedAttempt {
             retry: self,
             id,
+            to: match holder {
+                Holder::Gateway(..) => "gateway",
+                Holder::Endpoint(..) | Holder::Unknown => "endpoint",
+            },
             end: RetryEnd::Unanswered(holder),
         }
     }
@@ -86,6 +90,22 @@
         }
     }
 
+    /// Counts an attempt that was sent, by what allowed it.
+    fn count_sent(&self, id: Option<RetryId>, to: &'static str) {
+        let sent_as = self.retries.borrow_mut().record_sent(id);
+        let granted = match sent_as {
+            SentAs::First if self.is_foreign => "elsewhere",
+            SentAs::First => "first",
+            SentAs::Retry => "retry",
+            SentAs::Ungranted => "none",
+        };
+        self.core.metrics.record_sent(self.service, to, granted);
+        if sent_as == SentAs::Ungranted {
+            warn!(request = self.request, service:% = self.service, to;
+                "request sent again without a retry");
+        }
+    }
+
     /// An attempt has ended that is this retry, or wasn't granted.
     fn end(&self, id: Option<RetryId>, end: RetryEnd) {
         let ended = match (id, end) {
@@ -116,6 +136,8 @@
     retry: &'a GrantedRetry<'a>,
     /// The retry that it is; `None` for the first attempt.
     id: Option<RetryId>,
+    /// What it is sent to, for metrics.
+    to: &'static str,
     end: RetryEnd,
 }
 
@@ -134,6 +156,9 @@
 impl Drop for StartedAttempt<'_> {
     fn drop(&mut self) {
         let end = std::mem::replace(&mut self.end, RetryEnd::NotSent);
+        if end != RetryEnd::NotSent {
+            self.retry.count_sent(self.id, self.to);
+        }
         self.retry.end(self.id, end);
     }
 }
--- a/crates/observe/src/metrics/gateway.rs
+++ b/crates/observe/src/metrics/gateway.rs
@@ -50,6 +50,15 @@
     result: &'static str,
 }
 
+/// Labels of attempts that were sent.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+struct SentLabels {
+    service: String,
+    to: &'static str,
+    granted: &'static str,
+}
+
 /// Labels of figures about a service in a region.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
@@ -78,6 +87,7 @@
     contact_probes: Family<ReasonLabels, Counter>,
     cut_off: Gauge,
     retries: Family<RetryLabels, Counter>,
+    sent: Family<SentLabels, Counter>,
     services: BoundedValues<String>,
     floor_divisor: Gauge,
     unanswered_retries: Gauge,
@@ -123,6 +133,7 @@
             contact_probes: Family::default(),
             cut_off: Gauge::default(),
             retries: Family::default(),
+            sent: Family::default(),
             services: BoundedValues::new(MAX_SERVICES),
             floor_divisor: Gauge::default(),
             unanswered_retries: Gauge::default(),
@@ -189,6 +200,9 @@
         let retries = "Retries granted, refused and given back, by service, other beyond the first \
             256";
         registry.register("gateway_retries", retries, self.retries.clone());
+        let sent = "Attempts that were sent to endpoints and other gateways, by service, and by what \
+            allowed them: first ones, retries, those granted elsewhere, and none";
+        registry.register("gateway_sent", sent, self.sent.clone());
         let divisor =
             "Number of gateways that the retry floor is divided by, 0 without a part of it";
         registry.register("gateway_floor_divisor", divisor, self.floor_divisor.clone());
@@ -363,6 +377,18 @@
         self.retries.get_or_create_owned(&labels).inc();
     }
 
+    /// Counts an attempt that was sent `to` an endpoint or gateway, by what allowed it: `first`, `retry`,
+    /// `elsewhere` for a retry that another gateway granted, `none`.
+    pub fn record_sent(&self, service: &ServiceName, to: &'static str, granted: &'static str) {
+        let name = service.as_str().to_owned();
+        let labels = SentLabels {
+            service: self.services.admit(name).unwrap_or_else(other),
+            to,
+            granted,
+        };
+        self.sent.get_or_create_owned(&labels).inc();
+    }
+
     /// Sets the number of retries that ended without a response and may still arrive.
     pub fn set_unanswered_retries(&self, retries: u32) {
         set(&self.unanswered_retries, retries.into());
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -93,7 +93,7 @@
 pub use request::{
     Config, Decision, Expected, Homes, Object, PassedOver, Refusal, Request, Target,
 };
-pub use request_retries::{RequestRetries, RetryRecord};
+pub use request_retries::{RequestRetries, RetryRecord, SentAs};
 pub use rest::{NamedRest, RestChange};
 pub use retry_budget::{
     BudgetUsage, Holder, RetryBudget, RetryBudgetConfig, RetryDecision, RetryEnd, RetryId,
--- a/crates/place/src/request_retries.rs
+++ b/crates/place/src/request_retries.rs
@@ -23,6 +23,17 @@
     recorded: usize,
 }
 
+/// What an attempt that was sent counts as.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SentAs {
+    /// The first one of its request.
+    First,
+    /// A retry that the budget has granted.
+    Retry,
+    /// A further one that no budget was asked for.
+    Ungranted,
+}
+
 /// The retries of a request that the budget has granted.
 #[derive(Debug, Default)]
 pub struct RequestRetries {
@@ -32,6 +43,8 @@
     started: Vec<Started>,
     /// Where attempts that weren't granted may still be.
     earlier: Vec<Holder>,
+    /// Whether an attempt that wasn't granted was sent.
+    is_first_sent: bool,
 }
 
 impl RequestRetries {
@@ -76,6 +89,18 @@
         }
     }
 
+    /// An attempt has ended of which something was sent, or may have been.
+    pub fn record_sent(&mut self, id: Option<RetryId>) -> SentAs {
+        match id {
+            Some(_) => SentAs::Retry,
+            None if self.is_first_sent => SentAs::Ungranted,
+            None => {
+                self.is_first_sent = true;
+                SentAs::First
+            }
+        }
+    }
+
     /// An attempt that wasn't granted has ended and may still be at `holder`.
     pub fn end_earlier(&mut self, holder: Holder) -> Vec<RetryRecord> {
         self.earlier.push(holder);
--- a/crates/place/tests/all/request_retries.rs
+++ b/crates/place/tests/all/request_retries.rs
@@ -4,7 +4,7 @@
 
 use filberthead_place::{
     Holder, RequestRetries, RetryBudget, RetryBudgetConfig, RetryDecision, RetryEnd, RetryId,
-    RetryRecord,
+    RetryRecord, SentAs,
 };
 use rand::rngs::StdRng;
 use rand::{Rng as _, SeedableRng};
@@ -152,3 +152,14 @@
         model.check(seed);
     }
 }
+
+/// A further attempt that no budget was asked for counted like a first one.
+#[test]
+fn a_further_attempt_without_a_retry_is_told_from_a_first_one() {
+    let mut grants = Grants::new();
+    let mut retries = RequestRetries::default();
+    assert_eq!(retries.record_sent(None), SentAs::First);
+    let id = grants.next();
+    assert_eq!(retries.record_sent(Some(id)), SentAs::Retry);
+    assert_eq!(retries.record_sent(None), SentAs::Ungranted);
+}
