Gateway: the retry budget is asked where attempts start

A request may be sent again by nine ways. Five of them ask the retry budget; four don't, since nothing of the attempt before has arrived. A mistake there, or a new way, would send requests again that no budget was asked for, and endpoints would get any number of repeats.

Once an attempt without a retry was sent, or may have been, the next one starts with a retry or not at all.

--- a/crates/filberthead/src/gateway/forwarding/start.rs
+++ b/crates/filberthead/src/gateway/forwarding/start.rs
@@ -14,7 +14,7 @@
 use crate::gateway::core::Core;
 use crate::gateway::progress::Progress;
 use crate::gateway::relay::{ChosenHelper, RelayHead, relay};
-use crate::gateway::retry_after::RETRY_AFTER_STARTING;
+use crate::gateway::retry_after::{RETRY_AFTER_REFUSED, RETRY_AFTER_STARTING};
 use crate::gateway::under_way::{Destination, Ending, RunningAttempt};
 
 /// Least time before the deadline at which an attempt still makes sense.
@@ -58,6 +58,10 @@
         if let Err(retry_after) = self.core.check_request(self.prints) {
             return Start::reject(ResultCode::CrashesEndpoints, retry_after);
         }
+        // Whichever way led here: what has been sent once is sent again with a retry only.
+        if self.retry.is_needed() && !self.try_spend_retry() {
+            return Start::reject(ResultCode::RetryBudgetSpent, RETRY_AFTER_REFUSED);
+        }
         if self.must_relay {
             return self.send_around(body, charge, RETRY_AFTER_STARTING, reach);
         }
--- a/crates/filberthead/src/gateway/retry.rs
+++ b/crates/filberthead/src/gateway/retry.rs
@@ -52,6 +52,11 @@
         self.retries.borrow().is_granted()
     }
 
+    /// Whether the next attempt needs a retry that isn't granted yet.
+    pub(crate) fn is_needed(&self) -> bool {
+        self.retries.borrow().needs_retry()
+    }
+
     /// Starts the attempt that the retry was granted for. Unless its end is reported, it may still be at
     /// `holder`.
     pub(crate) fn start(&self, holder: Holder) -> StartedAttempt<'_> {
--- a/crates/place/src/request_retries.rs
+++ b/crates/place/src/request_retries.rs
@@ -53,6 +53,12 @@
         self.next.is_some()
     }
 
+    /// Whether the next attempt may only be sent with a retry that isn't granted yet: one that wasn't granted
+    /// was sent before.
+    pub fn needs_retry(&self) -> bool {
+        self.next.is_none() && self.is_first_sent
+    }
+
     /// The next attempt is this retry. Another one that was granted for it is given back.
     pub fn grant(&mut self, id: RetryId) -> Vec<RetryRecord> {
         let unused = self.next.replace(id);
--- a/crates/place/tests/all/request_retries.rs
+++ b/crates/place/tests/all/request_retries.rs
@@ -163,3 +163,21 @@
     assert_eq!(retries.record_sent(Some(id)), SentAs::Retry);
     assert_eq!(retries.record_sent(None), SentAs::Ungranted);
 }
+
+/// A way from one attempt to the next that asks no budget sent a request again that had been sent before.
+#[test]
+fn what_was_sent_once_needs_a_retry_whichever_way_leads_to_the_next_attempt() {
+    let mut grants = Grants::new();
+    let mut retries = RequestRetries::default();
+    let (first, _) = retries.start();
+    assert!(!retries.needs_retry(), "nothing has been sent");
+    retries.record_sent(first);
+    assert!(retries.needs_retry());
+    retries.grant(grants.next());
+    assert!(!retries.needs_retry());
+    let (retry, _) = retries.start();
+    let retry = retry.expect("it was granted");
+    assert!(retries.needs_retry(), "a third attempt");
+    retries.end(retry, RetryEnd::NotSent);
+    assert!(!retries.needs_retry(), "the retry is still to be made");
+}
