Soak: requests that are sent again without a retry are a violation

Repeats beyond what is allowed were looked for by windows alone: a request that is sent again without a retry shows there only when the budget is used up beside it, which mixed faults never do. Now each request that arrives more often than retries were granted for it is a violation, unless a gateway ended at that moment, whose last lines may be lost.

--- a/crates/testing/src/soak/deployed/grants.rs
+++ b/crates/testing/src/soak/deployed/grants.rs
@@ -4,9 +4,14 @@
 //! needs no gateway's count of the budget: any further arrival is one that no budget was asked for.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use super::faults::Downtime;
 use crate::soak::retries::ServiceArrival;
+use crate::soak::violations::Violation;
+
+/// Time before a gateway is seen to be down in which it may have ended, with lines that it has not written.
+const UNWRITTEN: Duration = Duration::from_millis(500);
 
 const GRANTED: &str = " retry granted request=";
 const GIVEN_BACK: &str = " retry given back request=";
@@ -29,6 +34,11 @@
         }
     }
 
+    /// Whether the gateways have logged any. Earlier programs don't.
+    pub fn is_empty(&self) -> bool {
+        self.by_request.is_empty()
+    }
+
     fn of(&self, id: &str) -> i64 {
         self.by_request.get(id).copied().unwrap_or(0)
     }
@@ -74,3 +84,24 @@
     });
     ungranted.collect()
 }
+
+/// Those of them that no gateway was down for, whose last lines may be lost.
+pub fn find_sent_without_retry(ungranted: &[Ungranted], downtimes: &[Downtime]) -> Vec<Violation> {
+    let is_certain = |request: &&Ungranted| {
+        let (first, last) = (request.arrivals.first(), request.arrivals.last());
+        let (Some(first), Some(last)) = (first, last) else {
+            return false;
+        };
+        let begins_within =
+            |time: &Downtime| *first < time.from + UNWRITTEN && time.from < *last + UNWRITTEN;
+        !downtimes.iter().any(begins_within)
+    };
+    let certain = ungranted.iter().filter(is_certain);
+    let violation = |request: &Ungranted| Violation::SentAgainWithoutRetry {
+        id: request.id.clone(),
+        service: request.service.clone(),
+        arrivals: request.arrivals.len(),
+        granted: request.granted,
+    };
+    certain.map(violation).collect()
+}
--- a/crates/testing/src/soak/deployed/mod.rs
+++ b/crates/testing/src/soak/deployed/mod.rs
@@ -27,7 +27,7 @@
 pub use deployment::{Deployment, DeploymentError, DeploymentLimits, DomainSpec, ServiceSpec};
 pub use faults::{Downtime, Faults};
 pub use given_up::{PlannedStop, find_given_up};
-pub use grants::{Grants, Ungranted, find_ungranted};
+pub use grants::{Grants, Ungranted, find_sent_without_retry, find_ungranted};
 pub use leaving::{LeavingSummary, find_sent_to_leaving, leaving_summary};
 pub use limits::{LimitSummary, find_exceeded, limit_summaries};
 pub use plan::{Action, DeployedPlan, EndpointAction, LoadChange, TimedAction};
--- a/crates/testing/src/soak/deployed/runner.rs
+++ b/crates/testing/src/soak/deployed/runner.rs
@@ -16,7 +16,7 @@
 use super::deployment::{Deployment, ServiceSpec};
 use super::faults::{Downtime, Faults};
 use super::given_up::{PlannedStop, find_given_up};
-use super::grants::{Grants, Ungranted, find_ungranted};
+use super::grants::{Grants, Ungranted, find_sent_without_retry, find_ungranted};
 use super::leaving::{LeavingSummary, find_sent_to_leaving, leaving_summary};
 use super::limits::{LimitSummary, find_exceeded, limit_summaries};
 use super::plan::{Action, DeployedPlan, EndpointAction, endpoints};
@@ -618,7 +618,13 @@
         let leaving = self.leaving(requests, &records, &senders);
         self.violations.extend(find_sent_to_leaving(&leaving));
         let cold = self.check_cold(&records);
-        let ungranted = find_ungranted(&arrivals, &self.grants());
+        let grants = self.grants();
+        let ungranted = match grants.is_empty() {
+            true => Vec::new(),
+            false => find_ungranted(&arrivals, &grants),
+        };
+        let without_retry = find_sent_without_retry(&ungranted, &self.downtimes);
+        self.violations.extend(without_retry);
         if !self.violations.is_empty() {
             self.nodes.site.keep();
         }
--- a/crates/testing/src/soak/violations.rs
+++ b/crates/testing/src/soak/violations.rs
@@ -56,6 +56,17 @@
     /// Endpoints of a service got more retries within a window than its budget allows, summed over
     /// all gateways.
     RetryBudgetExceeded(WorstWindow),
+    /// A request arrived at endpoints more often than retries were granted for it.
+    SentAgainWithoutRetry {
+        /// Id of the request.
+        id: String,
+        /// The service that it arrived at last.
+        service: String,
+        /// How often it arrived.
+        arrivals: usize,
+        /// Retries granted for it and not given back.
+        granted: i64,
+    },
     /// A caller got a successful answer that isn't the one to its request.
     WrongAnswer(String),
     /// A valid request got a status that no valid request may get.
--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -64,6 +64,22 @@
 /// Duration of that soak, and the mean time between its faults.
 const LATE_RETRIES: (Duration, Duration) = (Duration::from_secs(45), Duration::from_secs(22));
 
+/// Seed in which gateways and control are restarted, paused and cut off while each service fails again and
+/// again.
+const FAILING_SERVICES_SEED: u64 = 6601;
+/// Duration of that soak, and the mean time between its faults.
+const FAILING_SERVICES: (Duration, Duration) = (Duration::from_secs(45), Duration::from_secs(2));
+const FAULTS_BESIDE_FAILING_SERVICES: [TroubleKind; 8] = [
+    TroubleKind::GatewaysKilled,
+    TroubleKind::GatewaysKilledTogether,
+    TroubleKind::GatewaysPaused,
+    TroubleKind::GatewaysStopped,
+    TroubleKind::ControlKilledTogether,
+    TroubleKind::DomainCutOff,
+    TroubleKind::EndpointsPaused,
+    TroubleKind::CallersMove,
+];
+
 /// Seeds in which a gateway's connections to endpoints are reset, and those of both gateways of a
 /// failure domain hang, while routes change.
 const ENDPOINT_CUT_SEEDS: [u64; 2] = [5202, 5207];
@@ -204,6 +220,29 @@
     assert!(report.retries.iter().any(|r| r.total > 0), "{report}");
 }
 
+/// Under faults of all kinds few retries are wanted, so that a budget that is exceeded shows seldom.
+#[test]
+fn services_that_fail_all_the_time_keep_the_retry_budget() {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("config/soak/eight-gateways.ini");
+    let deployment = Deployment::load(&file).expect("a valid description");
+    let plan = DeployedPlan::with_failing_services(
+        FAILING_SERVICES_SEED,
+        deployment,
+        FAILING_SERVICES,
+        &FAULTS_BESIDE_FAILING_SERVICES,
+    );
+    let programs = SoakPrograms {
+        site: programs(),
+        endpoint: endpoint_program(),
+        relays: true,
+    };
+    let report = run_deployed(&programs, &plan);
+    println!("{report}");
+    assert_kept(&report, &report.violations, &report.dir);
+    // Without any retry the checks above would hold trivially.
+    assert!(report.retries.iter().all(|r| r.total > 0), "{report}");
+}
+
 /// Gateways without contact to endpoints refused their callers, though others reached them all.
 #[test]
 fn callers_of_gateways_cut_off_from_endpoints_are_served() {
