--- a/crates/testing/src/soak/deployed/trouble.rs
+++ b/crates/testing/src/soak/deployed/trouble.rs
@@ -103,6 +103,8 @@
     ControlRestarted,
     /// All control replicas are killed at once.
     ControlKilledTogether,
+    /// All gateways and control replicas are killed at once and started again.
+    AllKilled,
     /// A control replica is suspended.
     ControlPaused,
     /// Links between all processes are slow.
@@ -118,7 +120,7 @@
 }
 
 /// All kinds with their names.
-pub const ALL_TROUBLES: [(&str, TroubleKind); 38] = [
+pub const ALL_TROUBLES: [(&str, TroubleKind); 39] = [
     ("endpoints-fail", TroubleKind::EndpointsFail),
     ("service-fails", TroubleKind::ServiceFails),
     ("endpoints-slow", TroubleKind::EndpointsSlow),
@@ -172,6 +174,7 @@
         "control-killed-together",
         TroubleKind::ControlKilledTogether,
     ),
+    ("all-killed", TroubleKind::AllKilled),
     ("control-paused", TroubleKind::ControlPaused),
     ("links-slow", TroubleKind::LinksSlow),
     ("burst", TroubleKind::Burst),
@@ -244,6 +247,7 @@
         TroubleKind::ControlKilled
         | TroubleKind::ControlRestarted
         | TroubleKind::ControlKilledTogether
+        | TroubleKind::AllKilled
         | TroubleKind::ControlPaused
         | TroubleKind::LinksSlow => control(g, kind, at),
         TroubleKind::Burst
@@ -725,6 +729,15 @@
             }
         }
         TroubleKind::ControlKilledTogether => g.process(at, Step::PowerCut(None)),
+        TroubleKind::AllKilled => {
+            let all = (0..g.controls).map(Target::Control);
+            let all: Vec<Target> = all.chain((0..g.gateways).map(Target::Gateway)).collect();
+            let up_at = at + g.millis(DOWN_MS) / 4;
+            for process in all {
+                g.process(at, Step::Kill(process));
+                g.process(up_at, Step::Start(process));
+            }
+        }
         TroubleKind::ControlPaused => {
             g.process(at, Step::Freeze(control));
             g.process(end, Step::Resume(control));
