--- a/crates/filberthead/src/gateway/forwarding/start.rs
+++ b/crates/filberthead/src/gateway/forwarding/start.rs
@@ -58,7 +58,7 @@
         if let Err(retry_after) = self.core.check_request(self.prints) {
             return Start::reject(ResultCode::CrashesEndpoints, retry_after);
         }
-        // Whichever way led here: what has been sent once is sent again with a retry only.
+        // Not every caller of this function has asked the budget.
         if self.retry.is_needed() && !self.try_spend_retry() {
             return Start::reject(ResultCode::RetryBudgetSpent, RETRY_AFTER_REFUSED);
         }
