--- a/review/standin/src/deployment.rs
+++ b/review/standin/src/deployment.rs
@@ -23,7 +23,7 @@
 const LEADER_POLL: Duration = Duration::from_millis(50);
 
 /// The programs under test, which the build command of the deploy file makes.
-fn programs() -> SitePrograms {
+pub fn programs() -> SitePrograms {
     let dir =
         std::env::var_os("PROGRAMS").map_or_else(|| PathBuf::from("target/release"), PathBuf::from);
     SitePrograms {
