--- a/crates/fleet/src/api.rs
+++ b/crates/fleet/src/api.rs
@@ -301,6 +301,10 @@
     OutcomeUnknown,
     /// Too many requests are queued.
     Busy,
+    /// The operator that sent the order has closed its connection; nothing was logged.
+    SenderGone,
+    /// Other orders about the failure domain were committed first.
+    Superseded,
 }
 
 /// Messages between gateways and control, and between control replicas.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,6 +24,7 @@
 mod api;
 mod contacts;
 mod division;
+mod evacuations;
 mod list;
 mod member;
 mod parts;
@@ -35,6 +36,10 @@
     Demand, Endpoint, EndpointChange, EndpointState, GatewayInfo, Helper, Message, Order,
     OrderError, Outbound, Part, RelayedReport, Report, Revision, Revisions, Stamp,
 };
+pub use evacuations::{
+    EvacuationAction, EvacuationOrder, NextStep, OrderAttempt, OrderId, OrderOutcome,
+    OrderRevisions,
+};
 pub use member::{Load, Member, Update, UpdateDelay};
 pub use registry::{COUNT_COMPLETE_AFTER, ProofRequest, Registry, WorkspaceUsage};
 pub use suspicion::{EndpointLoss, EndpointStart, Suspicion, most_certain};
