Control: trace an order from its receipt to the log entry that it becomes

An evacuation that nobody had asked for was a line 'evacuated failure domains' with a revision; nothing told which order had made it, who had sent that to which replica, or when.

No change of what is decided.

--- a/crates/filberthead/src/control/core.rs
+++ b/crates/filberthead/src/control/core.rs
@@ -13,6 +13,7 @@
     self as consensus, Action, Config, Durable, Entry, Event, Members, Payload, Persist, Proposal,
     ProposeError, Replica, Snapshot, Token,
 };
+use filberthead_fleet::OrderId;
 use filberthead_ledger::{Claim, Message};
 use filberthead_peer::{Body, HelloInfo, Origin};
 use filberthead_ring::{PushError, Receiver, Sender};
@@ -58,7 +59,7 @@
     /// An entry's claim on a home of idempotency keys.
     Claim { to: SocketAddr, claim: Claim },
     /// An operator's order about routes or evacuations.
-    Order(ReplyTo),
+    Order(OrderId, ReplyTo),
     /// A read of the routes here, or of the newest index for another replica.
     RoutesRead(ReadReplyTo),
     /// A change that the leader proposes by itself and repeats until it is done.
@@ -303,6 +304,11 @@
         self.step(Event::Propose { token, proposal }).await;
     }
 
+    /// This replica's term, for logs.
+    pub(super) fn term(&self) -> u64 {
+        self.replica.status(self.clock.now()).term.0
+    }
+
     pub(super) fn add_pending(&mut self, pending: Pending) -> Token {
         self.next_token += 1;
         let token = Token(self.next_token);
@@ -410,6 +416,9 @@
 
     fn apply_command(&mut self, index: u64, command: &machine::Entry) {
         let applied = self.machine.apply(index, command);
+        if let machine::Entry::Order(order) = command {
+            info!(index, content:% = order, evacuated:? = self.machine.evacuated; "order applied");
+        }
         self.distribute_orders(self.clock.now());
         let outcome = match applied {
             Applied::Table(outcome) => outcome,
@@ -474,7 +483,10 @@
             Some(Pending::Claim { to, claim }) => {
                 self.send_claim_result(to, &claim);
             }
-            Some(Pending::Order(reply_to)) => self.finish_order(reply_to, Ok(())),
+            Some(Pending::Order(id, reply_to)) => {
+                info!(order:% = id, index; "order committed");
+                self.finish_order(reply_to, Ok(()));
+            }
             Some(
                 Pending::Read(_) | Pending::RoutesRead(_) | Pending::NoReply | Pending::Roster(_),
             )
@@ -501,7 +513,10 @@
         let for_order = order_error(error);
         let error = SubmitError::from_propose(error, address);
         match self.pending.remove(&token) {
-            Some(Pending::Order(reply_to)) => self.finish_order(reply_to, Err(for_order)),
+            Some(Pending::Order(id, reply_to)) => {
+                info!(order:% = id, error:? = for_order; "order failed");
+                self.finish_order(reply_to, Err(for_order));
+            }
             Some(Pending::RoutesRead(reply_to)) => self.finish_read(reply_to, Err(for_order)),
             Some(Pending::Submit(reply)) => {
                 let _ = reply.send(Err(error));
--- a/crates/filberthead/src/control/fleet.rs
+++ b/crates/filberthead/src/control/fleet.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use filberthead_consensus::{Members, Role};
-use filberthead_fleet::{Message, Outbound, Registry};
+use filberthead_fleet::{Message, OrderId, Outbound, Registry};
 use filberthead_peer::{Body, Origin};
 use filberthead_types::{Moment, ReplicaId, ServiceName};
 use log::info;
@@ -115,7 +115,9 @@
     /// Handles a request of an adapter.
     pub(super) async fn handle_adapter_request(&mut self, req: HandleRequest) {
         match req {
-            HandleRequest::Order { order, reply } => self.order(order, ReplyTo::Local(reply)).await,
+            HandleRequest::Order { id, order, reply } => {
+                self.order(id, order, ReplyTo::Local(reply)).await;
+            }
             HandleRequest::Routes { reply } => self.read_routes(reply).await,
             HandleRequest::EndpointList(list) => self.update_endpoint_list(list),
         }
@@ -155,7 +157,9 @@
         match message {
             Message::Order { token, order } => {
                 let to = origin.addr;
-                self.order(order, ReplyTo::Replica { to, token }).await;
+                let id = OrderId(token);
+                info!(order:% = id, from:% = to, content:% = order, term = self.term(); "forwarded order received");
+                self.order(id, order, ReplyTo::Replica { to, token }).await;
             }
             Message::OrderDone { token, result } => self.forwarded_order_done(token, result).await,
             Message::ReadIndex { token } => {
--- a/crates/filberthead/src/control/handle.rs
+++ b/crates/filberthead/src/control/handle.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use filberthead_fleet::{Endpoint, GatewayInfo, Order, OrderError};
+use filberthead_fleet::{Endpoint, GatewayInfo, Order, OrderError, OrderId};
 use filberthead_ring::Sender;
 use filberthead_route::Change;
 use tokio::sync::{oneshot, watch};
@@ -38,6 +38,7 @@
 pub(crate) enum HandleRequest {
     /// Carry out an order.
     Order {
+        id: OrderId,
         order: Order,
         reply: oneshot::Sender<Result<(), OrderError>>,
     },
@@ -54,15 +55,15 @@
         Self { tx, published }
     }
 
-    /// Carries out an order. `Ok` means that it is committed: a majority has it on disk.
+    /// Carries out an order, which `id` identifies in logs. `Ok` means that it is committed: a majority has it on disk.
     ///
     /// # Errors
     ///
     /// No error means that the order was rejected. It may be sent again, to any replica, and
     /// takes effect at most once.
-    pub async fn order(&self, order: Order) -> Result<(), OrderError> {
+    pub async fn order(&self, id: OrderId, order: Order) -> Result<(), OrderError> {
         let (reply, rx) = oneshot::channel();
-        self.push(HandleRequest::Order { order, reply })?;
+        self.push(HandleRequest::Order { id, order, reply })?;
         rx.await.unwrap_or(Err(OrderError::OutcomeUnknown))
     }
 
--- a/crates/filberthead/src/control/orders.rs
+++ b/crates/filberthead/src/control/orders.rs
@@ -10,11 +10,11 @@
 use std::time::Duration;
 
 use filberthead_consensus::{Event, Proposal, ProposeError};
-use filberthead_fleet::{Message, Order, OrderError, ProofRequest};
+use filberthead_fleet::{Message, Order, OrderError, OrderId, ProofRequest};
 use filberthead_peer::Body;
 use filberthead_route::Change;
 use filberthead_types::Moment;
-use log::warn;
+use log::{info, warn};
 use tokio::sync::oneshot;
 
 use super::core::{Core, Pending};
@@ -50,7 +50,7 @@
 /// A request that waits for a leader, for the leader's reply, or for the log to be applied.
 pub(super) enum Waiting {
     /// An order that waits for a leader.
-    Order(Order, ReplyTo),
+    Order(OrderId, Order, ReplyTo),
     /// A read that waits for a leader.
     Read(oneshot::Sender<Result<Option<Arc<Change>>, OrderError>>),
     /// An order forwarded to the leader under this token.
@@ -100,23 +100,25 @@
 
 impl Core {
     /// Proposes an order if this replica leads, else forwards it or lets it wait.
-    pub(super) async fn order(&mut self, order: Order, reply_to: ReplyTo) {
+    pub(super) async fn order(&mut self, id: OrderId, order: Order, reply_to: ReplyTo) {
         let now = self.clock.now();
         if self.replica.status(now).holds_lease {
             if self.is_forming(now) {
-                self.fleet.enqueue(now, Waiting::Order(order, reply_to));
+                self.fleet.enqueue(now, Waiting::Order(id, order, reply_to));
                 return;
             }
-            self.propose_order(order, reply_to).await;
+            self.propose_order(id, order, reply_to).await;
             return;
         }
         match (self.leader_addr(now), reply_to) {
             (Some(leader), ReplyTo::Local(reply)) => {
-                let token = self.fleet.new_token();
+                info!(order:% = id, content:% = order, to:% = leader, term = self.term();
+                    "order forwarded to the leader");
+                let token = id.0;
                 self.send(leader, Body::Fleet(Message::Order { token, order }));
                 self.fleet.enqueue(now, Waiting::Forwarded(token, reply));
             }
-            (_, reply_to) => self.fleet.enqueue(now, Waiting::Order(order, reply_to)),
+            (_, reply_to) => self.fleet.enqueue(now, Waiting::Order(id, order, reply_to)),
         }
     }
 
@@ -132,17 +134,18 @@
         voters < required && now < since + FORMATION_TIMEOUT
     }
 
-    async fn propose_order(&mut self, order: Order, reply_to: ReplyTo) {
+    async fn propose_order(&mut self, id: OrderId, order: Order, reply_to: ReplyTo) {
         if self.is_superseded(&order) {
             self.finish_order(reply_to, Ok(()));
             return;
         }
+        info!(order:% = id, content:% = order, term = self.term(); "order proposed");
         let Ok(buf) = postcard::to_stdvec(&Entry::Order(order)) else {
             warn!("can't encode an order");
             self.finish_order(reply_to, Err(OrderError::Busy));
             return;
         };
-        let token = self.add_pending(Pending::Order(reply_to));
+        let token = self.add_pending(Pending::Order(id, reply_to));
         let proposal = Proposal::Command(buf);
         self.step(Event::Propose { token, proposal }).await;
     }
@@ -312,7 +315,7 @@
         }
         for request in retried {
             match request {
-                Waiting::Order(order, reply_to) => self.order(order, reply_to).await,
+                Waiting::Order(id, order, reply_to) => self.order(id, order, reply_to).await,
                 Waiting::Read(reply) => self.read_routes(reply).await,
                 _ => {}
             }
@@ -335,7 +338,7 @@
 fn fail(request: Waiting, error: OrderError) {
     // The receiver may be gone; nothing else needs the reply.
     match request {
-        Waiting::Order(_, ReplyTo::Local(reply)) | Waiting::Forwarded(_, reply) => {
+        Waiting::Order(_, _, ReplyTo::Local(reply)) | Waiting::Forwarded(_, reply) => {
             let _ = reply.send(Err(error));
         }
         Waiting::Read(reply) => {
@@ -343,7 +346,7 @@
         }
         Waiting::LeaderQuery(_, read) | Waiting::AwaitingApply(_, read) => read.fail(error),
         // The replica that forwarded it times out by itself.
-        Waiting::Order(_, ReplyTo::Replica { .. }) => {}
+        Waiting::Order(_, _, ReplyTo::Replica { .. }) => {}
     }
 }
 
--- a/crates/fleet/src/api.rs
+++ b/crates/fleet/src/api.rs
@@ -1,6 +1,7 @@
 //! Messages between gateways and control, and their contents.
 
 use std::collections::BTreeSet;
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -290,6 +291,17 @@
     Return(FailureDomain),
 }
 
+impl fmt::Display for Order {
+    /// What is ordered, for logs.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Routes(change) => write!(f, "routes {}", change.version),
+            Self::Evacuate(domain) => write!(f, "evacuate {domain}"),
+            Self::Return(domain) => write!(f, "return {domain}"),
+        }
+    }
+}
+
 /// Why the outcome of an order isn't known. None of these is a rejection: the operator
 /// retries the order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/fleet/src/evacuations.rs
+++ b/crates/fleet/src/evacuations.rs
@@ -7,6 +7,7 @@
 //! this, and [`OrderAttempt`] is what the receiving replica does.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::time::Duration;
 
 use filberthead_types::{FailureDomain, Moment, NodeName};
@@ -23,6 +24,12 @@
 #[derive(Serialize, Deserialize)]
 pub struct OrderId(pub u64);
 
+impl fmt::Display for OrderId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// What an operator orders about a failure domain.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 #[derive(Serialize, Deserialize)]
