Control: commit orders about evacuations on condition that they are still wanted

Callers saw requests at endpoints of a failure domain whose evacuation had been acknowledged and not taken back.

Cause: an order has no version, and whoever carried out an old one undid what was acknowledged since: a former leader that held a forwarded order and renewed its limit at each tick, a replica that read one from its socket after a pause, a copy that was under way while its resend was acknowledged.

The state machine keeps the index of the last order about each failure domain. The replica that receives an order asks the leader for it, checks that the operator's connection is still open, and proposes the order on condition that the revision is unchanged. An operator closes the connection before it sends anything newer, so a copy that it gave up fails the check or the condition, however long it was held up. A replica rejects orders that may have waited while it stood still, as the close may be lost. Nothing is held by a replica that doesn't lead, and limits are set once.

--- a/crates/filberthead/src/control/address_book.rs
+++ b/crates/filberthead/src/control/address_book.rs
@@ -22,6 +22,8 @@
     pub(crate) operator_addr: Option<SocketAddr>,
     /// When a message from it last arrived; `None` if none has since this process started.
     pub(crate) last_seen: Option<Moment>,
+    /// Level of features that it has announced; 0 if none.
+    pub(crate) features: u32,
 }
 
 /// Addresses by replica id.
@@ -63,6 +65,7 @@
             addr: origin.addr,
             operator_addr: None,
             last_seen: None,
+            features: 0,
         });
         known.addr = origin.addr;
         known.last_seen = Some(now);
@@ -89,6 +92,18 @@
         true
     }
 
+    /// Records the level of features that a replica announces.
+    pub(crate) fn record_features(&mut self, id: ReplicaId, features: u32) {
+        if let Some(known) = self.known.get_mut(&id) {
+            known.features = features;
+        }
+    }
+
+    /// The level of features that a replica has announced; 0 if none.
+    pub(crate) fn features(&self, id: ReplicaId) -> u32 {
+        self.known.get(&id).map_or(0, |known| known.features)
+    }
+
     /// Adds a replica registered in the replicated table.
     pub(crate) fn add_registered(
         &mut self,
@@ -104,6 +119,7 @@
             addr,
             operator_addr: Some(operator_addr),
             last_seen: None,
+            features: 0,
         });
     }
 
@@ -116,6 +132,7 @@
             addr,
             operator_addr: None,
             last_seen: None,
+            features: 0,
         });
     }
 
--- a/crates/filberthead/src/control/core.rs
+++ b/crates/filberthead/src/control/core.rs
@@ -13,7 +13,7 @@
     self as consensus, Action, Config, Durable, Entry, Event, Members, Payload, Persist, Proposal,
     ProposeError, Replica, Snapshot, Token,
 };
-use filberthead_fleet::OrderId;
+use filberthead_fleet::{OrderError, OrderId, OrderOutcome};
 use filberthead_ledger::{Claim, Message};
 use filberthead_peer::{Body, HelloInfo, Origin};
 use filberthead_ring::{PushError, Receiver, Sender};
@@ -26,6 +26,7 @@
 use tokio::time::{MissedTickBehavior, interval};
 
 use super::address_book::AddressBook;
+use super::evacuation_orders::{OutcomeReplyTo, RevisionReplyTo};
 use super::fleet::Fleet;
 use super::gauges::Gauges;
 use super::input::{AdminRequest, DiskJob, InitialiseError, Input, SubmitError};
@@ -58,8 +59,12 @@
     Members(oneshot::Sender<Result<(), SubmitError>>),
     /// An entry's claim on a home of idempotency keys.
     Claim { to: SocketAddr, claim: Claim },
-    /// An operator's order about routes or evacuations.
+    /// An operator's order about routes, or about evacuations without a condition.
     Order(OrderId, ReplyTo),
+    /// A conditional order about an evacuation.
+    EvacuationOrder(OrderId, OutcomeReplyTo),
+    /// A read of the order revision of a failure domain.
+    OrderRevision(FailureDomain, RevisionReplyTo),
     /// A read of the routes here, or of the newest index for another replica.
     RoutesRead(ReadReplyTo),
     /// A change that the leader proposes by itself and repeats until it is done.
@@ -101,6 +106,8 @@
     pub(super) applied: u64,
     /// Outcomes of applied commands by log index, until their requests are answered.
     outcomes: BTreeMap<u64, Outcome>,
+    /// The same for conditional orders.
+    order_outcomes: BTreeMap<u64, OrderOutcome>,
     pub(super) pending: HashMap<Token, Pending>,
     next_token: u64,
     pub(super) address_book: AddressBook,
@@ -140,6 +147,7 @@
             machine,
             applied,
             outcomes: BTreeMap::new(),
+            order_outcomes: BTreeMap::new(),
             pending: HashMap::new(),
             next_token: 0,
             address_book,
@@ -199,6 +207,7 @@
                     STEADY_HELLO_PERIOD
                 };
             self.send_hellos(now);
+            self.announce_features();
         }
         self.sync_lessor(now);
         self.tick_fleet(now).await;
@@ -369,6 +378,7 @@
             self.fail_pending(token, ProposeError::OutcomeUnknown);
         }
         self.outcomes.clear();
+        self.order_outcomes.clear();
     }
 
     /// Restarts the replica from the data folder, as a new process would. What was distributed
@@ -416,9 +426,7 @@
 
     fn apply_command(&mut self, index: u64, command: &machine::Entry) {
         let applied = self.machine.apply(index, command);
-        if let machine::Entry::Order(order) = command {
-            info!(index, content:% = order, evacuated:? = self.machine.evacuated; "order applied");
-        }
+        self.log_order(index, command, &applied);
         self.distribute_orders(self.clock.now());
         let outcome = match applied {
             Applied::Table(outcome) => outcome,
@@ -426,6 +434,12 @@
                 self.shares.forget(&name);
                 outcome
             }
+            Applied::EvacuationOrder(outcome) => {
+                if !self.pending.is_empty() {
+                    self.order_outcomes.insert(index, outcome);
+                }
+                return;
+            }
             Applied::Claim(_) | Applied::NoOutcome => return,
         };
         // Only requests made at this replica wait for outcomes.
@@ -436,6 +450,22 @@
         self.spread_committed(self.clock.now());
     }
 
+    /// Logs what an order about evacuations has changed.
+    fn log_order(&self, index: u64, command: &machine::Entry, applied: &Applied) {
+        let evacuated = &self.machine.evacuated;
+        match (command, applied) {
+            (machine::Entry::Order(order), _) => {
+                info!(index, content:% = order, evacuated:? = evacuated; "order applied");
+            }
+            (machine::Entry::EvacuationOrder(order), Applied::EvacuationOrder(outcome)) => {
+                info!(order:% = order.id, index, content:% = order, received_by:% = order.received_by,
+                    expected = order.expected, outcome:? = outcome, evacuated:? = evacuated;
+                    "order applied");
+            }
+            _ => {}
+        }
+    }
+
     fn restore(&mut self, snapshot: &Snapshot) {
         info!(index = snapshot.index; "table restored from a snapshot");
         self.machine = decode_machine(snapshot);
@@ -447,7 +477,7 @@
     }
 
     async fn take_snapshot(&mut self) {
-        let Ok(data) = postcard::to_stdvec(&self.machine) else {
+        let Ok(data) = self.machine.encode() else {
             warn!("can't encode the state for a snapshot");
             return;
         };
@@ -468,6 +498,7 @@
         }
         if self.pending.is_empty() {
             self.outcomes.clear();
+            self.order_outcomes.clear();
         }
     }
 
@@ -487,8 +518,18 @@
                 info!(order:% = id, index; "order committed");
                 self.finish_order(reply_to, Ok(()));
             }
+            Some(Pending::EvacuationOrder(id, reply_to)) => {
+                let outcome = self.order_outcomes.remove(&index);
+                info!(order:% = id, index, outcome:? = outcome; "order committed");
+                let result = outcome.ok_or(OrderError::OutcomeUnknown);
+                self.finish_evacuation_order(reply_to, result);
+            }
             Some(
-                Pending::Read(_) | Pending::RoutesRead(_) | Pending::NoReply | Pending::Roster(_),
+                Pending::Read(_)
+                | Pending::RoutesRead(_)
+                | Pending::OrderRevision(..)
+                | Pending::NoReply
+                | Pending::Roster(_),
             )
             | None => {}
         }
@@ -500,6 +541,9 @@
                 let _ = reply.send(Ok(Arc::clone(&self.machine.table)));
             }
             Some(Pending::RoutesRead(reply_to)) => self.finish_read(reply_to, Ok(())),
+            Some(Pending::OrderRevision(domain, reply_to)) => {
+                self.finish_order_revision(&domain, reply_to, Ok(()));
+            }
             _ => {}
         }
     }
@@ -518,6 +562,13 @@
                 self.finish_order(reply_to, Err(for_order));
             }
             Some(Pending::RoutesRead(reply_to)) => self.finish_read(reply_to, Err(for_order)),
+            Some(Pending::OrderRevision(domain, reply_to)) => {
+                self.finish_order_revision(&domain, reply_to, Err(for_order));
+            }
+            Some(Pending::EvacuationOrder(id, reply_to)) => {
+                info!(order:% = id, error:? = for_order; "order failed");
+                self.finish_evacuation_order(reply_to, Err(for_order));
+            }
             Some(Pending::Submit(reply)) => {
                 let _ = reply.send(Err(error));
             }
@@ -601,7 +652,7 @@
     if snapshot.data.is_empty() {
         return Machine::default();
     }
-    match postcard::from_bytes(&snapshot.data) {
+    match Machine::decode(&snapshot.data) {
         Ok(machine) => machine,
         // The checksum is valid, so another version of the program wrote this. Starting from an
         // empty table would revert every accepted change.
--- a/crates/filberthead/src/control/fleet.rs
+++ b/crates/filberthead/src/control/fleet.rs
@@ -15,6 +15,7 @@
 use tokio::sync::watch;
 
 use super::core::Core;
+use super::evacuation_orders::{OutcomeReplyTo, RevisionReplyTo};
 use super::handle::{HandleRequest, PublishedState};
 use super::orders::{ReadReplyTo, ReplyTo, Waiting};
 
@@ -115,10 +116,25 @@
     /// Handles a request of an adapter.
     pub(super) async fn handle_adapter_request(&mut self, req: HandleRequest) {
         match req {
-            HandleRequest::Order { id, order, reply } => {
-                self.order(id, order, ReplyTo::Local(reply)).await;
+            HandleRequest::Order {
+                id,
+                order,
+                deadline,
+                reply,
+            } => {
+                self.order(id, order, deadline, ReplyTo::Local(reply)).await;
             }
-            HandleRequest::Routes { reply } => self.read_routes(reply).await,
+            HandleRequest::OrderRevision {
+                domain,
+                deadline,
+                reply,
+            } => self.query_order_revision(domain, deadline, reply).await,
+            HandleRequest::EvacuationOrder {
+                order,
+                deadline,
+                reply,
+            } => self.evacuation_order(order, deadline, reply).await,
+            HandleRequest::Routes { deadline, reply } => self.read_routes(deadline, reply).await,
             HandleRequest::EndpointList(list) => self.update_endpoint_list(list),
         }
     }
@@ -159,7 +175,8 @@
                 let to = origin.addr;
                 let id = OrderId(token);
                 info!(order:% = id, from:% = to, content:% = order, term = self.term(); "forwarded order received");
-                self.order(id, order, ReplyTo::Replica { to, token }).await;
+                self.forwarded_order(id, order, ReplyTo::Replica { to, token })
+                    .await;
             }
             Message::OrderDone { token, result } => self.forwarded_order_done(token, result).await,
             Message::ReadIndex { token } => {
@@ -171,7 +188,26 @@
                 result,
                 gateways,
             } => {
-                self.handle_read_index(now, token, result, gateways);
+                self.handle_read_index(token, result, gateways);
+            }
+            Message::OrderRevisionQuery { token, domain } => {
+                let to = origin.addr;
+                let reply_to = RevisionReplyTo::Replica { to, token };
+                self.read_order_revision(domain, reply_to).await;
+            }
+            Message::OrderRevision { token, result } => self.handle_order_revision(token, result),
+            Message::EvacuationOrder { token, order } => {
+                let to = origin.addr;
+                let reply_to = OutcomeReplyTo::Replica { to, token };
+                self.propose_evacuation_order(order, reply_to).await;
+            }
+            Message::EvacuationOrderDone { token, result } => {
+                self.forwarded_evacuation_done(token, result);
+            }
+            Message::Features(features) => {
+                if let Some(id) = origin.replica {
+                    self.address_book.record_features(id, features);
+                }
             }
             other => {
                 let proven = self.replica.lease_until(now).is_some();
@@ -232,6 +268,7 @@
         if self.fleet.auto_membership.is_some() {
             self.reconcile_membership(now).await;
         }
+        self.enable_conditional_orders(now).await;
     }
 
     fn update_leadership(&mut self, now: Moment) {
--- a/crates/filberthead/src/control/handle.rs
+++ b/crates/filberthead/src/control/handle.rs
@@ -6,15 +6,26 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
-use filberthead_fleet::{Endpoint, GatewayInfo, Order, OrderError, OrderId};
+use filberthead_fleet::{
+    Endpoint, EvacuationAction, EvacuationOrder, GatewayInfo, Order, OrderError, OrderId,
+    OrderOutcome,
+};
 use filberthead_ring::Sender;
 use filberthead_route::Change;
+use filberthead_types::{FailureDomain, Moment, NodeName};
 use tokio::sync::{oneshot, watch};
+use tokio::time::Instant;
 
 use super::input::Input;
+use super::order_attempts::{OrderSender, Received};
 use crate::stop::Stop;
-use crate::{Duty, DutyError};
+use crate::{Clock, Duty, DutyError};
+
+/// How long an order or read may take. Operators give up after a second, so a later reply would be
+/// lost.
+const MAX_WAIT: Duration = Duration::from_millis(850);
 
 /// State that adapters can read at any time, without a request to the consensus duty.
 #[derive(Clone, Debug, Default)]
@@ -31,6 +42,8 @@
 pub struct ControlHandle {
     tx: Sender<Input>,
     published: watch::Receiver<PublishedState>,
+    clock: Clock,
+    node: NodeName,
 }
 
 /// A request to the consensus duty, with the channel for its reply.
@@ -40,10 +53,25 @@
     Order {
         id: OrderId,
         order: Order,
+        deadline: Moment,
         reply: oneshot::Sender<Result<(), OrderError>>,
     },
+    /// Return the order revision of a failure domain; `None` while the group can't commit
+    /// conditional orders.
+    OrderRevision {
+        domain: FailureDomain,
+        deadline: Moment,
+        reply: oneshot::Sender<Result<Option<u64>, OrderError>>,
+    },
+    /// Carry out a conditional order.
+    EvacuationOrder {
+        order: EvacuationOrder,
+        deadline: Moment,
+        reply: oneshot::Sender<Result<OrderOutcome, OrderError>>,
+    },
     /// Return the routes in force, proven to be the newest.
     Routes {
+        deadline: Moment,
         reply: oneshot::Sender<Result<Option<Arc<Change>>, OrderError>>,
     },
     /// Store the platform's endpoint list.
@@ -51,8 +79,31 @@
 }
 
 impl ControlHandle {
-    pub(crate) fn new(tx: Sender<Input>, published: watch::Receiver<PublishedState>) -> Self {
-        Self { tx, published }
+    pub(crate) fn new(
+        tx: Sender<Input>,
+        published: watch::Receiver<PublishedState>,
+        clock: Clock,
+        node: NodeName,
+    ) -> Self {
+        Self {
+            tx,
+            published,
+            clock,
+            node,
+        }
+    }
+
+    pub(super) fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
+    pub(super) fn instant(&self, moment: Moment) -> Instant {
+        self.clock.instant(moment)
+    }
+
+    /// Name of this replica's node.
+    pub(super) fn node(&self) -> &NodeName {
+        &self.node
     }
 
     /// Carries out an order, which `id` identifies in logs. `Ok` means that it is committed: a majority has it on disk.
@@ -61,9 +112,43 @@
     ///
     /// No error means that the order was rejected. It may be sent again, to any replica, and
     /// takes effect at most once.
-    pub async fn order(&self, id: OrderId, order: Order) -> Result<(), OrderError> {
+    pub async fn order(
+        &self,
+        id: OrderId,
+        order: Order,
+        sender: &dyn OrderSender,
+    ) -> Result<(), OrderError> {
+        let at = self.now();
+        let deadline = at + MAX_WAIT;
+        let (domain, action) = match &order {
+            Order::Evacuate(domain) => (domain, EvacuationAction::Evacuate),
+            Order::Return(domain) => (domain, EvacuationAction::Return),
+            Order::Routes(_) => return self.plain_order(id, order, deadline).await,
+        };
+        let received = Received {
+            id,
+            domain,
+            action,
+            at,
+            deadline,
+        };
+        self.evacuation(received, sender).await
+    }
+
+    /// Carries out an order without a condition.
+    pub(super) async fn plain_order(
+        &self,
+        id: OrderId,
+        order: Order,
+        deadline: Moment,
+    ) -> Result<(), OrderError> {
         let (reply, rx) = oneshot::channel();
-        self.push(HandleRequest::Order { id, order, reply })?;
+        self.push(HandleRequest::Order {
+            id,
+            order,
+            deadline,
+            reply,
+        })?;
         rx.await.unwrap_or(Err(OrderError::OutcomeUnknown))
     }
 
@@ -74,7 +159,8 @@
     /// Fails if that can't be proven, because there is no leader or it can't be reached.
     pub async fn routes(&self) -> Result<Option<Arc<Change>>, OrderError> {
         let (reply, rx) = oneshot::channel();
-        self.push(HandleRequest::Routes { reply })?;
+        let deadline = self.now() + MAX_WAIT;
+        self.push(HandleRequest::Routes { deadline, reply })?;
         rx.await.unwrap_or(Err(OrderError::NoLeader))
     }
 
@@ -91,7 +177,7 @@
         self.published.borrow().clone()
     }
 
-    fn push(&self, req: HandleRequest) -> Result<(), OrderError> {
+    pub(super) fn push(&self, req: HandleRequest) -> Result<(), OrderError> {
         self.tx
             .push(Input::Adapter(req))
             .map_err(|_| OrderError::Busy)
--- a/crates/filberthead/src/control/machine.rs
+++ b/crates/filberthead/src/control/machine.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use filberthead_fleet::Order;
+use filberthead_fleet::{EvacuationAction, EvacuationOrder, Order, OrderOutcome, OrderRevisions};
 use filberthead_ledger::{Claim, ClaimResult, ClaimResults};
 use filberthead_route::{LatestChange, OfferResult};
 use filberthead_steer::StoredRoster;
@@ -37,6 +37,10 @@
     },
     /// The roster of a failure domain, before entries are granted leases by it.
     Roster(StoredRoster),
+    /// An operator's order about an evacuation, with a condition.
+    EvacuationOrder(EvacuationOrder),
+    /// From here on the log has conditional orders. Committed once all members can decode them.
+    EnableConditionalOrders,
 }
 
 /// Result of applying an entry.
@@ -48,10 +52,22 @@
     EntryForgotten(Outcome, NodeName),
     /// Of a claim.
     Claim(ClaimResult),
-    /// Of an order, an address or a roster, which always succeed.
+    /// Of a conditional order.
+    EvacuationOrder(OrderOutcome),
+    /// Of an unconditional order, an address, a roster or a feature, which always succeed.
     NoOutcome,
 }
 
+/// What decides on orders about evacuations.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct OrderState {
+    /// Order revisions of failure domains.
+    pub(crate) revisions: OrderRevisions,
+    /// Whether all members can decode conditional orders.
+    pub(crate) is_conditional: bool,
+}
+
 /// State after some entry of the log.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -72,9 +88,36 @@
     pub(crate) replica_addresses: BTreeMap<ReplicaId, SocketAddr>,
     /// Rosters of failure domains, for the next leader's leases.
     pub(crate) rosters: BTreeMap<FailureDomain, StoredRoster>,
+    /// What decides on orders about evacuations. It follows the other fields in a snapshot, and
+    /// snapshots of earlier releases end without it.
+    #[serde(skip)]
+    pub(crate) orders: OrderState,
 }
 
 impl Machine {
+    /// Encodes the state for a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a value can't be serialized, which no type in it can cause.
+    pub(crate) fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        let buf = postcard::to_stdvec(self)?;
+        postcard::to_extend(&self.orders, buf)
+    }
+
+    /// Decodes the state from a snapshot of this release or an earlier one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a later release wrote it.
+    pub(crate) fn decode(buf: &[u8]) -> Result<Self, postcard::Error> {
+        let (mut machine, rest): (Self, _) = postcard::take_from_bytes(buf)?;
+        if !rest.is_empty() {
+            machine.orders = postcard::from_bytes(rest)?;
+        }
+        Ok(machine)
+    }
+
     /// Applies the entry at `index`, with the same result on every replica.
     pub(crate) fn apply(&mut self, index: u64, entry: &Entry) -> Applied {
         match entry {
@@ -93,6 +136,17 @@
                 self.rosters.insert(domain, stored.clone());
                 Applied::NoOutcome
             }
+            Entry::EvacuationOrder(order) => {
+                let outcome = self.orders.revisions.apply(index, order);
+                if outcome == OrderOutcome::InForce {
+                    self.set_evacuated(index, &order.domain, order.action);
+                }
+                Applied::EvacuationOrder(outcome)
+            }
+            Entry::EnableConditionalOrders => {
+                self.orders.is_conditional = true;
+                Applied::NoOutcome
+            }
         }
     }
 
@@ -122,15 +176,23 @@
                 }
             }
             Order::Evacuate(domain) => {
-                if self.evacuated.insert(domain.clone()) {
-                    self.evacuated_revision = index;
-                }
+                self.orders.revisions.record(index, domain);
+                self.set_evacuated(index, domain, EvacuationAction::Evacuate);
             }
             Order::Return(domain) => {
-                if self.evacuated.remove(domain) {
-                    self.evacuated_revision = index;
-                }
+                self.orders.revisions.record(index, domain);
+                self.set_evacuated(index, domain, EvacuationAction::Return);
             }
         }
     }
+
+    fn set_evacuated(&mut self, index: u64, domain: &FailureDomain, action: EvacuationAction) {
+        let changed = match action {
+            EvacuationAction::Evacuate => self.evacuated.insert(domain.clone()),
+            EvacuationAction::Return => self.evacuated.remove(domain),
+        };
+        if changed {
+            self.evacuated_revision = index;
+        }
+    }
 }
--- a/crates/filberthead/src/control/membership.rs
+++ b/crates/filberthead/src/control/membership.rs
@@ -67,9 +67,13 @@
         }
     }
 
+    /// Whether a change that the leader proposed by itself is in progress.
+    pub(super) fn has_unanswered_change(&self) -> bool {
+        self.pending.values().any(|p| matches!(p, Pending::NoReply))
+    }
+
     async fn propose_replica_address(&mut self, id: ReplicaId, addr: SocketAddr) {
-        let in_progress = self.pending.values().any(|p| matches!(p, Pending::NoReply));
-        if in_progress {
+        if self.has_unanswered_change() {
             return;
         }
         let Ok(buf) = postcard::to_stdvec(&Entry::ReplicaAddress { id, addr }) else {
--- a/crates/filberthead/src/control/mod.rs
+++ b/crates/filberthead/src/control/mod.rs
@@ -17,6 +17,7 @@
 mod core;
 mod discovery;
 mod disk;
+mod evacuation_orders;
 mod fleet;
 mod gauges;
 mod handle;
@@ -25,6 +26,7 @@
 mod membership;
 mod membership_policy;
 mod note;
+mod order_attempts;
 mod orders;
 mod samples;
 mod shares;
@@ -56,6 +58,7 @@
 use crate::{Clock, Duty, DutyError, SuperviseError, peers};
 
 pub use self::handle::{Adapter, ControlHandle, PublishedState};
+pub use self::order_attempts::OrderSender;
 pub use self::samples::burn_report;
 
 /// Why a control replica failed to start, or ended other than by a planned stop.
@@ -214,7 +217,7 @@
         gauges,
         fleet,
     });
-    let control = ControlHandle::new(input_tx.clone(), published_rx);
+    let control = ControlHandle::new(input_tx.clone(), published_rx, clock, cfg.node.clone());
     let mut duties = vec![
         peers::spawn(transport, outbox, out_rx, stop.clone()).context(StartSnafu)?,
         disk::spawn(
--- a/crates/filberthead/src/control/orders.rs
+++ b/crates/filberthead/src/control/orders.rs
@@ -13,20 +13,22 @@
 use filberthead_fleet::{Message, Order, OrderError, OrderId, ProofRequest};
 use filberthead_peer::Body;
 use filberthead_route::Change;
-use filberthead_types::Moment;
+use filberthead_types::{FailureDomain, Moment};
 use log::{info, warn};
 use tokio::sync::oneshot;
 
 use super::core::{Core, Pending};
+use super::evacuation_orders::{OutcomeReply, RevisionReply};
 use super::fleet::Fleet;
 use super::machine::Entry;
 use super::membership_policy::MAX_VOTERS;
 
-/// How long an order or read waits for a leader, or for the leader's reply. Operators give up
-/// after a second, so a later reply would be lost.
-const MAX_WAIT: Duration = Duration::from_millis(850);
+/// How long a read for the proofs of gateways waits for the leader's reply.
+const MAX_PROOF_WAIT: Duration = Duration::from_millis(850);
 /// Most orders and reads that wait at the same time.
 const MAX_WAITING: usize = 256;
+/// How long a leader holds an order that another replica forwarded, while the group is being formed.
+const MAX_FORWARDED_WAIT: Duration = Duration::from_millis(850);
 /// How long a group that is being formed may hold back orders. If some of its VMs never start,
 /// the group has to work with the others.
 const FORMATION_TIMEOUT: Duration = Duration::from_secs(6);
@@ -59,6 +61,12 @@
     LeaderQuery(u64, UnprovenRead),
     /// A read that can be answered once the log is applied up to this index.
     AwaitingApply(u64, UnprovenRead),
+    /// A query for the order revision of a failure domain that waits for a leader.
+    OrderRevision(FailureDomain, RevisionReply),
+    /// Such a query that was sent to the leader under this token.
+    ForwardedRevision(u64, RevisionReply),
+    /// A conditional order forwarded to the leader under this token.
+    ForwardedEvacuation(u64, OutcomeReply),
 }
 
 /// A read on a follower, which needs the leader's newest index before it can be answered.
@@ -76,31 +84,56 @@
 }
 
 impl Fleet {
-    fn new_token(&mut self) -> u64 {
+    pub(super) fn new_token(&mut self) -> u64 {
         self.next_token = self.next_token.wrapping_add(1);
         self.next_token
     }
 
-    fn enqueue(&mut self, now: Moment, request: Waiting) {
+    /// Lets a request wait until its deadline, which is set once, as the request comes in.
+    pub(super) fn enqueue(&mut self, deadline: Moment, request: Waiting) {
         if self.waiting.len() >= MAX_WAITING {
             fail(request, OrderError::Busy);
             return;
         }
-        self.waiting.push((now + MAX_WAIT, request));
+        self.waiting.push((deadline, request));
     }
 
-    fn take_waiting(&mut self, matches: impl Fn(&Waiting) -> bool) -> Option<Waiting> {
+    /// Takes the first request that matches, with its deadline.
+    pub(super) fn take_waiting(
+        &mut self,
+        matches: impl Fn(&Waiting) -> bool,
+    ) -> Option<(Moment, Waiting)> {
         let position = self
             .waiting
             .iter()
             .position(|(_, request)| matches(request))?;
-        Some(self.waiting.swap_remove(position).1)
+        Some(self.waiting.swap_remove(position))
     }
 }
 
 impl Core {
+    /// Handles an order that another replica forwarded. It is held only by a leader: held by
+    /// another replica it could take effect long after its operator has given up.
+    pub(super) async fn forwarded_order(&mut self, id: OrderId, order: Order, reply_to: ReplyTo) {
+        let now = self.clock.now();
+        let is_outdated = self.machine.orders.is_conditional && !matches!(order, Order::Routes(_));
+        if is_outdated || !self.replica.status(now).holds_lease {
+            info!(order:% = id, is_outdated; "forwarded order rejected");
+            self.finish_order(reply_to, Err(OrderError::NoLeader));
+            return;
+        }
+        self.order(id, order, now + MAX_FORWARDED_WAIT, reply_to)
+            .await;
+    }
+
     /// Proposes an order if this replica leads, else forwards it or lets it wait.
-    pub(super) async fn order(&mut self, id: OrderId, order: Order, reply_to: ReplyTo) {
+    pub(super) async fn order(
+        &mut self,
+        id: OrderId,
+        order: Order,
+        deadline: Moment,
+        reply_to: ReplyTo,
+    ) {
         let now = self.clock.now();
         if self.replica.status(now).holds_lease {
             if self.is_forming(now) {
@@ -116,7 +149,8 @@
                     "order forwarded to the leader");
                 let token = id.0;
                 self.send(leader, Body::Fleet(Message::Order { token, order }));
-                self.fleet.enqueue(now, Waiting::Forwarded(token, reply));
+                self.fleet
+                    .enqueue(deadline, Waiting::Forwarded(token, reply));
             }
             (_, reply_to) => self.fleet.enqueue(now, Waiting::Order(id, order, reply_to)),
         }
@@ -124,7 +158,7 @@
 
     /// Whether the group still has too few voters for the number of failures that it is to
     /// tolerate, and hasn't had the time to form.
-    fn is_forming(&self, now: Moment) -> bool {
+    pub(super) fn is_forming(&self, now: Moment) -> bool {
         let Some(auto_membership) = &self.fleet.auto_membership else {
             return false;
         };
@@ -179,7 +213,7 @@
     ) {
         let matching =
             |item: &Waiting| matches!(item, Waiting::Forwarded(sent, _) if *sent == token);
-        if let Some(Waiting::Forwarded(_, reply)) = self.fleet.take_waiting(matching) {
+        if let Some((_, Waiting::Forwarded(_, reply))) = self.fleet.take_waiting(matching) {
             let _ = reply.send(result);
         }
     }
@@ -187,6 +221,7 @@
     /// Reads the routes, if necessary after a query to the leader for its newest index.
     pub(super) async fn read_routes(
         &mut self,
+        deadline: Moment,
         reply: oneshot::Sender<Result<Option<Arc<Change>>, OrderError>>,
     ) {
         let now = self.clock.now();
@@ -195,15 +230,16 @@
             return;
         }
         match self.leader_addr(now) {
-            Some(leader) => self.query_leader(now, leader, UnprovenRead::Read(reply)),
-            None => self.fleet.enqueue(now, Waiting::Read(reply)),
+            Some(leader) => self.query_leader(deadline, leader, UnprovenRead::Read(reply)),
+            None => self.fleet.enqueue(deadline, Waiting::Read(reply)),
         }
     }
 
-    fn query_leader(&mut self, now: Moment, leader: SocketAddr, read: UnprovenRead) {
+    fn query_leader(&mut self, deadline: Moment, leader: SocketAddr, read: UnprovenRead) {
         let token = self.fleet.new_token();
         self.send(leader, Body::Fleet(Message::ReadIndex { token }));
-        self.fleet.enqueue(now, Waiting::LeaderQuery(token, read));
+        self.fleet
+            .enqueue(deadline, Waiting::LeaderQuery(token, read));
     }
 
     /// Asks the leader for the index that proves the routes held here, for the gateways that
@@ -216,7 +252,7 @@
                 requests,
                 gateways: None,
             };
-            self.query_leader(now, leader, read);
+            self.query_leader(now + MAX_PROOF_WAIT, leader, read);
         }
     }
 
@@ -262,14 +298,14 @@
     /// Handles the leader's reply to a query for its newest index.
     pub(super) fn handle_read_index(
         &mut self,
-        now: Moment,
         token: u64,
         result: Result<u64, OrderError>,
         counted: Option<u32>,
     ) {
         let matching =
             |item: &Waiting| matches!(item, Waiting::LeaderQuery(sent, _) if *sent == token);
-        let Some(Waiting::LeaderQuery(_, mut read)) = self.fleet.take_waiting(matching) else {
+        let taken = self.fleet.take_waiting(matching);
+        let Some((deadline, Waiting::LeaderQuery(_, mut read))) = taken else {
             return;
         };
         if let UnprovenRead::ProofRequests { gateways, .. } = &mut read {
@@ -277,7 +313,9 @@
         }
         match result {
             Ok(index) if index <= self.applied => self.complete_read(read),
-            Ok(index) => self.fleet.enqueue(now, Waiting::AwaitingApply(index, read)),
+            Ok(index) => self
+                .fleet
+                .enqueue(deadline, Waiting::AwaitingApply(index, read)),
             Err(e) => read.fail(e),
         }
     }
@@ -287,7 +325,7 @@
         let applied = self.applied;
         let caught_up =
             |item: &Waiting| matches!(item, Waiting::AwaitingApply(index, _) if *index <= applied);
-        while let Some(Waiting::AwaitingApply(_, read)) = self.fleet.take_waiting(caught_up) {
+        while let Some((_, Waiting::AwaitingApply(_, read))) = self.fleet.take_waiting(caught_up) {
             self.complete_read(read);
         }
     }
@@ -298,7 +336,9 @@
         let (expired, rest): (Vec<_>, Vec<_>) = waiting.into_iter().partition(|(at, _)| now >= *at);
         for (_, request) in expired {
             let error = match request {
-                Waiting::Forwarded(..) => OrderError::OutcomeUnknown,
+                Waiting::Forwarded(..) | Waiting::ForwardedEvacuation(..) => {
+                    OrderError::OutcomeUnknown
+                }
                 _ => OrderError::NoLeader,
             };
             fail(request, error);
@@ -308,15 +348,25 @@
         if !may_lead && self.leader_addr(now).is_none() {
             return;
         }
-        let is_held = |item: &Waiting| matches!(item, Waiting::Order(..) | Waiting::Read(_));
+        let is_held = |item: &Waiting| {
+            matches!(
+                item,
+                Waiting::Order(..) | Waiting::Read(_) | Waiting::OrderRevision(..)
+            )
+        };
         let mut retried = Vec::new();
         while let Some(request) = self.fleet.take_waiting(is_held) {
             retried.push(request);
         }
-        for request in retried {
+        for (deadline, request) in retried {
             match request {
-                Waiting::Order(id, order, reply_to) => self.order(id, order, reply_to).await,
-                Waiting::Read(reply) => self.read_routes(reply).await,
+                Waiting::Order(id, order, reply_to) => {
+                    self.order(id, order, deadline, reply_to).await;
+                }
+                Waiting::Read(reply) => self.read_routes(deadline, reply).await,
+                Waiting::OrderRevision(domain, reply) => {
+                    self.query_order_revision(domain, deadline, reply).await;
+                }
                 _ => {}
             }
         }
@@ -345,6 +395,12 @@
             let _ = reply.send(Err(error));
         }
         Waiting::LeaderQuery(_, read) | Waiting::AwaitingApply(_, read) => read.fail(error),
+        Waiting::OrderRevision(_, reply) | Waiting::ForwardedRevision(_, reply) => {
+            let _ = reply.send(Err(error));
+        }
+        Waiting::ForwardedEvacuation(_, reply) => {
+            let _ = reply.send(Err(error));
+        }
         // The replica that forwarded it times out by itself.
         Waiting::Order(_, _, ReplyTo::Replica { .. }) => {}
     }
--- a/crates/filberthead/src/lib.rs
+++ b/crates/filberthead/src/lib.rs
@@ -12,10 +12,12 @@
 pub mod gateway;
 mod peers;
 mod ready;
+mod stall;
 mod stop;
 mod supervisor;
 
 pub use clock::Clock;
 pub use duty::{Duty, DutyError, LocalFuture};
+pub use stall::StallMonitor;
 pub use stop::Stop;
 pub use supervisor::SuperviseError;
--- a/crates/fleet/src/api.rs
+++ b/crates/fleet/src/api.rs
@@ -11,7 +11,7 @@
 use filberthead_types::{FailureDomain, Incarnation, NodeName, Region, ServiceName};
 use serde::{Deserialize, Serialize};
 
-use crate::Suspicion;
+use crate::{EvacuationOrder, OrderOutcome, Suspicion};
 
 /// A message and its destination.
 pub type Outbound = (SocketAddr, Message);
@@ -106,6 +106,11 @@
             Self::OrderDone { .. } => "order-done",
             Self::ReadIndex { .. } => "newest",
             Self::ReadIndexResult { .. } => "newest-is",
+            Self::OrderRevisionQuery { .. } => "order-revision",
+            Self::OrderRevision { .. } => "order-revision-is",
+            Self::EvacuationOrder { .. } => "evacuation-order",
+            Self::EvacuationOrderDone { .. } => "evacuation-order-done",
+            Self::Features(_) => "features",
         }
     }
 
@@ -317,6 +322,8 @@
     SenderGone,
     /// Other orders about the failure domain were committed first.
     Superseded,
+    /// The order may have waited unread, so nothing was logged.
+    Delayed,
 }
 
 /// Messages between gateways and control, and between control replicas.
@@ -454,4 +461,35 @@
         /// Number of gateways that the leader counts, if it has watched for long enough to know.
         gateways: Option<u32>,
     },
+    /// A replica requests the order revision of a failure domain from the leader.
+    OrderRevisionQuery {
+        /// Correlates the answer with the request.
+        token: u64,
+        /// The failure domain.
+        domain: FailureDomain,
+    },
+    /// Answer to [`Message::OrderRevisionQuery`], backed by the leader's lease.
+    OrderRevision {
+        /// Token of the request.
+        token: u64,
+        /// The order revision; `None` while the group can't commit conditional orders.
+        result: Result<Option<u64>, OrderError>,
+    },
+    /// A replica forwards an order about an evacuation to the leader.
+    EvacuationOrder {
+        /// Correlates the outcome with the order.
+        token: u64,
+        /// The order.
+        order: EvacuationOrder,
+    },
+    /// Outcome of [`Message::EvacuationOrder`].
+    EvacuationOrderDone {
+        /// Token of the order.
+        token: u64,
+        /// Its outcome.
+        result: Result<OrderOutcome, OrderError>,
+    },
+    /// The level of features that a control replica supports. Replicas of releases that don't know
+    /// this message drop it.
+    Features(u32),
 }
--- a/crates/fleet/src/evacuations.rs
+++ b/crates/fleet/src/evacuations.rs
@@ -56,6 +56,17 @@
     pub expected: u64,
 }
 
+impl fmt::Display for EvacuationOrder {
+    /// What is ordered, for logs.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let action = match self.action {
+            EvacuationAction::Evacuate => "evacuate",
+            EvacuationAction::Return => "return",
+        };
+        write!(f, "{action} {}", self.domain)
+    }
+}
+
 /// What became of a committed order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/fleet/tests/all/main.rs
+++ b/crates/fleet/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod allotments;
 mod contention;
+mod evacuations;
 mod helpers;
 mod narrow_link;
 mod parts;
