Tests: orders about evacuations that are read late, with real processes

Callers saw requests reach endpoints of a failure domain whose evacuation had been acknowledged. A replica had carried out an older order that ended it: a former leader kept a forwarded order until it led again, or a replica that had stood still read an order whose operator had left. A third test has two operators order the same and the opposite at the same time.

--- /dev/null
+++ b/tests/all/evacuations.rs
@@ -0,0 +1,206 @@
+//! Operators' orders about evacuations while replicas stand still and operators send again.
+//!
+//! One invariant: an acknowledged order isn't undone by one that its operator has given up.
+
+use std::time::{Duration, Instant};
+
+use filberthead_testing::client::Call;
+use filberthead_testing::cluster::Node;
+use filberthead_testing::operator::Operator;
+use filberthead_testing::site::Site;
+use filberthead_testing::{eventually, wait_until};
+
+use crate::groups::site;
+
+const BOUND: Duration = Duration::from_secs(60);
+/// The failure domain that is evacuated.
+const DOMAIN: &str = "zagreb-a";
+/// Time after which an operator turns to another replica.
+const PATIENCE: Duration = Duration::from_secs(1);
+/// Time for which an operator sends an order again.
+const RESEND_TIMEOUT: Duration = Duration::from_secs(4);
+/// How long a replica stands still.
+const FREEZE: Duration = Duration::from_secs(4);
+/// Time in which a replica that goes on reads what it was sent meanwhile.
+const BACKLOG: Duration = Duration::from_secs(2);
+
+/// Three replicas that vote.
+#[track_caller]
+fn start() -> Site {
+    let site = site().gateways(0).seeds(3).start();
+    let has_three_voters = |node: &Node| node.metric("voters") >= 3.0;
+    wait_until("all vote", BOUND, || {
+        site.controls.iter().all(has_three_voters)
+    });
+    site
+}
+
+/// Sends an order to one replica, once. Returns whether that acknowledged it.
+fn send(node: &Node, call: &str, patience: Duration) -> bool {
+    let call = Call::new("POST", &format!("/-/rpc?call={call}&of={DOMAIN}"));
+    let answer = call.bound(patience).send(node.direct_addr("orders"));
+    answer.is_ok_and(|answer| answer.status == 200)
+}
+
+/// Sends an order to these replicas in turn, as operators do, until one acknowledges it. Returns
+/// after what time; `None` if none does for as long as it may be sent again.
+fn try_order(replicas: &[&Node], call: &str) -> Option<Duration> {
+    let start = Instant::now();
+    let mut pause = Duration::from_millis(50);
+    for node in replicas.iter().cycle() {
+        if send(node, call, PATIENCE) {
+            return Some(start.elapsed());
+        }
+        std::thread::sleep(pause);
+        pause *= 2;
+        if start.elapsed() >= RESEND_TIMEOUT {
+            break;
+        }
+    }
+    None
+}
+
+#[track_caller]
+fn order(replicas: &[&Node], call: &str) {
+    eventually(call, BOUND, || try_order(replicas, call));
+}
+
+/// Index of the replica that leads, among those that run.
+#[track_caller]
+fn leader(site: &Site, is_running: impl Fn(usize) -> bool) -> usize {
+    eventually("a leader", BOUND, || {
+        (0..site.controls.len()).find(|&index| is_running(index) && leads(&site.controls[index]))
+    })
+}
+
+fn leads(node: &Node) -> bool {
+    let addr = node.direct_addr("operator");
+    let status = Operator::new("ana", vec![addr]).status_of(addr);
+    status.is_some_and(|status| status.holds_lease)
+}
+
+/// The replicas but this one.
+fn others(site: &Site, index: usize) -> Vec<&Node> {
+    let (before, from) = site.controls.split_at(index);
+    from.iter().skip(1).chain(before).collect()
+}
+
+/// Whether the last change that a replica has logged evacuates [`DOMAIN`].
+fn has_evacuated(node: &Node) -> bool {
+    let log = node.process_ref().log();
+    let mut changes = log
+        .lines()
+        .filter(|line| line.contains("evacuated failure"));
+    let last = changes.next_back();
+    last.is_some_and(|line| line.contains(&format!("domains={{{DOMAIN}}}")))
+}
+
+/// Waits until a replica has applied the evacuation.
+#[track_caller]
+fn wait_evacuated(node: &Node) {
+    wait_until("the evacuation is in force", BOUND, || has_evacuated(node));
+}
+
+#[track_caller]
+fn assert_stays_evacuated(node: &Node) {
+    let start = Instant::now();
+    while start.elapsed() < BACKLOG {
+        assert!(has_evacuated(node), "after {:?}", start.elapsed());
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Suspends a replica. The signal takes effect with some delay.
+fn freeze(node: &Node) {
+    node.process_ref().suspend();
+    std::thread::sleep(Duration::from_millis(200));
+}
+
+/// The leader stands still, and another replica forwards it an order that ends an evacuation. Its
+/// operator sends it again, and the next leader acknowledges it. The former leader reads the
+/// forwarded order as a follower: it kept it, and carried it out when it led again, after a newer
+/// evacuation was acknowledged.
+#[test]
+fn a_former_leader_does_not_carry_out_a_forwarded_order_later() {
+    let site = start();
+    let former = leader(&site, |_| true);
+    order(&others(&site, former), "evacuations.start");
+    let frozen_at = Instant::now();
+    freeze(&site.controls[former]);
+    order(&others(&site, former), "evacuations.end");
+    std::thread::sleep(FREEZE.saturating_sub(frozen_at.elapsed()));
+    site.controls[former].process_ref().resume();
+    std::thread::sleep(BACKLOG);
+    order(&others(&site, former), "evacuations.start");
+    wait_evacuated(&site.controls[former]);
+    eventually("the former leader leads again", 2 * BOUND, || {
+        let led_by = leader(&site, |_| true);
+        if led_by == former {
+            return Some(());
+        }
+        site.controls[led_by].process_ref().suspend();
+        leader(&site, |index| index != led_by);
+        site.controls[led_by].process_ref().resume();
+        std::thread::sleep(Duration::from_secs(1));
+        leads(&site.controls[former]).then_some(())
+    });
+    assert_stays_evacuated(&site.controls[former]);
+}
+
+/// A replica stands still, and an operator that sends it the end of an evacuation turns to another
+/// one, which acknowledges it. The replica goes on after the failure domain is evacuated anew: it
+/// read the old order from a connection that its operator had closed, and carried it out.
+#[test]
+fn a_replica_that_goes_on_does_not_carry_out_an_order_that_was_given_up() {
+    let site = start();
+    let led_by = leader(&site, |_| true);
+    let (leading, others) = (&site.controls[led_by], others(&site, led_by));
+    order(&[leading], "evacuations.start");
+    let frozen_at = Instant::now();
+    freeze(others[0]);
+    assert!(!send(others[0], "evacuations.end", PATIENCE));
+    order(&[others[1]], "evacuations.end");
+    order(&[leading], "evacuations.start");
+    std::thread::sleep(FREEZE.saturating_sub(frozen_at.elapsed()));
+    wait_evacuated(leading);
+    others[0].process_ref().resume();
+    assert_stays_evacuated(leading);
+}
+
+/// Two operators order the same, and then the opposite, at the same time, with all replicas up.
+/// A conditional order that lost to the other one was refused without another attempt, until its
+/// operator gave up.
+#[test]
+fn orders_at_the_same_time_are_all_acknowledged() {
+    let site = start();
+    let [first, second, third] = &site.controls[..] else {
+        panic!("three replicas");
+    };
+    let rotations = [[first, second, third], [second, third, first]];
+    let both = |calls: [&str; 2]| -> Vec<Option<Duration>> {
+        std::thread::scope(|scope| {
+            let sent = [0, 1].map(|i| {
+                let replicas = &rotations[i];
+                let call = calls[i];
+                scope.spawn(move || try_order(replicas, call))
+            });
+            let results = sent.into_iter().map(|thread| thread.join());
+            results.map(|taken| taken.expect("no panic")).collect()
+        })
+    };
+    for round in 0..6 {
+        for calls in [
+            ["evacuations.start", "evacuations.start"],
+            ["evacuations.start", "evacuations.end"],
+            ["evacuations.end", "evacuations.end"],
+        ] {
+            let taken = both(calls);
+            let in_time = |taken: &Option<Duration>| taken.is_some_and(|t| t < RESEND_TIMEOUT);
+            assert!(taken.iter().all(in_time), "{round} {calls:?} {taken:?}");
+        }
+    }
+    for call in ["evacuations.start", "evacuations.start"] {
+        assert!(try_order(&rotations[0], call).is_some(), "a resend");
+    }
+    site.controls.iter().for_each(wait_evacuated);
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod endless;
 mod endless_at_entries;
 mod entries;
+mod evacuations;
 mod explained;
 mod gateways;
 mod groups;
