Control: let an order without a condition wait for a leader until its deadline

Operators who sent a configuration while there was no leader, or while the group was being formed, got 503 at the next tick, within 50 ms, instead of the acknowledgement of the next leader. Since deadlines are set at the receipt of an order, such an order was queued with the current time as its deadline. It is queued with its own deadline now.

--- a/crates/filberthead/src/control/orders.rs
+++ b/crates/filberthead/src/control/orders.rs
@@ -137,7 +137,8 @@
         let now = self.clock.now();
         if self.replica.status(now).holds_lease {
             if self.is_forming(now) {
-                self.fleet.enqueue(now, Waiting::Order(id, order, reply_to));
+                let waiting = Waiting::Order(id, order, reply_to);
+                self.fleet.enqueue(deadline, waiting);
                 return;
             }
             self.propose_order(id, order, reply_to).await;
@@ -152,7 +153,10 @@
                 self.fleet
                     .enqueue(deadline, Waiting::Forwarded(token, reply));
             }
-            (_, reply_to) => self.fleet.enqueue(now, Waiting::Order(id, order, reply_to)),
+            (_, reply_to) => {
+                let waiting = Waiting::Order(id, order, reply_to);
+                self.fleet.enqueue(deadline, waiting);
+            }
         }
     }
 
--- a/tests/all/evacuations.rs
+++ b/tests/all/evacuations.rs
@@ -7,7 +7,7 @@
 use filberthead_testing::client::Call;
 use filberthead_testing::cluster::Node;
 use filberthead_testing::operator::Operator;
-use filberthead_testing::site::Site;
+use filberthead_testing::site::{Site, config, order_at};
 use filberthead_testing::{eventually, wait_until};
 
 use crate::groups::site;
@@ -167,6 +167,28 @@
     assert_stays_evacuated(leading);
 }
 
+/// Two of three replicas fail, and an operator sends a configuration to the third one before others
+/// are elected. It was told at once to try again, and lost the time in which a leader was found.
+#[test]
+fn an_order_waits_for_a_leader() {
+    let mut site = start();
+    let led_by = leader(&site, |_| true);
+    let last = (led_by + 1) % site.controls.len();
+    let down = (0..site.controls.len()).filter(|index| *index != last);
+    down.for_each(|index| site.controls[index].kill());
+    let addr = site.controls[last].direct_addr("operator");
+    let operator = Operator::new("ana", vec![addr]);
+    wait_until("no leader is known", BOUND, || {
+        let status = operator.status_of(addr);
+        status.is_some_and(|status| status.leader.is_none())
+    });
+    let sent_at = Instant::now();
+    let body = config(2, &[("catalogue", "safe")]);
+    let answer = order_at(&site.controls[last], "config.put", &body);
+    assert_eq!(answer.expect("an answer").status, 503);
+    assert!(sent_at.elapsed() >= Duration::from_millis(500));
+}
+
 /// Two operators order the same, and then the opposite, at the same time, with all replicas up.
 /// A conditional order that lost to the other one was refused without another attempt, until its
 /// operator gave up.
