Control: reject orders without a condition once the group has conditional ones

A replica that learns from the leader that the group can't commit conditional orders yet proposes the order without a condition. If its process stands still in between, the group may have conditional orders when it goes on, and the replica may lead: the order would then undo any newer one. Such orders were rejected only if another replica had forwarded them. They are rejected wherever they come from now, also after a wait for a leader; the operator sends them again.

Found by reading; no test provokes a pause between the two steps.

--- a/crates/filberthead/src/control/orders.rs
+++ b/crates/filberthead/src/control/orders.rs
@@ -116,9 +116,8 @@
     /// another replica it could take effect long after its operator has given up.
     pub(super) async fn forwarded_order(&mut self, id: OrderId, order: Order, reply_to: ReplyTo) {
         let now = self.clock.now();
-        let is_outdated = self.machine.orders.is_conditional && !matches!(order, Order::Routes(_));
-        if is_outdated || !self.replica.status(now).holds_lease {
-            info!(order:% = id, is_outdated; "forwarded order rejected");
+        if !self.replica.status(now).holds_lease {
+            info!(order:% = id; "forwarded order rejected, this replica doesn't lead");
             self.finish_order(reply_to, Err(OrderError::NoLeader));
             return;
         }
@@ -134,6 +133,11 @@
         deadline: Moment,
         reply_to: ReplyTo,
     ) {
+        if self.lacks_condition(&order) {
+            info!(order:% = id, content:% = order; "order rejected, as it has no condition");
+            self.finish_order(reply_to, Err(OrderError::NoLeader));
+            return;
+        }
         let now = self.clock.now();
         if self.replica.status(now).holds_lease {
             if self.is_forming(now) {
@@ -160,6 +164,12 @@
         }
     }
 
+    /// Whether this is an order without a condition about a failure domain, in a group that has
+    /// conditional ones: the group has changed to these since its replica asked.
+    fn lacks_condition(&self, order: &Order) -> bool {
+        self.machine.orders.is_conditional && !matches!(order, Order::Routes(_))
+    }
+
     /// Whether the group still has too few voters for the number of failures that it is to
     /// tolerate, and hasn't had the time to form.
     pub(super) fn is_forming(&self, now: Moment) -> bool {
