Control: test that data of the earlier release is read, and that a mixed group has no conditional orders

Operators replace replicas one by one, on the data of the earlier release.

The state machine's module is public for that, without documentation, as the storage's hooks for tests are.

A program of the earlier release was not run here. That an unknown message does no harm there is by reading: `handle_message` in the peer package counts it as malformed and goes on with the connection.

--- a/crates/filberthead/src/control/machine.rs
+++ b/crates/filberthead/src/control/machine.rs
@@ -21,7 +21,7 @@
 /// Content of a log entry.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
-pub(crate) enum Entry {
+pub enum Entry {
     /// A change of the table by an operator.
     Table(Command),
     /// An entry's claim to continue alone after it lost contact with another one.
@@ -45,7 +45,7 @@
 
 /// Result of applying an entry.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Applied {
+pub enum Applied {
     /// Of a command on the table.
     Table(Outcome),
     /// Of a command that declares this entry gone; the entry was removed from its roster.
@@ -61,37 +61,37 @@
 /// What decides on orders about evacuations.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
-pub(crate) struct OrderState {
+pub struct OrderState {
     /// Order revisions of failure domains.
-    pub(crate) revisions: OrderRevisions,
+    pub revisions: OrderRevisions,
     /// Whether all members can decode conditional orders.
-    pub(crate) is_conditional: bool,
+    pub is_conditional: bool,
 }
 
 /// State after some entry of the log.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
-pub(crate) struct Machine {
+pub struct Machine {
     /// The table, shared with its readers.
-    pub(crate) table: Arc<Table>,
+    pub table: Arc<Table>,
     /// Which entry continued, by home and its epoch.
-    pub(crate) claim_results: ClaimResults,
+    pub claim_results: ClaimResults,
     /// The routes in force.
-    pub(crate) routes: LatestChange,
+    pub routes: LatestChange,
     /// Index of the entry that put them in force; 0 for none.
-    pub(crate) routes_revision: u64,
+    pub routes_revision: u64,
     /// Failure domains whose endpoints get no requests.
-    pub(crate) evacuated: BTreeSet<FailureDomain>,
+    pub evacuated: BTreeSet<FailureDomain>,
     /// Index of the entry that last changed that set; 0 for none.
-    pub(crate) evacuated_revision: u64,
+    pub evacuated_revision: u64,
     /// Addresses of replicas, for messages of peers.
-    pub(crate) replica_addresses: BTreeMap<ReplicaId, SocketAddr>,
+    pub replica_addresses: BTreeMap<ReplicaId, SocketAddr>,
     /// Rosters of failure domains, for the next leader's leases.
-    pub(crate) rosters: BTreeMap<FailureDomain, StoredRoster>,
+    pub rosters: BTreeMap<FailureDomain, StoredRoster>,
     /// What decides on orders about evacuations. It follows the other fields in a snapshot, and
     /// snapshots of earlier releases end without it.
     #[serde(skip)]
-    pub(crate) orders: OrderState,
+    pub orders: OrderState,
 }
 
 impl Machine {
@@ -100,7 +100,7 @@
     /// # Errors
     ///
     /// Fails if a value can't be serialized, which no type in it can cause.
-    pub(crate) fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+    pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
         let buf = postcard::to_stdvec(self)?;
         postcard::to_extend(&self.orders, buf)
     }
@@ -110,7 +110,7 @@
     /// # Errors
     ///
     /// Fails if a later release wrote it.
-    pub(crate) fn decode(buf: &[u8]) -> Result<Self, postcard::Error> {
+    pub fn decode(buf: &[u8]) -> Result<Self, postcard::Error> {
         let (mut machine, rest): (Self, _) = postcard::take_from_bytes(buf)?;
         if !rest.is_empty() {
             machine.orders = postcard::from_bytes(rest)?;
@@ -119,7 +119,7 @@
     }
 
     /// Applies the entry at `index`, with the same result on every replica.
-    pub(crate) fn apply(&mut self, index: u64, entry: &Entry) -> Applied {
+    pub fn apply(&mut self, index: u64, entry: &Entry) -> Applied {
         match entry {
             Entry::Table(command) => self.apply_command(command),
             Entry::Claim(claim) => Applied::Claim(self.claim_results.apply(claim)),
--- a/crates/filberthead/src/control/mod.rs
+++ b/crates/filberthead/src/control/mod.rs
@@ -22,7 +22,8 @@
 mod gauges;
 mod handle;
 mod input;
-mod machine;
+#[doc(hidden)]
+pub mod machine;
 mod membership;
 mod membership_policy;
 mod note;
--- /dev/null
+++ b/crates/filberthead/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the parts that need no processes.
+
+mod machine;
--- a/tests/all/evacuations.rs
+++ b/tests/all/evacuations.rs
@@ -2,8 +2,12 @@
 //!
 //! One invariant: an acknowledged order isn't undone by one that its operator has given up.
 
+use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
+use filberthead::control::machine::Machine;
+use filberthead_consensus::Members;
+use filberthead_storage::Disk;
 use filberthead_testing::client::Call;
 use filberthead_testing::cluster::Node;
 use filberthead_testing::operator::Operator;
@@ -167,6 +171,69 @@
     assert_stays_evacuated(leading);
 }
 
+/// Replaces the data of all replicas, which don't run, by that of a group of the earlier release that
+/// has evacuated [`DOMAIN`].
+fn store_earlier_group(site: &mut Site) {
+    site.controls.iter_mut().for_each(Node::wipe);
+    let name = site.dir().file_name().expect("a folder");
+    let cluster = name.to_string_lossy().to_ascii_lowercase();
+    let open = |node: &Node| Disk::open(node.data(), &cluster).expect("a data folder");
+    let mut disks: Vec<_> = site.controls.iter().map(open).collect();
+    let members = Members {
+        voters: disks.iter().map(Disk::replica).collect(),
+        learners: BTreeSet::new(),
+    };
+    let machine = Machine {
+        evacuated: BTreeSet::from([DOMAIN.parse().expect("a failure domain")]),
+        evacuated_revision: 1,
+        ..Machine::default()
+    };
+    // Without the part that this release appends.
+    let data = postcard::to_stdvec(&machine).expect("a snapshot");
+    for disk in &mut disks {
+        let stored = disk.bootstrap(&members, data.clone());
+        stored.expect("a stored group");
+    }
+}
+
+/// A group of the earlier release is replaced replica by replica; one that hasn't announced that it
+/// can decode conditional orders stands for one that isn't replaced yet. An entry that it can't
+/// decode would end it.
+#[test]
+fn a_stored_group_has_conditional_orders_once_its_last_replica_is_replaced() {
+    let mut site = site().gateways(0).seeds(3).start();
+    site.controls.iter_mut().for_each(Node::kill);
+    store_earlier_group(&mut site);
+    let log = |node: &Node| node.process_ref().log();
+    let skipped: Vec<_> = site.controls.iter().map(|node| log(node).len()).collect();
+    let is_logged = |site: &Site, parts: &[&str]| {
+        let logs = site.controls.iter().zip(&skipped);
+        let logs: Vec<_> = logs
+            .map(|(node, len)| log(node)[*len..].to_owned())
+            .collect();
+        let mut lines = logs.iter().flat_map(|log| log.lines());
+        lines.any(|line| parts.iter().all(|part| line.contains(part)))
+    };
+    site.controls[..2].iter_mut().for_each(Node::start);
+    let running: Vec<_> = site.controls[..2].iter().collect();
+    order(&running, "evacuations.end");
+    assert!(is_logged(&site, &["order applied", "evacuated={}"]));
+    // Longer than the period of announcements.
+    std::thread::sleep(Duration::from_secs(6));
+    let enabled = ["all members support conditional orders"];
+    assert!(!is_logged(&site, &enabled));
+    assert!(!is_logged(&site, &["order applied", "expected="]));
+    site.controls[2].start();
+    wait_until("conditional orders", Duration::from_secs(20), || {
+        is_logged(&site, &enabled)
+    });
+    let replicas: Vec<_> = site.controls.iter().collect();
+    wait_until("a conditional order", BOUND, || {
+        order(&replicas, "evacuations.start");
+        is_logged(&site, &["order applied", "expected=", "InForce"])
+    });
+}
+
 /// Two of three replicas fail, and an operator sends a configuration to the third one before others
 /// are elected. It was told at once to try again, and lost the time in which a leader was found.
 #[test]
