Control: count operators' orders by result

Operators saw 503 without a figure that says why: no leader, an order that may have waited, a connection that had been closed, or orders that contradict each other. Each order is counted once, at the replica that received it, as its answer is known or as the HTTP server drops it because its sender has left.

--- a/crates/filberthead/src/control/handle.rs
+++ b/crates/filberthead/src/control/handle.rs
@@ -12,6 +12,7 @@
     Endpoint, EvacuationAction, EvacuationOrder, GatewayInfo, Order, OrderError, OrderId,
     OrderOutcome,
 };
+use filberthead_observe::ControlMetrics;
 use filberthead_ring::Sender;
 use filberthead_route::Change;
 use filberthead_types::{FailureDomain, Moment, NodeName};
@@ -20,6 +21,7 @@
 
 use super::input::Input;
 use super::order_attempts::{OrderSender, Received};
+use super::order_count::OrderCount;
 use crate::stop::Stop;
 use crate::{Clock, Duty, DutyError};
 
@@ -44,6 +46,7 @@
     published: watch::Receiver<PublishedState>,
     clock: Clock,
     node: NodeName,
+    metrics: Arc<ControlMetrics>,
 }
 
 /// A request to the consensus duty, with the channel for its reply.
@@ -84,12 +87,14 @@
         published: watch::Receiver<PublishedState>,
         clock: Clock,
         node: NodeName,
+        metrics: Arc<ControlMetrics>,
     ) -> Self {
         Self {
             tx,
             published,
             clock,
             node,
+            metrics,
         }
     }
 
@@ -117,6 +122,18 @@
         id: OrderId,
         order: Order,
         sender: &dyn OrderSender,
+    ) -> Result<(), OrderError> {
+        let mut count = OrderCount::new(&self.metrics);
+        let result = self.carry_out(id, order, sender).await;
+        count.set(result);
+        result
+    }
+
+    async fn carry_out(
+        &self,
+        id: OrderId,
+        order: Order,
+        sender: &dyn OrderSender,
     ) -> Result<(), OrderError> {
         let at = self.now();
         let deadline = at + MAX_WAIT;
--- a/crates/filberthead/src/control/mod.rs
+++ b/crates/filberthead/src/control/mod.rs
@@ -28,6 +28,7 @@
 mod membership_policy;
 mod note;
 mod order_attempts;
+mod order_count;
 mod orders;
 mod samples;
 mod shares;
@@ -218,7 +219,13 @@
         gauges,
         fleet,
     });
-    let control = ControlHandle::new(input_tx.clone(), published_rx, clock, cfg.node.clone());
+    let control = ControlHandle::new(
+        input_tx.clone(),
+        published_rx,
+        clock,
+        cfg.node.clone(),
+        Arc::clone(&metrics),
+    );
     let mut duties = vec![
         peers::spawn(transport, outbox, out_rx, stop.clone()).context(StartSnafu)?,
         disk::spawn(
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -17,7 +17,7 @@
     DroppedLines, LogGuard, LogRateLimiter, LoggingError, format_line, init_logging, logger,
 };
 pub use metrics::{
-    ConnectionTotals, ControlMetrics, EntryMetrics, GatewayMetrics, PeerMetrics, PeerTotals,
-    RequestMetrics, SlotMetrics,
+    ConnectionTotals, ControlMetrics, EntryMetrics, GatewayMetrics, OrderResult, PeerMetrics,
+    PeerTotals, RequestMetrics, SlotMetrics,
 };
 pub use trace::{Event, RequestTrace};
--- a/crates/observe/src/metrics/control.rs
+++ b/crates/observe/src/metrics/control.rs
@@ -10,9 +10,42 @@
 use prometheus_client::registry::{Registry, Unit};
 
 use super::PeerMetrics;
-use super::labels::CodeLabels;
+use super::labels::{CodeLabels, ResultLabels};
 use super::{encoded, local_histogram, observe, registry, set, wait_histogram};
 
+/// How an operator's order ended at the replica that received it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderResult {
+    /// It is in force.
+    InForce,
+    /// Other orders about the failure domain were committed first.
+    Superseded,
+    /// The operator closed its connection before the answer.
+    SenderGone,
+    /// It may have waited unread, so nothing was logged.
+    Delayed,
+    /// There was no leader; nothing was logged.
+    NoLeader,
+    /// Too many requests were queued.
+    Busy,
+    /// It may still take effect.
+    Unknown,
+}
+
+impl OrderResult {
+    fn label(self) -> &'static str {
+        match self {
+            Self::InForce => "in-force",
+            Self::Superseded => "superseded",
+            Self::SenderGone => "sender-gone",
+            Self::Delayed => "delayed",
+            Self::NoLeader => "no-leader",
+            Self::Busy => "busy",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// Metrics of a control replica, shared by all its duties.
 #[derive(Debug)]
 pub struct ControlMetrics {
@@ -30,6 +63,7 @@
     nodes_behind: Gauge,
     changes: Family<CodeLabels, Counter>,
     change_duration: Histogram,
+    orders: Family<ResultLabels, Counter>,
     peers: PeerMetrics,
 }
 
@@ -57,6 +91,7 @@
             nodes_behind: Gauge::default(),
             changes: Family::default(),
             change_duration: wait_histogram(),
+            orders: Family::default(),
             peers: PeerMetrics::default(),
         };
         metrics.registry = registry(|registry| metrics.register(registry));
@@ -76,6 +111,8 @@
         let duration = "Time from a change's arrival to its outcome";
         let histogram = self.change_duration.clone();
         registry.register_with_unit("change_duration", duration, Unit::Seconds, histogram);
+        let orders = "Orders about routes and evacuations that were received here, by result";
+        registry.register("control_orders", orders, self.orders.clone());
         self.peers.register(registry);
     }
 
@@ -146,6 +183,13 @@
         observe(&self.change_duration, took);
     }
 
+    /// Counts an operator's order that was received here.
+    pub fn record_order(&self, result: OrderResult) {
+        let result = result.label();
+        let labels = ResultLabels { result };
+        self.orders.get_or_create_owned(&labels).inc();
+    }
+
     /// Counters of peer messages and rings.
     pub fn peers(&self) -> &PeerMetrics {
         &self.peers
--- a/crates/observe/src/metrics/labels.rs
+++ b/crates/observe/src/metrics/labels.rs
@@ -50,6 +50,13 @@
     pub(super) reason: &'static str,
 }
 
+/// How something ended.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+pub(super) struct ResultLabels {
+    pub(super) result: &'static str,
+}
+
 /// A label whose values are the names of peer protocols.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 #[derive(EncodeLabelSet)]
--- a/crates/observe/src/metrics/mod.rs
+++ b/crates/observe/src/metrics/mod.rs
@@ -20,7 +20,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
-pub use control::ControlMetrics;
+pub use control::{ControlMetrics, OrderResult};
 pub use entry::{EntryMetrics, SlotMetrics};
 pub use gateway::GatewayMetrics;
 pub use peer::{ConnectionTotals, PeerMetrics, PeerTotals};
--- a/crates/observe/tests/metrics.rs
+++ b/crates/observe/tests/metrics.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use filberthead_observe::{
-    ConnectionTotals, ControlMetrics, EntryMetrics, GatewayMetrics, PeerTotals,
+    ConnectionTotals, ControlMetrics, EntryMetrics, GatewayMetrics, OrderResult, PeerTotals,
 };
 use filberthead_types::{Epoch, Region, ResultCode, ServiceName, Version};
 
@@ -123,6 +123,22 @@
     assert_eq!(value(&text, &drains), 90.0);
 }
 
+/// An operator's orders are refused, and the count by result tells why.
+#[test]
+fn control_counts_orders_by_result() {
+    let metrics = ControlMetrics::new();
+    metrics.record_order(OrderResult::InForce);
+    metrics.record_order(OrderResult::SenderGone);
+    metrics.record_order(OrderResult::SenderGone);
+    let text = metrics.encode();
+    let count = |result| {
+        let name = format!("filberthead_control_orders_total{{result=\"{result}\"}}");
+        value(&text, &name)
+    };
+    assert_eq!(count("in-force"), 1.0);
+    assert_eq!(count("sender-gone"), 2.0);
+}
+
 #[test]
 fn control_shows_its_state() {
     let metrics = ControlMetrics::new();
--- a/tests/all/evacuations.rs
+++ b/tests/all/evacuations.rs
@@ -291,5 +291,8 @@
     for call in ["evacuations.start", "evacuations.start"] {
         assert!(try_order(&rotations[0], call).is_some(), "a resend");
     }
+    let in_force = "control_orders_total{result=\"in-force\"}";
+    let counts = site.controls.iter().map(|node| node.metric(in_force));
+    assert!(counts.sum::<f64>() >= 38.0, "all are counted");
     site.controls.iter().for_each(wait_evacuated);
 }
