--- a/crates/filberthead/src/control/mod.rs
+++ b/crates/filberthead/src/control/mod.rs
@@ -22,11 +22,13 @@
 mod gauges;
 mod handle;
 mod input;
-mod machine;
+#[doc(hidden)]
+pub mod machine;
 mod membership;
 mod membership_policy;
 mod note;
 mod order_attempts;
+mod order_count;
 mod orders;
 mod samples;
 mod shares;
@@ -217,7 +219,13 @@
         gauges,
         fleet,
     });
-    let control = ControlHandle::new(input_tx.clone(), published_rx, clock, cfg.node.clone());
+    let control = ControlHandle::new(
+        input_tx.clone(),
+        published_rx,
+        clock,
+        cfg.node.clone(),
+        Arc::clone(&metrics),
+    );
     let mut duties = vec![
         peers::spawn(transport, outbox, out_rx, stop.clone()).context(StartSnafu)?,
         disk::spawn(
