Control: orders before the first conditional one raise no order revision

Orders raise the revision only once conditional orders are enabled, which every replica applies at the same index.

--- a/crates/filberthead/src/control/machine.rs
+++ b/crates/filberthead/src/control/machine.rs
@@ -68,6 +68,16 @@
     pub is_conditional: bool,
 }
 
+impl OrderState {
+    /// Records an order without a condition. What was ordered before the group had conditional
+    /// orders isn't recorded: snapshots of that time lack it, so replicas would differ.
+    fn record(&mut self, index: u64, domain: &FailureDomain) {
+        if self.is_conditional {
+            self.revisions.record(index, domain);
+        }
+    }
+}
+
 /// State after some entry of the log.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -176,11 +186,11 @@
                 }
             }
             Order::Evacuate(domain) => {
-                self.orders.revisions.record(index, domain);
+                self.orders.record(index, domain);
                 self.set_evacuated(index, domain, EvacuationAction::Evacuate);
             }
             Order::Return(domain) => {
-                self.orders.revisions.record(index, domain);
+                self.orders.record(index, domain);
                 self.set_evacuated(index, domain, EvacuationAction::Return);
             }
         }
