Control: reject an order about an evacuation unless its sender is seen to wait

Whether the process stood still is asked again before the order is proposed. Its limit and a pause that goes unnoticed are together shorter than the second after which operators give up. What a replica announced counts only for the start of its process that announced it, so that a replica that was rolled back isn't taken for one that decodes conditional orders.

--- a/crates/filberthead/src/control/address_book.rs
+++ b/crates/filberthead/src/control/address_book.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 
 use filberthead_peer::{HelloInfo, Origin};
-use filberthead_types::{Moment, ReplicaId};
+use filberthead_types::{Incarnation, Moment, ReplicaId};
 
 use super::membership_policy::Contact;
 
@@ -22,7 +22,9 @@
     pub(crate) operator_addr: Option<SocketAddr>,
     /// When a message from it last arrived; `None` if none has since this process started.
     pub(crate) last_seen: Option<Moment>,
-    /// Level of features that it has announced; 0 if none.
+    /// The start of its process that was last heard from.
+    incarnation: Option<Incarnation>,
+    /// Level of features that it has announced since that start; 0 if none.
     pub(crate) features: u32,
 }
 
@@ -65,10 +67,15 @@
             addr: origin.addr,
             operator_addr: None,
             last_seen: None,
+            incarnation: None,
             features: 0,
         });
         known.addr = origin.addr;
         known.last_seen = Some(now);
+        // Another release may have been started.
+        if known.incarnation.replace(origin.incarnation) != Some(origin.incarnation) {
+            known.features = 0;
+        }
         if self.leader_hint == Some(origin.addr) {
             self.leader_hint = None;
         }
@@ -119,6 +126,7 @@
             addr,
             operator_addr: Some(operator_addr),
             last_seen: None,
+            incarnation: None,
             features: 0,
         });
     }
@@ -132,6 +140,7 @@
             addr,
             operator_addr: None,
             last_seen: None,
+            incarnation: None,
             features: 0,
         });
     }
--- a/crates/filberthead/src/control/handle.rs
+++ b/crates/filberthead/src/control/handle.rs
@@ -28,6 +28,9 @@
 /// How long an order or read may take. Operators give up after a second, so a later reply would be
 /// lost.
 const MAX_WAIT: Duration = Duration::from_millis(850);
+/// The same for an order about an evacuation, which may have waited unread for as long as a pause of this
+/// process goes unnoticed: both end before operators give up.
+const MAX_EVACUATION_WAIT: Duration = Duration::from_millis(650);
 
 /// State that adapters can read at any time, without a request to the consensus duty.
 #[derive(Clone, Debug, Default)]
@@ -136,18 +139,17 @@
         sender: &dyn OrderSender,
     ) -> Result<(), OrderError> {
         let at = self.now();
-        let deadline = at + MAX_WAIT;
         let (domain, action) = match &order {
             Order::Evacuate(domain) => (domain, EvacuationAction::Evacuate),
             Order::Return(domain) => (domain, EvacuationAction::Return),
-            Order::Routes(_) => return self.plain_order(id, order, deadline).await,
+            Order::Routes(_) => return self.plain_order(id, order, at + MAX_WAIT).await,
         };
         let received = Received {
             id,
             domain,
             action,
             at,
-            deadline,
+            deadline: at + MAX_EVACUATION_WAIT,
         };
         self.evacuation(received, sender).await
     }
--- a/crates/filberthead/src/control/order_attempts.rs
+++ b/crates/filberthead/src/control/order_attempts.rs
@@ -61,7 +61,8 @@
                 },
                 NextStep::CheckSender { at } => {
                     sleep_until(self.instant(at)).await;
-                    attempt.on_sender(self.now(), sender.is_waiting())
+                    let is_waiting = sender.is_waiting() && !sender.is_delayed();
+                    attempt.on_sender(self.now(), is_waiting)
                 }
                 NextStep::Propose { expected } => {
                     let outcome = self.propose(&received, expected).await;
