--- a/crates/filberthead/src/control/address_book.rs
+++ b/crates/filberthead/src/control/address_book.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 
 use filberthead_peer::{HelloInfo, Origin};
-use filberthead_types::{Moment, ReplicaId};
+use filberthead_types::{Incarnation, Moment, ReplicaId};
 
 use super::membership_policy::Contact;
 
@@ -22,6 +22,10 @@
     pub(crate) operator_addr: Option<SocketAddr>,
     /// When a message from it last arrived; `None` if none has since this process started.
     pub(crate) last_seen: Option<Moment>,
+    /// The start of its process that was last heard from.
+    incarnation: Option<Incarnation>,
+    /// Level of features that it has announced since that start; 0 if none.
+    pub(crate) features: u32,
 }
 
 /// Addresses by replica id.
@@ -63,9 +67,15 @@
             addr: origin.addr,
             operator_addr: None,
             last_seen: None,
+            incarnation: None,
+            features: 0,
         });
         known.addr = origin.addr;
         known.last_seen = Some(now);
+        // Another release may have been started.
+        if known.incarnation.replace(origin.incarnation) != Some(origin.incarnation) {
+            known.features = 0;
+        }
         if self.leader_hint == Some(origin.addr) {
             self.leader_hint = None;
         }
@@ -89,6 +99,18 @@
         true
     }
 
+    /// Records the level of features that a replica announces.
+    pub(crate) fn record_features(&mut self, id: ReplicaId, features: u32) {
+        if let Some(known) = self.known.get_mut(&id) {
+            known.features = features;
+        }
+    }
+
+    /// The level of features that a replica has announced; 0 if none.
+    pub(crate) fn features(&self, id: ReplicaId) -> u32 {
+        self.known.get(&id).map_or(0, |known| known.features)
+    }
+
     /// Adds a replica registered in the replicated table.
     pub(crate) fn add_registered(
         &mut self,
@@ -104,6 +126,8 @@
             addr,
             operator_addr: Some(operator_addr),
             last_seen: None,
+            incarnation: None,
+            features: 0,
         });
     }
 
@@ -116,6 +140,8 @@
             addr,
             operator_addr: None,
             last_seen: None,
+            incarnation: None,
+            features: 0,
         });
     }
 
--- a/crates/filberthead/src/control/handle.rs
+++ b/crates/filberthead/src/control/handle.rs
@@ -6,15 +6,31 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
-use filberthead_fleet::{Endpoint, GatewayInfo, Order, OrderError};
+use filberthead_fleet::{
+    Endpoint, EvacuationAction, EvacuationOrder, GatewayInfo, Order, OrderError, OrderId,
+    OrderOutcome,
+};
+use filberthead_observe::ControlMetrics;
 use filberthead_ring::Sender;
 use filberthead_route::Change;
+use filberthead_types::{FailureDomain, Moment, NodeName};
 use tokio::sync::{oneshot, watch};
+use tokio::time::Instant;
 
 use super::input::Input;
+use super::order_attempts::{OrderSender, Received};
+use super::order_count::OrderCount;
 use crate::stop::Stop;
-use crate::{Duty, DutyError};
+use crate::{Clock, Duty, DutyError};
+
+/// How long an order or read may take. Operators give up after a second, so a later reply would be
+/// lost.
+const MAX_WAIT: Duration = Duration::from_millis(850);
+/// The same for an order about an evacuation, which may have waited unread for as long as a pause of this
+/// process goes unnoticed: both end before operators give up.
+const MAX_EVACUATION_WAIT: Duration = Duration::from_millis(650);
 
 /// State that adapters can read at any time, without a request to the consensus duty.
 #[derive(Clone, Debug, Default)]
@@ -31,6 +47,9 @@
 pub struct ControlHandle {
     tx: Sender<Input>,
     published: watch::Receiver<PublishedState>,
+    clock: Clock,
+    node: NodeName,
+    metrics: Arc<ControlMetrics>,
 }
 
 /// A request to the consensus duty, with the channel for its reply.
@@ -38,11 +57,27 @@
 pub(crate) enum HandleRequest {
     /// Carry out an order.
     Order {
+        id: OrderId,
         order: Order,
+        deadline: Moment,
         reply: oneshot::Sender<Result<(), OrderError>>,
     },
+    /// Return the order revision of a failure domain; `None` while the group can't commit
+    /// conditional orders.
+    OrderRevision {
+        domain: FailureDomain,
+        deadline: Moment,
+        reply: oneshot::Sender<Result<Option<u64>, OrderError>>,
+    },
+    /// Carry out a conditional order.
+    EvacuationOrder {
+        order: EvacuationOrder,
+        deadline: Moment,
+        reply: oneshot::Sender<Result<OrderOutcome, OrderError>>,
+    },
     /// Return the routes in force, proven to be the newest.
     Routes {
+        deadline: Moment,
         reply: oneshot::Sender<Result<Option<Arc<Change>>, OrderError>>,
     },
     /// Store the platform's endpoint list.
@@ -50,19 +85,89 @@
 }
 
 impl ControlHandle {
-    pub(crate) fn new(tx: Sender<Input>, published: watch::Receiver<PublishedState>) -> Self {
-        Self { tx, published }
+    pub(crate) fn new(
+        tx: Sender<Input>,
+        published: watch::Receiver<PublishedState>,
+        clock: Clock,
+        node: NodeName,
+        metrics: Arc<ControlMetrics>,
+    ) -> Self {
+        Self {
+            tx,
+            published,
+            clock,
+            node,
+            metrics,
+        }
     }
 
-    /// Carries out an order. `Ok` means that it is committed: a majority has it on disk.
+    pub(super) fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
+    pub(super) fn instant(&self, moment: Moment) -> Instant {
+        self.clock.instant(moment)
+    }
+
+    /// Name of this replica's node.
+    pub(super) fn node(&self) -> &NodeName {
+        &self.node
+    }
+
+    /// Carries out an order, which `id` identifies in logs. `Ok` means that it is committed: a majority has it on disk.
     ///
     /// # Errors
     ///
     /// No error means that the order was rejected. It may be sent again, to any replica, and
     /// takes effect at most once.
-    pub async fn order(&self, order: Order) -> Result<(), OrderError> {
+    pub async fn order(
+        &self,
+        id: OrderId,
+        order: Order,
+        sender: &dyn OrderSender,
+    ) -> Result<(), OrderError> {
+        let mut count = OrderCount::new(&self.metrics);
+        let result = self.carry_out(id, order, sender).await;
+        count.set(result);
+        result
+    }
+
+    async fn carry_out(
+        &self,
+        id: OrderId,
+        order: Order,
+        sender: &dyn OrderSender,
+    ) -> Result<(), OrderError> {
+        let at = self.now();
+        let (domain, action) = match &order {
+            Order::Evacuate(domain) => (domain, EvacuationAction::Evacuate),
+            Order::Return(domain) => (domain, EvacuationAction::Return),
+            Order::Routes(_) => return self.plain_order(id, order, at + MAX_WAIT).await,
+        };
+        let received = Received {
+            id,
+            domain,
+            action,
+            at,
+            deadline: at + MAX_EVACUATION_WAIT,
+        };
+        self.evacuation(received, sender).await
+    }
+
+    /// Carries out an order without a condition.
+    pub(super) async fn plain_order(
+        &self,
+        id: OrderId,
+        order: Order,
+        deadline: Moment,
+    ) -> Result<(), OrderError> {
         let (reply, rx) = oneshot::channel();
-        self.push(HandleRequest::Order { order, reply })?;
+        self.push(HandleRequest::Order {
+            id,
+            order,
+            deadline,
+            reply,
+        })?;
         rx.await.unwrap_or(Err(OrderError::OutcomeUnknown))
     }
 
@@ -73,7 +178,8 @@
     /// Fails if that can't be proven, because there is no leader or it can't be reached.
     pub async fn routes(&self) -> Result<Option<Arc<Change>>, OrderError> {
         let (reply, rx) = oneshot::channel();
-        self.push(HandleRequest::Routes { reply })?;
+        let deadline = self.now() + MAX_WAIT;
+        self.push(HandleRequest::Routes { deadline, reply })?;
         rx.await.unwrap_or(Err(OrderError::NoLeader))
     }
 
@@ -90,7 +196,7 @@
         self.published.borrow().clone()
     }
 
-    fn push(&self, req: HandleRequest) -> Result<(), OrderError> {
+    pub(super) fn push(&self, req: HandleRequest) -> Result<(), OrderError> {
         self.tx
             .push(Input::Adapter(req))
             .map_err(|_| OrderError::Busy)
--- a/crates/filberthead/src/control/machine.rs
+++ b/crates/filberthead/src/control/machine.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use filberthead_fleet::Order;
+use filberthead_fleet::{EvacuationAction, EvacuationOrder, Order, OrderOutcome, OrderRevisions};
 use filberthead_ledger::{Claim, ClaimResult, ClaimResults};
 use filberthead_route::{LatestChange, OfferResult};
 use filberthead_steer::StoredRoster;
@@ -21,7 +21,7 @@
 /// Content of a log entry.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
-pub(crate) enum Entry {
+pub enum Entry {
     /// A change of the table by an operator.
     Table(Command),
     /// An entry's claim to continue alone after it lost contact with another one.
@@ -37,46 +37,99 @@
     },
     /// The roster of a failure domain, before entries are granted leases by it.
     Roster(StoredRoster),
+    /// An operator's order about an evacuation, with a condition.
+    EvacuationOrder(EvacuationOrder),
+    /// From here on the log has conditional orders. Committed once all members can decode them.
+    EnableConditionalOrders,
 }
 
 /// Result of applying an entry.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Applied {
+pub enum Applied {
     /// Of a command on the table.
     Table(Outcome),
     /// Of a command that declares this entry gone; the entry was removed from its roster.
     EntryForgotten(Outcome, NodeName),
     /// Of a claim.
     Claim(ClaimResult),
-    /// Of an order, an address or a roster, which always succeed.
+    /// Of a conditional order.
+    EvacuationOrder(OrderOutcome),
+    /// Of an unconditional order, an address, a roster or a feature, which always succeed.
     NoOutcome,
 }
 
+/// What decides on orders about evacuations.
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct OrderState {
+    /// Order revisions of failure domains.
+    pub revisions: OrderRevisions,
+    /// Whether all members can decode conditional orders.
+    pub is_conditional: bool,
+}
+
+impl OrderState {
+    /// Records an order without a condition. What was ordered before the group had conditional
+    /// orders isn't recorded: snapshots of that time lack it, so replicas would differ.
+    fn record(&mut self, index: u64, domain: &FailureDomain) {
+        if self.is_conditional {
+            self.revisions.record(index, domain);
+        }
+    }
+}
+
 /// State after some entry of the log.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
-pub(crate) struct Machine {
+pub struct Machine {
     /// The table, shared with its readers.
-    pub(crate) table: Arc<Table>,
+    pub table: Arc<Table>,
     /// Which entry continued, by home and its epoch.
-    pub(crate) claim_results: ClaimResults,
+    pub claim_results: ClaimResults,
     /// The routes in force.
-    pub(crate) routes: LatestChange,
+    pub routes: LatestChange,
     /// Index of the entry that put them in force; 0 for none.
-    pub(crate) routes_revision: u64,
+    pub routes_revision: u64,
     /// Failure domains whose endpoints get no requests.
-    pub(crate) evacuated: BTreeSet<FailureDomain>,
+    pub evacuated: BTreeSet<FailureDomain>,
     /// Index of the entry that last changed that set; 0 for none.
-    pub(crate) evacuated_revision: u64,
+    pub evacuated_revision: u64,
     /// Addresses of replicas, for messages of peers.
-    pub(crate) replica_addresses: BTreeMap<ReplicaId, SocketAddr>,
+    pub replica_addresses: BTreeMap<ReplicaId, SocketAddr>,
     /// Rosters of failure domains, for the next leader's leases.
-    pub(crate) rosters: BTreeMap<FailureDomain, StoredRoster>,
+    pub rosters: BTreeMap<FailureDomain, StoredRoster>,
+    /// What decides on orders about evacuations. It follows the other fields in a snapshot, and
+    /// snapshots of earlier releases end without it.
+    #[serde(skip)]
+    pub orders: OrderState,
 }
 
 impl Machine {
+    /// Encodes the state for a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a value can't be serialized, which no type in it can cause.
+    pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        let buf = postcard::to_stdvec(self)?;
+        postcard::to_extend(&self.orders, buf)
+    }
+
+    /// Decodes the state from a snapshot of this release or an earlier one.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a later release wrote it.
+    pub fn decode(buf: &[u8]) -> Result<Self, postcard::Error> {
+        let (mut machine, rest): (Self, _) = postcard::take_from_bytes(buf)?;
+        if !rest.is_empty() {
+            machine.orders = postcard::from_bytes(rest)?;
+        }
+        Ok(machine)
+    }
+
     /// Applies the entry at `index`, with the same result on every replica.
-    pub(crate) fn apply(&mut self, index: u64, entry: &Entry) -> Applied {
+    pub fn apply(&mut self, index: u64, entry: &Entry) -> Applied {
         match entry {
             Entry::Table(command) => self.apply_command(command),
             Entry::Claim(claim) => Applied::Claim(self.claim_results.apply(claim)),
@@ -93,6 +146,17 @@
                 self.rosters.insert(domain, stored.clone());
                 Applied::NoOutcome
             }
+            Entry::EvacuationOrder(order) => {
+                let outcome = self.orders.revisions.apply(index, order);
+                if outcome == OrderOutcome::InForce {
+                    self.set_evacuated(index, &order.domain, order.action);
+                }
+                Applied::EvacuationOrder(outcome)
+            }
+            Entry::EnableConditionalOrders => {
+                self.orders.is_conditional = true;
+                Applied::NoOutcome
+            }
         }
     }
 
@@ -122,15 +186,23 @@
                 }
             }
             Order::Evacuate(domain) => {
-                if self.evacuated.insert(domain.clone()) {
-                    self.evacuated_revision = index;
-                }
+                self.orders.record(index, domain);
+                self.set_evacuated(index, domain, EvacuationAction::Evacuate);
             }
             Order::Return(domain) => {
-                if self.evacuated.remove(domain) {
-                    self.evacuated_revision = index;
-                }
+                self.orders.record(index, domain);
+                self.set_evacuated(index, domain, EvacuationAction::Return);
             }
         }
     }
+
+    fn set_evacuated(&mut self, index: u64, domain: &FailureDomain, action: EvacuationAction) {
+        let changed = match action {
+            EvacuationAction::Evacuate => self.evacuated.insert(domain.clone()),
+            EvacuationAction::Return => self.evacuated.remove(domain),
+        };
+        if changed {
+            self.evacuated_revision = index;
+        }
+    }
 }
--- a/crates/fleet/src/api.rs
+++ b/crates/fleet/src/api.rs
@@ -1,6 +1,7 @@
 //! Messages between gateways and control, and their contents.
 
 use std::collections::BTreeSet;
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -10,7 +11,7 @@
 use filberthead_types::{FailureDomain, Incarnation, NodeName, Region, ServiceName};
 use serde::{Deserialize, Serialize};
 
-use crate::Suspicion;
+use crate::{EvacuationOrder, OrderOutcome, Suspicion};
 
 /// A message and its destination.
 pub type Outbound = (SocketAddr, Message);
@@ -105,6 +106,11 @@
             Self::OrderDone { .. } => "order-done",
             Self::ReadIndex { .. } => "newest",
             Self::ReadIndexResult { .. } => "newest-is",
+            Self::OrderRevisionQuery { .. } => "order-revision",
+            Self::OrderRevision { .. } => "order-revision-is",
+            Self::EvacuationOrder { .. } => "evacuation-order",
+            Self::EvacuationOrderDone { .. } => "evacuation-order-done",
+            Self::Features(_) => "features",
         }
     }
 
@@ -290,6 +296,17 @@
     Return(FailureDomain),
 }
 
+impl fmt::Display for Order {
+    /// What is ordered, for logs.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Routes(change) => write!(f, "routes {}", change.version),
+            Self::Evacuate(domain) => write!(f, "evacuate {domain}"),
+            Self::Return(domain) => write!(f, "return {domain}"),
+        }
+    }
+}
+
 /// Why the outcome of an order isn't known. None of these is a rejection: the operator
 /// retries the order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -301,6 +318,12 @@
     OutcomeUnknown,
     /// Too many requests are queued.
     Busy,
+    /// The operator that sent the order has closed its connection; nothing was logged.
+    SenderGone,
+    /// Other orders about the failure domain were committed first.
+    Superseded,
+    /// The order may have waited unread, so nothing was logged.
+    Delayed,
 }
 
 /// Messages between gateways and control, and between control replicas.
@@ -438,4 +461,35 @@
         /// Number of gateways that the leader counts, if it has watched for long enough to know.
         gateways: Option<u32>,
     },
+    /// A replica requests the order revision of a failure domain from the leader.
+    OrderRevisionQuery {
+        /// Correlates the answer with the request.
+        token: u64,
+        /// The failure domain.
+        domain: FailureDomain,
+    },
+    /// Answer to [`Message::OrderRevisionQuery`], backed by the leader's lease.
+    OrderRevision {
+        /// Token of the request.
+        token: u64,
+        /// The order revision; `None` while the group can't commit conditional orders.
+        result: Result<Option<u64>, OrderError>,
+    },
+    /// A replica forwards an order about an evacuation to the leader.
+    EvacuationOrder {
+        /// Correlates the outcome with the order.
+        token: u64,
+        /// The order.
+        order: EvacuationOrder,
+    },
+    /// Outcome of [`Message::EvacuationOrder`].
+    EvacuationOrderDone {
+        /// Token of the order.
+        token: u64,
+        /// Its outcome.
+        result: Result<OrderOutcome, OrderError>,
+    },
+    /// The level of features that a control replica supports. Replicas of releases that don't know
+    /// this message drop it.
+    Features(u32),
 }
