Gateway: a stopping gateway expects a request to take as long as its route's longest

Callers of a gateway that had got SIGTERM saw 504 for requests that an endpoint was at work on: such requests were taken although they couldn't end before the process, and cut there.

Whether a request could end in time was judged by a moving mean and mean deviation of all requests of its service and kind. A few short ones after a long one made the bound small, whatever their route; failures that came at once counted as short requests; requests whose callers had left weren't observed at all. Queueing at the gateway counted, and nothing was judged again once a request had waited or was to be sent once more.

Times are observed by route now, from when a request is first passed on until the end of its response. What is expected is the mean with its margin and no less than the longest of the last minutes. Failed and abandoned requests count as at least as long as they ran. A route with fewer than eight complete requests is expected to take its objective, and as long as the slowest route of its service and kind. A request that takes longer after all runs until 0.92 of the grace period instead of 0.9.

That an attempt is judged again before it is sent is shown by no test.

--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -18,7 +18,7 @@
 use filberthead_pipeline::Memory;
 use filberthead_place::{
     ConnectionBalancer, EndpointId, Holder, LargeResponseAdmission, Link, Placer, RetryDecision,
-    RetryEnd, RetryId, RunVerdict, UsualTimes,
+    RetryEnd, RetryId, RunVerdict, TimedRoute, UsualTimes,
 };
 use filberthead_ring::Sender;
 use filberthead_route::{CallerBounds, KeyIndex, Matcher, Table};
@@ -34,11 +34,12 @@
 
 use super::body_memory::BodyMemory;
 use super::bounds::Bounds;
+use super::deadline::Deadline;
 use super::headers::header_text;
 use super::relay::Helpers;
 use super::request::context::truncate;
 use super::shares::FairShares;
-use super::stop::{AnswersDue, Phase};
+use super::stop::{Phase, StopBegun};
 use super::waiting::Waiting;
 use super::{ControlMessage, ProtocolNames};
 use crate::Clock;
@@ -86,7 +87,7 @@
     pub(crate) regions: BTreeMap<FailureDomain, Region>,
     pub(crate) out: Sender<Outgoing>,
     pub(crate) phase: watch::Sender<Phase>,
-    pub(crate) answers_due: AnswersDue,
+    pub(crate) stop_begun: StopBegun,
     /// When contention control is on.
     pub(crate) contention_control: ContentionControl,
     /// Model of the VM's uplink, if its rate is configured.
@@ -193,7 +194,7 @@
     bounds: watch::Sender<Option<CallerBounds>>,
     out: Sender<Outgoing>,
     phase: watch::Sender<Phase>,
-    answers_due: AnswersDue,
+    stop_begun: StopBegun,
     connections: watch::Sender<usize>,
     /// Number of requests being handled.
     running: Cell<usize>,
@@ -263,7 +264,7 @@
             bounds: watch::Sender::new(None),
             out: parts.out,
             phase: parts.phase,
-            answers_due: parts.answers_due,
+            stop_begun: parts.stop_begun,
             connections: parts.connections,
             running: Cell::new(0),
             seeds: RefCell::new(parts.seeds),
@@ -646,9 +647,20 @@
         *self.phase.borrow() >= Phase::Leaving
     }
 
-    /// By when a request that is taken now must be answered, if a planned stop has begun.
-    pub(crate) fn answers_due(&self) -> Option<Instant> {
-        self.answers_due.get()
+    /// By when a request must be answered that is passed on now; `None` if the process is likely to have stopped
+    /// before the request ends.
+    pub(crate) fn deadline_in_stop(
+        &self,
+        route: &TimedRoute<'_>,
+        deadline: Deadline,
+    ) -> Option<Deadline> {
+        let Some(times) = self.stop_begun.get() else {
+            return Some(deadline);
+        };
+        let left = times.expected_by.saturating_duration_since(Instant::now());
+        let usual_times = self.usual_times.borrow();
+        let fits = usual_times.fits(route, deadline.remaining(), left);
+        fits.then(|| deadline.no_later_than(times.answer_by))
     }
 
     /// The current phase, and whether the data held here suffices to serve requests.
@@ -728,8 +740,7 @@
                 info!(version, revision, routes = table.routes.len(), from:%, since_heard_of,
                     questions; "routes in force");
                 placer.set_routes(&table);
-                let services = table.services.iter().map(|service| &service.name);
-                self.usual_times.borrow_mut().retain(services);
+                self.usual_times.borrow_mut().set_routes(&table);
                 self.limiter.borrow_mut().set_workspaces(&table.workspaces);
                 if let Some(shares) = &self.shares {
                     shares.borrow_mut().set_routes(&table);
--- a/crates/filberthead/src/gateway/forwarding/finish.rs
+++ b/crates/filberthead/src/gateway/forwarding/finish.rs
@@ -29,7 +29,7 @@
         let (code, retry_after) = match code {
             // Endpoints exist, but have refused the request. A gateway that has relayed it must not take
             // it for one that reached none.
-            ResultCode::NoEndpoint if self.attempts.was_refused() => {
+            ResultCode::NoEndpoint | ResultCode::Stopping if self.attempts.was_refused() => {
                 (ResultCode::Overloaded, RETRY_AFTER_REFUSED)
             }
             _ => (code, retry_after),
--- a/crates/filberthead/src/gateway/forwarding/mod.rs
+++ b/crates/filberthead/src/gateway/forwarding/mod.rs
@@ -8,6 +8,7 @@
 mod wait;
 
 use std::rc::Rc;
+use std::sync::Arc;
 
 use filberthead_endpoint::RequestBody;
 use filberthead_place::{Attempts, Homes, Object, Placer, Request as PlacementRequest, RouteKey};
@@ -23,13 +24,14 @@
 use super::headers::header_text;
 use super::response::ResponseBody;
 use super::retry::GrantedRetry;
+use super::timing::RequestTimer;
 use super::under_way::{Destination, Event, UnderWay};
 use super::waiting::Place;
 
 /// A request being forwarded.
 pub(super) struct Forwarding<'a> {
     pub(super) core: &'a Rc<Core>,
-    pub(super) route: &'a Route,
+    pub(super) route: &'a Arc<Route>,
     pub(super) service: &'a ServiceName,
     pub(super) head: &'a Parts,
     pub(super) caller: &'a Caller,
@@ -60,6 +62,8 @@
     /// Response of an endpoint that ran the request and failed. The caller gets it if no further
     /// attempt can be made.
     pub(super) failed_response: Option<Response<ResponseBody>>,
+    /// Measures it from its first attempt on.
+    pub(super) timer: Option<RequestTimer>,
 }
 
 impl<'a> Forwarding<'a> {
@@ -95,6 +99,7 @@
                         {
                             place.move_to(target.into());
                         }
+                        self.start_timer();
                         under_way.push(*attempt);
                         Next::Wait
                     }
@@ -131,6 +136,12 @@
         }
     }
 
+    fn start_timer(&mut self) {
+        if self.timer.is_none() {
+            self.timer = Some(RequestTimer::start(self.core, self.service, self.route));
+        }
+    }
+
     fn homes(&self) -> Homes<'_> {
         Homes {
             route: &self.route.regions,
--- a/crates/filberthead/src/gateway/forwarding/start.rs
+++ b/crates/filberthead/src/gateway/forwarding/start.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use filberthead_endpoint::RequestBody;
-use filberthead_place::{Decision, EndpointId, Placer, Refusal, Target};
+use filberthead_place::{Decision, EndpointId, Placer, Refusal, Target, TimedRoute};
 use filberthead_types::ResultCode;
 
 use super::Forwarding;
@@ -14,7 +14,9 @@
 use crate::gateway::core::Core;
 use crate::gateway::progress::Progress;
 use crate::gateway::relay::{ChosenHelper, RelayHead, relay};
-use crate::gateway::retry_after::{RETRY_AFTER_REFUSED, RETRY_AFTER_STARTING};
+use crate::gateway::retry_after::{
+    RETRY_AFTER_REFUSED, RETRY_AFTER_STARTING, RETRY_AFTER_STOPPING,
+};
 use crate::gateway::under_way::{Destination, Ending, RunningAttempt};
 
 /// Least time before the deadline at which an attempt still makes sense.
@@ -55,6 +57,11 @@
         if self.is_revoked() {
             return self.reject_revoked();
         }
+        let timed_route = TimedRoute::new(self.service, self.route);
+        let Some(deadline) = self.core.deadline_in_stop(&timed_route, self.deadline) else {
+            return Start::reject(ResultCode::Stopping, RETRY_AFTER_STOPPING);
+        };
+        self.deadline = deadline;
         if let Err(retry_after) = self.core.check_request(self.prints) {
             return Start::reject(ResultCode::CrashesEndpoints, retry_after);
         }
@@ -137,7 +144,7 @@
         let reserved = self.attempts.reserve_elsewhere(may_send_again);
         let usual = {
             let usual_times = self.core.usual_times.borrow();
-            usual_times.usual(self.service, self.route.kind)
+            usual_times.usual(&TimedRoute::new(self.service, self.route))
         };
         let watch = helper.watch(usual);
         let relayed = RelayHead {
--- a/crates/filberthead/src/gateway/mod.rs
+++ b/crates/filberthead/src/gateway/mod.rs
@@ -59,7 +59,7 @@
 use self::core::{Core, CoreParts, Identity};
 pub use self::protocol::ProtocolNames;
 use self::shares::FairShares;
-use self::stop::{AnswersDue, Phase, PlannedStop};
+use self::stop::{Phase, PlannedStop, StopBegun};
 use crate::ready::announce;
 use crate::stop::{Stop, stop_pair};
 use crate::supervisor::{Signals, supervise};
@@ -164,10 +164,10 @@
     let phase = watch::Sender::new(Phase::Starting);
     let connections = watch::Sender::new(0);
     let seed_updates = watch::Sender::new(cfg.seeds.clone());
-    let answers_due = AnswersDue::default();
+    let stop_begun = StopBegun::default();
     let planned_stop = PlannedStop {
         grace: cfg.stop_grace,
-        answers_due: answers_due.clone(),
+        begun: stop_begun.clone(),
         phase: phase.clone(),
         connections: connections.subscribe(),
     };
@@ -184,7 +184,7 @@
         cfg,
         protocol,
         sockets,
-        (phase, answers_due, connections, &seed_updates),
+        (phase, stop_begun, connections, &seed_updates),
         &stop,
     )?;
     announce(&ready).context(ReadySnafu)?;
@@ -225,11 +225,11 @@
     listener.local_addr().context(ListenSnafu { addr })
 }
 
-/// What the duties and the supervising thread share: the phase, by when answers are due during a planned
+/// What the duties and the supervising thread share: the phase, the times of a planned
 /// stop, the number of open caller connections, and the current seeds.
 type SharedState<'a> = (
     watch::Sender<Phase>,
-    AnswersDue,
+    StopBegun,
     watch::Sender<usize>,
     &'a watch::Sender<Vec<SocketAddr>>,
 );
@@ -238,7 +238,7 @@
     cfg: &GatewaySettings,
     protocol: ProtocolNames,
     sockets: OpenSockets,
-    (phase, answers_due, connections, seed_updates): SharedState<'_>,
+    (phase, stop_begun, connections, seed_updates): SharedState<'_>,
     stop: &Stop,
 ) -> Result<Vec<Duty>, GatewayError> {
     let caller_addr = match cfg.caller_advertise {
@@ -293,7 +293,7 @@
         regions: cfg.regions.clone(),
         out,
         phase,
-        answers_due,
+        stop_begun,
         connections,
         contention_control: cfg.contention_control,
         link: cfg.link_rate.map(|rate| Link::new(rate * BITS_PER_MBIT)),
--- a/crates/filberthead/src/gateway/request/mod.rs
+++ b/crates/filberthead/src/gateway/request/mod.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 
 use filberthead_endpoint::RequestBody;
-use filberthead_place::Attempts;
+use filberthead_place::{Attempts, TimedRoute};
 use filberthead_route::Route;
 use filberthead_types::{Meaning, RequestPrints, ResultCode};
 use http::Response;
@@ -19,7 +19,7 @@
 
 use self::body::read_body;
 use self::context::RequestContext;
-use self::routing::{deadline_in_stop, find_route, is_for, pick_target, read_relay_head};
+use self::routing::{find_route, is_for, pick_target, read_relay_head};
 use super::answer_notes::LeavingEndpoint;
 use super::bounds::head_bytes;
 use super::caller::Caller;
@@ -52,7 +52,6 @@
     body: RequestBody,
     arrived: Instant,
 ) -> Response<ResponseBody> {
-    let started = Instant::now();
     let mut ctx = RequestContext::new(core, caller, arrived, head);
     let relayed = match from {
         RequestSource::Caller => None,
@@ -86,7 +85,8 @@
     let Some(target) = pick_target(&matched, relayed.as_ref()) else {
         return ctx.reject(ResultCode::NoEndpoint, Some(RETRY_AFTER_STARTING));
     };
-    let Some(deadline) = deadline_in_stop(core, &target.service, route, deadline) else {
+    let timed_route = TimedRoute::new(&target.service, route);
+    let Some(deadline) = core.deadline_in_stop(&timed_route, deadline) else {
         return ctx.reject(ResultCode::Stopping, Some(RETRY_AFTER_STOPPING));
     };
     let attempts_before = match relayed {
@@ -149,16 +149,13 @@
         relays: 0,
         retry: &retry,
         failed_response: None,
+        timer: None,
     };
     let mut response = forwarding.run(body).await;
     let code = result_code(&response);
-    let timer = RequestTimer {
-        core: Rc::clone(core),
-        service: target.service.clone(),
-        kind: route.kind,
-        started,
-    };
-    measure(timer, &mut response, code);
+    if let Some(timer) = forwarding.timer.take() {
+        measure(timer, &mut response, code);
+    }
     if let Some(relayed) = &relayed {
         let report = HelperReport {
             uptime: core.now(),
@@ -180,12 +177,14 @@
     response
 }
 
-/// Measures how long a request takes, unless it was rejected.
+/// Measures how long a request takes, unless it was rejected. One that failed may have ended early.
 fn measure(timer: RequestTimer, response: &mut Response<ResponseBody>, code: ResultCode) {
+    let is_complete = code == ResultCode::Answered && !response.status().is_server_error();
     match response.body_mut() {
-        ResponseBody::Streamed(body) => body.set_timer(timer),
-        ResponseBody::Buffered(_) if code.meaning() != Meaning::NotRun => timer.finish(),
-        ResponseBody::Buffered(_) => {}
+        ResponseBody::Streamed(body) if is_complete => body.set_timer(timer),
+        ResponseBody::Buffered(_) if is_complete => timer.finish(),
+        _ if code.meaning() == Meaning::NotRun => timer.discard(),
+        _ => {}
     }
 }
 
--- a/crates/filberthead/src/gateway/request/routing.rs
+++ b/crates/filberthead/src/gateway/request/routing.rs
@@ -1,15 +1,12 @@
-//! Looks up the route of a request, its target, and by when it must be answered.
+//! Looks up the route of a request and its target.
 
 use std::sync::Arc;
 
-use filberthead_route::{Matched, Route, Target as RouteTarget};
-use filberthead_types::ServiceName;
+use filberthead_route::{Matched, Target as RouteTarget};
 use http::request::Parts;
-use tokio::time::Instant;
 
 use super::context::host;
 use crate::gateway::core::{ActiveRoutes, Core};
-use crate::gateway::deadline::Deadline;
 use crate::gateway::relay::RelayHead;
 
 /// What another gateway tells about a request that it relays; `None` if it isn't one of this cluster.
@@ -40,20 +37,3 @@
 pub(super) fn is_for(relayed: Option<&RelayHead>, target: &RouteTarget) -> bool {
     relayed.is_none_or(|relayed| relayed.service == target.service)
 }
-
-/// By when a request must be answered that is taken now; `None` if the gateway is likely to have stopped by
-/// then.
-pub(super) fn deadline_in_stop(
-    core: &Core,
-    service: &ServiceName,
-    route: &Route,
-    deadline: Deadline,
-) -> Option<Deadline> {
-    let Some(due) = core.answers_due() else {
-        return Some(deadline);
-    };
-    let left = due.saturating_duration_since(Instant::now());
-    let usual_times = core.usual_times.borrow();
-    let fits = usual_times.fits(service, route.kind, deadline.remaining(), left);
-    fits.then(|| deadline.no_later_than(due))
-}
--- a/crates/filberthead/src/gateway/stop.rs
+++ b/crates/filberthead/src/gateway/stop.rs
@@ -3,7 +3,7 @@
 //! Callers keep using the addresses they have looked up for a while. So a gateway first announces
 //! to control and to the platform that it is leaving, and goes on serving while each response
 //! closes its connection. Then it stops listening, finishes the running requests, and ends. Meanwhile it
-//! takes only requests that can be expected to end before it does. To relay the others wouldn't help: their
+//! passes on only requests that can be expected to end before it does. To relay the others wouldn't help: their
 //! responses would still pass through this process.
 
 use std::sync::{Arc, OnceLock};
@@ -16,9 +16,11 @@
 /// Fraction of the grace period in which connections are still accepted. The rest is for requests
 /// that are running by then, and for the shutdown itself.
 const ACCEPT_FRACTION: f64 = 0.6;
-/// Fraction of the grace period after which requests that were taken in it must be answered. The rest is for
-/// writing the responses.
-const ANSWER_FRACTION: f64 = 0.9;
+/// Fraction of the grace period by which a request must be expected to end to be passed on.
+const EXPECTED_FRACTION: f64 = 0.9;
+/// Fraction of the grace period after which a request is answered that takes longer than expected. The rest is
+/// for writing the responses.
+const ANSWER_FRACTION: f64 = 0.92;
 /// Fraction of the grace period after which the process ends, whatever still runs.
 const END_FRACTION: f64 = 0.93;
 
@@ -46,13 +48,22 @@
     }
 }
 
-/// By when requests that are taken during a planned stop must be answered; unset until it begins.
+/// Until when a planned stop leaves requests time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct StopTimes {
+    /// When a request must be expected to end at the latest to be passed on.
+    pub(crate) expected_by: Instant,
+    /// When a request is answered that takes longer.
+    pub(crate) answer_by: Instant,
+}
+
+/// The times of a planned stop; unset until it begins.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct AnswersDue(Arc<OnceLock<Instant>>);
+pub(crate) struct StopBegun(Arc<OnceLock<StopTimes>>);
 
-impl AnswersDue {
-    /// The time, once a planned stop has begun.
-    pub(crate) fn get(&self) -> Option<Instant> {
+impl StopBegun {
+    /// The times, once a planned stop has begun.
+    pub(crate) fn get(&self) -> Option<StopTimes> {
         self.0.get().copied()
     }
 }
@@ -62,7 +73,7 @@
     /// Time from the signal until the process must have ended.
     pub(crate) grace: Duration,
     /// Set at its beginning.
-    pub(crate) answers_due: AnswersDue,
+    pub(crate) begun: StopBegun,
     /// Publishes the gateway's phase.
     pub(crate) phase: watch::Sender<Phase>,
     /// Number of open caller connections. A connection counts until its last response is written,
@@ -74,8 +85,10 @@
     /// Returns when the process may end.
     pub(crate) async fn run(mut self) {
         let started = Instant::now();
-        let answers_due = started + self.grace.mul_f64(ANSWER_FRACTION);
-        self.answers_due.0.get_or_init(|| answers_due);
+        self.begun.0.get_or_init(|| StopTimes {
+            expected_by: started + self.grace.mul_f64(EXPECTED_FRACTION),
+            answer_by: started + self.grace.mul_f64(ANSWER_FRACTION),
+        });
         self.phase.send_replace(Phase::Leaving);
         sleep(self.grace.mul_f64(ACCEPT_FRACTION)).await;
         self.phase.send_replace(Phase::Ending);
--- a/crates/filberthead/src/gateway/streamed.rs
+++ b/crates/filberthead/src/gateway/streamed.rs
@@ -43,7 +43,7 @@
     buffered: Bytes,
     /// Fires when the uplink may be free for the next chunk; `None` if nothing is waited for.
     link_wait: Option<Pin<Box<Sleep>>>,
-    /// Measures the request until the end of the body.
+    /// Measures the request until the end of the body; dropped if that doesn't come.
     timer: Option<RequestTimer>,
 }
 
@@ -71,18 +71,12 @@
         self.timer = Some(timer);
     }
 
-    fn finish_timer(&mut self) {
-        if let Some(timer) = self.timer.take() {
-            timer.finish();
-        }
-    }
-
     pub(crate) fn poll_frame(
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         if self.deadline.as_mut().poll(cx).is_ready() {
-            self.finish_timer();
+            self.timer = None;
             return Poll::Ready(Some(DeadlineExceededSnafu.fail()));
         }
         if self.buffered.is_empty() {
@@ -105,7 +99,9 @@
         let complete = frame.is_none() || self.body.is_end_stream();
         if complete && let Some(connection) = self.connection.take() {
             connection.release();
-            self.finish_timer();
+            if let Some(timer) = self.timer.take() {
+                timer.finish();
+            }
         }
         Poll::Ready(frame.map(|frame| frame.context(EndpointClosedSnafu)))
     }
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -101,4 +101,4 @@
 pub use route_times::RouteKey;
 pub use sharing::{HELD_FOR, LimitShare};
 pub use suspicions::RunVerdict;
-pub use usual_times::UsualTimes;
+pub use usual_times::{TimedRoute, UsualTimes};
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -20,6 +20,7 @@
 mod keys;
 mod large_routes;
 mod leaving;
+mod long_requests_at_stops;
 mod measures;
 mod operators;
 mod orders;
