Soak: operators that evacuate failure domains, and a check of control's sequence

Callers saw requests at endpoints of a failure domain whose evacuation had been acknowledged and not ended. The soaks missed it: they ordered one evacuation a run, never ended one, and compared nothing with what control carried out.

Usual plans evacuate and end in turn. Each send is recorded, and written beside the logs if there is a violation.

The check matches each change that control replicas logged with a copy of an order that may have caused it: one that was sent before and whose order had not been acknowledged, nor given up and followed by an acknowledged order of the same operator. Each copy explains one change. It counts copies, not orders: they bear no name, so that control can't tell a resent order from a new one while it isn't acknowledged. Also checked: acknowledged orders were in force, replicas agree, the last order is in force at the end, no order is refused or remains without an answer in a calm time, and nothing reaches an evacuated failure domain in a calm time.

--- a/crates/testing/src/bin/soak.rs
+++ b/crates/testing/src/bin/soak.rs
@@ -20,6 +20,8 @@
 
 /// What `--faults` takes for a soak without any.
 const NO_FAULTS: &str = "none";
+/// What `--faults` takes for a soak of a small site in which operators evacuate failure domains.
+const EVACUATIONS: &str = "evacuations-beside-control-faults";
 
 struct Options {
     first: u64,
@@ -30,6 +32,8 @@
     /// Description of the deployment whose processes, limits and requests are played; the sizes above
     /// don't apply to it, but for the duration.
     deployment: Option<PathBuf>,
+    /// Whether operators evacuate failure domains all the time, beside faults of control.
+    evacuations: bool,
     /// Kinds of faults that a deployment gets; `None` for all.
     faults: Option<Vec<TroubleKind>>,
     /// Whether the services of a deployment fail again and again beside them.
@@ -50,6 +54,7 @@
         seeds: 1,
         size: Size::default(),
         failing_endpoints: false,
+        evacuations: false,
         deployment: None,
         faults: None,
         failing_services: false,
@@ -73,6 +78,10 @@
             Arg::Long("deployment") => options.deployment = Some(parser.value()?.into()),
             Arg::Long("faults") => {
                 let kinds = parser.value()?.string()?;
+                if kinds == EVACUATIONS {
+                    options.evacuations = true;
+                    continue;
+                }
                 let kinds = kinds.split(',').filter(|kind| *kind != NO_FAULTS);
                 options.faults = Some(kinds.map(str::parse).collect::<Result<_, _>>()?);
             }
@@ -135,9 +144,10 @@
 fn play_site(options: &Options, programs: &SitePrograms) -> u64 {
     let mut broken = 0;
     for seed in options.first..options.first + options.seeds {
-        let plan = match options.failing_endpoints {
-            true => Plan::with_failing_endpoints(seed, options.size),
-            false => Plan::new(seed, options.size),
+        let plan = match (options.evacuations, options.failing_endpoints) {
+            (true, _) => Plan::with_evacuations(seed, options.size),
+            (_, true) => Plan::with_failing_endpoints(seed, options.size),
+            _ => Plan::new(seed, options.size),
         };
         if options.show {
             println!("{plan:#?}");
--- a/crates/testing/src/soak/callers.rs
+++ b/crates/testing/src/soak/callers.rs
@@ -91,7 +91,7 @@
             key,
             workspace,
             ..match load {
-                Load::Mixed => random_request(&shared, &mut rng),
+                Load::Mixed | Load::BesideEvacuations => random_request(&shared, &mut rng),
                 Load::FewReads => random_read(&mut rng),
             }
         };
--- a/crates/testing/src/soak/history.rs
+++ b/crates/testing/src/soak/history.rs
@@ -2,6 +2,8 @@
 
 use std::time::Instant;
 
+use super::evacuations::EvacuationOrder;
+
 /// Outcome of a caller's request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestOutcome {
@@ -129,6 +131,8 @@
     pub moves: Vec<RouteMove>,
     /// Requests on routes of a single version.
     pub probes: Vec<RouteProbe>,
+    /// Orders about evacuations.
+    pub evacuations: Vec<EvacuationOrder>,
 }
 
 impl History {
--- a/crates/testing/src/soak/mod.rs
+++ b/crates/testing/src/soak/mod.rs
@@ -8,12 +8,14 @@
 //!
 //! [`find_violations`] checks the answers that callers and operators received, kept in a
 //! [`History`], against the requests that endpoints ran. It uses nothing that the processes
-//! report about themselves; only the decision whether a group is healthy enough to lose another
-//! disk does. The order of events differs between runs, since real processes race; the plan of a
+//! report about themselves, with two exceptions: the decision whether a group is healthy enough to
+//! lose another disk, and the sequence of evacuations that control replicas log. The order of events differs between runs, since real processes race; the plan of a
 //! seed doesn't.
 
 mod callers;
 pub mod deployed;
+mod evacuations;
+mod evacuators;
 mod history;
 mod nodes;
 mod operators;
@@ -24,6 +26,10 @@
 mod violations;
 mod workspaces;
 
+pub use evacuations::{
+    AppliedSet, EvacuationChange, EvacuationOrder, EvacuationRecord, OrderOutcome, OrderSend,
+    applied_sets, find_evacuation_violations,
+};
 pub use history::{
     CallerRequest, History, RequestOutcome, RouteMove, RouteProbe, RoutesChange, RoutesRead, Told,
 };
--- a/crates/testing/src/soak/nodes.rs
+++ b/crates/testing/src/soak/nodes.rs
@@ -37,6 +37,8 @@
     states: BTreeMap<Target, State>,
     /// The planned stops of gateways: each one's index, and when it was told.
     pub(super) stops: Vec<(usize, Instant)>,
+    /// When control replicas were killed.
+    pub(super) control_kills: Vec<Instant>,
 }
 
 impl Nodes {
@@ -49,6 +51,7 @@
             shared,
             states,
             stops: Vec::new(),
+            control_kills: Vec::new(),
         }
     }
 
@@ -149,6 +152,9 @@
 
     pub(super) fn kill(&mut self, target: Target) {
         if self.state(target) != State::Down {
+            if matches!(target, Target::Control(_)) {
+                self.control_kills.push(Instant::now());
+            }
             self.set(target, State::Down);
             self.node(target).kill();
         }
--- a/crates/testing/src/soak/operators.rs
+++ b/crates/testing/src/soak/operators.rs
@@ -107,14 +107,6 @@
     None
 }
 
-/// Evacuates a failure domain. Returns whether that was accepted.
-pub(super) async fn evacuate(shared: Arc<SharedState>, domain: &str, seed: u64) -> bool {
-    let mut rng = StdRng::seed_from_u64(seed);
-    let call = format!("evacuations.start&of={domain}");
-    let answer = order(&shared, &call, "", &mut rng).await;
-    answer.is_some_and(|answer| answer.status.is_success())
-}
-
 /// Reads routes from random replicas until the soak is over.
 pub(super) async fn read(shared: Arc<SharedState>, seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
--- a/crates/testing/src/soak/plan.rs
+++ b/crates/testing/src/soak/plan.rs
@@ -36,6 +36,13 @@
 /// Duration of a cut between failure domains, in milliseconds: from one that nobody notices to one
 /// after which gateways on the other side aren't counted any more.
 const LONG_CUT_MS: std::ops::Range<u64> = 2_000..45_000;
+/// Time between the starts of two faults beside evacuations, in milliseconds.
+const BESIDE_EVACUATIONS_MS: std::ops::Range<u64> = 600..2_200;
+/// Duration of such a fault, in milliseconds: up to as long as an order is sent again.
+const CONTROL_FAULT_MS: std::ops::Range<u64> = 300..4_000;
+/// Duration of the suspension of a control replica, in milliseconds: most are so long that operators
+/// turn to another replica.
+const CONTROL_PAUSE_MS: std::ops::Range<u64> = 1_500..4_000;
 
 /// What the callers of a soak ask for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,13 +51,15 @@
     Mixed,
     /// A few reads of one service.
     FewReads,
+    /// The same as `Mixed`, while operators evacuate failure domains and end evacuations all the time.
+    BesideEvacuations,
 }
 
 impl Load {
     /// Pause of a caller between two requests, in milliseconds.
     pub(super) fn pause_ms(self) -> std::ops::Range<u64> {
         match self {
-            Self::Mixed => 5..60,
+            Self::Mixed | Self::BesideEvacuations => 5..60,
             Self::FewReads => 100..500,
         }
     }
@@ -59,7 +68,7 @@
     /// settings, or what a deployment of eight gateways allows.
     pub fn retry_floor(self) -> u32 {
         match self {
-            Self::Mixed => 10,
+            Self::Mixed | Self::BesideEvacuations => 10,
             Self::FewReads => 56,
         }
     }
@@ -151,8 +160,10 @@
     ReplaceInstance(usize),
     /// A cold endpoint of the service with this index is added.
     Join(usize),
-    /// Operators evacuate the second failure domain.
+    /// An operator evacuates the second failure domain.
     Evacuate,
+    /// An operator ends the evacuation of the second failure domain.
+    EndEvacuation,
 }
 
 /// A step and its time.
@@ -227,6 +238,25 @@
             steps: generator.into_steps(),
         }
     }
+
+    /// Generates a plan in which operators evacuate failure domains and end evacuations all the time,
+    /// while control replicas are suspended, cut off, killed or lose their disk, and gateways are
+    /// restarted.
+    pub fn with_evacuations(seed: u64, size: Size) -> Self {
+        let mut generator = Generator::new(StdRng::seed_from_u64(seed), size);
+        let mut at = INITIAL_DELAY;
+        while at < size.duration {
+            generator.fault_beside_evacuations(at);
+            at += generator.millis(BESIDE_EVACUATIONS_MS);
+        }
+        Self {
+            seed,
+            size,
+            load: Load::BesideEvacuations,
+            planned_only: false,
+            steps: generator.into_steps(),
+        }
+    }
 }
 
 /// Draws random steps. The order of draws determines the plan of a seed.
@@ -235,6 +265,8 @@
     size: Size,
     /// Whether a step that drains an endpoint was added; a plan has at most one.
     drained: bool,
+    /// Whether the last step about evacuations evacuates.
+    evacuated: bool,
     steps: Vec<TimedStep>,
 }
 
@@ -244,6 +276,7 @@
             rng,
             size,
             drained: false,
+            evacuated: false,
             steps: Vec::new(),
         }
     }
@@ -370,10 +403,39 @@
                 let endpoint = self.endpoint();
                 self.push(at, Step::Drain(endpoint));
             }
-            _ => self.push(at, Step::Evacuate),
+            _ => self.change_evacuation(at),
         }
     }
 
+    /// Evacuates the second failure domain, or ends its evacuation.
+    fn change_evacuation(&mut self, at: Duration) {
+        self.evacuated = !self.evacuated;
+        match self.evacuated {
+            true => self.push(at, Step::Evacuate),
+            false => self.push(at, Step::EndEvacuation),
+        }
+    }
+
+    /// Adds a fault of a control replica, or now and then the restart of a gateway.
+    fn fault_beside_evacuations(&mut self, at: Duration) {
+        let control = Target::Control(self.control());
+        let gateway = Target::Gateway(self.rng.random_range(0..self.size.gateways));
+        let (step, undo) = match self.rng.random_range(0..12) {
+            0..=6 => (Step::Freeze(control), Step::Resume(control)),
+            7 => (Step::Kill(control), Step::Start(control)),
+            8 => (Step::Partition(vec![control]), Step::Heal),
+            9 => (Step::Kill(gateway), Step::Start(gateway)),
+            10 => return self.push(at, Step::Stop(control)),
+            _ => return self.disk_fault(at),
+        };
+        let duration = match step {
+            Step::Freeze(_) => self.millis(CONTROL_PAUSE_MS),
+            _ => self.millis(CONTROL_FAULT_MS),
+        };
+        self.push(at, step);
+        self.push(at + duration, undo);
+    }
+
     /// Adds planned work or a fault.
     fn any_step(&mut self, at: Duration) {
         match self.rng.random_range(0..22) {
--- a/crates/testing/src/soak/runner.rs
+++ b/crates/testing/src/soak/runner.rs
@@ -2,11 +2,16 @@
 
 use std::fmt;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use http::HeaderMap;
 use tokio::task::JoinHandle;
 
+use super::evacuations::{
+    AppliedSet, EVACUATION_BOUND, EvacuationChange, EvacuationRecord, applied_sets,
+    find_evacuation_violations,
+};
+use super::evacuators::{self, Sequence};
 use super::history::{CallerRequest, RequestOutcome};
 use super::nodes::Nodes;
 use super::plan::{Load, Plan, Step};
@@ -15,12 +20,25 @@
 use super::violations::{EndpointRun, Limits, Violation, find_violations};
 use super::workspaces::Workspaces;
 use super::{callers, operators};
+use crate::cluster::Place;
 use crate::proxy::FaultProxy;
 use crate::runtime;
 use crate::site::{Behaviour, Site, SitePrograms, is_answer, proven_version, request};
 
-/// Failure domains of a [`Site`]; the second one may be evacuated.
-const DOMAINS: [&str; 2] = ["zagreb-a", "split-a"];
+/// Failure domains; a region is a name without its end. The first two are those of a usual [`Site`], of which the
+/// second one may be evacuated; beside evacuations there are all, and all but the first may be.
+static DOMAINS: [&str; 7] = [
+    "zagreb-a",
+    "split-a",
+    "rijeka-a",
+    "osijek-a",
+    "pula-a",
+    "zadar-a",
+    "sibenik-a",
+];
+/// Time for which traffic goes on after the faults of a plan beside evacuations: longer than an evacuation
+/// takes.
+const SETTLE_TIME: Duration = EVACUATION_BOUND.saturating_add(Duration::from_secs(2));
 /// Attempts that the routes of a [`Site`] allow.
 const MAX_ATTEMPTS: usize = 2;
 /// Time that a gateway has for a planned stop: it accepts callers for 0.6 of it, and the rest is
@@ -52,6 +70,8 @@
     pub accepted: usize,
     /// Number of successful reads of routes by operators.
     pub shown: usize,
+    /// Number of acknowledged orders about evacuations, and of all.
+    pub evacuations: (usize, usize),
     /// The window of each service that came closest to its retry budget.
     pub retries: Vec<WorstWindow>,
     /// Violated guarantees.
@@ -64,13 +84,16 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "seed {}: {} steps, {} requests, {} served, {} changes accepted, {} reads, {} violations",
+            "seed {}: {} steps, {} requests, {} served, {} changes accepted, {} reads, \
+             {} of {} orders about evacuations acknowledged, {} violations",
             self.seed,
             self.steps,
             self.requests,
             self.served,
             self.accepted,
             self.shown,
+            self.evacuations.0,
+            self.evacuations.1,
             self.violations.len()
         )?;
         for window in &self.retries {
@@ -105,6 +128,10 @@
     }
     runner.wait_until(start + plan.size.duration);
     runner.end_faults();
+    if plan.load == Load::BesideEvacuations {
+        runner.wait_until(Instant::now() + SETTLE_TIME);
+    }
+    runner.end_traffic();
     runner.check_recovery();
     runner.report(plan)
 }
@@ -113,7 +140,12 @@
     nodes: Nodes,
     shared: Arc<SharedState>,
     tasks: Vec<JoinHandle<()>>,
-    evacuation: Option<JoinHandle<bool>>,
+    /// Number of orders about evacuations that steps asked for.
+    evacuations: usize,
+    /// Times of faults, in order.
+    faults: Vec<(Instant, Instant)>,
+    /// The same moment by the clock of logs and by that of the harness.
+    epoch: (SystemTime, Instant),
     seed: u64,
     sent_requests: usize,
     violations: Vec<Violation>,
@@ -122,15 +154,23 @@
 impl Runner {
     fn start(programs: SitePrograms, plan: &Plan) -> Self {
         let size = plan.size;
-        let mut site = Site::builder(programs)
+        let domains = domains(plan.load);
+        let mut builder = Site::builder(programs)
             .replicas(size.controls)
             .tolerate((size.controls - 1) / 2)
             .seeds(size.controls.min(3))
             .gateways(size.gateways)
             .stop_grace(STOP_GRACE)
-            .retry_floor(plan.load.retry_floor())
-            .start();
-        for domain in DOMAINS {
+            .retry_floor(plan.load.retry_floor());
+        if plan.load == Load::BesideEvacuations {
+            let all = domains.iter().cycle();
+            let all = all.map(|domain| Place::new(domain.trim_end_matches("-a"), domain));
+            let controls = all.clone().take(size.controls).collect();
+            let gateways = all.skip(size.controls).take(size.gateways).collect();
+            builder = builder.placed(controls, gateways);
+        }
+        let mut site = builder.start();
+        for domain in domains {
             for (service, _) in SERVICES {
                 for _ in 0..size.endpoints {
                     site.add_linked_endpoint(service, domain);
@@ -146,18 +186,20 @@
             nodes: Nodes::new(site, Arc::clone(&shared)),
             shared,
             tasks: Vec::new(),
-            evacuation: None,
+            evacuations: 0,
+            faults: Vec::new(),
+            epoch: (SystemTime::now(), Instant::now()),
             seed: plan.seed,
             sent_requests: 0,
             violations: Vec::new(),
         };
-        runner.begin_traffic(size.callers, plan.load);
+        runner.begin_traffic(plan);
         runner
     }
 
-    fn begin_traffic(&mut self, callers: usize, load: Load) {
-        let seed = self.seed;
-        for number in 0..callers {
+    fn begin_traffic(&mut self, plan: &Plan) {
+        let (seed, load) = (plan.seed, plan.load);
+        for number in 0..plan.size.callers {
             let shared = Arc::clone(&self.shared);
             self.spawn(callers::call(
                 shared,
@@ -171,6 +213,22 @@
             self.spawn(operators::change(Arc::clone(&self.shared), seed ^ number));
         }
         self.spawn(operators::read(Arc::clone(&self.shared), seed ^ 200));
+        if load == Load::BesideEvacuations {
+            self.begin_evacuations(Instant::now() + plan.size.duration);
+        }
+    }
+
+    fn begin_evacuations(&mut self, end: Instant) {
+        for number in 0..evacuators::OPERATORS * evacuators::ORDERS_EACH {
+            let sequence = Sequence {
+                operator: number / evacuators::ORDERS_EACH,
+                domain: number,
+            };
+            let (shared, seed) = (Arc::clone(&self.shared), self.seed ^ (300 + number as u64));
+            let evacuated = &DOMAINS[1..];
+            let orders = evacuators::order_until(shared, evacuated, sequence, (end, seed));
+            self.spawn(orders);
+        }
     }
 
     fn spawn(&mut self, task: impl Future<Output = ()> + Send + 'static) {
@@ -180,6 +238,9 @@
     fn wait_until(&mut self, due: Instant) {
         loop {
             self.violations.extend(self.nodes.restart_ended());
+            if !self.nodes.is_calm() {
+                self.record_fault(Instant::now());
+            }
             let left = due.saturating_duration_since(Instant::now());
             if left.is_zero() {
                 return;
@@ -189,9 +250,22 @@
     }
 
     fn apply(&mut self, step: &Step) {
+        let began = Instant::now();
         if !self.nodes.apply(step) {
             self.apply_external(step);
         }
+        if !matches!(step, Step::Evacuate | Step::EndEvacuation) {
+            self.record_fault(began);
+        }
+    }
+
+    /// Records that there is a fault now, and has been since `began`.
+    fn record_fault(&mut self, began: Instant) {
+        let now = Instant::now();
+        match self.faults.last_mut() {
+            Some((_, ended)) if began <= *ended + 2 * POLL_INTERVAL => *ended = now,
+            _ => self.faults.push((began, now)),
+        }
     }
 
     /// Applies steps that concern endpoints and operators.
@@ -218,16 +292,27 @@
                 site.endpoints[number].set_warmup_left(COLD_MS);
                 site.show_endpoints();
             }
-            Step::Evacuate if self.evacuation.is_none() => {
-                let order = operators::evacuate(Arc::clone(&self.shared), DOMAINS[1], self.seed);
-                self.evacuation = Some(runtime::handle().spawn(order));
-            }
+            Step::Evacuate => self.order_evacuation(EvacuationChange::Start),
+            Step::EndEvacuation => self.order_evacuation(EvacuationChange::End),
             _ => {}
         }
     }
 
-    /// Reverts all faults, restarts all processes that are down, and ends traffic.
+    fn order_evacuation(&mut self, change: EvacuationChange) {
+        self.evacuations += 1;
+        let (shared, seed) = (
+            Arc::clone(&self.shared),
+            self.seed ^ self.evacuations as u64,
+        );
+        let operator = self.evacuations % evacuators::OPERATORS;
+        self.spawn(evacuators::order_once(
+            shared, operator, DOMAINS[1], change, seed,
+        ));
+    }
+
+    /// Reverts all faults and restarts all processes that are down.
     fn end_faults(&mut self) {
+        let began = Instant::now();
         let site = &self.nodes.site;
         site.network.heal();
         for (number, endpoint) in site.endpoints.iter().enumerate() {
@@ -242,6 +327,10 @@
         while self.nodes.is_any_stopping() {
             self.wait_until(Instant::now() + POLL_INTERVAL);
         }
+        self.record_fault(began);
+    }
+
+    fn end_traffic(&mut self) {
         self.shared.finish();
         runtime::join(std::mem::take(&mut self.tasks));
     }
@@ -337,16 +426,31 @@
 
     /// Indices of endpoints that are draining, or whose failure domain's evacuation was accepted.
     fn removed_endpoints(&mut self) -> Vec<usize> {
-        let evacuated = self
-            .evacuation
-            .take()
-            .is_some_and(|task| runtime::wait(async move { task.await.unwrap_or(false) }));
+        let record = self.evacuation_record();
         let endpoints = self.nodes.site.endpoints.iter().enumerate();
         let removed =
-            endpoints.filter(|(_, e)| e.is_draining() || (evacuated && e.domain() == DOMAINS[1]));
+            endpoints.filter(|(_, e)| e.is_draining() || record.is_evacuated_at_end(e.domain()));
         removed.map(|(number, _)| number).collect()
     }
 
+    fn evacuation_record(&self) -> EvacuationRecord {
+        let (system_time, instant) = self.epoch;
+        let to_instant = |at: SystemTime| match at.duration_since(system_time) {
+            Ok(after) => instant + after,
+            Err(before) => instant - before.duration(),
+        };
+        let controls = self.nodes.site.controls.iter().enumerate();
+        let applied = controls.flat_map(|(replica, node)| -> Vec<AppliedSet> {
+            applied_sets(replica, &node.running().log(), to_instant)
+        });
+        EvacuationRecord {
+            orders: self.shared.history().evacuations.clone(),
+            applied: applied.collect(),
+            kills: self.nodes.control_kills.clone(),
+            faults: self.faults.clone(),
+        }
+    }
+
     fn check_removed_endpoints(&mut self) {
         let removed = self.removed_endpoints();
         let mut at_fault = Vec::new();
@@ -389,6 +493,18 @@
         arrivals.collect()
     }
 
+    /// Writes what operators ordered beside the logs.
+    fn write_orders(&self, record: &EvacuationRecord) {
+        let (system_time, instant) = self.epoch;
+        let at = |moment: Instant| {
+            let at = system_time + moment.saturating_duration_since(instant);
+            humantime::format_rfc3339_millis(at).to_string()
+        };
+        let path = self.nodes.site.dir().join("evacuation-orders.log");
+        // The report is complete without this file.
+        let _ = std::fs::write(path, record.to_text(at));
+    }
+
     fn report(mut self, plan: &Plan) -> Report {
         let endpoints = self.nodes.site.endpoints.iter().enumerate();
         let ran: Vec<EndpointRun> = endpoints
@@ -416,8 +532,14 @@
                 planned_only: plan.planned_only,
             },
         ));
+        let evacuations = self.evacuation_record();
+        let endpoints = &self.nodes.site.endpoints;
+        let domain_of = |endpoint: usize| endpoints[endpoint].domain();
+        let found = find_evacuation_violations(&evacuations, &ran, domain_of);
+        self.violations.extend(found);
         if !self.violations.is_empty() {
             self.nodes.site.keep();
+            self.write_orders(&evacuations);
         }
         Report {
             seed: plan.seed,
@@ -430,6 +552,7 @@
                 .filter(|t| t.accepted.is_some())
                 .count(),
             shown: history.reads.len(),
+            evacuations: evacuations.acknowledged(),
             retries: worst_windows(&history, &arrivals, plan.load.retry_floor()),
             violations: self.violations,
             dir: self.nodes.site.dir().to_owned(),
@@ -437,6 +560,14 @@
     }
 }
 
+/// The failure domains of a soak with this load.
+fn domains(load: Load) -> &'static [&'static str] {
+    match load {
+        Load::Mixed | Load::FewReads => &DOMAINS[..2],
+        Load::BesideEvacuations => &DOMAINS,
+    }
+}
+
 /// A path on each service's route, and one on the route that only this version has.
 fn paths(version: u64) -> Vec<String> {
     let services = SERVICES.iter().map(|(name, _)| format!("/{name}/end"));
--- a/crates/testing/src/soak/violations.rs
+++ b/crates/testing/src/soak/violations.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::time::{Duration, Instant};
 
+use super::evacuations::EvacuationChange;
 use super::history::{CallerRequest, History, RequestOutcome};
 use super::retries::{self, ServiceArrival, WorstWindow};
 use super::workspaces::{self, Workspaces};
@@ -158,6 +159,33 @@
     },
     /// The endpoint with this index still got requests while draining or evacuated.
     SentToRemovedEndpoint(usize),
+    /// Control ended the evacuation of a failure domain at a time when no order explains it.
+    EvacuationTakenBack {
+        /// The failure domain.
+        domain: String,
+        /// Index of the log entry that ended it.
+        revision: u64,
+    },
+    /// Control evacuated a failure domain at a time when no order explains it.
+    EvacuatedUnasked {
+        /// The failure domain.
+        domain: String,
+        /// Index of the log entry that evacuated it.
+        revision: u64,
+    },
+    /// An acknowledged order about the failure domain with this name had not taken effect by then.
+    AcknowledgedWithoutEffect(String, EvacuationChange),
+    /// What the last order about the failure domain with this name asked for was not in force at the end.
+    EvacuationOrderLost(String, EvacuationChange),
+    /// An order about the failure domain with this name was refused with this status.
+    EvacuationOrderRefused(String, u16),
+    /// An order about the failure domain with this name got no clear answer in a time without faults.
+    EvacuationOrderUnanswered(String, EvacuationChange),
+    /// Replicas applied different evacuations under this revision.
+    EvacuationsDisagree(u64),
+    /// Endpoints of the failure domain with this name got this many requests long after its evacuation
+    /// was acknowledged and before its end was ordered.
+    SentToEvacuatedDomain(String, usize),
 }
 
 impl fmt::Display for Violation {
