--- a/crates/testing/src/soak/evacuators.rs
+++ b/crates/testing/src/soak/evacuators.rs
@@ -23,8 +23,8 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 /// Pause between the two orders of a pair, and between two pairs, in milliseconds. In the latter, what is
 /// carried out has no order in progress as its reason.
-const PAUSE_MS: std::ops::Range<u64> = 50..600;
-const REST_MS: std::ops::Range<u64> = 500..3_000;
+const PAUSE_MS: std::ops::Range<u64> = 20..300;
+const REST_MS: std::ops::Range<u64> = 300..1_600;
 /// Share of the pairs that concern any failure domain instead of the sequence's own one.
 const ANY_DOMAIN: f64 = 0.15;
 
--- a/crates/testing/src/soak/plan.rs
+++ b/crates/testing/src/soak/plan.rs
@@ -37,12 +37,12 @@
 /// after which gateways on the other side aren't counted any more.
 const LONG_CUT_MS: std::ops::Range<u64> = 2_000..45_000;
 /// Time between the starts of two faults beside evacuations, in milliseconds.
-const BESIDE_EVACUATIONS_MS: std::ops::Range<u64> = 600..2_200;
+const BESIDE_EVACUATIONS_MS: std::ops::Range<u64> = 500..2_000;
 /// Duration of such a fault, in milliseconds: up to as long as an order is sent again.
 const CONTROL_FAULT_MS: std::ops::Range<u64> = 300..4_000;
 /// Duration of the suspension of a control replica, in milliseconds: most are so long that operators
 /// turn to another replica.
-const CONTROL_PAUSE_MS: std::ops::Range<u64> = 1_500..4_000;
+const CONTROL_PAUSE_MS: std::ops::Range<u64> = 2_000..4_000;
 
 /// What the callers of a soak ask for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -420,12 +420,12 @@
     fn fault_beside_evacuations(&mut self, at: Duration) {
         let control = Target::Control(self.control());
         let gateway = Target::Gateway(self.rng.random_range(0..self.size.gateways));
-        let (step, undo) = match self.rng.random_range(0..12) {
-            0..=6 => (Step::Freeze(control), Step::Resume(control)),
-            7 => (Step::Kill(control), Step::Start(control)),
-            8 => (Step::Partition(vec![control]), Step::Heal),
-            9 => (Step::Kill(gateway), Step::Start(gateway)),
-            10 => return self.push(at, Step::Stop(control)),
+        let (step, undo) = match self.rng.random_range(0..13) {
+            0..=7 => (Step::Freeze(control), Step::Resume(control)),
+            8 => (Step::Kill(control), Step::Start(control)),
+            9 => (Step::Partition(vec![control]), Step::Heal),
+            10 => (Step::Kill(gateway), Step::Start(gateway)),
+            11 => return self.push(at, Step::Stop(control)),
             _ => return self.disk_fault(at),
         };
         let duration = match step {
