--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -106,6 +106,18 @@
 /// Duration of that soak, and the mean time between its faults.
 const LEAVING: (Duration, Duration) = (Duration::from_secs(40), Duration::from_secs(8));
 
+/// Seeds in which control replicas are suspended, killed and lose their disk while operators evacuate
+/// failure domains and end evacuations.
+const EVACUATION_SEEDS: [u64; 2] = [9, 11];
+/// So many control replicas that most orders are acknowledged while one or two are suspended.
+const BESIDE_EVACUATIONS: Size = Size {
+    controls: 5,
+    gateways: 3,
+    endpoints: 2,
+    callers: 8,
+    duration: Duration::from_secs(8),
+};
+
 fn programs() -> SitePrograms {
     SitePrograms {
         control: PathBuf::from(env!("CARGO_BIN_EXE_filberthead-control")),
@@ -203,6 +215,21 @@
     ));
 }
 
+/// Control carried out an order about an evacuation after a later one had been acknowledged.
+#[test]
+fn orders_about_evacuations_are_not_carried_out_late() {
+    for seed in EVACUATION_SEEDS {
+        let report = run_plan(
+            programs(),
+            &Plan::with_evacuations(seed, BESIDE_EVACUATIONS),
+        );
+        println!("{report}");
+        assert_kept(&report, &report.violations, &report.dir);
+        // Without acknowledged orders the check above would hold trivially.
+        assert!(report.evacuations.0 > 0, "{report}");
+    }
+}
+
 #[test]
 fn late_retries_keep_the_retry_budget() {
     let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("config/soak/few-endpoints.ini");
