--- a/crates/testing/src/bin/soak.rs
+++ b/crates/testing/src/bin/soak.rs
@@ -16,7 +16,7 @@
 
 const USAGE: &str = "usage: filberthead-soak [--seed FIRST] [--seeds COUNT] [--controls N] \
 [--gateways N] [--callers N] [--seconds N] [--failing-endpoints] [--deployment FILE] \
-[--faults KIND,...] [--failing-services] [--every MILLISECONDS] [--programs DIR] [--without-relay] [--show]";
+[--faults KIND,...|evacuations-beside-control-faults] [--failing-services] [--every MILLISECONDS] [--programs DIR] [--without-relay] [--show]";
 
 /// What `--faults` takes for a soak without any.
 const NO_FAULTS: &str = "none";
