Endpoint: the length of an answer that comes in chunks isn't passed on

Callers of an entry got 200 with half of the body, framed as whole by a `Content-Length`, if an endpoint sent that header beside chunks; so they did where the endpoint cut the answer after that part. Of such an answer HTTP ignores the length and says that a proxy removes it. hyper reads the chunks and leaves the header in the head; entries removed the transfer coding, and the caller's connection was framed by the length that was left. Gateways set the length of what they have read, and were not affected.

The client of both now removes the length of an answer that has a transfer coding, before anybody sees it.

--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -6,7 +6,7 @@
 
 use filberthead_types::{RequestId, header};
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use log::debug;
 use tokio::time::{Instant, timeout_at};
@@ -181,7 +181,7 @@
         let method = req.method().clone();
         let outstanding = connection.outstanding.clone();
         let sending = Sending::start(connection, req, deadline, self.late_heads.clone());
-        let (connection, response) = match timeout_at(deadline, sending).await {
+        let (connection, mut response) = match timeout_at(deadline, sending).await {
             Ok((connection, Ok(response))) => (connection, response),
             Ok((connection, Err(mut e))) => {
                 debug!(addr:%, request:? = check, error:% = e.error(); "sending a request failed");
@@ -202,6 +202,7 @@
             Err(_) => return SendOutcome::TimedOut,
         };
         connection.outstanding.head_received();
+        ignore_length_beside_coding(response.headers_mut());
         if let Some(reason) = rejection_reason(&response, &method, check) {
             debug!(addr:%, request:? = check, reason; "answer rejected, closing its connection");
             return SendOutcome::Invalid;
@@ -270,6 +271,14 @@
     named.is_some_and(|named| named.to_str().ok().and_then(|text| text.parse().ok()) != Some(id))
 }
 
+/// Removes the length of an answer that has a transfer coding, which is what frames its body. Passed on, the length
+/// would frame a part of the body as the whole.
+fn ignore_length_beside_coding(headers: &mut HeaderMap) {
+    if headers.contains_key(TRANSFER_ENCODING) {
+        headers.remove(CONTENT_LENGTH);
+    }
+}
+
 /// Whether an answer's body ends with its connection, so that a truncated body can't be
 /// distinguished from a complete one.
 fn is_unframed(response: &Response<Incoming>, method: &Method) -> bool {
