Endpoint: an answer with a transfer coding other than chunks has no framing

An entry takes only answers whose end is told by a length or by chunks, so that it sees one that is cut. An answer with another transfer coding (`Transfer-Encoding: gzip`) passed as framed, though its body ends with its connection: callers got 200 with a part of the body, ended as if it were whole, if the endpoint closed early. Now the last coding has to be that of chunks; such an answer counts as invalid, like one without any framing.

The test of cut answers generates such ones too.

--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -287,6 +287,14 @@
     let without_body = method == Method::HEAD
         || status == StatusCode::NO_CONTENT
         || status == StatusCode::NOT_MODIFIED;
-    let framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+    let framed = headers.contains_key(CONTENT_LENGTH) || is_chunked(headers);
     !without_body && !framed
 }
+
+/// Whether the last transfer coding of a body is that of chunks. Other ones don't tell where a body ends.
+fn is_chunked(headers: &HeaderMap) -> bool {
+    let codings = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+    let codings = codings.and_then(|value| value.to_str().ok());
+    let last = codings.and_then(|codings| codings.rsplit(',').next());
+    last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+}
--- a/crates/endpoint/tests/cut_answers.rs
+++ b/crates/endpoint/tests/cut_answers.rs
@@ -28,13 +28,15 @@
     Length,
     Chunked,
     ChunkedWithLength,
+    /// With a transfer coding that has no end of its own.
+    Coded,
     Close,
 }
 
 impl Framing {
     /// Whether its end differs from that of the connection.
     fn is_framed(self) -> bool {
-        self != Self::Close
+        !matches!(self, Self::Coded | Self::Close)
     }
 }
 
@@ -74,6 +76,7 @@
                     len / 2
                 )
             }
+            Framing::Coded => "transfer-encoding: gzip\r\n".to_owned(),
             Framing::Close => String::new(),
         };
         head += "\r\n";
