Testing: the fault proxy passes a reset on without an orderly close before it

A test of answers without a length that are reset, through a proxy, met 200 with an empty or short body at a gateway that had read an orderly end. tokio shuts a connection's write half down as it is dropped, so the proxy sent a close just before the reset, and the receiver saw only that. Now the half is dropped without it. No check is relaxed: a reset is one again, which is stricter for whoever reads it.

--- a/crates/testing/src/proxy/link.rs
+++ b/crates/testing/src/proxy/link.rs
@@ -181,15 +181,18 @@
     // close that side too soon.
     let (first, second) = tokio::select! {
         first = &mut to_server => match first.0 {
-            End::Reset => return,
+            End::Reset => return first.1.forget(),
             End::Closed | End::Gone => (first, to_client.await),
         },
         first = &mut to_client => match first.0 {
-            End::Reset => return,
+            End::Reset => return first.1.forget(),
             End::Closed | End::Gone => (first, to_server.await),
         },
     };
-    if second.0 != End::Reset {
+    if second.0 == End::Reset {
+        // Dropped, it would close its side before the reset, and the receiver would see an orderly end.
+        second.1.forget();
+    } else {
         clear_reset_on_drop(&first.1);
         clear_reset_on_drop(&second.1);
     }
