Caller: an answer that breaks at once is cut behind its head, not before

Callers of an entry saw their connection closed without an answer where an endpoint had answered and broke off before the entry had written its head. hyper gives a connection up at a body's error without writing what it has buffered. The body of an answer now lets hyper go on once before it ends with its error; hyper writes what it has whenever a body makes it wait.

The test of cut answers at an entry, which asks for a begun answer, failed without this (1 of 1: chunked answers cut after 2 and 5 bytes) and passes with it (1 of 1).

--- a/crates/caller/src/answer.rs
+++ b/crates/caller/src/answer.rs
@@ -44,6 +44,8 @@
     /// Streamed from an endpoint. The channel holds few parts, and the sender waits while it
     /// is full, so a slow reader costs a fixed amount of memory.
     Stream(mpsc::Receiver<BodyPart>),
+    /// Streamed, and incomplete.
+    Broken,
     /// Completely read.
     Done,
 }
@@ -72,6 +74,11 @@
                 return Poll::Ready(frame.map(Ok));
             }
             Self::Stream(rx) => std::task::ready!(rx.poll_recv(cx)),
+            // Ending the body normally would make a truncated answer look complete wherever it has no length.
+            Self::Broken => {
+                *self = Self::Done;
+                return Poll::Ready(Some(Err(IncompleteBody)));
+            }
         };
         Poll::Ready(match part {
             Some(BodyPart::Frame(frame)) => Some(Ok(frame)),
@@ -79,11 +86,12 @@
                 *self = Self::Done;
                 None
             }
-            // The sending task ended without `End`. Ending the body normally would make a
-            // truncated answer look complete wherever it has no length.
+            // The sending task ended without `End`. hyper gives a connection up at a body's error without
+            // writing what it has buffered, the answer's head for instance, which it does while it waits.
             None => {
-                *self = Self::Done;
-                Some(Err(IncompleteBody))
+                *self = Self::Broken;
+                cx.waker().wake_by_ref();
+                return Poll::Pending;
             }
         })
     }
@@ -91,7 +99,7 @@
     fn is_end_stream(&self) -> bool {
         match self {
             Self::Buffered(bytes) => bytes.is_empty(),
-            Self::Stream(_) => false,
+            Self::Stream(_) | Self::Broken => false,
             Self::Done => true,
         }
     }
@@ -99,7 +107,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Self::Buffered(bytes) => SizeHint::with_exact(bytes.len() as u64),
-            Self::Stream(_) => SizeHint::default(),
+            Self::Stream(_) | Self::Broken => SizeHint::default(),
             Self::Done => SizeHint::with_exact(0),
         }
     }
