Tests: endpoints that cut their answers after any byte

No test had an endpoint that stops in its answer's head or in the first chunk line. Now test endpoints of both kinds cut an answer after any byte, closed, reset, or closed after bytes that come one at a time, with a length, chunks, both or neither. For reads, orders, relayed reads, streamed downloads, requests sent ahead, orders with a key and resumed downloads, no caller may get a success that isn't the whole answer, and an answer that ends early may not look complete.

--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -5,13 +5,14 @@
 //! and [`proxy`] injects network faults on the connections between them. [`process`] starts,
 //! kills and suspends daemons, [`cluster`] builds a system of control replicas and entries,
 //! [`site`] one of control replicas and gateways, and [`client`] and [`operator`] send
-//! requests. [`soak`] runs randomised faults against a site.
+//! requests, [`cut`] describes answers that end early. [`soak`] runs randomised faults against a site.
 //!
 //! Two rules keep test results reproducible: every listener binds to port 0, and every wait
 //! is for a condition with a generous bound ([`eventually`]).
 
 pub mod client;
 pub mod cluster;
+pub mod cut;
 mod endless;
 mod eventually;
 pub mod operator;
--- a/crates/testing/src/site/endpoint.rs
+++ b/crates/testing/src/site/endpoint.rs
@@ -20,6 +20,7 @@
 use super::journal::Journal;
 use super::rest::{Rest, RestScope};
 use super::slots::{Entry, Slots};
+use crate::cut::{AnswerCut, CutAnswer, RawAnswer};
 use crate::endless::{Endless, EndlessAnswer};
 use crate::standin::{AnswerBody, Payload};
 
@@ -472,14 +473,14 @@
             let Ok(socket) = SockRef::from(&stream).try_clone() else {
                 return;
             };
-            let endless = Arc::new(Mutex::new(None));
-            let (endpoint_of_requests, endless_to_set) = (endpoint.clone(), Arc::clone(&endless));
+            let raw = RawSlot::default();
+            let (endpoint_of_requests, raw_to_set) = (endpoint.clone(), Arc::clone(&raw));
             let service = service_fn(move |req| {
                 handle(
                     endpoint_of_requests.clone(),
                     from,
                     req,
-                    Arc::clone(&endless_to_set),
+                    Arc::clone(&raw_to_set),
                 )
             });
             let mut connection = http1::Builder::new()
@@ -490,13 +491,13 @@
                 if (&mut connection).await.is_ok() {
                     return;
                 }
-                let answer = endless
-                    .lock()
-                    .unwrap_or_else(PoisonError::into_inner)
-                    .take();
+                let answer = raw.lock().unwrap_or_else(PoisonError::into_inner).take();
                 if let Some(answer) = answer {
                     let stream = connection.into_parts().io.into_inner();
-                    endpoint.send_endless(&answer, stream).await;
+                    match answer {
+                        RawAnswer::Endless(answer) => endpoint.send_endless(&answer, stream).await,
+                        RawAnswer::Cut(answer) => answer.send(stream).await,
+                    }
                 }
             };
             tokio::select! {
@@ -543,13 +544,13 @@
 }
 
 /// The answer that is sent in place of hyper's, which an error of the handler ends.
-type EndlessSlot = Arc<Mutex<Option<EndlessAnswer>>>;
+type RawSlot = Arc<Mutex<Option<RawAnswer>>>;
 
 async fn handle(
     endpoint: SiteEndpoint,
     from: SocketAddr,
     req: Request<Incoming>,
-    endless: EndlessSlot,
+    raw: RawSlot,
 ) -> io::Result<Response<SiteBody>> {
     let (head, body) = req.into_parts();
     let text = |headers: &HeaderMap, name: &str| {
@@ -617,12 +618,12 @@
     let endless_answer = behaviour
         .endless()
         .map(|kind| EndlessAnswer::new(kind, &own_headers));
-    let answer_endlessly = |answer: EndlessAnswer| {
-        *endless.lock().unwrap_or_else(PoisonError::into_inner) = Some(answer);
+    let answer_raw = |answer: RawAnswer| {
+        *raw.lock().unwrap_or_else(PoisonError::into_inner) = Some(answer);
         io::Error::from(io::ErrorKind::InvalidData)
     };
     if is_health_check && let Some(answer) = endless_answer {
-        return Err(answer_endlessly(answer));
+        return Err(answer_raw(RawAnswer::Endless(answer)));
     }
     if is_health_check {
         // It need not name an endpoint.
@@ -707,7 +708,7 @@
     }
     running.done = true;
     if let Some(answer) = endless_answer {
-        return Err(answer_endlessly(answer));
+        return Err(answer_raw(RawAnswer::Endless(answer)));
     }
     let body = answer_body(&head, &body, behaviour);
     let status = match behaviour {
@@ -724,6 +725,13 @@
         let other = http::HeaderValue::from_static("somebody-elses");
         headers.insert("x-request-id", other);
     }
+    if let Some(cut) = AnswerCut::of_path(head.uri.path()) {
+        let (head, body) = answer.into_parts();
+        let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+        return Err(answer_raw(RawAnswer::Cut(CutAnswer::new(
+            cut, &head, &body,
+        ))));
+    }
     Ok(answer)
 }
 
--- a/crates/testing/src/standin/listen.rs
+++ b/crates/testing/src/standin/listen.rs
@@ -10,8 +10,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use super::serve::{EndlessSlot, handle};
+use super::serve::{RawSlot, handle};
 use super::state::{Life, State, lock};
+use crate::cut::RawAnswer;
 
 pub(super) async fn accept(listener: std::net::TcpListener, state: Arc<State>) {
     let listener = TcpListener::from_std(listener).expect("the listener can be registered");
@@ -36,8 +37,8 @@
         return;
     };
     state.recorder.connections.increment();
-    let endless = EndlessSlot::default();
-    let service = service_fn(|req| handle(req, Arc::clone(&state), Arc::clone(&endless)));
+    let raw = RawSlot::default();
+    let service = service_fn(|req| handle(req, Arc::clone(&state), Arc::clone(&raw)));
     let mut connection = http1::Builder::new()
         .pipeline_flush(true)
         .serve_connection(TokioIo::new(stream), service);
@@ -46,10 +47,15 @@
         if (&mut connection).await.is_ok() {
             return;
         }
-        let reply = lock(&endless).take();
+        let reply = lock(&raw).take();
         if let Some(reply) = reply {
             let mut stream = connection.into_parts().io.into_inner();
-            reply.answer.send(&mut stream).await;
+            match reply.answer {
+                RawAnswer::Endless(answer) => {
+                    answer.send(&mut stream).await;
+                }
+                RawAnswer::Cut(answer) => return answer.send(stream).await,
+            }
         }
         reset(&socket);
     };
--- a/crates/testing/src/standin/script.rs
+++ b/crates/testing/src/standin/script.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Endless;
+use crate::cut::AnswerCut;
 
 /// How a stand-in handles a request while all its slots are taken.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -142,6 +143,8 @@
     Silent,
     /// The request is executed and fails with this status.
     Status(u16),
+    /// The request is executed; its answer ends early.
+    Cut(AnswerCut),
     /// The request is executed; its answer is sent in chunks, without a length.
     Chunked,
     /// The request is executed; bytes without end are sent in place of an answer, in as many pieces as
--- a/crates/testing/src/standin/serve.rs
+++ b/crates/testing/src/standin/serve.rs
@@ -16,6 +16,7 @@
 use super::slot::SlotGuard;
 use super::state::{AnswerContent, State, lock};
 use super::{admin, download};
+use crate::cut::{AnswerCut, CutAnswer, RawAnswer};
 use crate::endless::{Endless, EndlessAnswer};
 
 pub(super) type Answer = Response<UnsyncBoxBody<Bytes, io::Error>>;
@@ -24,26 +25,26 @@
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 const REQUEST_ID: &str = "filberthead-request-id";
 
-/// An answer that is sent in place of hyper's, and the slot that its request holds meanwhile.
+/// An answer that is sent in place of hyper's, and the slot that its request holds meanwhile, if it isn't free yet.
 #[derive(Debug)]
-pub(super) struct EndlessReply {
-    pub(super) answer: EndlessAnswer,
-    _slot: SlotGuard,
+pub(super) struct RawReply {
+    pub(super) answer: RawAnswer,
+    _slot: Option<SlotGuard>,
 }
 
 /// The answer that goes on once a handler's error has ended hyper's part of a connection.
-pub(super) type EndlessSlot = Arc<Mutex<Option<EndlessReply>>>;
+pub(super) type RawSlot = Arc<Mutex<Option<RawReply>>>;
 
-/// Handles a request. An error resets its connection, unless an answer was put into `endless`.
+/// Handles a request. An error resets its connection, unless an answer was put into `raw`.
 pub(super) async fn handle(
     req: Request<Incoming>,
     state: Arc<State>,
-    endless: EndlessSlot,
+    raw: RawSlot,
 ) -> io::Result<Answer> {
     match req.uri().path() {
         "/health" => Ok(health(&state).await),
         path if path.starts_with(admin::PREFIX) => admin::handle(req, &state).await,
-        _ => execute(req, &state, &endless).await,
+        _ => execute(req, &state, &raw).await,
     }
 }
 
@@ -78,11 +79,7 @@
     })
 }
 
-async fn execute(
-    req: Request<Incoming>,
-    state: &Arc<State>,
-    endless: &EndlessSlot,
-) -> io::Result<Answer> {
+async fn execute(req: Request<Incoming>, state: &Arc<State>, raw: &RawSlot) -> io::Result<Answer> {
     let (parts, body) = req.into_parts();
     let request = Arc::new(observe(&parts.method, &parts.uri, &parts.headers));
     let recorded = state.read(|script| script.record);
@@ -115,25 +112,39 @@
         Some(Fault::Late(delay)) => tokio::time::sleep(delay).await,
         Some(Fault::Endless(kind)) => {
             let answer = endless_answer(state, &request, kind);
-            *lock(endless) = Some(EndlessReply {
-                answer,
-                _slot: slot,
+            *lock(raw) = Some(RawReply {
+                answer: RawAnswer::Endless(answer),
+                _slot: Some(slot),
             });
             return Err(io::ErrorKind::InvalidData.into());
         }
         _ => {}
     }
-    if parts.uri.path().starts_with(download::PREFIX) && parts.method == Method::GET {
-        let cut = truncate_after(fault.as_ref());
-        return Ok(download::answer(
-            &parts.uri,
-            &parts.headers,
-            state,
-            slot,
-            cut,
-        ));
+    let cut = match fault {
+        Some(Fault::Cut(cut)) => Some(cut),
+        _ => None,
+    };
+    let answer = if parts.uri.path().starts_with(download::PREFIX) && parts.method == Method::GET {
+        let truncated = truncate_after(fault.as_ref());
+        download::answer(&parts.uri, &parts.headers, state, slot, truncated)
+    } else {
+        answer(state, &request, &body, fault, slot)?
+    };
+    match cut {
+        Some(cut) => Err(cut_answer(answer, cut, raw).await?),
+        None => Ok(answer),
     }
-    answer(state, &request, &body, fault, slot)
+}
+
+/// Sends a part of an answer in place of all of it.
+async fn cut_answer(answer: Answer, cut: AnswerCut, raw: &RawSlot) -> io::Result<io::Error> {
+    let (head, body) = answer.into_parts();
+    let body = body.collect().await?.to_bytes();
+    *lock(raw) = Some(RawReply {
+        answer: RawAnswer::Cut(CutAnswer::new(cut, &head, &body)),
+        _slot: None,
+    });
+    Ok(io::ErrorKind::InvalidData.into())
 }
 
 fn endless_answer(state: &State, request: &ObservedRequest, kind: Endless) -> EndlessAnswer {
--- /dev/null
+++ b/tests/all/cut_answers.rs
@@ -0,0 +1,447 @@
+//! Endpoints whose answers end early: in the head, in the framing or in the body.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::ops::ControlFlow;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
+
+use filberthead_testing::client::{Answer, Call, CallError};
+use filberthead_testing::cluster::{Builder, Cluster};
+use filberthead_testing::cut::{AnswerCut, CutAt, CutEnd, Framing};
+use filberthead_testing::proxy::Flow;
+use filberthead_testing::site::{HOST, Site, request};
+use filberthead_testing::standin::{Fault, Payload, Rule, When};
+use filberthead_testing::{eventually, wait_until};
+use serde::Deserialize;
+
+use crate::groups::site;
+use crate::pipelining::{Connection, head};
+use crate::support::{programs, run_concurrently};
+
+const BOUND: Duration = Duration::from_secs(60);
+/// The last service's answers are never cut.
+const SERVICES: &[(&str, &str)] = &[
+    ("catalogue", "safe"),
+    ("orders", "unsafe"),
+    ("lessons", "download"),
+    ("tax", "safe"),
+];
+const DOMAIN: &str = "zagreb-a";
+const FAR: &str = "split-a";
+/// More than any head of an endpoint's answer has.
+const HEAD_BYTES: usize = 170;
+/// Every how many bytes of a head an answer is cut that comes slowly.
+const SLOW_STEP: usize = 50;
+/// Bytes of its body that such an answer has, at most.
+const SLOW_BODY_BYTES: usize = 6;
+/// Requests at once.
+const AT_ONCE: usize = 6;
+/// Endpoints of each service: those that have failed get no requests for a while.
+const ENDPOINTS: usize = 16;
+/// Sends of a request that is rejected, at most.
+const MAX_SENDS: usize = 200;
+/// Length of an endpoint's shortest answers, or about it.
+const TEXT_BYTES: usize = 60;
+/// Length of a download that a gateway streams.
+const STREAMED_BYTES: usize = 20_000;
+/// Length of a download that an entry streams, and where its first two parts end.
+const LONG_BYTES: usize = 100_000;
+const FIRST_PART: u64 = 70_000;
+const ORDER: &str = "two hats";
+const OUTCOME_UNKNOWN: Option<u16> = Some(1302);
+
+/// Cuts of an answer with a body of this length: after each byte of its head and of the first chunk line, some of
+/// the rest of it, and none. Each position is cut by a close and by a reset, the head's in some framings each.
+fn cuts(body_len: usize) -> Vec<AnswerCut> {
+    let mut cuts = Vec::new();
+    for (number, framing) in Framing::ALL.into_iter().enumerate() {
+        let len = framing.encode(&vec![b'x'; body_len]).len();
+        let ends = (len.saturating_sub(7)..=len).chain([len / 2]);
+        let body: Vec<_> = (0..len.min(9)).chain(ends).collect();
+        let mut push = |at, end| cuts.push(AnswerCut { framing, at, end });
+        for bytes in 0..HEAD_BYTES {
+            let end = match (number + bytes) % 2 {
+                0 => CutEnd::Closed,
+                _ => CutEnd::Reset,
+            };
+            push(CutAt::Head(bytes), end);
+        }
+        for bytes in body {
+            push(CutAt::Body(bytes), CutEnd::Closed);
+            push(CutAt::Body(bytes), CutEnd::Reset);
+        }
+        for bytes in (0..HEAD_BYTES).step_by(SLOW_STEP) {
+            push(CutAt::Head(bytes), CutEnd::SlowlyClosed);
+        }
+        for bytes in 0..SLOW_BODY_BYTES {
+            push(CutAt::Body(bytes), CutEnd::SlowlyClosed);
+        }
+    }
+    cuts
+}
+
+/// The same with each position of the head once only, in turns of framings and ends.
+fn fewer_cuts(body_len: usize) -> Vec<AnswerCut> {
+    let mut cuts = cuts(body_len);
+    cuts.retain(|cut| match cut.at {
+        CutAt::Head(bytes) if cut.end != CutEnd::SlowlyClosed => {
+            Framing::ALL[bytes / 2 % Framing::ALL.len()] == cut.framing
+        }
+        CutAt::Head(_) | CutAt::Body(_) => true,
+    });
+    cuts
+}
+
+/// Whether callers may see a connection that ends early in place of an error.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Early {
+    Never,
+    Allowed,
+}
+
+/// Whether an answer has to reach its caller: it is whole, and doesn't come as slowly as one without an end.
+fn must_arrive(cut: AnswerCut, body: &[u8]) -> bool {
+    cut.end != CutEnd::SlowlyClosed && cut.is_whole(body)
+}
+
+/// Checks what a caller got of a cut answer with this body.
+#[track_caller]
+fn check(cut: AnswerCut, body: &[u8], got: &Result<Answer, CallError>, early: Early) {
+    match got {
+        Ok(answer) if answer.status.is_success() => {
+            assert!(cut.is_whole(body), "{cut}: {answer:?}");
+            assert_eq!(answer.body, cut.whole_body(body), "{cut}");
+        }
+        Ok(answer) => {
+            assert!(answer.status.is_server_error(), "{cut}: {answer:?}");
+            assert!(!must_arrive(cut, body), "{cut}: {answer:?}");
+        }
+        Err(CallError::Cut { .. } | CallError::NoAnswer(_)) if early == Early::Allowed => {
+            assert!(!must_arrive(cut, body), "{cut}: {got:?}");
+        }
+        Err(e) => panic!("{cut}: {e}"),
+    }
+}
+
+/// Sends again what is answered that it didn't run, as long as endpoints that have failed get no requests.
+fn until_run(
+    mut send: impl FnMut(usize) -> Result<Answer, CallError>,
+) -> Result<Answer, CallError> {
+    let mut sends = (0..MAX_SENDS).map(|number| {
+        if number > 0 {
+            thread::sleep(Duration::from_millis(50));
+        }
+        send(number)
+    });
+    let is_rejected =
+        |got: &Result<Answer, CallError>| matches!(got, Ok(answer) if answer.status == 503);
+    let last = sends.try_for_each(|got| match is_rejected(&got) {
+        true => ControlFlow::Continue(()),
+        false => ControlFlow::Break(got),
+    });
+    last.break_value().expect("the request is run at last")
+}
+
+/// Runs `check` for each cut, some at once.
+fn for_cuts(cuts: &[AnswerCut], check: impl Fn(AnswerCut) + Sync) {
+    run_concurrently(AT_ONCE, |worker| {
+        let mine = cuts.iter().skip(worker).step_by(AT_ONCE);
+        mine.copied().for_each(&check);
+    });
+}
+
+/// A gateway and endpoints of each service.
+fn start() -> Site {
+    let mut site = site().replicas(1).tolerate(0).start();
+    for (service, _) in SERVICES {
+        for _ in 0..ENDPOINTS {
+            site.add_endpoint(service, DOMAIN);
+        }
+    }
+    site.put_routes(1, SERVICES);
+    site.wait_serving(0);
+    for (service, kind) in SERVICES {
+        let method = if *kind == "unsafe" { "POST" } else { "GET" };
+        wait_until("the service is served", BOUND, || {
+            send(&site, method, &format!("/{service}/warm-up"))
+                .is_ok_and(|answer| answer.status == 200)
+        });
+    }
+    assert_heads_are_shorter(site.endpoints[0].addr(), &site.endpoints[0].id());
+    site
+}
+
+/// Checks that the cuts of heads reach the end of each.
+#[track_caller]
+fn assert_heads_are_shorter(endpoint: SocketAddr, instance: &str) {
+    let mut stream = TcpStream::connect(endpoint).expect("a connection");
+    let cut = AnswerCut {
+        framing: Framing::Chunked,
+        at: CutAt::Body(0),
+        end: CutEnd::Closed,
+    };
+    write!(
+        stream,
+        "GET /catalogue/{cut} HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: r-123456789\r\n\
+         x-target-instance: {instance}\r\n\r\n"
+    )
+    .expect("a sent request");
+    let mut received = Vec::new();
+    stream.read_to_end(&mut received).expect("a whole head");
+    assert!(received.ends_with(b"\r\n\r\n"));
+    assert!(received.len() < HEAD_BYTES, "{}", received.len());
+}
+
+fn send(site: &Site, method: &str, path: &str) -> Result<Answer, CallError> {
+    static SENT: AtomicUsize = AtomicUsize::new(0);
+    let id = format!("r-{}", SENT.fetch_add(1, Ordering::Relaxed));
+    let call = request(method, path, &id);
+    site.request(0, &call.bound(BOUND))
+}
+
+/// Sends requests whose answers are cut through the first gateway.
+#[track_caller]
+fn assert_cuts_are_no_successes(site: &Site, method: &str, service: &str, cuts: &[AnswerCut]) {
+    for_cuts(cuts, |cut| {
+        let mut path = String::new();
+        let got = until_run(|number| {
+            path = format!("/{service}/{number}/{cut}");
+            send(site, method, &path)
+        });
+        let body = format!("{method} {path} 0");
+        check(cut, body.as_bytes(), &got, Early::Never);
+    });
+}
+
+/// A read's answer ends early at each endpoint that it is sent to.
+#[test]
+fn a_cut_answer_to_a_read_is_no_success() {
+    assert_cuts_are_no_successes(&start(), "GET", "catalogue", &cuts(TEXT_BYTES));
+}
+
+/// An order's answer ends early.
+#[test]
+fn a_cut_answer_to_an_order_is_no_success() {
+    assert_cuts_are_no_successes(&start(), "POST", "orders", &fewer_cuts(TEXT_BYTES));
+}
+
+/// The answer to a relayed read ends early at the endpoints of the helper.
+#[test]
+fn a_cut_answer_to_a_relayed_read_is_no_success() {
+    let mut site = site().replicas(1).tolerate(0).gateways(2).start();
+    for _ in 0..ENDPOINTS {
+        site.add_linked_endpoint("catalogue", FAR);
+    }
+    site.put_routes(1, SERVICES);
+    for gateway in 0..2 {
+        site.wait_serving(gateway);
+    }
+    let cut_off = site.gateways[0].name();
+    for endpoint in &site.endpoints {
+        site.network.set(cut_off, &endpoint.id(), Flow::Hold);
+        site.network.set(&endpoint.id(), cut_off, Flow::Hold);
+    }
+    let mut number = 0;
+    wait_until("requests are relayed", BOUND, || {
+        number += 1;
+        let served = send(&site, "GET", &format!("/catalogue/before-{number}"));
+        let is_served = served.is_ok_and(|answer| answer.status == 200);
+        is_served && site.gateways[0].metric("gateway_cut_off") > 0.0
+    });
+    assert_cuts_are_no_successes(&site, "GET", "catalogue", &fewer_cuts(TEXT_BYTES));
+}
+
+/// A download's answer ends early, some of it streamed before.
+#[test]
+fn a_cut_download_does_not_look_complete() {
+    let site = start();
+    for_cuts(&fewer_cuts(STREAMED_BYTES), |cut| {
+        let mut path = String::new();
+        let got = until_run(|number| {
+            path = format!("/lessons/{number}/{cut}?bytes={STREAMED_BYTES}");
+            send(&site, "GET", &path)
+        });
+        let body = Payload::of_answer("GET", &path, b"").slice(0, STREAMED_BYTES);
+        check(cut, &body, &got, Early::Allowed);
+    });
+}
+
+/// The answer to a request that was sent ahead on a connection ends early, between those to two others.
+#[test]
+fn a_cut_answer_changes_no_other_one_of_its_connection() {
+    let site = start();
+    for (service, length, early) in [
+        ("catalogue", None, Early::Never),
+        ("lessons", Some(STREAMED_BYTES), Early::Allowed),
+    ] {
+        for_cuts(&fewer_cuts(length.unwrap_or(TEXT_BYTES)), |cut| {
+            let query = length.map_or(String::new(), |bytes| format!("?bytes={bytes}"));
+            let paths = [
+                format!("/tax/{service}/before-{cut}"),
+                format!("/{service}/ahead/{cut}{query}"),
+                format!("/tax/{service}/after-{cut}"),
+            ];
+            let requests = paths.iter().zip(["before", "ahead", "after"]);
+            let requests = requests.map(|(path, id)| head("GET", path, id));
+            let mut connection = Connection::open(&site);
+            connection.send(&requests.collect::<String>());
+            let [before, met, after] = [0; 3].map(|_| connection.receive());
+            let own = |path: &str| Some((200, format!("GET {path} 0")));
+            let text = |answer: crate::pipelining::Received| (answer.status, answer.body);
+            assert_eq!(before.map(text), own(&paths[0]), "{cut}");
+            let body = match length {
+                Some(bytes) => Payload::of_answer("GET", &paths[1], b"").slice(0, bytes),
+                None => format!("GET {} 0", paths[1]).into(),
+            };
+            if let Some(met) = met.as_ref().filter(|met| met.status < 500) {
+                assert!(
+                    met.status == 200 && cut.is_whole(&body),
+                    "{cut}: {}",
+                    met.head
+                );
+                let whole = String::from_utf8_lossy(cut.whole_body(&body));
+                assert_eq!(met.body, whole, "{cut}: {}", met.head);
+            }
+            let is_ended = met.is_none() && early == Early::Allowed;
+            match after.map(text) {
+                None => assert!(is_ended, "{cut}: the connection has ended"),
+                after => assert_eq!(after, own(&paths[2]), "{cut}"),
+            }
+        });
+    }
+}
+
+#[derive(Debug)]
+#[derive(Deserialize)]
+struct Lookup {
+    key_prefix: String,
+}
+
+fn one_domain() -> Builder {
+    Cluster::builder(programs())
+        .places(&[("zagreb", "zagreb-a")])
+        .service("orders", ENDPOINTS)
+        .service("catalogue", ENDPOINTS)
+        .entry_setting("callers", "lookup_ttl", "1s")
+}
+
+/// Starts an entry alone, whose endpoints cut the answers to requests of these paths.
+fn start_entry(faults: impl IntoIterator<Item = Rule>) -> (Cluster, SocketAddr) {
+    let mut cluster = one_domain().prepare();
+    let rules: Vec<_> = faults.into_iter().collect();
+    for endpoint in &cluster.endpoints {
+        let rules = rules.clone();
+        endpoint.standin.script(|script| {
+            script.rules = rules;
+            script.slots = 100;
+        });
+    }
+    cluster.entries[0].start();
+    let entry = cluster.entries[0].addr("caller");
+    for service in ["orders", "catalogue"] {
+        let read = Call::get(&format!("/v1/services/{service}/warm-up"));
+        wait_until("the endpoints are in use", BOUND, || {
+            read.send(entry).is_ok_and(|answer| answer.status == 200)
+        });
+    }
+    (cluster, entry)
+}
+
+fn faults(cuts: &[AnswerCut], path: &str) -> Vec<Rule> {
+    let fault = |cut: &AnswerCut| {
+        let when = When::Path(format!("{path}{cut}"));
+        Rule::always(when, Fault::Cut(*cut))
+    };
+    cuts.iter().map(fault).collect()
+}
+
+/// An entry accepts no answer whose end isn't told by its framing.
+fn is_framed(cut: AnswerCut) -> bool {
+    cut.framing != Framing::Close
+}
+
+/// Checks what a caller of an entry got.
+#[track_caller]
+fn check_entry(cut: AnswerCut, body: &[u8], got: &Result<Answer, CallError>) {
+    if let Ok(answer) = got
+        && !answer.status.is_success()
+    {
+        let is_known = answer.status.is_server_error() || answer.result() == OUTCOME_UNKNOWN;
+        assert!(is_known, "{cut}: {answer:?}");
+        assert!(
+            !is_framed(cut) || !must_arrive(cut, body),
+            "{cut}: {answer:?}"
+        );
+        return;
+    }
+    assert!(is_framed(cut), "{cut}: {got:?}");
+    // An answer whose head has come begins, also if no more of it does.
+    let is_silent = matches!(got, Err(CallError::NoAnswer(_)));
+    assert!(!is_silent, "{cut}: {got:?}");
+    check(cut, body, got, Early::Allowed);
+}
+
+/// A read's answer ends early at each endpoint of an entry.
+#[test]
+fn a_cut_answer_to_a_read_of_an_entry_is_no_success() {
+    let cuts = cuts(64);
+    let (_cluster, entry) = start_entry(faults(&cuts, "/"));
+    for_cuts(&cuts, |cut| {
+        let path = format!("/{cut}");
+        let read = Call::get(&format!("/v1/services/catalogue{path}")).bound(BOUND);
+        let got = until_run(|_| read.send(entry));
+        let body = Payload::of_answer("GET", &path, b"").slice(0, 64);
+        check_entry(cut, &body, &got);
+    });
+}
+
+/// The answer to an order with a key ends early. What a resend gets isn't taken from the part that came.
+#[test]
+fn a_cut_answer_to_an_order_is_not_replayed() {
+    let cuts = fewer_cuts(64);
+    let (cluster, entry) = start_entry(faults(&cuts, "/"));
+    let prefix = eventually("the entry returns a prefix", BOUND, || {
+        let answer = Call::get("/v1/lookup?service=orders").send(entry).ok()?;
+        let lookup: Lookup = answer.json();
+        Some(lookup.key_prefix).filter(|prefix| !prefix.is_empty())
+    });
+    for_cuts(&cuts, |cut| {
+        let path = format!("/{cut}");
+        let key = format!("{prefix}{cut}");
+        let order = Call::post(&format!("/v1/services/orders{path}"), &key, ORDER).bound(BOUND);
+        let body = Payload::of_answer("POST", &path, ORDER.as_bytes()).slice(0, 64);
+        for _ in 0..2 {
+            let got = until_run(|_| order.send(entry));
+            check_entry(cut, &body, &got);
+        }
+    });
+    let record = cluster.record();
+    for cut in cuts {
+        assert_eq!(record.executions_of(&format!("{prefix}{cut}")), 1, "{cut}");
+    }
+}
+
+/// A download is lost and resumed, and the answer with its rest ends early too.
+#[test]
+fn a_resumed_download_that_is_cut_does_not_look_complete() {
+    let cuts: Vec<_> = fewer_cuts(30_000).into_iter().step_by(3).collect();
+    let lost_and_cut = |cut: &AnswerCut| {
+        let when = || When::Path(format!("/download/{cut}"));
+        let lost = Rule::once(when(), Fault::Truncate(FIRST_PART));
+        [lost, Rule::once(when(), Fault::Cut(*cut))]
+    };
+    let (_cluster, entry) = start_entry(cuts.iter().flat_map(lost_and_cut));
+    for_cuts(&cuts, |cut| {
+        let path = format!("/v1/services/catalogue/download/{cut}?bytes={LONG_BYTES}");
+        let got = until_run(|_| Call::get(&path).bound(BOUND).send(entry));
+        let body = Payload::of_download(&cut.to_string(), 1).slice(0, LONG_BYTES);
+        match got {
+            Ok(answer) if answer.status.is_success() => assert_eq!(answer.body, body, "{cut}"),
+            Ok(answer) => assert!(answer.status.is_server_error(), "{cut}: {answer:?}"),
+            Err(CallError::Cut { .. } | CallError::NoAnswer(_)) => {}
+            Err(e) => panic!("{cut}: {e}"),
+        }
+    });
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod contact;
 mod control;
 mod crashing;
+mod cut_answers;
 mod endless;
 mod endless_at_entries;
 mod entries;
--- a/tests/all/pipelining.rs
+++ b/tests/all/pipelining.rs
@@ -57,22 +57,22 @@
 
 /// An answer as it was received.
 #[derive(Debug)]
-struct Received {
-    status: u16,
-    head: String,
+pub(crate) struct Received {
+    pub(crate) status: u16,
+    pub(crate) head: String,
     /// The body as text.
-    body: String,
+    pub(crate) body: String,
     /// Length of the body.
-    len: usize,
+    pub(crate) len: usize,
 }
 
 /// A connection to a gateway, on which requests are sent without waiting for answers.
-struct Connection {
+pub(crate) struct Connection {
     stream: BufReader<TcpStream>,
 }
 
 impl Connection {
-    fn open(site: &Site) -> Self {
+    pub(crate) fn open(site: &Site) -> Self {
         let stream = TcpStream::connect(site.gateways[0].addr("caller")).expect("a connection");
         stream.set_read_timeout(Some(BOUND)).expect("a time limit");
         Self {
@@ -80,13 +80,13 @@
         }
     }
 
-    fn send(&mut self, bytes: &str) {
+    pub(crate) fn send(&mut self, bytes: &str) {
         let stream = self.stream.get_mut();
         stream.write_all(bytes.as_bytes()).expect("sent requests");
     }
 
     /// The next answer; `None` if the connection ends before it.
-    fn receive(&mut self) -> Option<Received> {
+    pub(crate) fn receive(&mut self) -> Option<Received> {
         let mut head = String::new();
         while !head.ends_with("\r\n\r\n") {
             if self.stream.read_line(&mut head).ok()? == 0 {
@@ -109,7 +109,7 @@
 }
 
 /// A request without a body.
-fn head(method: &str, path: &str, id: &str) -> String {
+pub(crate) fn head(method: &str, path: &str, id: &str) -> String {
     format!(
         "{method} {path} HTTP/1.1\r\nhost: {HOST}\r\nx-request-id: {id}\r\n\
          x-deadline-ms: 20000\r\n\r\n"
