Control: don't pause after the last attempt of an order

Operators who sent an order while there was no leader got its answer after about 950 ms, close to the second after which they give up, though its deadline is 850 ms: the pause before another attempt was made after the last one as well. The pause is made only if another attempt follows. No test asserts the time.

--- a/crates/filberthead/src/control/order_attempts.rs
+++ b/crates/filberthead/src/control/order_attempts.rs
@@ -55,8 +55,11 @@
                     Ok(None) => return self.unconditional(&received).await,
                     Ok(Some(revision)) => attempt.on_revision(self.now(), Ok(revision)),
                     Err(e) => {
-                        sleep(RETRY_PAUSE).await;
-                        attempt.on_revision(self.now(), Err(e))
+                        let next = attempt.on_revision(self.now(), Err(e));
+                        if next == NextStep::QueryRevision {
+                            sleep(RETRY_PAUSE).await;
+                        }
+                        next
                     }
                 },
                 NextStep::CheckSender { at } => {
