Explain: the orders about a failure domain, from the logs of control

Operators saw requests in a failure domain that they had evacuated, and had to join the lines of each order by hand to find the one that ended the evacuation.

--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod burn;
 mod logging;
 mod metrics;
+mod order_trace;
 pub mod samples;
 mod trace;
 mod words;
@@ -20,4 +21,5 @@
     ConnectionTotals, ControlMetrics, EntryMetrics, GatewayMetrics, OrderResult, PeerMetrics,
     PeerTotals, RequestMetrics, SlotMetrics,
 };
+pub use order_trace::{OrderFilter, OrderTrace};
 pub use trace::{Event, RequestTrace};
--- a/crates/observe/tests/trace.rs
+++ b/crates/observe/tests/trace.rs
@@ -1,7 +1,7 @@
 //! A request's trace holds the lines about it from all logs, in order, and no others.
 
 use bolero::check;
-use filberthead_observe::{Event, RequestTrace};
+use filberthead_observe::{Event, OrderFilter, OrderTrace, RequestTrace};
 
 fn line(ts: &str, process: &str, msg: &str, more: &str) -> String {
     format!(
@@ -234,3 +234,54 @@
     assert_eq!(words, [Some(expected.to_owned())]);
     assert_eq!(trace.process_states.len(), 2, "{:?}", trace.process_states);
 }
+
+/// Replicas' clocks differ, and orders that were refused lie between the others. The sequence in
+/// which orders took effect must not depend on that.
+#[test]
+fn orders_about_a_failure_domain_are_in_order_of_log_index() {
+    let received = |ts, process, id, content| {
+        let more = format!(r#","order":"{id}","content":"{content}","from":"10.0.0.1:99""#);
+        line(ts, process, "order received", &more)
+    };
+    let applied = |ts, process, id, index| {
+        let more = format!(r#","order":"{id}","index":"{index}","content":"return a-1""#);
+        line(ts, process, "order applied", &more)
+    };
+    let lines = [
+        received("01.000", "control-1", "b2", "evacuate a-1"),
+        applied("09.000", "control-2", "a1", 7),
+        applied("09.500", "control-1", "a1", 7),
+        applied("08.000", "control-1", "b2", 8),
+        received("02.000", "control-2", "c3", "return a-1"),
+        received("02.100", "control-2", "f6", "return a-1"),
+        line(
+            "02.200",
+            "control-2",
+            "order committed",
+            r#","order":"f6","index":9"#,
+        ),
+        line(
+            "02.200",
+            "control-1",
+            "order applied",
+            r#","index":9,"content":"return a-1""#,
+        ),
+        received("02.000", "control-2", "d4", "return a-11"),
+        received("02.000", "control-2", "e5", "routes 7"),
+    ];
+    let lines: Vec<_> = lines.iter().map(String::as_str).collect();
+    let traces = OrderTrace::from_lines(OrderFilter::FailureDomain("a-1"), lines.clone());
+    let shape = |trace: &OrderTrace| (trace.id.clone(), trace.index, trace.events.len());
+    let id = |id: &str| Some(id.to_owned());
+    assert_eq!(
+        traces.iter().map(shape).collect::<Vec<_>>(),
+        [
+            (id("a1"), Some(7), 1),
+            (id("b2"), Some(8), 2),
+            (id("f6"), Some(9), 3),
+            (id("c3"), None, 1)
+        ]
+    );
+    let one = OrderTrace::from_lines(OrderFilter::Id("d4"), lines);
+    assert_eq!(one.len(), 1);
+}
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -1,8 +1,9 @@
-//! `filberthead explain ID [FILE...]`: prints what logs contain about a request.
+//! `filberthead explain ID [FILE...]`: prints what logs contain about a request, or about operators'
+//! orders.
 
 use std::io::Read;
 
-use filberthead_observe::{Event, RequestTrace};
+use filberthead_observe::{Event, OrderFilter, OrderTrace, RequestTrace};
 use serde_json::json;
 
 use super::args::Args;
@@ -10,20 +11,20 @@
 use super::text;
 
 pub(super) fn run(mut args: Args, json_output: bool) -> Result<Exit> {
-    let id = args.positional("the request's id")?;
-    let mut files = Vec::new();
-    while let Some(file) = args.optional_positional() {
-        files.push(file);
-    }
-    args.finish()?;
-    let logs = if files.is_empty() {
-        vec![standard_input()?]
-    } else {
-        files
-            .iter()
-            .map(|file| read_file(file))
-            .collect::<Result<_>>()?
+    let (domain, order) = (args.option("failure-domain")?, args.option("order")?);
+    let filter = match (&domain, &order) {
+        (Some(domain), None) => Some(OrderFilter::FailureDomain(domain)),
+        (None, Some(id)) => Some(OrderFilter::Id(id)),
+        (None, None) => None,
+        (Some(_), Some(_)) => {
+            return Err(CliError::usage("give --failure-domain or --order"));
+        }
     };
+    if let Some(filter) = filter {
+        return explain_orders(filter, &read_logs(args)?, json_output);
+    }
+    let id = args.positional("the request's id")?;
+    let logs = read_logs(args)?;
     let trace = RequestTrace::from_lines(&id, logs.iter().flat_map(|log| log.lines()));
     let found = !trace.events.is_empty();
     if json_output {
@@ -41,6 +42,46 @@
     Ok(if found { Exit::Done } else { Exit::Refused })
 }
 
+fn explain_orders(filter: OrderFilter<'_>, logs: &[String], json_output: bool) -> Result<Exit> {
+    let traces = OrderTrace::from_lines(filter, logs.iter().flat_map(|log| log.lines()));
+    if json_output {
+        let object = |trace: &OrderTrace| json!({ "order": trace.id, "index": trace.index, "events": events_json(&trace.events) });
+        let orders: Vec<_> = traces.iter().map(object).collect();
+        text::print(&format!("{:#}\n", json!({ "orders": orders })));
+    } else if traces.is_empty() {
+        text::print("no line names such an order\n");
+    } else {
+        text::print(&traces.iter().map(render_order).collect::<String>());
+    }
+    Ok(match traces.is_empty() {
+        true => Exit::Refused,
+        false => Exit::Done,
+    })
+}
+
+fn render_order(trace: &OrderTrace) -> String {
+    let id = trace.id.as_deref().unwrap_or("without an id");
+    let mut page = match trace.index {
+        Some(index) => format!("order {id}, index {index}\n"),
+        None => format!("order {id}, not applied by these logs\n"),
+    };
+    trace.events.iter().for_each(|e| add(&mut page, e));
+    page
+}
+
+/// Reads the files that the remaining arguments name, or the standard input.
+fn read_logs(mut args: Args) -> Result<Vec<String>> {
+    let mut files = Vec::new();
+    while let Some(file) = args.optional_positional() {
+        files.push(file);
+    }
+    args.finish()?;
+    if files.is_empty() {
+        return Ok(vec![standard_input()?]);
+    }
+    files.iter().map(|file| read_file(file)).collect()
+}
+
 fn read_file(file: &str) -> Result<String> {
     let bytes = std::fs::read(file).map_err(|e| CliError::usage(format!("{file}: {e}")))?;
     Ok(String::from_utf8_lossy(&bytes).into_owned())
--- a/src/cli/help.rs
+++ b/src/cli/help.rs
@@ -30,7 +30,8 @@
   check FILE         find every problem of a settings file
   explain ID [FILE...]
                      what logs of any processes tell of a request, from files or standard
-                     input, in the order of time
+                     input, in the order of time; --failure-domain NAME or --order ID instead
+                     of the id for operators' orders, from the logs of control
   key ...            the keys of workspaces; see `filberthead help key`
   token new NAME ROLE [--services A,B]
                      generate a bearer token: role read, propose or accept
--- a/tests/all/evacuations.rs
+++ b/tests/all/evacuations.rs
@@ -3,6 +3,7 @@
 //! One invariant: an acknowledged order isn't undone by one that its operator has given up.
 
 use std::collections::BTreeSet;
+use std::process::Command;
 use std::time::{Duration, Instant};
 
 use filberthead::control::machine::Machine;
@@ -296,3 +297,35 @@
     assert!(counts.sum::<f64>() >= 38.0, "all are counted");
     site.controls.iter().for_each(wait_evacuated);
 }
+
+/// An evacuation has ended and nobody says that he ordered it: the logs name the order, its sender
+/// and the replica that received it.
+#[test]
+fn the_order_that_ended_an_evacuation_is_explained() {
+    let mut site = site().gateways(0).replicas(1).tolerate(0).start();
+    // The group is founded once an order is acknowledged.
+    order(&[&site.controls[0]], "evacuations.start");
+    site.controls[0].settings().set("log", "format", "json");
+    site.controls[0].restart();
+    order(&[&site.controls[0]], "evacuations.start");
+    order(&[&site.controls[0]], "evacuations.end");
+    let explained = eventually("the end is explained", BOUND, || {
+        let output = Command::new(env!("CARGO_BIN_EXE_filberthead"))
+            .args(["explain", "--failure-domain", DOMAIN])
+            .arg(site.dir().join("control-1.log"))
+            .output();
+        let page = output.expect("the command line starts").stdout;
+        let page = String::from_utf8_lossy(&page).into_owned();
+        let applied = page.split("\norder ").filter(|o| o.contains(", index "));
+        let end = applied.last()?;
+        let is_complete = end.contains("order answered") && end.contains("return");
+        is_complete.then(|| end.to_owned())
+    });
+    for part in [
+        "order received",
+        "content=return zagreb-a",
+        "from=127.0.0.1:",
+    ] {
+        assert!(explained.contains(part), "{part}: {explained}");
+    }
+}
