--- a/crates/filberthead/src/control/machine.rs
+++ b/crates/filberthead/src/control/machine.rs
@@ -54,7 +54,8 @@
     Claim(ClaimResult),
     /// Of a conditional order.
     EvacuationOrder(OrderOutcome),
-    /// Of an unconditional order, an address, a roster or a feature, which always succeed.
+    /// Of an entry that always succeeds: an unconditional order, an address, a roster, or the change to
+    /// conditional orders.
     NoOutcome,
 }
 
--- a/crates/filberthead/src/control/order_attempts.rs
+++ b/crates/filberthead/src/control/order_attempts.rs
@@ -1,4 +1,4 @@
-//! What an adapter's thread does to carry out an order about an evacuation.
+//! Carries out an order about an evacuation, on the thread of the adapter that received it.
 
 use std::time::Duration;
 
@@ -15,7 +15,7 @@
 /// Pause before another leader is asked.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
-/// The operator that has sent an order, behind the border to its protocol.
+/// The sender of an order, as the adapter of its protocol sees it.
 pub trait OrderSender {
     /// Whether it still waits for the answer, as far as can be told now.
     fn is_waiting(&self) -> bool;
--- a/crates/filberthead/src/stall.rs
+++ b/crates/filberthead/src/stall.rs
@@ -12,8 +12,8 @@
 const PERIOD: Duration = Duration::from_millis(50);
 /// Time without that after which the thread stood still.
 const MAX_SILENCE: Duration = Duration::from_millis(300);
-/// Time after a pause in which the thread reads what arrived during it.
-const BACKLOG: Duration = Duration::from_millis(100);
+/// Time after a pause in which the thread may still read what arrived during it.
+const CATCH_UP_PERIOD: Duration = Duration::from_millis(100);
 
 /// Tells whether what a thread reads from its sockets may have waited there, since the thread
 /// stood still: stopped by a signal, starved, or on a suspended VM.
@@ -43,23 +43,26 @@
         }
     }
 
-    /// Whether the thread stood still a moment ago.
-    pub fn has_backlog(&self) -> bool {
+    /// Whether the thread stood still a moment ago, and may read what arrived meanwhile.
+    pub fn is_catching_up(&self) -> bool {
         let now = self.observe();
-        self.resumed_at.get().is_some_and(|at| now < at + BACKLOG)
+        self.resumed_at
+            .get()
+            .is_some_and(|at| now < at + CATCH_UP_PERIOD)
     }
 
     fn observe(&self) -> Moment {
         let now = self.clock.now();
         let last_seen = self.last_seen.replace(now);
-        let is_backlog_read = self
+        let was_catching_up = self
             .resumed_at
             .get()
-            .is_none_or(|at| last_seen >= at + BACKLOG);
-        let max_silence = if is_backlog_read {
-            MAX_SILENCE
+            .is_some_and(|at| last_seen < at + CATCH_UP_PERIOD);
+        // What arrived during the first pause may still be unread after a shorter one.
+        let max_silence = if was_catching_up {
+            CATCH_UP_PERIOD
         } else {
-            BACKLOG
+            MAX_SILENCE
         };
         if now >= last_seen + max_silence {
             self.resumed_at.set(Some(now));
--- a/crates/fleet/src/evacuations.rs
+++ b/crates/fleet/src/evacuations.rs
@@ -1,10 +1,13 @@
 //! Orders about evacuations, as step functions free of I/O.
 //!
 //! An order has no version, so a replica that was held up could carry out one that its operator
-//! has given up, after a newer one. Each order is therefore committed on condition that no other
-//! one about its failure domain was committed since the replica that received it saw that the
-//! operator still waits. [`OrderRevisions`] is the part of the replicated state that decides on
-//! this, and [`OrderAttempt`] is what the receiving replica does.
+//! has given up, after a newer one. So the replicated state keeps the order revision of each failure
+//! domain, the log index of the last order about it ([`OrderRevisions`]). The replica that receives
+//! an order reads the revision, checks that the operator still waits, and proposes the order on
+//! condition that the revision is unchanged ([`OrderAttempt`]).
+//!
+//! This relies on operators that close the connection of an order that they give up, before they
+//! send anything newer, and on that close arriving within [`CLOSE_DELAY`] of the order.
 
 use std::collections::BTreeMap;
 use std::fmt;
