Gateway: a request that arrived before a planned stop is rejected only if it is known to outlast it

A caller that had sent requests ahead on one connection got 503 for the order behind its reads when the gateway was stopped in between, though the gateway had read the order before the signal.

What arrived during the stop is judged as before. What arrived earlier is rejected only if its route's times are known and exceed what is left.

--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -647,6 +647,22 @@
         *self.phase.borrow() >= Phase::Leaving
     }
 
+    /// Whether a planned stop had begun when a request arrived.
+    pub(crate) fn is_in_stop(&self, arrived: Instant) -> bool {
+        let times = self.stop_begun.get();
+        times.is_some_and(|times| times.began <= arrived)
+    }
+
+    /// Whether a request that arrived before a planned stop is known to take longer than the process has left.
+    pub(crate) fn outlasts_stop(&self, route: &TimedRoute<'_>, deadline: Deadline) -> bool {
+        let Some(times) = self.stop_begun.get() else {
+            return false;
+        };
+        let left = times.expected_by.saturating_duration_since(Instant::now());
+        let usual = self.usual_times.borrow().usual(route);
+        deadline.remaining() > left && usual.is_some_and(|usual| usual > left)
+    }
+
     /// By when a request must be answered that is passed on now; `None` if the process is likely to have stopped
     /// before the request ends.
     pub(crate) fn deadline_in_stop(
--- a/crates/filberthead/src/gateway/forwarding/mod.rs
+++ b/crates/filberthead/src/gateway/forwarding/mod.rs
@@ -62,6 +62,8 @@
     /// Response of an endpoint that ran the request and failed. The caller gets it if no further
     /// attempt can be made.
     pub(super) failed_response: Option<Response<ResponseBody>>,
+    /// Whether it arrived after a planned stop had begun.
+    pub(super) is_in_stop: bool,
     /// Measures it from its first attempt on.
     pub(super) timer: Option<RequestTimer>,
 }
--- a/crates/filberthead/src/gateway/forwarding/start.rs
+++ b/crates/filberthead/src/gateway/forwarding/start.rs
@@ -25,6 +25,22 @@
 const MAX_RELAYS: u32 = 2;
 
 impl<'a> Forwarding<'a> {
+    /// Whether an attempt that is started now may end before the process does. A request that arrived before a
+    /// planned stop is rejected only if it is known to take longer.
+    fn may_end_before_stop(&mut self) -> bool {
+        let route = TimedRoute::new(self.service, self.route);
+        if !self.is_in_stop {
+            return !self.core.outlasts_stop(&route, self.deadline);
+        }
+        match self.core.deadline_in_stop(&route, self.deadline) {
+            Some(deadline) => {
+                self.deadline = deadline;
+                true
+            }
+            None => false,
+        }
+    }
+
     /// Starts another attempt while those under way may not be answered, if it is allowed and there is an
     /// endpoint in reach for it.
     pub(super) fn start_another(
@@ -57,11 +73,9 @@
         if self.is_revoked() {
             return self.reject_revoked();
         }
-        let timed_route = TimedRoute::new(self.service, self.route);
-        let Some(deadline) = self.core.deadline_in_stop(&timed_route, self.deadline) else {
+        if !self.may_end_before_stop() {
             return Start::reject(ResultCode::Stopping, RETRY_AFTER_STOPPING);
-        };
-        self.deadline = deadline;
+        }
         if let Err(retry_after) = self.core.check_request(self.prints) {
             return Start::reject(ResultCode::CrashesEndpoints, retry_after);
         }
--- a/crates/filberthead/src/gateway/request/mod.rs
+++ b/crates/filberthead/src/gateway/request/mod.rs
@@ -86,7 +86,12 @@
         return ctx.reject(ResultCode::NoEndpoint, Some(RETRY_AFTER_STARTING));
     };
     let timed_route = TimedRoute::new(&target.service, route);
-    let Some(deadline) = core.deadline_in_stop(&timed_route, deadline) else {
+    let is_in_stop = core.is_in_stop(arrived);
+    let deadline = match is_in_stop {
+        true => core.deadline_in_stop(&timed_route, deadline),
+        false => Some(deadline),
+    };
+    let Some(deadline) = deadline else {
         return ctx.reject(ResultCode::Stopping, Some(RETRY_AFTER_STOPPING));
     };
     let attempts_before = match relayed {
@@ -149,6 +154,7 @@
         relays: 0,
         retry: &retry,
         failed_response: None,
+        is_in_stop,
         timer: None,
     };
     let mut response = forwarding.run(body).await;
--- a/crates/filberthead/src/gateway/stop.rs
+++ b/crates/filberthead/src/gateway/stop.rs
@@ -51,6 +51,8 @@
 /// Until when a planned stop leaves requests time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct StopTimes {
+    /// When it began.
+    pub(crate) began: Instant,
     /// When a request must be expected to end at the latest to be passed on.
     pub(crate) expected_by: Instant,
     /// When a request is answered that takes longer.
@@ -86,6 +88,7 @@
     pub(crate) async fn run(mut self) {
         let started = Instant::now();
         self.begun.0.get_or_init(|| StopTimes {
+            began: started,
             expected_by: started + self.grace.mul_f64(EXPECTED_FRACTION),
             answer_by: started + self.grace.mul_f64(ANSWER_FRACTION),
         });
