Lessor: a confirmation of a removal counts only until a grant withdraws it

What callers saw: nothing that was reported. An endpoint could be admitted to by two entries at once, so its slots were filled twice, for up to the length of a promise.

Cause: a member that has confirmed the removal of a silent one gives it no promises until a grant shows that it was kept. Such a grant withdraws the confirmation at the member, but control went on counting the one in the member's last renewal. If the two members are then cut off from control together, the first promises again, and control removes the second by the old confirmation as soon as its lease has lapsed: it stays in force by the promise, beside the next owner of its endpoints.

Evidence: found while reading how late grants are handled. The test a_confirmation_does_not_count_after_control_has_answered_that_the_member_is_back failed before, with 4 of 32 endpoints owned by two entries.

Why this works: control drops the confirmation when it answers with a grant that doesn't repeat it, whether the grant arrives or not. A member that still refuses says so in its next renewal.

--- a/crates/steer/src/lessor/roster.rs
+++ b/crates/steer/src/lessor/roster.rs
@@ -482,6 +482,7 @@
             return Membership::default();
         };
         let refuse = self.suspect(now).filter(|name| name != from);
+        self.withdraw_confirmation(from, refuse.as_ref());
         let Some(next_roster) = self.next_roster(&roster, from, renew.roster.as_ref()) else {
             return Membership {
                 refuse,
@@ -501,6 +502,14 @@
         }
     }
 
+    /// Drops the confirmation in an entry's last renewal unless its grant repeats whom to refuse. The
+    /// entry may promise again from when it receives the grant, and its next renewal may be lost.
+    fn withdraw_confirmation(&mut self, from: &NodeName, refuse: Option<&NodeName>) {
+        if let Some(renewal) = self.last_renewals.get_mut(from) {
+            renewal.refusing.take_if(|name| Some(&*name) != refuse);
+        }
+    }
+
     /// The roster that the entry must follow next; `None` while it may not follow any.
     fn next_roster(
         &self,
--- a/crates/steer/tests/all/main.rs
+++ b/crates/steer/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod broken_connections;
 mod common;
+mod confirmations;
 mod contact;
 mod policy;
 mod random;
