Ownership: a late grant doesn't withdraw a later confirmation of a removal

What callers saw: nothing that was reported. An endpoint could be admitted to by two entries at once, so its slots were filled twice, for up to the length of a promise.

Cause: a grant that names nobody to refuse withdraws the member's confirmation that another one may be removed. It did so also if the confirmation was sent after the renewal which the grant answers: an entry that reads the grant late, after a pause or from a link that was held up, promises again although control has removed the other one by the later confirmation. Whom to refuse was also taken from a grant by an older roster, which is otherwise ignored.

Why this works: each confirmation keeps the serial of the last renewal that carried it, and only a grant that answers that renewal or a later one withdraws it. Control handles renewals in the order of their serials, so when it answered, it knew of the confirmation and had dropped it.

--- a/crates/steer/src/ownership.rs
+++ b/crates/steer/src/ownership.rs
@@ -8,7 +8,7 @@
 //! current time before each admission, because a process that was suspended may resume with
 //! expired ones and a full queue.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use filberthead_types::{Epoch, Moment, NodeName};
@@ -44,10 +44,10 @@
     promises_given: BTreeMap<NodeName, Moment>,
     /// The member that control wants to remove, by its newest grant.
     suspect: Option<NodeName>,
-    /// Members whose removal this one has confirmed under its current roster. They get no
-    /// promises until a grant shows that they were kept: otherwise two removed members that
-    /// reconnect could put each other in force under the old roster.
-    confirmed_removals: BTreeSet<NodeName>,
+    /// Members whose removal this one has confirmed, with the serial of the last renewal that did.
+    /// They get no promises until a grant shows that they were kept: otherwise two removed members
+    /// that reconnect could put each other in force under the old roster.
+    confirmed_removals: BTreeMap<NodeName, u64>,
 }
 
 impl Ownership {
@@ -69,7 +69,7 @@
             promises_received: BTreeMap::new(),
             promises_given: BTreeMap::new(),
             suspect: None,
-            confirmed_removals: BTreeSet::new(),
+            confirmed_removals: BTreeMap::new(),
         }
     }
 
@@ -119,11 +119,12 @@
         })
     }
 
-    /// Returns the member whose removal this entry confirms to control, and from now on
-    /// refuses it promises.
+    /// Returns the member whose removal this entry confirms to control in the renewal of the newest
+    /// serial, and from now on refuses it promises.
     pub fn confirm_removal(&mut self, now: Moment) -> Option<NodeName> {
         let refusing = self.refusing(now).cloned()?;
-        self.confirmed_removals.insert(refusing.clone());
+        self.confirmed_removals
+            .insert(refusing.clone(), self.serial);
         Some(refusing)
     }
 
@@ -158,13 +159,23 @@
 
     /// Applies control's answer to a renewal.
     pub fn apply_grant(&mut self, grant: &Grant) {
-        self.suspect = grant.refuse.clone();
-        let Some(roster) = &grant.roster else { return };
         let current_epoch = self.roster.as_ref().map_or(Epoch(0), |r| r.epoch);
-        if roster.epoch < current_epoch {
+        let epoch = grant.roster.as_ref().map(|roster| roster.epoch);
+        if epoch.is_some_and(|epoch| epoch < current_epoch) {
             return;
         }
-        if roster.epoch > current_epoch {
+        self.suspect = grant.refuse.clone();
+        let Some(roster) = &grant.roster else { return };
+        let is_newer = roster.epoch > current_epoch;
+        // Control may have carried out a removal that was confirmed after the renewal which this
+        // grant answers.
+        let is_kept = |name: &NodeName, confirmed_by: u64| {
+            grant.serial >= confirmed_by
+                && (is_newer || roster.has(name) && grant.refuse.as_ref() != Some(name))
+        };
+        self.confirmed_removals
+            .retain(|name, confirmed_by| !is_kept(name, *confirmed_by));
+        if is_newer {
             let previous = self.roster.replace(roster.clone());
             self.unreleased = if roster.has(&self.node) {
                 None
@@ -173,10 +184,6 @@
                     .take()
                     .or(previous.filter(|r| r.has(&self.node)))
             };
-            self.confirmed_removals.clear();
-        } else {
-            let is_kept = |name: &NodeName| roster.has(name) && grant.refuse.as_ref() != Some(name);
-            self.confirmed_removals.retain(|name| !is_kept(name));
         }
         if grant.leased
             && let Some(sent_at) = self.sent_at.get(&grant.serial)
@@ -193,7 +200,8 @@
         // before it has a roster.
         let covers_both = |r: &Roster| r.has(by) && r.has(&self.node) && epoch.next() >= r.epoch;
         let is_member = self.roster.as_ref().is_some_and(covers_both);
-        if !is_member || self.confirmed_removals.contains(by) || self.refusing(now) == Some(by) {
+        if !is_member || self.confirmed_removals.contains_key(by) || self.refusing(now) == Some(by)
+        {
             return false;
         }
         self.promises_given
--- a/crates/steer/tests/all/confirmations.rs
+++ b/crates/steer/tests/all/confirmations.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use filberthead_steer::{Grant, LeasedShares, Lessor, Ownership, Renew};
+use filberthead_steer::{Grant, LeasedShares, Lessor, Ownership, Renew, Roster};
 use filberthead_types::{Epoch, Incarnation, Moment, NodeName};
 
-use crate::common::name;
+use crate::common::{ms, name};
 
 const STEP: Duration = Duration::from_millis(500);
 const MAX_REQUEST_DURATION: Duration = Duration::from_secs(60);
@@ -147,3 +147,45 @@
         domain.assert_one_owner_each();
     }
 }
+
+/// The answer that the silent member is back is read late, after a later renewal has confirmed the
+/// removal again and control has carried it out.
+#[test]
+fn a_late_grant_does_not_withdraw_a_later_confirmation() {
+    let mut domain = Domain::with_suspect();
+    domain.now += STEP;
+    renew(domain.now, &mut domain.lessor, &mut domain.silent);
+    let late = exchange(domain.now, &mut domain.lessor, &mut domain.confirming);
+    assert_eq!(late.refuse, None);
+    domain.run_without_others(ms(2000));
+    let next = exchange(domain.now, &mut domain.lessor, &mut domain.confirming);
+    assert_eq!(next.refuse.as_ref(), Some(&domain.silent.name));
+    domain.run_without_others(ms(3000));
+    let roster = domain.remaining.ownership.roster().expect("a roster");
+    assert!(!roster.has(&domain.silent.name));
+    domain.confirming.receive(&late);
+    domain.silent.ask(domain.now, &mut domain.confirming);
+    domain.assert_one_owner_each();
+}
+
+/// A grant by an older roster may neither name whom to refuse nor withdraw that.
+#[test]
+fn a_grant_by_an_older_roster_does_not_name_whom_to_refuse() {
+    let now = Duration::from_secs(100);
+    let members: Vec<_> = ["entry-1", "entry-2", "entry-3"].map(name).into();
+    let grant = |epoch: u64, serial: u64, refuse: Option<&NodeName>| Grant {
+        term: Epoch(1),
+        serial,
+        roster: Some(Roster {
+            epoch: Epoch(epoch),
+            members: members.clone(),
+        }),
+        leased: true,
+        refuse: refuse.cloned(),
+        parts: Vec::new(),
+    };
+    let mut ownership = Ownership::new(now, members[0].clone(), true);
+    ownership.apply_grant(&grant(2, 1, Some(&members[1])));
+    ownership.apply_grant(&grant(1, 2, Some(&members[2])));
+    assert_eq!(ownership.refusing(now), Some(&members[1]));
+}
