Control: no roster is proposed while a forget-entry is in progress

What callers saw: nothing that was reported. An entry that an operator had declared gone, with an acknowledgement, could be in the logged roster again. A next leader that starts from it waits for that entry: nothing is raised in the region until enough other members confirm its removal, and an operator's resend changes nothing, as its id has had its effect.

Cause: the leader proposed a roster that still had the entry between the proposal of forget-entry and its application. The log then holds the removal first and the older roster second.

Evidence: the test a_forgotten_entry_is_in_no_roster_that_is_logged_after_it failed before: `Some([entry-1, entry-2])` was logged after the removal of entry-2.

Why this works: both come from the same leader, so it is enough that it waits. What earlier leaders have proposed is applied before a new one has a lease, and it has a lessor only under a lease.

--- a/crates/filberthead/src/control/core.rs
+++ b/crates/filberthead/src/control/core.rs
@@ -19,7 +19,7 @@
 use filberthead_ring::{PushError, Receiver, Sender};
 use filberthead_spread::Leader;
 use filberthead_steer::Message as Steer;
-use filberthead_table::{Command, Outcome, Table};
+use filberthead_table::{Command, Operation, Outcome, Table};
 use filberthead_types::{FailureDomain, Moment, NodeName, ReplicaId};
 use log::{error, info, warn};
 use tokio::sync::oneshot;
@@ -53,6 +53,8 @@
 pub(super) enum Pending {
     /// A command on the table.
     Submit(oneshot::Sender<Result<Outcome, SubmitError>>),
+    /// A command that declares an entry gone.
+    ForgetEntry(oneshot::Sender<Result<Outcome, SubmitError>>),
     /// A read of the table.
     Read(oneshot::Sender<Result<Arc<Table>, SubmitError>>),
     /// A change of the membership.
@@ -303,12 +305,17 @@
         command: Command,
         reply: oneshot::Sender<Result<Outcome, SubmitError>>,
     ) {
+        let forgets_entry = matches!(command.operation, Operation::ForgetEntry(_));
         let Ok(buf) = postcard::to_stdvec(&machine::Entry::Table(command)) else {
             error!("can't encode a command");
             let _ = reply.send(Err(SubmitError::Busy));
             return;
         };
-        let token = self.add_pending(Pending::Submit(reply));
+        let token = self.add_pending(if forgets_entry {
+            Pending::ForgetEntry(reply)
+        } else {
+            Pending::Submit(reply)
+        });
         let proposal = Proposal::Command(buf);
         self.step(Event::Propose { token, proposal }).await;
     }
@@ -504,7 +511,7 @@
 
     fn committed(&mut self, token: Token, index: u64) {
         match self.pending.remove(&token) {
-            Some(Pending::Submit(reply)) => {
+            Some(Pending::Submit(reply) | Pending::ForgetEntry(reply)) => {
                 let outcome = self.outcomes.remove(&index);
                 let _ = reply.send(outcome.ok_or(SubmitError::OutcomeUnknown));
             }
@@ -569,7 +576,7 @@
                 info!(order:% = id, error:? = for_order; "order failed");
                 self.finish_evacuation_order(reply_to, Err(for_order));
             }
-            Some(Pending::Submit(reply)) => {
+            Some(Pending::Submit(reply) | Pending::ForgetEntry(reply)) => {
                 let _ = reply.send(Err(error));
             }
             Some(Pending::Read(reply)) => {
@@ -662,3 +669,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/filberthead/src/control/core/tests.rs
@@ -0,0 +1,165 @@
+//! Order of a leader's proposals. The test takes the place of the disk, so that it determines when
+//! they are committed.
+
+use std::time::Duration;
+
+use filberthead_steer::{Renew, Roster};
+use filberthead_table::{Actor, Role, Timestamp};
+use filberthead_types::{ChangeId, Epoch, Incarnation};
+
+use super::*;
+use crate::control::input::disk_queue;
+use crate::peers;
+
+const ID: ReplicaId = ReplicaId(1);
+
+/// The only replica of a group.
+struct Group {
+    core: Core,
+    disk: Receiver<DiskJob>,
+}
+
+fn addr() -> SocketAddr {
+    ([127, 0, 0, 1], 7000).into()
+}
+
+fn name(text: &str) -> NodeName {
+    text.parse().expect("a name")
+}
+
+fn domain() -> FailureDomain {
+    "zagreb-a".parse().expect("a name")
+}
+
+impl Group {
+    async fn with_leader() -> Self {
+        let (disk_tx, disk) = disk_queue();
+        let (out, _) = peers::outgoing();
+        let (published, _) = tokio::sync::watch::channel(Default::default());
+        let members = Members {
+            voters: BTreeSet::from([ID]),
+            learners: BTreeSet::new(),
+        };
+        let snapshot = Snapshot {
+            index: 1,
+            members,
+            ..Snapshot::default()
+        };
+        let core = Core::new(Parts {
+            id: ID,
+            clock: Clock::start(),
+            cfg: Config::builder()
+                .election_timeout(Duration::from_millis(20))
+                .build(),
+            durable: Durable {
+                snapshot,
+                ..Durable::default()
+            },
+            address_book: AddressBook::new(addr(), []),
+            hello: HelloInfo {
+                leads: false,
+                operator_addr: addr(),
+                leader: None,
+                is_reply: false,
+            },
+            identity: Identity {
+                cluster: "test".to_owned(),
+                node: name("control-1"),
+                peer_addr: addr(),
+            },
+            out,
+            disk: disk_tx,
+            gauges: Gauges {
+                metrics: Arc::default(),
+                peers: Arc::default(),
+            },
+            fleet: Fleet::new(None, published),
+        });
+        let mut group = Self { core, disk };
+        while group
+            .core
+            .replica
+            .lease_until(group.core.clock.now())
+            .is_none()
+        {
+            group.core.tick().await;
+            group.sync().await;
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        group
+    }
+
+    /// Syncs what is queued for the disk, which commits it.
+    async fn sync(&mut self) {
+        while let Some(job) = self.disk.try_recv() {
+            if let DiskJob::Persist { persist, .. } = job {
+                let seq = persist.seq;
+                self.core.handle_input(Input::Persisted { seq }).await;
+            }
+        }
+    }
+
+    async fn forget_entry(&mut self, entry: &str) {
+        let (reply, _) = oneshot::channel();
+        let command = Command {
+            id: ChangeId(1),
+            actor: Actor {
+                name: "ana".to_owned(),
+                role: Role::Accept,
+            },
+            at: Timestamp(0),
+            findings: Vec::new(),
+            operation: Operation::ForgetEntry(name(entry)),
+        };
+        let req = AdminRequest::Submit { command, reply };
+        self.core.handle_admin(req).await;
+    }
+
+    /// An entry renews that follows a roster with these members.
+    async fn renew(&mut self, from: &str, serial: u64, members: &[&str]) {
+        let renew = Renew {
+            incarnation: Incarnation(1),
+            region: "zagreb".parse().expect("a name"),
+            failure_domain: domain(),
+            term: Epoch(0),
+            serial,
+            accepted: 0,
+            roster: Some(Roster {
+                epoch: Epoch(5),
+                members: members.iter().map(|member| name(member)).collect(),
+            }),
+            refusing: None,
+            promised: Vec::new(),
+            leaving: false,
+            silence: None,
+            parts: Vec::new(),
+            demand: Vec::new(),
+        };
+        let origin = Origin {
+            name: name(from),
+            incarnation: renew.incarnation,
+            addr: addr(),
+            replica: None,
+        };
+        self.core.handle_renewal(&origin, &renew).await;
+    }
+
+    fn logged_members(&self) -> Option<Vec<NodeName>> {
+        let stored = self.core.machine.rosters.get(&domain())?;
+        Some(stored.roster.members.clone())
+    }
+}
+
+/// A roster that is proposed before `forget-entry` is applied, and applied after it, brings the
+/// entry back for the next leader.
+#[tokio::test]
+async fn a_forgotten_entry_is_in_no_roster_that_is_logged_after_it() {
+    let mut group = Group::with_leader().await;
+    group.forget_entry("entry-2").await;
+    group.renew("entry-1", 1, &["entry-1", "entry-2"]).await;
+    group.sync().await;
+    assert_eq!(group.logged_members(), None);
+    group.renew("entry-1", 2, &["entry-1", "entry-2"]).await;
+    group.sync().await;
+    assert_eq!(group.logged_members(), Some(vec![name("entry-1")]));
+}
--- a/crates/filberthead/src/control/shares.rs
+++ b/crates/filberthead/src/control/shares.rs
@@ -195,10 +195,16 @@
         }
     }
 
+    /// Proposes a roster unless it has to wait. Entries renew again until they get a grant by it.
     async fn propose_roster(&mut self, roster: StoredRoster) {
         let domain = roster.failure_domain.clone();
-        let is_same = |p: &Pending| matches!(p, Pending::Roster(pending) if *pending == domain);
-        if self.pending.values().any(is_same) {
+        let must_wait = |pending: &Pending| match pending {
+            Pending::Roster(pending) => *pending == domain,
+            // The roster may have the entry, and would be applied after the entry was removed.
+            Pending::ForgetEntry(_) => true,
+            _ => false,
+        };
+        if self.pending.values().any(must_wait) {
             return;
         }
         let Ok(buf) = postcard::to_stdvec(&Entry::Roster(roster)) else {
