Control: a list of endpoints counts for the term in which it was asked for

What callers saw: nothing that was reported. Gateways could get an older list of endpoints under a newer stamp, until the next read: requests to endpoints that had left, none to new ones.

Cause: a list was stamped with the term in which the consensus duty handled it. A replica that asks for it, loses its leadership to another replica that reads a newer list, and leads again, has the older one replace that.

Evidence: the test a_list_that_was_asked_for_in_an_earlier_term_is_ignored failed with the comparison switched off: stamp 1.2 in place of 1.1.

Why this works: the reader takes the term together with the request to read, and the list is dropped unless the replica leads in that term. The next one is read within a period. A replica that has no list yet takes it as before, under a stamp that any leader's list replaces.

--- a/crates/filberthead/src/control/core/tests.rs
+++ b/crates/filberthead/src/control/core/tests.rs
@@ -1,13 +1,15 @@
-//! Order of a leader's proposals. The test takes the place of the disk, so that it determines when
-//! they are committed.
+//! A leader's state when inputs arrive late. The test takes the place of the disk, so that it
+//! determines when proposals are committed.
 
 use std::time::Duration;
 
+use filberthead_fleet::{Endpoint, EndpointState, Stamp};
 use filberthead_steer::{Renew, Roster};
 use filberthead_table::{Actor, Role, Timestamp};
 use filberthead_types::{ChangeId, Epoch, Incarnation};
 
 use super::*;
+use crate::control::handle::HandleRequest;
 use crate::control::input::disk_queue;
 use crate::peers;
 
@@ -31,6 +33,19 @@
     "zagreb-a".parse().expect("a name")
 }
 
+fn endpoint(id: &str) -> Endpoint {
+    Endpoint {
+        id: id.to_owned(),
+        incarnation: None,
+        service: "orders".parse().expect("a name"),
+        addr: addr(),
+        domain: domain(),
+        slots: 1,
+        state: EndpointState::Ready,
+        cold_left: Duration::ZERO,
+    }
+}
+
 impl Group {
     async fn with_leader() -> Self {
         let (disk_tx, disk) = disk_queue();
@@ -144,6 +159,16 @@
         self.core.handle_renewal(&origin, &renew).await;
     }
 
+    async fn submit_endpoints(&mut self, term: u64, endpoints: &[&str]) {
+        let list = endpoints.iter().map(|id| endpoint(id)).collect();
+        let req = HandleRequest::EndpointList { term, list };
+        self.core.handle_adapter_request(req).await;
+    }
+
+    fn list_stamp(&self) -> Stamp {
+        self.core.fleet.registry.revisions().endpoints
+    }
+
     fn logged_members(&self) -> Option<Vec<NodeName>> {
         let stored = self.core.machine.rosters.get(&domain())?;
         Some(stored.roster.members.clone())
@@ -163,3 +188,15 @@
     group.sync().await;
     assert_eq!(group.logged_members(), Some(vec![name("entry-1")]));
 }
+
+/// A list that was asked for in an earlier term replaces what a leader has read since, under a newer
+/// stamp.
+#[tokio::test]
+async fn a_list_that_was_asked_for_in_an_earlier_term_is_ignored() {
+    let mut group = Group::with_leader().await;
+    let term = group.core.term();
+    group.submit_endpoints(term, &["endpoint-1"]).await;
+    assert_eq!(group.list_stamp(), Stamp { term, seq: 1 });
+    group.submit_endpoints(term - 1, &[]).await;
+    assert_eq!(group.list_stamp(), Stamp { term, seq: 1 });
+}
--- a/crates/filberthead/src/control/fleet.rs
+++ b/crates/filberthead/src/control/fleet.rs
@@ -135,15 +135,16 @@
                 reply,
             } => self.evacuation_order(order, deadline, reply).await,
             HandleRequest::Routes { deadline, reply } => self.read_routes(deadline, reply).await,
-            HandleRequest::EndpointList(list) => self.update_endpoint_list(list),
+            HandleRequest::EndpointList { term, list } => self.update_endpoint_list(term, list),
         }
     }
 
-    fn update_endpoint_list(&mut self, list: Vec<filberthead_fleet::Endpoint>) {
+    fn update_endpoint_list(&mut self, asked_in: u64, list: Vec<filberthead_fleet::Endpoint>) {
         let now = self.clock.now();
         let replica = self.replica.status(now);
         let before = self.fleet.registry.revisions().endpoints;
-        let term = if replica.holds_lease {
+        // Another leader may have read a newer list since an earlier term.
+        let term = if replica.holds_lease && replica.term.0 == asked_in {
             replica.term.0
         } else if before.seq == 0 {
             // Superseded by any leader's list, even an older one.
@@ -332,17 +333,21 @@
     fn publish_state(&mut self, now: Moment) {
         let gateways = self.fleet.registry.ready_gateways(now);
         let replica = self.replica.status(now);
-        let leads = replica.holds_lease;
         let has_no_list = self.fleet.registry.revisions().endpoints.seq == 0;
-        let polls_endpoint_list =
-            leads || (has_no_list && replica.leader.is_none() && now >= LEADER_LIST_TIMEOUT);
+        let reads_without_leader =
+            has_no_list && replica.leader.is_none() && now >= LEADER_LIST_TIMEOUT;
+        let endpoint_list_term = if replica.holds_lease {
+            Some(replica.term.0)
+        } else {
+            reads_without_leader.then_some(NO_TERM)
+        };
         self.fleet.published.send_if_modified(|published| {
-            let unchanged = published.polls_endpoint_list == polls_endpoint_list
+            let unchanged = published.endpoint_list_term == endpoint_list_term
                 && *published.gateways == *gateways;
             if !unchanged {
                 *published = PublishedState {
                     gateways: gateways.into(),
-                    polls_endpoint_list,
+                    endpoint_list_term,
                 };
             }
             !unchanged
--- a/crates/filberthead/src/control/handle.rs
+++ b/crates/filberthead/src/control/handle.rs
@@ -37,9 +37,9 @@
 pub struct PublishedState {
     /// The gateways that callers may be sent to.
     pub gateways: Arc<[GatewayInfo]>,
-    /// Whether this replica is to poll the platform's endpoint list: while it leads, or while it
-    /// has neither a list nor a known leader.
-    pub polls_endpoint_list: bool,
+    /// Term in which this replica is to read the platform's endpoint list: its own while it leads, 0
+    /// while it has neither a list nor a known leader, and `None` otherwise.
+    pub endpoint_list_term: Option<u64>,
 }
 
 /// Submits orders and reads to the consensus duty. Cheap to clone.
@@ -81,7 +81,11 @@
         reply: oneshot::Sender<Result<Option<Arc<Change>>, OrderError>>,
     },
     /// Store the platform's endpoint list.
-    EndpointList(Vec<Endpoint>),
+    EndpointList {
+        /// Term in which it was asked for.
+        term: u64,
+        list: Vec<Endpoint>,
+    },
 }
 
 impl ControlHandle {
@@ -183,10 +187,14 @@
         rx.await.unwrap_or(Err(OrderError::NoLeader))
     }
 
-    /// Submits the platform's endpoint list. A replica that doesn't lead ignores it if it has a
-    /// list already. It is dropped if the queue is full; the next one is read soon.
-    pub fn submit_endpoints(&self, list: Vec<Endpoint>) {
-        if self.push(HandleRequest::EndpointList(list)).is_err() {
+    /// Submits the platform's endpoint list, which was asked for in `term`. A replica that doesn't lead
+    /// in that term ignores it if it has a list already. It is dropped if the queue is full; the next
+    /// one is read soon.
+    pub fn submit_endpoints(&self, term: u64, list: Vec<Endpoint>) {
+        if self
+            .push(HandleRequest::EndpointList { term, list })
+            .is_err()
+        {
             log::warn!("endpoint list dropped, the queue to the consensus duty is full");
         }
     }
