Control: a report that is read after a pause is relayed as being as old as the pause

What callers saw: nothing that was reported. Look-ups at all replicas could name a gateway that had left or was dead, for up to 1.6 s after one replica had stood still; and what that gateway or another one had used of a limit went back to an older figure until its next report.

Cause: a replica that stood still reads reports that were sent before or during its pause. It took them as sent when they were read and relayed them with an age of nearly 0, so they replaced newer reports, a notice that the gateway leaves among them, at replicas that had never stood still.

Why this works: the consensus duty notices that it stood still, and the registry keeps the earliest moment at which a report can have been sent, beside that at which it was read. Reports are compared and relayed by the former. Whether a gateway is alive is still decided by the latter on the replica itself, which otherwise would name no gateway for up to half a second after a pause. No message changes, so replicas of two releases work together.

--- a/crates/filberthead/src/control/core.rs
+++ b/crates/filberthead/src/control/core.rs
@@ -34,9 +34,9 @@
 use super::orders::{ReadReplyTo, ReplyTo, order_error};
 use super::shares::Shares;
 use super::spreading::{Leadership, Spreading};
-use crate::Clock;
 use crate::peers::Outgoing;
 use crate::stop::Stop;
+use crate::{Clock, StallMonitor};
 
 /// A quarter of the default heartbeat.
 const TICK: Duration = Duration::from_millis(50);
@@ -129,6 +129,7 @@
     /// Whether the data folder can't be written. The replica takes no part in consensus
     /// meanwhile.
     disk_failed: bool,
+    pub(super) stalls: StallMonitor,
 }
 
 impl Core {
@@ -165,6 +166,7 @@
             fleet: parts.fleet,
             disk_epoch: 0,
             disk_failed: false,
+            stalls: StallMonitor::with_clock(parts.clock),
         };
         core.update_addresses();
         core.spread_committed(now);
@@ -194,6 +196,7 @@
     }
 
     async fn tick(&mut self) {
+        self.observe_pause();
         self.step(Event::Tick).await;
         let now = self.clock.now();
         if now >= self.next_metrics {
--- a/crates/filberthead/src/control/core/tests.rs
+++ b/crates/filberthead/src/control/core/tests.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use filberthead_fleet::{Endpoint, EndpointState, Stamp};
+use filberthead_fleet::{Endpoint, EndpointState, GatewayInfo, Load, Member, Message, Stamp};
 use filberthead_steer::{Renew, Roster};
 use filberthead_table::{Actor, Role, Timestamp};
 use filberthead_types::{ChangeId, Epoch, Incarnation};
@@ -159,6 +159,32 @@
         self.core.handle_renewal(&origin, &renew).await;
     }
 
+    /// Receives the first report of a gateway; returns its age as it is relayed.
+    async fn report(&mut self, gateway: &str) -> Duration {
+        let info = GatewayInfo {
+            name: name(gateway),
+            region: "zagreb".parse().expect("a name"),
+            domain: domain(),
+            caller_addr: addr(),
+            relay_addr: addr(),
+        };
+        let mut member = Member::new(info, [addr()], 1);
+        let (_, report) = member.tick(self.core.clock.now(), Load::default).remove(0);
+        let origin = Origin {
+            name: name(gateway),
+            incarnation: Incarnation(1),
+            addr: addr(),
+            replica: None,
+        };
+        self.core.receive(origin, Body::Fleet(report)).await;
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        let roster = self.core.fleet.registry.roster(self.core.clock.now());
+        match roster {
+            Some(Message::Roster(gateways)) => gateways[0].age,
+            other => panic!("no report to relay: {other:?}"),
+        }
+    }
+
     async fn submit_endpoints(&mut self, term: u64, endpoints: &[&str]) {
         let list = endpoints.iter().map(|id| endpoint(id)).collect();
         let req = HandleRequest::EndpointList { term, list };
@@ -200,3 +226,20 @@
     group.submit_endpoints(term - 1, &[]).await;
     assert_eq!(group.list_stamp(), Stamp { term, seq: 1 });
 }
+
+/// A report that lay in the socket while the process stood still is relayed as a new one, and replaces
+/// newer ones at the other replicas.
+#[tokio::test]
+async fn a_report_that_is_read_after_a_pause_is_relayed_as_being_as_old_as_the_pause() {
+    let pause = Duration::from_secs(1);
+    let mut group = Group::with_leader().await;
+    group.core.tick().await;
+    std::thread::sleep(pause);
+    let age = group.report("gateway-1").await;
+    assert!(age >= pause, "{age:?}");
+    while group.core.stalls.is_catching_up() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let age = group.report("gateway-2").await;
+    assert!(age < pause / 2, "{age:?}");
+}
--- a/crates/filberthead/src/control/fleet.rs
+++ b/crates/filberthead/src/control/fleet.rs
@@ -211,6 +211,7 @@
                 }
             }
             other => {
+                self.observe_pause();
                 let proven = self.replica.lease_until(now).is_some();
                 let registry = &mut self.fleet.registry;
                 let out = registry.receive(now, origin.addr, other, proven);
@@ -219,6 +220,13 @@
         }
     }
 
+    /// Lets the registry know whether what this duty reads has waited. Called at least as often as the
+    /// duty ticks, so that a time without messages isn't taken for a pause.
+    pub(super) fn observe_pause(&mut self) {
+        let since = self.stalls.unread_since();
+        self.fleet.registry.set_unread_since(since);
+    }
+
     pub(super) fn send_fleet(&mut self, out: Vec<Outbound>) {
         for (to, message) in out {
             self.send(to, Body::Fleet(message));
--- a/crates/filberthead/src/stall.rs
+++ b/crates/filberthead/src/stall.rs
@@ -21,16 +21,34 @@
 pub struct StallMonitor {
     clock: Clock,
     last_seen: Cell<Moment>,
-    resumed_at: Cell<Option<Moment>>,
+    /// The last pause, with those that it followed closely.
+    pause: Cell<Option<Pause>>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Pause {
+    began_at: Moment,
+    ended_at: Moment,
+}
+
+impl Pause {
+    /// Whether the thread may still read what arrived during the pause.
+    fn is_catching_up(&self, now: Moment) -> bool {
+        now < self.ended_at + CATCH_UP_PERIOD
+    }
 }
 
 impl StallMonitor {
     /// Creates a monitor of the current thread.
     pub fn new() -> Self {
-        let clock = Clock::start();
+        Self::with_clock(Clock::start())
+    }
+
+    /// The same, with this clock.
+    pub(crate) fn with_clock(clock: Clock) -> Self {
         Self {
             last_seen: Cell::new(clock.now()),
-            resumed_at: Cell::new(None),
+            pause: Cell::new(None),
             clock,
         }
     }
@@ -45,27 +63,34 @@
 
     /// Whether the thread stood still a moment ago, and may read what arrived meanwhile.
     pub fn is_catching_up(&self) -> bool {
+        self.unread_since().is_some()
+    }
+
+    /// Since when what the thread reads now may have waited; `None` if it hasn't stood still a moment
+    /// ago.
+    pub(crate) fn unread_since(&self) -> Option<Moment> {
         let now = self.observe();
-        self.resumed_at
-            .get()
-            .is_some_and(|at| now < at + CATCH_UP_PERIOD)
+        let pause = self.pause.get().filter(|pause| pause.is_catching_up(now));
+        pause.map(|pause| pause.began_at)
     }
 
     fn observe(&self) -> Moment {
         let now = self.clock.now();
         let last_seen = self.last_seen.replace(now);
-        let was_catching_up = self
-            .resumed_at
+        let earlier = self
+            .pause
             .get()
-            .is_some_and(|at| last_seen < at + CATCH_UP_PERIOD);
+            .filter(|pause| pause.is_catching_up(last_seen));
         // What arrived during the first pause may still be unread after a shorter one.
-        let max_silence = if was_catching_up {
-            CATCH_UP_PERIOD
-        } else {
-            MAX_SILENCE
+        let max_silence = match earlier {
+            Some(_) => CATCH_UP_PERIOD,
+            None => MAX_SILENCE,
         };
         if now >= last_seen + max_silence {
-            self.resumed_at.set(Some(now));
+            self.pause.set(Some(Pause {
+                began_at: earlier.map_or(last_seen, |pause| pause.began_at),
+                ended_at: now,
+            }));
         }
         now
     }
--- a/crates/fleet/src/registry.rs
+++ b/crates/fleet/src/registry.rs
@@ -72,7 +72,10 @@
     ready: bool,
     helps: bool,
     contended: bool,
+    /// When the report was read, less its age if it was relayed.
     last_seen: Moment,
+    /// The earliest moment at which it can have been sent.
+    as_of: Moment,
     demand: Vec<Demand>,
     usage: Vec<Usage>,
     refused: Vec<RefusedRate>,
@@ -137,6 +140,8 @@
     transfers: OutgoingTransfers,
     /// Reports that this replica couldn't answer with a proof.
     proof_requests: Vec<ProofRequest>,
+    /// Since when what is received may have waited unread; `None` if it hasn't.
+    unread_since: Option<Moment>,
     /// When reports were last relayed to the other replicas.
     last_roster: Moment,
     totals: RefCell<Option<Totals>>,
@@ -239,6 +244,13 @@
         self.announce_if_applied(now, outcome)
     }
 
+    /// Sets since when what is received from now on may have waited, as this process stood still; `None`
+    /// if it hasn't. Reports that are read after a pause are relayed as being that old: they may be
+    /// older than what other replicas hold.
+    pub fn set_unread_since(&mut self, since: Option<Moment>) {
+        self.unread_since = since;
+    }
+
     /// Handles a message from a gateway or another replica. `proven` is whether this replica
     /// can prove at this moment that no newer revision than its own has been accepted.
     pub fn receive(
@@ -301,6 +313,7 @@
             helps: report.helps,
             contended: report.contended,
             last_seen: now,
+            as_of: self.unread_since.unwrap_or(now),
             demand: report.demand,
             usage: report.usage,
             refused: report.refused,
@@ -349,8 +362,13 @@
     fn on_roster(&mut self, now: Moment, gateways: Vec<RelayedReport>) {
         for relayed in gateways {
             let last_seen = now.saturating_sub(relayed.age);
+            let as_of = self.unread_since.unwrap_or(now).saturating_sub(relayed.age);
+            let is_older = |current: &GatewayState| match self.unread_since {
+                Some(_) => current.last_seen >= last_seen,
+                None => current.as_of >= last_seen,
+            };
             let current = self.gateways.get(&relayed.gateway.name);
-            if current.is_some_and(|current| current.last_seen >= last_seen) {
+            if current.is_some_and(is_older) {
                 continue;
             }
             let direct = current.and_then(|current| current.direct);
@@ -361,6 +379,7 @@
                 helps: relayed.helps,
                 contended: relayed.contended,
                 last_seen,
+                as_of,
                 demand: relayed.demand,
                 usage: relayed.usage,
                 refused: relayed.refused,
@@ -393,7 +412,7 @@
             work: gateway.work.clone(),
             link_milli: gateway.link_milli,
             suspicions: gateway.suspicions.clone(),
-            age: now.saturating_sub(gateway.last_seen),
+            age: now.saturating_sub(gateway.as_of),
         };
         let gateways = self.gateways.values().filter(reported);
         let gateways: Vec<_> = gateways.map(relayed).collect();
--- a/crates/fleet/tests/all/reporting.rs
+++ b/crates/fleet/tests/all/reporting.rs
@@ -303,6 +303,28 @@
     assert!(local.ready_gateways(ms(1400)).is_empty());
 }
 
+/// Guards against a gateway that has left and is listed again by all replicas, because one of them stood
+/// still and reads an earlier report of it.
+#[test]
+fn a_report_that_is_read_after_a_pause_does_not_replace_a_newer_one() {
+    let mut local = Registry::default();
+    let mut paused = Registry::default();
+    let mut member = Member::new(info(1), [replica_addr(0)], 100);
+    member.set_ready(true);
+    let report = |member: &mut Member, now| member.tick(now, Load::default).remove(0).1;
+    let first = report(&mut member, ms(1000));
+    member.set_ready(false);
+    let last = report(&mut member, ms(1500));
+    local.receive(ms(1500), gateway_addr(1), last, false);
+    paused.set_unread_since(Some(ms(900)));
+    paused.receive(ms(9000), gateway_addr(1), first, false);
+    let from_paused = paused.roster(ms(9050)).expect("a gateway has reported");
+    local.receive(ms(9100), replica_addr(1), from_paused, false);
+    assert!(local.ready_gateways(ms(9100)).is_empty());
+    // The replica itself lists it no longer than one that has just fallen silent.
+    assert!(paused.ready_gateways(ms(9000 + 1600)).is_empty());
+}
+
 /// Guards against a dead gateway that stays listed because replicas keep relaying its report.
 #[test]
 fn a_relayed_report_is_not_relayed_again() {
