Control: forget-entry is refused for an entry that may hold a lease

What callers saw: nothing that was reported. An entry in service could lose its place in the roster and its parts of limits while it used them: two owners of an endpoint, and more requests than a limit, until its lease had lapsed.

Cause: forget-entry names an entry and not its start. A copy that its operator has given up and that arrives late, from a link that was cut or a process that stood still, removes an entry that was replaced under the same name in the meantime, as docs/operators/replace-a-vm.md recommends. The id helps only if another copy took effect.

Evidence: an_entry_that_renews_is_not_forgotten failed with the check switched off: the command was taken at once.

Why this works: an entry that is gone holds no lease. The leader refuses the command with `unavailable` for an entry that has renewed within the length of a lease, and for any while leases of its predecessor may be valid; the command line tries again, so an operator who forgets an entry right after its end waits for some seconds. A resend that has taken effect gets its first outcome as before. Nothing changes in the log, so replicas of two releases work together.

--- a/crates/filberthead/src/control/admin.rs
+++ b/crates/filberthead/src/control/admin.rs
@@ -100,6 +100,9 @@
             },
             SubmitError::LearnerBehind => Self::LearnerBehind,
             SubmitError::OutcomeUnknown => Self::OutcomeUnknown,
+            SubmitError::EntryMayBeAlive => {
+                unavailable("the entry has renewed its lease lately, or the leader is new")
+            }
             SubmitError::Busy => unavailable("the log takes no more for the moment"),
         }
     }
--- a/crates/filberthead/src/control/core.rs
+++ b/crates/filberthead/src/control/core.rs
@@ -308,6 +308,10 @@
         command: Command,
         reply: oneshot::Sender<Result<Outcome, SubmitError>>,
     ) {
+        if self.forgets_live_entry(&command) {
+            let _ = reply.send(Err(SubmitError::EntryMayBeAlive));
+            return;
+        }
         let forgets_entry = matches!(command.operation, Operation::ForgetEntry(_));
         let Ok(buf) = postcard::to_stdvec(&machine::Entry::Table(command)) else {
             error!("can't encode a command");
--- a/crates/filberthead/src/control/core/tests.rs
+++ b/crates/filberthead/src/control/core/tests.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use filberthead_fleet::{Endpoint, EndpointState, GatewayInfo, Load, Member, Message, Stamp};
-use filberthead_steer::{Renew, Roster};
+use filberthead_steer::{LEASE_DURATION, LEASE_MARGIN, Renew, Roster};
 use filberthead_table::{Actor, Role, Timestamp};
 use filberthead_types::{ChangeId, Epoch, Incarnation};
 
@@ -15,6 +15,8 @@
 
 const ID: ReplicaId = ReplicaId(1);
 
+type Submitted = Result<Outcome, SubmitError>;
+
 /// The only replica of a group.
 struct Group {
     core: Core,
@@ -101,6 +103,7 @@
             group.sync().await;
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
+        group.core.tick().await;
         group
     }
 
@@ -114,8 +117,13 @@
         }
     }
 
-    async fn forget_entry(&mut self, entry: &str) {
-        let (reply, _) = oneshot::channel();
+    /// Waits until the grants of a previous leader, and those to entries that are silent, have lapsed.
+    async fn wait_for_leases_to_lapse(&self) {
+        tokio::time::sleep(LEASE_DURATION + LEASE_MARGIN).await;
+    }
+
+    async fn forget_entry(&mut self, entry: &str) -> oneshot::Receiver<Submitted> {
+        let (reply, rx) = oneshot::channel();
         let command = Command {
             id: ChangeId(1),
             actor: Actor {
@@ -128,6 +136,7 @@
         };
         let req = AdminRequest::Submit { command, reply };
         self.core.handle_admin(req).await;
+        rx
     }
 
     /// An entry renews that follows a roster with these members.
@@ -206,9 +215,11 @@
 #[tokio::test]
 async fn a_forgotten_entry_is_in_no_roster_that_is_logged_after_it() {
     let mut group = Group::with_leader().await;
-    group.forget_entry("entry-2").await;
+    group.wait_for_leases_to_lapse().await;
+    let mut rx = group.forget_entry("entry-2").await;
     group.renew("entry-1", 1, &["entry-1", "entry-2"]).await;
     group.sync().await;
+    assert_eq!(rx.try_recv(), Ok(Ok(Outcome::Recorded)));
     assert_eq!(group.logged_members(), None);
     group.renew("entry-1", 2, &["entry-1", "entry-2"]).await;
     group.sync().await;
@@ -243,3 +254,28 @@
     let age = group.report("gateway-2").await;
     assert!(age < pause / 2, "{age:?}");
 }
+
+/// A `forget-entry` that its operator gave up, and that arrives when the entry is back, takes its
+/// endpoints and limits from it while it uses them.
+#[tokio::test]
+async fn an_entry_that_renews_is_not_forgotten() {
+    let mut group = Group::with_leader().await;
+    let mut rx = group.forget_entry("entry-2").await;
+    assert_eq!(rx.try_recv(), Ok(Err(SubmitError::EntryMayBeAlive)));
+    group.wait_for_leases_to_lapse().await;
+    let members = ["entry-1", "entry-2"];
+    group.renew("entry-2", 1, &members).await;
+    group.sync().await;
+    let mut rx = group.forget_entry("entry-2").await;
+    assert_eq!(rx.try_recv(), Ok(Err(SubmitError::EntryMayBeAlive)));
+    group.wait_for_leases_to_lapse().await;
+    let mut rx = group.forget_entry("entry-2").await;
+    group.sync().await;
+    assert_eq!(rx.try_recv(), Ok(Ok(Outcome::Recorded)));
+    assert_eq!(group.logged_members(), Some(vec![name("entry-1")]));
+    // A resend gets the first outcome, also if the entry is back.
+    group.renew("entry-2", 2, &members).await;
+    let mut rx = group.forget_entry("entry-2").await;
+    group.sync().await;
+    assert_eq!(rx.try_recv(), Ok(Ok(Outcome::Recorded)));
+}
--- a/crates/filberthead/src/control/input.rs
+++ b/crates/filberthead/src/control/input.rs
@@ -111,6 +111,8 @@
     LearnerBehind,
     /// The request is in the log and may still be committed.
     OutcomeUnknown,
+    /// The entry to forget may hold a lease; nothing was logged.
+    EntryMayBeAlive,
     /// The replica is overloaded; nothing was logged.
     Busy,
 }
--- a/crates/filberthead/src/control/shares.rs
+++ b/crates/filberthead/src/control/shares.rs
@@ -12,7 +12,7 @@
 use filberthead_operator::RowReading;
 use filberthead_peer::{Body, Origin};
 use filberthead_steer::{LEASE_DURATION, Lessor, Message, Renew, ServiceDemand, StoredRoster};
-use filberthead_table::{RowKey, View};
+use filberthead_table::{Command, Operation, RowKey, View};
 use filberthead_types::{Epoch, Moment, NodeName, Region};
 use log::warn;
 
@@ -79,6 +79,12 @@
         }
     }
 
+    /// Whether an entry may hold a lease of this leader or the previous one.
+    fn may_hold_lease(&self, now: Moment, name: &NodeName) -> bool {
+        let lessor = self.lessor.as_ref();
+        lessor.is_some_and(|(_, lessor)| lessor.may_hold_lease(now, name))
+    }
+
     /// Removes an entry that an operator has declared gone, as [`Machine::apply`] does for the
     /// logged rosters.
     pub(crate) fn forget(&mut self, name: &NodeName) {
@@ -216,6 +222,20 @@
         self.step(Event::Propose { token, proposal }).await;
     }
 
+    /// Whether a command declares an entry gone that isn't known to be. It may have been held up on its
+    /// way for so long that its entry has come back under the same name.
+    pub(super) fn forgets_live_entry(&mut self, command: &Command) -> bool {
+        let Operation::ForgetEntry(name) = &command.operation else {
+            return false;
+        };
+        let now = self.clock.now();
+        self.sync_lessor(now);
+        // A resend has no effect, and gets the first outcome.
+        let mut history = self.machine.table.history();
+        !history.any(|record| record.command.id == command.id)
+            && self.shares.may_hold_lease(now, name)
+    }
+
     /// Aligns the lessor with this replica's lease.
     pub(super) fn sync_lessor(&mut self, now: Moment) {
         let leads = self.replica.lease_until(now).is_some();
--- a/crates/steer/src/lessor/mod.rs
+++ b/crates/steer/src/lessor/mod.rs
@@ -122,6 +122,12 @@
         }
     }
 
+    /// Whether an entry may hold a lease: it has renewed lately, or may have with the previous leader.
+    pub fn may_hold_lease(&self, now: Moment, name: &NodeName) -> bool {
+        let mut rosters = self.rosters.values();
+        now < self.frozen_until || rosters.any(|roster| roster.has_recent_renewal(now, name))
+    }
+
     /// Removes an entry that the platform reports as permanently gone: none of its requests
     /// run any more.
     pub fn forget(&mut self, name: &NodeName) {
--- a/crates/steer/src/lessor/roster.rs
+++ b/crates/steer/src/lessor/roster.rs
@@ -181,6 +181,12 @@
         }
     }
 
+    /// Whether an entry has renewed so lately that a lease of it may be valid.
+    pub(crate) fn has_recent_renewal(&self, now: Moment, name: &NodeName) -> bool {
+        let renewal = self.last_renewals.get(name);
+        renewal.is_some_and(|renewal| now < renewal.received_at + LEASE_DURATION + LEASE_MARGIN)
+    }
+
     pub(crate) fn forget(&mut self, name: &NodeName) {
         self.last_renewals.remove(name);
         self.lease_ends.remove(name);
