--- a/crates/filberthead/src/control/core.rs
+++ b/crates/filberthead/src/control/core.rs
@@ -19,7 +19,7 @@
 use filberthead_ring::{PushError, Receiver, Sender};
 use filberthead_spread::Leader;
 use filberthead_steer::Message as Steer;
-use filberthead_table::{Command, Outcome, Table};
+use filberthead_table::{Command, Operation, Outcome, Table};
 use filberthead_types::{FailureDomain, Moment, NodeName, ReplicaId};
 use log::{error, info, warn};
 use tokio::sync::oneshot;
@@ -34,9 +34,9 @@
 use super::orders::{ReadReplyTo, ReplyTo, order_error};
 use super::shares::Shares;
 use super::spreading::{Leadership, Spreading};
-use crate::Clock;
 use crate::peers::Outgoing;
 use crate::stop::Stop;
+use crate::{Clock, StallMonitor};
 
 /// A quarter of the default heartbeat.
 const TICK: Duration = Duration::from_millis(50);
@@ -53,6 +53,8 @@
 pub(super) enum Pending {
     /// A command on the table.
     Submit(oneshot::Sender<Result<Outcome, SubmitError>>),
+    /// A command that declares an entry gone.
+    ForgetEntry(oneshot::Sender<Result<Outcome, SubmitError>>),
     /// A read of the table.
     Read(oneshot::Sender<Result<Arc<Table>, SubmitError>>),
     /// A change of the membership.
@@ -127,6 +129,7 @@
     /// Whether the data folder can't be written. The replica takes no part in consensus
     /// meanwhile.
     disk_failed: bool,
+    pub(super) stalls: StallMonitor,
 }
 
 impl Core {
@@ -163,6 +166,7 @@
             fleet: parts.fleet,
             disk_epoch: 0,
             disk_failed: false,
+            stalls: StallMonitor::with_clock(parts.clock),
         };
         core.update_addresses();
         core.spread_committed(now);
@@ -192,6 +196,7 @@
     }
 
     async fn tick(&mut self) {
+        self.observe_pause();
         self.step(Event::Tick).await;
         let now = self.clock.now();
         if now >= self.next_metrics {
@@ -303,12 +308,21 @@
         command: Command,
         reply: oneshot::Sender<Result<Outcome, SubmitError>>,
     ) {
+        if self.forgets_live_entry(&command) {
+            let _ = reply.send(Err(SubmitError::EntryMayBeAlive));
+            return;
+        }
+        let forgets_entry = matches!(command.operation, Operation::ForgetEntry(_));
         let Ok(buf) = postcard::to_stdvec(&machine::Entry::Table(command)) else {
             error!("can't encode a command");
             let _ = reply.send(Err(SubmitError::Busy));
             return;
         };
-        let token = self.add_pending(Pending::Submit(reply));
+        let token = self.add_pending(if forgets_entry {
+            Pending::ForgetEntry(reply)
+        } else {
+            Pending::Submit(reply)
+        });
         let proposal = Proposal::Command(buf);
         self.step(Event::Propose { token, proposal }).await;
     }
@@ -504,7 +518,7 @@
 
     fn committed(&mut self, token: Token, index: u64) {
         match self.pending.remove(&token) {
-            Some(Pending::Submit(reply)) => {
+            Some(Pending::Submit(reply) | Pending::ForgetEntry(reply)) => {
                 let outcome = self.outcomes.remove(&index);
                 let _ = reply.send(outcome.ok_or(SubmitError::OutcomeUnknown));
             }
@@ -569,7 +583,7 @@
                 info!(order:% = id, error:? = for_order; "order failed");
                 self.finish_evacuation_order(reply_to, Err(for_order));
             }
-            Some(Pending::Submit(reply)) => {
+            Some(Pending::Submit(reply) | Pending::ForgetEntry(reply)) => {
                 let _ = reply.send(Err(error));
             }
             Some(Pending::Read(reply)) => {
@@ -662,3 +676,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/steer/src/lessor/roster.rs
+++ b/crates/steer/src/lessor/roster.rs
@@ -181,6 +181,12 @@
         }
     }
 
+    /// Whether an entry has renewed so lately that a lease of it may be valid.
+    pub(crate) fn has_recent_renewal(&self, now: Moment, name: &NodeName) -> bool {
+        let renewal = self.last_renewals.get(name);
+        renewal.is_some_and(|renewal| now < renewal.received_at + LEASE_DURATION + LEASE_MARGIN)
+    }
+
     pub(crate) fn forget(&mut self, name: &NodeName) {
         self.last_renewals.remove(name);
         self.lease_ends.remove(name);
@@ -482,6 +488,7 @@
             return Membership::default();
         };
         let refuse = self.suspect(now).filter(|name| name != from);
+        self.withdraw_confirmation(from, refuse.as_ref());
         let Some(next_roster) = self.next_roster(&roster, from, renew.roster.as_ref()) else {
             return Membership {
                 refuse,
@@ -501,6 +508,14 @@
         }
     }
 
+    /// Drops the confirmation in an entry's last renewal unless its grant repeats whom to refuse. The
+    /// entry may promise again from when it receives the grant, and its next renewal may be lost.
+    fn withdraw_confirmation(&mut self, from: &NodeName, refuse: Option<&NodeName>) {
+        if let Some(renewal) = self.last_renewals.get_mut(from) {
+            renewal.refusing.take_if(|name| Some(&*name) != refuse);
+        }
+    }
+
     /// The roster that the entry must follow next; `None` while it may not follow any.
     fn next_roster(
         &self,
