Endpoint: an answer with an unknown transfer coding is invalid

Callers got 200 with coded bytes as the body if an endpoint sent a transfer coding besides chunks (`Transfer-Encoding: gzip, chunked`), at gateways, relayed by another one and at entries. hyper decodes the chunks; the header applies to one connection and isn't passed on, and with it went the name of the other coding. Without chunks at the end, gateways also passed on such a body up to the end of its connection.

The client of both programs now accepts no transfer coding but that of chunks, once; any other list is rejected, also over several lines. HTTP allows other codings only if a request lists them in `TE`, which is never passed on. The outcome is that of an answer that can't be understood: the request may have run, so callers get 502, orders aren't repeated, and reads are tried at another endpoint. Answers without a body, such as those to `HEAD`, are not affected.

--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -27,8 +27,8 @@
     Unwritten(Unsent),
     /// The connection broke after sending began: the request may have run.
     Lost,
-    /// Bytes came that are no answer to the request, or no end of its head: the request may have run. The
-    /// connection is closed.
+    /// Bytes came that are no answer to the request, no end of its head, or an answer whose body can't be decoded:
+    /// the request may have run. The connection is closed.
     Invalid,
     /// The deadline passed after sending began: the request may have run. The connection is
     /// closed.
@@ -258,6 +258,9 @@
     if crossed {
         return Some("the answer has the id of another request");
     }
+    if has_body(response, method) && has_unknown_coding(response.headers()) {
+        return Some("the answer has a transfer coding other than chunks");
+    }
     if matches!(check, AnswerCheck::Id(_)) && is_unframed(response, method) {
         return Some("the answer has neither a length nor chunks");
     }
@@ -280,21 +283,28 @@
 }
 
 /// Whether an answer's body ends with its connection, so that a truncated body can't be
-/// distinguished from a complete one.
+/// distinguished from a complete one. Only for one without an unknown transfer coding.
 fn is_unframed(response: &Response<Incoming>, method: &Method) -> bool {
     let headers = response.headers();
+    let framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+    has_body(response, method) && !framed
+}
+
+/// Whether a body follows the head of an answer.
+fn has_body(response: &Response<Incoming>, method: &Method) -> bool {
     let status = response.status();
-    let without_body = method == Method::HEAD
-        || status == StatusCode::NO_CONTENT
-        || status == StatusCode::NOT_MODIFIED;
-    let framed = headers.contains_key(CONTENT_LENGTH) || is_chunked(headers);
-    !without_body && !framed
+    method != Method::HEAD && status != StatusCode::NO_CONTENT && status != StatusCode::NOT_MODIFIED
 }
 
-/// Whether the last transfer coding of a body is that of chunks. Other ones don't tell where a body ends.
-fn is_chunked(headers: &HeaderMap) -> bool {
-    let codings = headers.get_all(TRANSFER_ENCODING).iter().next_back();
-    let codings = codings.and_then(|value| value.to_str().ok());
-    let last = codings.and_then(|codings| codings.rsplit(',').next());
-    last.is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
+/// Whether a body has transfer codings that aren't decoded, which are all but that of chunks, once. The header isn't
+/// passed on, so the caller would take the coded bytes for the body.
+fn has_unknown_coding(headers: &HeaderMap) -> bool {
+    let lines = headers.get_all(TRANSFER_ENCODING).iter();
+    let mut codings = lines.flat_map(|line| line.as_bytes().split(|byte| *byte == b','));
+    let is_chunked = |coding: &[u8]| coding.trim_ascii().eq_ignore_ascii_case(b"chunked");
+    match (codings.next(), codings.next()) {
+        (None, _) => false,
+        (Some(coding), None) => !is_chunked(coding),
+        (Some(_), Some(_)) => true,
+    }
 }
--- a/crates/endpoint/tests/cut_answers.rs
+++ b/crates/endpoint/tests/cut_answers.rs
@@ -30,13 +30,36 @@
     ChunkedWithLength,
     /// With a transfer coding that has no end of its own.
     Coded,
+    /// With a transfer coding within the chunks.
+    CodedChunked,
+    /// The same, with a header line for each coding.
+    CodedChunkedLines,
+    /// With chunks within the chunks.
+    ChunkedTwice,
     Close,
 }
 
 impl Framing {
-    /// Whether its end differs from that of the connection.
-    fn is_framed(self) -> bool {
-        !matches!(self, Self::Coded | Self::Close)
+    fn has_chunks(self) -> bool {
+        match self {
+            Self::Chunked
+            | Self::ChunkedWithLength
+            | Self::CodedChunked
+            | Self::CodedChunkedLines
+            | Self::ChunkedTwice => true,
+            Self::Length | Self::Coded | Self::Close => false,
+        }
+    }
+
+    /// Whether its bytes are those of the body once chunks are decoded, which is the only transfer coding that is
+    /// known.
+    fn is_decoded(self) -> bool {
+        match self {
+            Self::Length | Self::Chunked | Self::ChunkedWithLength | Self::Close => true,
+            Self::Coded | Self::CodedChunked | Self::CodedChunkedLines | Self::ChunkedTwice => {
+                false
+            }
+        }
     }
 }
 
@@ -77,6 +100,11 @@
                 )
             }
             Framing::Coded => "transfer-encoding: gzip\r\n".to_owned(),
+            Framing::CodedChunked => "transfer-encoding: gzip, chunked\r\n".to_owned(),
+            Framing::CodedChunkedLines => {
+                "transfer-encoding: gzip\r\ntransfer-encoding: chunked\r\n".to_owned()
+            }
+            Framing::ChunkedTwice => "transfer-encoding: chunked, chunked\r\n".to_owned(),
             Framing::Close => String::new(),
         };
         head += "\r\n";
@@ -84,7 +112,7 @@
     }
 
     fn encoded_body(&self) -> Vec<u8> {
-        if !matches!(self.framing, Framing::Chunked | Framing::ChunkedWithLength) {
+        if !self.framing.has_chunks() {
             return self.body.clone();
         }
         let mut encoded = Vec::new();
@@ -168,7 +196,7 @@
 }
 
 /// Guards against an answer that is cut in its head, its framing or its body and taken for a whole one, or for one
-/// with another body. bolero's own loop draws new seeds in each run, but the test must have the same result in
+/// with another body, as the bytes of an unknown transfer coding are. bolero's own loop draws new seeds in each run, but the test must have the same result in
 /// every run.
 #[tokio::test(flavor = "current_thread")]
 async fn a_cut_answer_is_no_whole_one() {
@@ -186,13 +214,14 @@
                 let sent = run.sent(bytes.len());
                 let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
                 let got = receive(&client, listener, &run, &bytes[..sent]).await;
-                let is_whole = match run.framing.is_framed() {
-                    true => sent == bytes.len(),
-                    false => sent >= head_len && !run.is_reset && !run.is_checked_by_id,
+                let is_whole = match run.framing {
+                    framing if !framing.is_decoded() => false,
+                    Framing::Close => sent >= head_len && !run.is_reset && !run.is_checked_by_id,
+                    _ => sent == bytes.len(),
                 };
-                let body = match run.framing.is_framed() {
-                    true => &run.body[..],
-                    false => &run.body[..sent.saturating_sub(head_len)],
+                let body = match run.framing {
+                    Framing::Close => &run.body[..sent.saturating_sub(head_len)],
+                    _ => &run.body[..],
                 };
                 let expected = is_whole.then_some(body);
                 // Whether the end of an answer comes before the reset behind it depends on the system.
--- a/crates/testing/src/site/endpoint.rs
+++ b/crates/testing/src/site/endpoint.rs
@@ -22,7 +22,7 @@
 use super::slots::{Entry, Slots};
 use crate::cut::{AnswerCut, CutAnswer, RawAnswer};
 use crate::endless::{Endless, EndlessAnswer};
-use crate::standin::{AnswerBody, Payload};
+use crate::standin::{AnswerBody, OTHER_CODING, Payload};
 
 /// A short text, or a payload of the length that the request asks for.
 type SiteBody = Either<Full<Bytes>, AnswerBody>;
@@ -62,6 +62,8 @@
     Truncates,
     /// It runs the request and sends the answer at this rate, in bytes per second.
     Paced(u64),
+    /// It runs the request and answers with a transfer coding within chunks.
+    TransferCoded,
     /// Another server has taken its address, and answers 404 to every request.
     ForeignServer,
     /// It runs the request and sends header lines without end, also to health checks, as with all below.
@@ -725,6 +727,10 @@
         let other = http::HeaderValue::from_static("somebody-elses");
         headers.insert("x-request-id", other);
     }
+    if behaviour == Behaviour::TransferCoded {
+        let coding = http::HeaderValue::from_static(OTHER_CODING);
+        headers.insert(http::header::TRANSFER_ENCODING, coding);
+    }
     if let Some(cut) = AnswerCut::of_path(head.uri.path()) {
         let (head, body) = answer.into_parts();
         let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
--- a/crates/testing/src/standin/mod.rs
+++ b/crates/testing/src/standin/mod.rs
@@ -19,6 +19,7 @@
 pub use payload::Payload;
 pub use record::{Event, ObservedRequest, Record, Stage};
 pub use script::{Fault, Rule, Script, When, WhenFull};
+pub(crate) use serve::OTHER_CODING;
 use state::State;
 
 /// A stand-in that runs as a task of this process; dropping it stops it.
--- a/crates/testing/src/standin/script.rs
+++ b/crates/testing/src/standin/script.rs
@@ -147,6 +147,8 @@
     Cut(AnswerCut),
     /// The request is executed; its answer is sent in chunks, without a length.
     Chunked,
+    /// The request is executed; its answer is sent in chunks, with another transfer coding within them.
+    TransferCoded,
     /// The request is executed; bytes without end are sent in place of an answer, in as many pieces as
     /// [`Script::pace`] asks for.
     Endless(Endless),
--- a/crates/testing/src/standin/serve.rs
+++ b/crates/testing/src/standin/serve.rs
@@ -24,6 +24,8 @@
 const DEFAULT_ANSWER_BYTES: u64 = 64;
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 const REQUEST_ID: &str = "filberthead-request-id";
+/// A transfer coding other than chunks, to which hyper adds them.
+pub(crate) const OTHER_CODING: &str = "gzip";
 
 /// An answer that is sent in place of hyper's, and the slot that its request holds meanwhile, if it isn't free yet.
 #[derive(Debug)]
@@ -218,16 +220,20 @@
         Some(Fault::Status(status)) => StatusCode::from_u16(status).unwrap_or_default(),
         _ => StatusCode::OK,
     };
+    let is_coded = fault == Some(Fault::TransferCoded);
     let body = AnswerBody::new(given.payload, 0, given.bytes)
         .cut_after(truncate_after(fault.as_ref()))
         .pace(state.read(|script| script.pace))
-        .chunked(fault == Some(Fault::Chunked))
+        .chunked(is_coded || fault == Some(Fault::Chunked))
         .slot(slot);
-    let answer = Response::builder()
+    let mut answer = Response::builder()
         .status(status)
         .header(REQUEST_ID, given.request_id)
-        .header("standin", &state.name)
-        .body(body.boxed_unsync());
+        .header("standin", &state.name);
+    if is_coded {
+        answer = answer.header(header::TRANSFER_ENCODING, OTHER_CODING);
+    }
+    let answer = answer.body(body.boxed_unsync());
     answer.map_err(io::Error::other)
 }
 
--- a/tests/all/cut_answers.rs
+++ b/tests/all/cut_answers.rs
@@ -11,7 +11,7 @@
 use filberthead_testing::cluster::{Builder, Cluster};
 use filberthead_testing::cut::{AnswerCut, CutAt, CutEnd, Framing};
 use filberthead_testing::proxy::Flow;
-use filberthead_testing::site::{HOST, Site, request};
+use filberthead_testing::site::{Behaviour, HOST, Site, SiteEndpoint, request};
 use filberthead_testing::standin::{Fault, Payload, Rule, When};
 use filberthead_testing::{eventually, wait_until};
 use serde::Deserialize;
@@ -227,9 +227,8 @@
     assert_cuts_are_no_successes(&start(), "POST", "orders", &fewer_cuts(TEXT_BYTES));
 }
 
-/// The answer to a relayed read ends early at the endpoints of the helper.
-#[test]
-fn a_cut_answer_to_a_relayed_read_is_no_success() {
+/// Two gateways, the first of which is cut off from all endpoints, which the second one has.
+fn start_relaying() -> Site {
     let mut site = site().replicas(1).tolerate(0).gateways(2).start();
     for _ in 0..ENDPOINTS {
         site.add_linked_endpoint("catalogue", FAR);
@@ -250,7 +249,50 @@
         let is_served = served.is_ok_and(|answer| answer.status == 200);
         is_served && site.gateways[0].metric("gateway_cut_off") > 0.0
     });
-    assert_cuts_are_no_successes(&site, "GET", "catalogue", &fewer_cuts(TEXT_BYTES));
+    site
+}
+
+/// The answer to a relayed read ends early at the endpoints of the helper.
+#[test]
+fn a_cut_answer_to_a_relayed_read_is_no_success() {
+    assert_cuts_are_no_successes(
+        &start_relaying(),
+        "GET",
+        "catalogue",
+        &fewer_cuts(TEXT_BYTES),
+    );
+}
+
+/// Sends a request whose answer has a transfer coding that gateways don't know.
+#[track_caller]
+fn assert_coded_is_no_success(site: &Site, method: &str, service: &str) {
+    let path = format!("/{service}/coded?bytes={STREAMED_BYTES}");
+    for endpoint in &site.endpoints {
+        endpoint.set_behaviour(Behaviour::TransferCoded);
+    }
+    let answer = until_run(|_| send(site, method, &path)).expect("an answer");
+    assert_eq!(answer.status, 502, "{service}: {answer:?}");
+    let line = format!("{method} {path}");
+    let runs = site.endpoints.iter().flat_map(SiteEndpoint::runs);
+    let runs = runs.filter(|run| run.request_line == line).count();
+    let is_repeated = method == "GET";
+    assert!(runs == 1 || is_repeated && runs > 1, "{service}: {runs}");
+}
+
+/// An answer with a transfer coding other than chunks was passed on without the name of the coding, so that its
+/// caller took the coded bytes for the body.
+#[test]
+fn an_answer_with_an_unknown_transfer_coding_is_no_success() {
+    let site = start();
+    assert_coded_is_no_success(&site, "GET", "catalogue");
+    assert_coded_is_no_success(&site, "POST", "orders");
+    assert_coded_is_no_success(&site, "GET", "lessons");
+}
+
+/// The same, of a read that is relayed.
+#[test]
+fn a_relayed_answer_with_an_unknown_transfer_coding_is_no_success() {
+    assert_coded_is_no_success(&start_relaying(), "GET", "catalogue");
 }
 
 /// A download's answer ends early, some of it streamed before.
@@ -349,6 +391,14 @@
     (cluster, entry)
 }
 
+fn key_prefix(entry: SocketAddr) -> String {
+    eventually("the entry returns a prefix", BOUND, || {
+        let answer = Call::get("/v1/lookup?service=orders").send(entry).ok()?;
+        let lookup: Lookup = answer.json();
+        Some(lookup.key_prefix).filter(|prefix| !prefix.is_empty())
+    })
+}
+
 fn faults(cuts: &[AnswerCut], path: &str) -> Vec<Rule> {
     let fault = |cut: &AnswerCut| {
         let when = When::Path(format!("{path}{cut}"));
@@ -402,11 +452,7 @@
 fn a_cut_answer_to_an_order_is_not_replayed() {
     let cuts = fewer_cuts(64);
     let (cluster, entry) = start_entry(faults(&cuts, "/"));
-    let prefix = eventually("the entry returns a prefix", BOUND, || {
-        let answer = Call::get("/v1/lookup?service=orders").send(entry).ok()?;
-        let lookup: Lookup = answer.json();
-        Some(lookup.key_prefix).filter(|prefix| !prefix.is_empty())
-    });
+    let prefix = key_prefix(entry);
     for_cuts(&cuts, |cut| {
         let path = format!("/{cut}");
         let key = format!("{prefix}{cut}");
@@ -423,6 +469,28 @@
     }
 }
 
+/// The same as at a gateway: the bytes of a transfer coding that isn't known are no body.
+#[test]
+fn an_answer_with_an_unknown_transfer_coding_is_no_success_at_an_entry() {
+    let when = When::Path("/coded".to_owned());
+    let (cluster, entry) = start_entry([Rule::always(when, Fault::TransferCoded)]);
+    let read = Call::get("/v1/services/catalogue/coded").bound(BOUND);
+    let answer = until_run(|_| read.send(entry)).expect("an answer");
+    assert_eq!(answer.status, 502, "{answer:?}");
+
+    let key = format!("{}coded", key_prefix(entry));
+    let order = Call::post("/v1/services/orders/coded", &key, ORDER).bound(BOUND);
+    for _ in 0..2 {
+        let answer = until_run(|_| order.send(entry)).expect("an answer");
+        assert_eq!(
+            answer.header("filberthead-meaning"),
+            "may-have-run",
+            "{answer:?}"
+        );
+    }
+    assert_eq!(cluster.record().executions_of(&key), 1);
+}
+
 /// A download is lost and resumed, and the answer with its rest ends early too.
 #[test]
 fn a_resumed_download_that_is_cut_does_not_look_complete() {
