Gateway: the answer to HEAD keeps the length that its endpoint names

Callers of a gateway got `content-length: 0` in the answer to a `HEAD` whose endpoint had named a length, also relayed and sent ahead on a connection. Gateways set the length of the body that they have read, which an answer to `HEAD` doesn't have: its headers are those of the answer to a `GET`. Such an answer now keeps its length, or has none if the endpoint names none. Entries passed it on already.

The client removes a length that is no number or differs between lines from answers without a body, and keeps one of equal lines: hyper checks lengths of bodies only, and by reading it fails to write a repeated one.

--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -203,6 +203,9 @@
         };
         connection.outstanding.head_received();
         ignore_length_beside_coding(response.headers_mut());
+        if !has_body(&response, &method) {
+            keep_one_length(response.headers_mut());
+        }
         if let Some(reason) = rejection_reason(&response, &method, check) {
             debug!(addr:%, request:? = check, reason; "answer rejected, closing its connection");
             return SendOutcome::Invalid;
@@ -282,6 +285,21 @@
     }
 }
 
+/// Removes a length that is none, or that differs between lines, and repeated lines. hyper checks the lengths of
+/// bodies only, and fails to write repeated ones without a body.
+fn keep_one_length(headers: &mut HeaderMap) {
+    let http::header::Entry::Occupied(mut lines) = headers.entry(CONTENT_LENGTH) else {
+        return;
+    };
+    let first = lines.get().clone();
+    let is_number = !first.is_empty() && first.as_bytes().iter().all(u8::is_ascii_digit);
+    if is_number && lines.iter().all(|line| *line == first) {
+        lines.insert(first);
+    } else {
+        lines.remove();
+    }
+}
+
 /// Whether an answer's body ends with its connection, so that a truncated body can't be
 /// distinguished from a complete one. Only for one without an unknown transfer coding.
 fn is_unframed(response: &Response<Incoming>, method: &Method) -> bool {
--- a/crates/endpoint/tests/client.rs
+++ b/crates/endpoint/tests/client.rs
@@ -8,7 +8,9 @@
 use filberthead_endpoint::{
     AnswerCheck, Client, LateHeads, RequestBody, Reuse, SendOutcome, Unsent,
 };
-use http::{HeaderName, HeaderValue, Request, StatusCode};
+use filberthead_types::RequestId;
+use http::header::CONTENT_LENGTH;
+use http::{HeaderName, HeaderValue, Method, Request, StatusCode};
 use http_body_util::BodyExt;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -110,6 +112,46 @@
         .await;
 }
 
+/// Lengths of an answer to `HEAD` that hyper wouldn't write for the caller, which got no answer.
+#[tokio::test(flavor = "current_thread")]
+async fn an_answer_without_a_body_has_one_length_or_none() {
+    let lengths: [(&str, Option<&str>); 5] = [
+        ("content-length: 12\r\n", Some("12")),
+        ("content-length: 12\r\ncontent-length: 12\r\n", Some("12")),
+        ("content-length: 12\r\ncontent-length: 13\r\n", None),
+        ("content-length: twelve\r\n", None),
+        ("", None),
+    ];
+    LocalSet::new()
+        .run_until(async {
+            for (lines, expected) in lengths {
+                let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+                let addr = listener.local_addr().expect("an address");
+                tokio::task::spawn_local(async move {
+                    let (mut stream, _) = listener.accept().await.expect("a connection");
+                    let _ = stream.read(&mut [0; 4096]).await;
+                    let head = format!("HTTP/1.1 200 OK\r\n{lines}\r\n");
+                    let _ = stream.write_all(head.as_bytes()).await;
+                    let _ = stream.read(&mut [0; 4096]).await;
+                });
+                let mut req = Request::new(RequestBody::Buffered(Bytes::new()));
+                *req.method_mut() = Method::HEAD;
+                let check = AnswerCheck::Id(RequestId(1));
+                let client = Client::with_connect_timeout(BOUND);
+                let deadline = Instant::now() + BOUND;
+                let outcome = client.send(addr, check, Reuse::Never, deadline, req).await;
+                let SendOutcome::Answer(answer) = outcome else {
+                    panic!("{lines}: {outcome:?}");
+                };
+                let headers = answer.response.headers();
+                let named: Vec<_> = headers.get_all(CONTENT_LENGTH).iter().collect();
+                let expected: Vec<_> = expected.into_iter().collect();
+                assert_eq!(named, expected, "{lines}");
+            }
+        })
+        .await;
+}
+
 /// Sends a request to a server that sends `start`, and then `piece` without end. Returns the outcome, and a
 /// signal of the end of the connection.
 async fn send_to_endless(
--- a/crates/filberthead/src/gateway/attempt.rs
+++ b/crates/filberthead/src/gateway/attempt.rs
@@ -12,7 +12,7 @@
 use filberthead_types::{Moment, NodeName, RequestPrints, ResultCode, ServiceName, Workspace};
 use http::header::{CONTENT_LENGTH, EXPECT};
 use http::request::Parts;
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode, Version};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode, Version};
 use hyper::body::{Body, Incoming};
 use log::{Level, debug, info, log};
 use tokio::time::timeout_at;
@@ -464,16 +464,24 @@
         Err(_) => return Err(BodyFailure::TimedOut),
     };
     connection.release();
+    set_length(job, &mut head, bytes.len());
+    Ok(Response::from_parts(head, ResponseBody::Buffered(bytes)))
+}
+
+/// Sets the length of a response whose body was read. A response to `HEAD` keeps the one that its endpoint names, which
+/// is that of the body that `GET` would get.
+fn set_length(job: &Job<'_>, head: &mut http::response::Parts, len: usize) {
+    if job.head.method == Method::HEAD {
+        return;
+    }
+    head.headers.remove(CONTENT_LENGTH);
     let bodyless = matches!(
         head.status,
         StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
     );
-    head.headers.remove(CONTENT_LENGTH);
     if !bodyless {
-        let length = HeaderValue::from(bytes.len());
-        head.headers.insert(CONTENT_LENGTH, length);
+        head.headers.insert(CONTENT_LENGTH, HeaderValue::from(len));
     }
-    Ok(Response::from_parts(head, ResponseBody::Buffered(bytes)))
 }
 
 /// Whether a response of this length is streamed. The lower limit for downloads applies only to
--- a/tests/all/cut_answers.rs
+++ b/tests/all/cut_answers.rs
@@ -355,6 +355,103 @@
     }
 }
 
+/// Answers to `HEAD` without a byte of the body, whose length only the first one names.
+fn head_answers() -> [AnswerCut; 4] {
+    Framing::ALL.map(|framing| AnswerCut {
+        framing,
+        at: CutAt::Body(0),
+        end: CutEnd::Closed,
+    })
+}
+
+/// Checks the answer to a `HEAD` of a path with a body of this length.
+#[track_caller]
+fn check_head(cut: AnswerCut, len: usize, got: Result<Answer, CallError>) {
+    let answer = got.unwrap_or_else(|e| panic!("{cut}: {e}"));
+    assert_eq!(answer.status, 200, "{cut}: {answer:?}");
+    let expected = match cut.framing {
+        Framing::Length => Some(len.to_string()),
+        Framing::Chunked | Framing::ChunkedWithLength | Framing::Close => None,
+    };
+    let named = answer.headers.get("content-length");
+    let named = named.map(|value| value.to_str().expect("digits").to_owned());
+    assert_eq!(named, expected, "{cut}: {answer:?}");
+    assert!(answer.body.is_empty(), "{cut}: {answer:?}");
+}
+
+/// Checks answers to `HEAD` of this service, whole ones and such whose endpoint closes its connection behind the
+/// head.
+#[track_caller]
+fn assert_heads_are_passed_on(site: &Site, service: &str) {
+    for cut in head_answers() {
+        let path = format!("/{service}/head/{cut}");
+        let got = until_run(|_| send(site, "HEAD", &path));
+        check_head(cut, format!("HEAD {path} 0").len(), got);
+    }
+    for len in [TEXT_BYTES, STREAMED_BYTES] {
+        let path = format!("/{service}/head?bytes={len}");
+        let got = until_run(|_| send(site, "HEAD", &path));
+        check_head(head_answers()[0], len, got);
+    }
+}
+
+/// The answer to a `HEAD` has the headers of that to a `GET`, so its length is none of a body that follows. Gateways
+/// replaced it by that of the body that they had read.
+#[test]
+fn an_answer_to_head_has_the_length_that_its_endpoint_names() {
+    let site = start();
+    assert_heads_are_passed_on(&site, "catalogue");
+    assert_heads_are_passed_on(&site, "lessons");
+}
+
+/// The same, relayed by another gateway.
+#[test]
+fn a_relayed_answer_to_head_has_the_length_that_its_endpoint_names() {
+    assert_heads_are_passed_on(&start_relaying(), "catalogue");
+}
+
+/// Nothing is read or written for the body of an answer to a `HEAD` between two others on a connection.
+#[test]
+fn an_answer_to_head_changes_no_other_one_of_its_connection() {
+    let site = start();
+    for bytes in [TEXT_BYTES, STREAMED_BYTES] {
+        let paths = [
+            format!("/tax/before-{bytes}"),
+            format!("/lessons/ahead?bytes={bytes}"),
+            format!("/tax/after-{bytes}"),
+        ];
+        let mut connection = Connection::open(&site);
+        let requests = [
+            head("GET", &paths[0], "before"),
+            head("HEAD", &paths[1], "ahead"),
+            head("GET", &paths[2], "after"),
+        ];
+        connection.send(&requests.concat());
+        let before = connection.receive().expect("an answer");
+        assert_eq!(before.body, format!("GET {} 0", paths[0]));
+        let met = connection.receive_head().expect("an answer");
+        assert_eq!((met.status, met.len), (200, bytes), "{}", met.head);
+        let after = connection.receive().expect("an answer");
+        assert_eq!(after.body, format!("GET {} 0", paths[2]));
+    }
+}
+
+/// The same as at a gateway.
+#[test]
+fn an_answer_to_head_at_an_entry_has_the_length_that_its_endpoint_names() {
+    let (_cluster, entry) = start_entry(faults(&head_answers(), "/"));
+    let head = |path: &str| {
+        let head = Call::new("HEAD", &format!("/v1/services/catalogue{path}")).bound(BOUND);
+        until_run(|_| head.send(entry))
+    };
+    for cut in head_answers() {
+        check_head(cut, 64, head(&format!("/{cut}")));
+    }
+    for len in [64, LONG_BYTES] {
+        check_head(head_answers()[0], len, head(&format!("/whole?bytes={len}")));
+    }
+}
+
 #[derive(Debug)]
 #[derive(Deserialize)]
 struct Lookup {
--- a/tests/all/pipelining.rs
+++ b/tests/all/pipelining.rs
@@ -87,6 +87,15 @@
 
     /// The next answer; `None` if the connection ends before it.
     pub(crate) fn receive(&mut self) -> Option<Received> {
+        let mut received = self.receive_head()?;
+        let mut body = vec![0; received.len];
+        self.stream.read_exact(&mut body).ok()?;
+        received.body = String::from_utf8_lossy(&body).into_owned();
+        Some(received)
+    }
+
+    /// The next answer, which is one to a `HEAD`: `len` is the length that it names.
+    pub(crate) fn receive_head(&mut self) -> Option<Received> {
         let mut head = String::new();
         while !head.ends_with("\r\n\r\n") {
             if self.stream.read_line(&mut head).ok()? == 0 {
@@ -97,13 +106,11 @@
         let lower = head.to_ascii_lowercase();
         let mut lines = lower.lines();
         let len = lines.find_map(|line| line.strip_prefix("content-length: ")?.parse().ok());
-        let mut body = vec![0; len.unwrap_or(0)];
-        self.stream.read_exact(&mut body).ok()?;
         Some(Received {
             status,
             head,
-            body: String::from_utf8_lossy(&body).into_owned(),
-            len: body.len(),
+            body: String::new(),
+            len: len.unwrap_or(0),
         })
     }
 }
