Caller: a cut answer to HTTP/1.0 resets its connection

A caller of HTTP/1.0 at an entry saw a cut answer end as a whole one does. It knows no chunks, so hyper ends an answer without a length with the connection, and closes that in the same way after the body's error. The system does so too for a process that is killed.

While such an answer is under way, the socket is now set to be reset when it is closed. The body undoes that once it is complete, before hyper shuts the connection down. The option stands in the system, so it holds for a killed process. The caller may lose a part of the answer that it hasn't read; the answer is cut either way. A length set on what fits a buffer was weighed: longer answers need the reset all the same. Connections of HTTP/1.1 and answers with a length are closed as before.

--- a/crates/caller/src/connection.rs
+++ b/crates/caller/src/connection.rs
@@ -15,9 +15,8 @@
 use hyper::service::HttpService;
 use hyper_util::rt::TokioIo;
 use log::debug;
-use tokio::net::TcpStream;
 
-use crate::AnswerBody;
+use crate::stream::{CallerStream, ServedBody};
 
 /// State shared by a connection's task and the rest of the server.
 #[derive(Debug, Default)]
@@ -28,6 +27,8 @@
     running: Cell<bool>,
     /// Number of sweeps so far when a request last began or ended.
     last_used: Cell<u32>,
+    /// Whether an answer is being written whose end is that of the connection.
+    in_unframed_answer: Cell<bool>,
 }
 
 /// All open connections of a server.
@@ -102,6 +103,14 @@
 }
 
 impl ConnectionState {
+    pub(crate) fn set_in_unframed_answer(&self, in_unframed_answer: bool) {
+        self.in_unframed_answer.set(in_unframed_answer);
+    }
+
+    pub(crate) fn is_in_unframed_answer(&self) -> bool {
+        self.in_unframed_answer.get()
+    }
+
     fn close(&self) {
         self.closing.set(true);
         if let Some(waker) = self.waker.take() {
@@ -119,18 +128,18 @@
 /// Future that serves a connection, and shuts it down gracefully once
 /// [`ConnectionState::closing`] is set.
 pub(crate) struct ServedConnection<S: HttpService<hyper::body::Incoming>> {
-    connection: Pin<Box<http1::Connection<TokioIo<TcpStream>, S>>>,
+    connection: Pin<Box<http1::Connection<TokioIo<CallerStream>, S>>>,
     registration: Registration,
     shut_down: bool,
 }
 
 impl<S> ServedConnection<S>
 where
-    S: HttpService<hyper::body::Incoming, ResBody = AnswerBody>,
+    S: HttpService<hyper::body::Incoming, ResBody = ServedBody>,
     S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     pub(crate) fn new(
-        connection: http1::Connection<TokioIo<TcpStream>, S>,
+        connection: http1::Connection<TokioIo<CallerStream>, S>,
         registration: Registration,
     ) -> Self {
         Self {
@@ -151,7 +160,7 @@
 
 impl<S> Future for ServedConnection<S>
 where
-    S: HttpService<hyper::body::Incoming, ResBody = AnswerBody>,
+    S: HttpService<hyper::body::Incoming, ResBody = ServedBody>,
     S::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     type Output = ();
--- a/crates/caller/src/lib.rs
+++ b/crates/caller/src/lib.rs
@@ -22,6 +22,7 @@
 mod heartbeat;
 mod route;
 mod server;
+mod stream;
 
 pub use answer::{Answer, AnswerBody, BodyPart, IncompleteBody, Refusal, insert_result_headers};
 pub use call::{Call, Execution, ForwardedBy};
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -27,6 +27,7 @@
 use crate::answer::insert_result_headers;
 use crate::connection::{ConnectionState, Connections, ServedConnection};
 use crate::route::{self, Route};
+use crate::stream::{CallerStream, ServedBody};
 use crate::{
     Answer, AnswerBody, Call, CallerGroup, Directory, Execution, ForwardedBy, Heartbeat, Refusal,
 };
@@ -218,6 +219,7 @@
                 group: CallerGroup::of(from),
             },
         };
+        let stream = CallerStream::new(stream, Rc::clone(&registration.state));
         let connection = http1::Builder::new()
             .max_buf_size(MAX_BUF)
             .serve_connection(TokioIo::new(stream), service);
@@ -435,18 +437,19 @@
 /// A response that is ready, as to a look-up, or one that is awaited. Only the latter is
 /// allocated.
 enum ResponseFuture {
-    Ready(Option<Response<AnswerBody>>),
-    Pending(Pin<Box<dyn Future<Output = Response<AnswerBody>>>>),
+    Ready(Option<Response<ServedBody>>),
+    Pending(Pin<Box<dyn Future<Output = Response<ServedBody>>>>),
 }
 
 impl Service<Request<Incoming>> for CallerService {
-    type Response = Response<AnswerBody>;
+    type Response = Response<ServedBody>;
     type Error = Infallible;
     type Future = ResponseFuture;
 
     fn call(&self, req: Request<Incoming>) -> ResponseFuture {
         let server = &self.server;
         server.connections.begin_request(&self.state);
+        let version = req.version();
         let response = match route::route(req.method(), req.uri()) {
             Route::Lookup(service) => server.lookup(self.from, service),
             Route::Refuse(code) => Refusal::new(code).into_response(server.next_request_id()),
@@ -457,17 +460,18 @@
                 return ResponseFuture::Pending(Box::pin(async move {
                     let response = server.request(from, service, target, req).await;
                     server.connections.end_request(&state);
-                    server.close_if_stopping(response)
+                    ServedBody::of(server.close_if_stopping(response), version, &state)
                 }));
             }
         };
         server.connections.end_request(&self.state);
-        ResponseFuture::Ready(Some(server.close_if_stopping(response)))
+        let response = server.close_if_stopping(response);
+        ResponseFuture::Ready(Some(ServedBody::of(response, version, &self.state)))
     }
 }
 
 impl Future for ResponseFuture {
-    type Output = Result<Response<AnswerBody>, Infallible>;
+    type Output = Result<Response<ServedBody>, Infallible>;
 
     fn poll(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Self::Output> {
         match self.get_mut() {
--- a/tests/all/cut_answers.rs
+++ b/tests/all/cut_answers.rs
@@ -452,6 +452,42 @@
     }
 }
 
+/// A caller of HTTP/1.0 knows no chunks, so an answer without a length would end with its connection, and a cut one
+/// as a whole one does.
+#[test]
+fn an_answer_of_a_gateway_to_a_caller_of_http_1_0_has_a_length() {
+    let site = start();
+    let addr = site.gateways[0].addr("caller");
+    for (framing, len) in Framing::ALL
+        .into_iter()
+        .flat_map(|framing| [(framing, TEXT_BYTES), (framing, STREAMED_BYTES)])
+    {
+        let cut = AnswerCut {
+            framing,
+            at: CutAt::Body(LONG_BYTES),
+            end: CutEnd::Closed,
+        };
+        let path = format!("/lessons/{cut}?bytes={len}");
+        let mut stream = TcpStream::connect(addr).expect("a connection");
+        stream.set_read_timeout(Some(BOUND)).expect("a time limit");
+        let request = head("GET", &path, &format!("old-{framing:?}-{len}"));
+        let request = request.replace("HTTP/1.1", "HTTP/1.0");
+        stream
+            .write_all(request.as_bytes())
+            .expect("a sent request");
+        let mut answer = Vec::new();
+        stream.read_to_end(&mut answer).expect("a whole answer");
+        let body = Payload::of_answer("GET", &path, b"").slice(0, len);
+        let text = String::from_utf8_lossy(&answer);
+        assert!(text.starts_with("HTTP/1.0 200 OK"), "{cut}: {text}");
+        assert!(
+            text.contains(&format!("content-length: {len}\r\n")),
+            "{cut}: {text}"
+        );
+        assert!(answer.ends_with(&body), "{cut}");
+    }
+}
+
 #[derive(Debug)]
 #[derive(Deserialize)]
 struct Lookup {
@@ -544,6 +580,87 @@
     });
 }
 
+/// Reads the answer to a caller of HTTP/1.0, which knows no chunks, up to the end of its connection.
+fn send_old(entry: SocketAddr, path: &str) -> (TcpStream, String) {
+    let mut stream = TcpStream::connect(entry).expect("a connection");
+    stream.set_read_timeout(Some(BOUND)).expect("a time limit");
+    let target = format!("/v1/services/catalogue{path}");
+    write!(stream, "GET {target} HTTP/1.0\r\nhost: a\r\n\r\n").expect("a sent request");
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        match stream.read(&mut byte) {
+            Ok(1) => head.extend(byte),
+            _ => break,
+        }
+    }
+    (stream, String::from_utf8_lossy(&head).into_owned())
+}
+
+/// An answer without a length ends with the connection of a caller of HTTP/1.0. That of a cut one was closed as
+/// that of a whole one is.
+#[test]
+fn a_cut_answer_to_a_caller_of_http_1_0_does_not_look_complete() {
+    let cuts: Vec<_> = cuts(64).into_iter().filter(|cut| is_framed(*cut)).collect();
+    let (_cluster, entry) = start_entry(faults(&cuts, "/"));
+    let is_complete = AtomicUsize::new(0);
+    for_cuts(&cuts, |cut| {
+        let path = format!("/{cut}");
+        let body = Payload::of_answer("GET", &path, b"").slice(0, 64);
+        let is_rejected = |head: &str| head.contains(" 503 ");
+        let (mut stream, head) = (0..MAX_SENDS)
+            .map(|_| send_old(entry, &path))
+            .find(|(_, head)| {
+                let rejected = is_rejected(head);
+                if rejected {
+                    thread::sleep(Duration::from_millis(50));
+                }
+                !rejected
+            })
+            .expect("the request is run at last");
+        let mut received = Vec::new();
+        let end = stream.read_to_end(&mut received);
+        if !head.contains(" 200 OK") {
+            // A reset may come before what was written ahead of it is read.
+            assert!(end.is_err() || head.contains(" 502 "), "{cut}: {head}");
+            assert!(!must_arrive(cut, &body), "{cut}: {head}");
+            return;
+        }
+        let is_short = head.contains("content-length: 64") && received.len() < 64;
+        if end.is_ok() && !is_short {
+            assert!(cut.is_whole(&body), "{cut}: {head}");
+            assert_eq!(received, body, "{cut}: {head}");
+            is_complete.fetch_add(1, Ordering::Relaxed);
+        }
+        assert!(end.is_ok() || !must_arrive(cut, &body), "{cut}: {end:?}");
+    });
+    let expected = Payload::of_answer("GET", "/whole", b"").slice(0, 64);
+    let (mut stream, _) = send_old(entry, "/whole");
+    let mut received = Vec::new();
+    stream.read_to_end(&mut received).expect("a whole answer");
+    assert_eq!(received, expected);
+    assert!(is_complete.into_inner() > 0);
+}
+
+/// An entry is killed while such an answer is under way, and the system closes its connections.
+#[test]
+fn an_answer_to_a_caller_of_http_1_0_does_not_look_complete_if_the_entry_is_killed() {
+    let when = When::Path("/slow".to_owned());
+    let (mut cluster, entry) = start_entry([Rule::always(when, Fault::Chunked)]);
+    for endpoint in &cluster.endpoints {
+        endpoint
+            .standin
+            .script(|script| script.pace = Some(100_000));
+    }
+    let (mut stream, head) = send_old(entry, "/slow?bytes=10000000");
+    assert!(head.contains(" 200 OK"), "{head}");
+    assert!(!head.contains("content-length"), "{head}");
+    stream.read_exact(&mut [0; 100]).expect("the answer begins");
+    cluster.entries[0].kill();
+    let end = stream.read_to_end(&mut Vec::new());
+    assert!(end.is_err(), "{end:?}");
+}
+
 /// The answer to an order with a key ends early. What a resend gets isn't taken from the part that came.
 #[test]
 fn a_cut_answer_to_an_order_is_not_replayed() {
