Gateway: a streamed response that breaks at once is cut behind its head, not before

Callers of a gateway saw their connection closed without an answer where an endpoint had begun a long download and broke off before the gateway had written the head. The body now lets hyper go on once before it ends with its error, in which time hyper writes what it has.

The test of cut downloads now asks for a begun answer.

--- a/crates/filberthead/src/gateway/streamed.rs
+++ b/crates/filberthead/src/gateway/streamed.rs
@@ -45,6 +45,8 @@
     link_wait: Option<Pin<Box<Sleep>>>,
     /// Measures the request until the end of the body; dropped if that doesn't come.
     timer: Option<RequestTimer>,
+    /// Why the body ends early, once that is known and until it is reported.
+    failure: Option<BodyError>,
 }
 
 impl StreamedBody {
@@ -63,6 +65,7 @@
             buffered: Bytes::new(),
             link_wait: None,
             timer: None,
+            failure: None,
         }
     }
 
@@ -75,6 +78,22 @@
         &mut self,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Some(failure) = self.failure.take() {
+            return Poll::Ready(Some(Err(failure)));
+        }
+        match ready!(self.poll_next(cx)) {
+            // hyper gives a connection up at a body's error without writing what it has buffered, the
+            // response's head for instance, which it does while it waits.
+            Some(Err(failure)) => {
+                self.failure = Some(failure);
+                cx.waker().wake_by_ref();
+                Poll::Pending
+            }
+            frame => Poll::Ready(frame),
+        }
+    }
+
+    fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         if self.deadline.as_mut().poll(cx).is_ready() {
             self.timer = None;
             return Poll::Ready(Some(DeadlineExceededSnafu.fail()));
@@ -121,7 +140,7 @@
     }
 
     pub(crate) fn is_end_stream(&self) -> bool {
-        self.buffered.is_empty() && self.body.is_end_stream()
+        self.failure.is_none() && self.buffered.is_empty() && self.body.is_end_stream()
     }
 
     pub(crate) fn size_hint(&self) -> SizeHint {
--- a/tests/all/cut_answers.rs
+++ b/tests/all/cut_answers.rs
@@ -306,6 +306,9 @@
             send(&site, "GET", &path)
         });
         let body = Payload::of_answer("GET", &path, b"").slice(0, STREAMED_BYTES);
+        // An answer whose head has come begins, also if no more of it does.
+        let is_silent = matches!(got, Err(CallError::NoAnswer(_)));
+        assert!(!is_silent, "{cut}: {got:?}");
         check(cut, &body, &got, Early::Allowed);
     });
 }
