Testing: connections that the fault proxy cuts see the reset alone

When the fault proxy cut its connections, by a rule or all of them, both sides could see an orderly end before the reset: dropping tokio's owned halves of a connection closes it for writing, and only dropping the rest resets it. So tests of resets partly tested closes. Borrowed halves close nothing when they are dropped.

--- a/crates/testing/src/proxy/link.rs
+++ b/crates/testing/src/proxy/link.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
@@ -36,6 +36,15 @@
     Gone,
 }
 
+/// How both directions ended.
+#[derive(PartialEq, Eq)]
+enum Ends {
+    /// Each was closed, or its receiver is gone.
+    Closed,
+    /// The connection is to be reset.
+    Reset,
+}
+
 /// Applies the proxy's rules to one direction of a connection.
 #[derive(Clone)]
 struct Gate {
@@ -110,7 +119,7 @@
 }
 
 async fn relay(
-    client: TcpStream,
+    mut client: TcpStream,
     rules: watch::Receiver<Rules>,
     owners: Owners,
     connections: &Connections,
@@ -128,7 +137,7 @@
     // While bytes to the server are held, its side of the connection isn't opened either: on a
     // real link the first packet of the handshake wouldn't arrive.
     gate.clone().open().await;
-    let Some(server) = connect(&gate.rules).await else {
+    let Some(mut server) = connect(&gate.rules).await else {
         return;
     };
     if let (Ok(from), Ok(to)) = (server.local_addr(), server.peer_addr()) {
@@ -146,13 +155,19 @@
         direction: Direction::ToClient,
         ..gate.clone()
     };
-    let (client_rx, client_tx) = client.into_split();
-    let (server_rx, server_tx) = server.into_split();
+    // Owned halves would close their side when they are dropped, and the receiver would see an orderly end before
+    // the reset.
+    let (client_rx, client_tx) = client.split();
+    let (server_rx, server_tx) = server.split();
     let to_server = relay_direction(client_rx, server_tx, gate.clone());
     let to_client = relay_direction(server_rx, client_tx, return_gate);
-    tokio::select! {
-        () = run_both(to_server, to_client) => {}
-        () = gate.reset() => {}
+    let ends = tokio::select! {
+        ends = run_both(to_server, to_client) => ends,
+        () = gate.reset() => Ends::Reset,
+    };
+    if ends == Ends::Closed {
+        clear_reset_on_drop(&client);
+        clear_reset_on_drop(&server);
     }
 }
 
@@ -173,50 +188,41 @@
 
 /// Runs both directions to their end; a reset in either ends both at once.
 async fn run_both(
-    to_server: impl Future<Output = (End, OwnedWriteHalf)>,
-    to_client: impl Future<Output = (End, OwnedWriteHalf)>,
-) {
+    to_server: impl Future<Output = End>,
+    to_client: impl Future<Output = End>,
+) -> Ends {
     tokio::pin!(to_server, to_client);
-    // Both write halves are kept until both directions have ended: dropping one earlier would
-    // close that side too soon.
-    let (first, second) = tokio::select! {
-        first = &mut to_server => match first.0 {
-            End::Reset => return first.1.forget(),
-            End::Closed | End::Gone => (first, to_client.await),
-        },
-        first = &mut to_client => match first.0 {
-            End::Reset => return first.1.forget(),
-            End::Closed | End::Gone => (first, to_server.await),
-        },
+    let (first, other) = tokio::select! {
+        first = &mut to_server => (first, Direction::ToClient),
+        first = &mut to_client => (first, Direction::ToServer),
+    };
+    if first == End::Reset {
+        return Ends::Reset;
+    }
+    let second = match other {
+        Direction::ToServer => to_server.await,
+        Direction::ToClient => to_client.await,
     };
-    if second.0 == End::Reset {
-        // Dropped, it would close its side before the reset, and the receiver would see an orderly end.
-        second.1.forget();
-    } else {
-        clear_reset_on_drop(&first.1);
-        clear_reset_on_drop(&second.1);
+    match second {
+        End::Reset => Ends::Reset,
+        End::Closed | End::Gone => Ends::Closed,
     }
 }
 
 /// Reverts [`reset_on_drop`], which would discard bytes that aren't delivered yet.
-fn clear_reset_on_drop(half: &OwnedWriteHalf) {
+fn clear_reset_on_drop(stream: &TcpStream) {
     // Fails only for a connection that has already ended.
-    let _ = socket2::SockRef::from(half.as_ref()).set_linger(None);
+    let _ = socket2::SockRef::from(stream).set_linger(None);
 }
 
-async fn relay_direction(
-    from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
-    gate: Gate,
-) -> (End, OwnedWriteHalf) {
+async fn relay_direction(from: ReadHalf<'_>, mut to: WriteHalf<'_>, gate: Gate) -> End {
     let (tx, rx) = mpsc::channel(CHUNKS_IN_TRANSIT);
     let reading = read_all(from, tx, gate.clone());
     let writing = write_all(rx, &mut to, gate);
-    let ((), end) = tokio::join!(reading, writing);
-    (end, to)
+    tokio::join!(reading, writing).1
 }
 
-async fn read_all(mut from: OwnedReadHalf, tx: mpsc::Sender<Item>, gate: Gate) {
+async fn read_all(mut from: ReadHalf<'_>, tx: mpsc::Sender<Item>, gate: Gate) {
     let mut buf = vec![0; CHUNK_BYTES];
     loop {
         let read = tokio::select! {
@@ -245,7 +251,7 @@
     }
 }
 
-async fn write_all(mut rx: mpsc::Receiver<Item>, to: &mut OwnedWriteHalf, mut gate: Gate) -> End {
+async fn write_all(mut rx: mpsc::Receiver<Item>, to: &mut WriteHalf<'_>, mut gate: Gate) -> End {
     loop {
         let item = rx.recv().await;
         if let Some(Item::Chunk { due, .. }) = &item {
--- a/crates/testing/tests/proxy.rs
+++ b/crates/testing/tests/proxy.rs
@@ -1,7 +1,7 @@
 //! The proxy injects the configured faults and no others.
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
 use filberthead_testing::client::{Call, CallError};
@@ -76,6 +76,45 @@
     assert!(refused.is_err(), "{refused:?}");
 }
 
+/// How a proxy ends its connections.
+#[derive(Clone, Copy, Debug)]
+enum Ending {
+    Cut,
+    Rule,
+    Dropped,
+}
+
+/// A connection that was reset was closed before, so that the receiver saw an orderly end of what it had got.
+#[test]
+fn a_reset_is_all_that_both_sides_see() {
+    let endings = [Ending::Cut, Ending::Rule, Ending::Dropped];
+    // Whether a side reads between the end and the reset depends on the system.
+    for ending in endings.into_iter().cycle().take(200) {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let proxy = FaultProxy::before(listener.local_addr().expect("an address"));
+        let mut client = TcpStream::connect(proxy.addr()).expect("a connection");
+        client.write_all(b"request").expect("a sent request");
+        let (mut server, _) = listener.accept().expect("a connection");
+        server.read_exact(&mut [0; 7]).expect("the request");
+        server.write_all(b"answer").expect("a sent answer");
+        client.read_exact(&mut [0; 6]).expect("the answer");
+        let sides = [client, server].map(|mut side| {
+            side.set_read_timeout(Some(BOUND)).expect("a time limit");
+            std::thread::spawn(move || side.read(&mut [0; 16]))
+        });
+        match ending {
+            Ending::Cut => proxy.cut(),
+            Ending::Rule => proxy.set(Direction::ToServer, Flow::Reset),
+            Ending::Dropped => drop(proxy),
+        }
+        for side in sides {
+            let end = side.join().expect("no panic");
+            let is_reset = |e: &std::io::Error| e.kind() == ErrorKind::ConnectionReset;
+            assert!(end.as_ref().is_err_and(is_reset), "{ending:?}: {end:?}");
+        }
+    }
+}
+
 #[test]
 fn follows_a_restarted_server() {
     let (first, proxy) = pair();
