Soak: faults beside evacuations also suspend the leader of control

In the incident an order was carried out late by a replica that had stood still, and the leader's pause is what makes other replicas hold orders and elect another leader. The soak beside evacuations suspended replicas at random, so with five of them every fifth pause hit the leader, by chance.

Half of its pauses now take the replica that holds the lease when the step is played. A plan names such a pause by a number, as its seed can't know which replica leads; the replica is resumed under the same number. If none leads at that moment, the step does nothing.

Other plans are unchanged.

The test of the plans can't be compiled without the new steps.

--- a/crates/testing/src/soak/mod.rs
+++ b/crates/testing/src/soak/mod.rs
@@ -8,8 +8,9 @@
 //!
 //! [`find_violations`] checks the answers that callers and operators received, kept in a
 //! [`History`], against the requests that endpoints ran. It uses nothing that the processes
-//! report about themselves, with two exceptions: the decision whether a group is healthy enough to
-//! lose another disk, and the sequence of evacuations that control replicas log. The order of events differs between runs, since real processes race; the plan of a
+//! report about themselves, with three exceptions: the decision whether a group is healthy enough to
+//! lose another disk, which control replica leads when the leader is to be suspended, and the sequence
+//! of evacuations that control replicas log. The order of events differs between runs, since real processes race; the plan of a
 //! seed doesn't.
 
 mod callers;
@@ -33,7 +34,7 @@
 pub use history::{
     CallerRequest, History, RequestOutcome, RouteMove, RouteProbe, RoutesChange, RoutesRead, Told,
 };
-pub use plan::{Load, Plan, Size, Step, Target, TimedStep};
+pub use plan::{LeaderPause, Load, Plan, Size, Step, Target, TimedStep};
 pub use retries::{ServiceArrival, WorstWindow};
 pub use runner::{Report, run_plan};
 pub use violations::{EndpointRun, Limits, Violation, find_violations};
--- a/crates/testing/src/soak/nodes.rs
+++ b/crates/testing/src/soak/nodes.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use super::plan::{Step, Target};
+use super::plan::{LeaderPause, Step, Target};
 use super::shared::SharedState;
 use super::violations::Violation;
 use crate::cluster::Node;
@@ -35,6 +35,8 @@
     pub(super) site: Site,
     shared: Arc<SharedState>,
     states: BTreeMap<Target, State>,
+    /// The replicas that were suspended as they led.
+    frozen_leaders: BTreeMap<LeaderPause, Target>,
     /// The planned stops of gateways: each one's index, and when it was told.
     pub(super) stops: Vec<(usize, Instant)>,
     /// When control replicas were killed.
@@ -50,6 +52,7 @@
             site,
             shared,
             states,
+            frozen_leaders: BTreeMap::new(),
             stops: Vec::new(),
             control_kills: Vec::new(),
         }
@@ -88,6 +91,12 @@
             Step::HangUp(target) => self.hang_up(*target),
             Step::Freeze(target) => self.freeze(*target),
             Step::Resume(target) => self.resume(*target),
+            Step::FreezeLeader(pause) => self.freeze_leader(*pause),
+            Step::ResumeLeader(pause) => {
+                if let Some(target) = self.frozen_leaders.remove(pause) {
+                    self.resume(target);
+                }
+            }
             Step::Tear(control) => self.tear(*control),
             Step::Wipe(control) => {
                 self.wipe(*control);
@@ -196,6 +205,20 @@
         }
     }
 
+    fn freeze_leader(&mut self, pause: LeaderPause) {
+        let mut controls = self.controls().into_iter();
+        let leader =
+            controls.find(|target| self.state(*target) == State::Up && self.leads(*target));
+        if let Some(leader) = leader {
+            self.freeze(leader);
+            self.frozen_leaders.insert(pause, leader);
+        }
+    }
+
+    fn leads(&mut self, target: Target) -> bool {
+        self.node(target).metric("filberthead_lease_held") == 1.0
+    }
+
     pub(super) fn resume(&mut self, target: Target) {
         if self.state(target) == State::Frozen {
             self.node(target).process().resume();
--- a/crates/testing/src/soak/plan.rs
+++ b/crates/testing/src/soak/plan.rs
@@ -110,6 +110,10 @@
     Gateway(usize),
 }
 
+/// Number of a suspension of the leader in a plan. Which replica that is turns out when it is played.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct LeaderPause(pub usize);
+
 /// An action on the system.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Step {
@@ -123,6 +127,10 @@
     Freeze(Target),
     /// The process is resumed.
     Resume(Target),
+    /// The control replica that leads is suspended, if there is one.
+    FreezeLeader(LeaderPause),
+    /// The replica that was suspended under this number is resumed.
+    ResumeLeader(LeaderPause),
     /// The process is started if it is down.
     Start(Target),
     /// A control replica is killed, its log gets a torn record at the end, and it is restarted.
@@ -240,8 +248,8 @@
     }
 
     /// Generates a plan in which operators evacuate failure domains and end evacuations all the time,
-    /// while control replicas are suspended, cut off, killed or lose their disk, and gateways are
-    /// restarted.
+    /// while control replicas, the leader above all, are suspended, cut off, killed or lose their disk,
+    /// and gateways are restarted.
     pub fn with_evacuations(seed: u64, size: Size) -> Self {
         let mut generator = Generator::new(StdRng::seed_from_u64(seed), size);
         let mut at = INITIAL_DELAY;
@@ -420,8 +428,11 @@
     fn fault_beside_evacuations(&mut self, at: Duration) {
         let control = Target::Control(self.control());
         let gateway = Target::Gateway(self.rng.random_range(0..self.size.gateways));
+        let pause = LeaderPause(self.steps.len());
         let (step, undo) = match self.rng.random_range(0..13) {
-            0..=7 => (Step::Freeze(control), Step::Resume(control)),
+            0..=3 => (Step::Freeze(control), Step::Resume(control)),
+            // A former leader that goes on acts on what it held before others led.
+            4..=7 => (Step::FreezeLeader(pause), Step::ResumeLeader(pause)),
             8 => (Step::Kill(control), Step::Start(control)),
             9 => (Step::Partition(vec![control]), Step::Heal),
             10 => (Step::Kill(gateway), Step::Start(gateway)),
@@ -429,7 +440,7 @@
             _ => return self.disk_fault(at),
         };
         let duration = match step {
-            Step::Freeze(_) => self.millis(CONTROL_PAUSE_MS),
+            Step::Freeze(_) | Step::FreezeLeader(_) => self.millis(CONTROL_PAUSE_MS),
             _ => self.millis(CONTROL_FAULT_MS),
         };
         self.push(at, step);
--- a/crates/testing/tests/soak.rs
+++ b/crates/testing/tests/soak.rs
@@ -1,11 +1,12 @@
 //! The soak's checks find each kind of violation, and a plan depends on nothing but its seed.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use filberthead_testing::soak::{
-    CallerRequest, EndpointRun, History, Limits, Plan, RequestOutcome, RouteMove, RouteProbe,
-    RoutesChange, RoutesRead, ServiceArrival, Size, Violation, Workspaces, WorstWindow,
-    find_violations,
+    CallerRequest, EndpointRun, History, LeaderPause, Limits, Plan, RequestOutcome, RouteMove,
+    RouteProbe, RoutesChange, RoutesRead, ServiceArrival, Size, Step, Violation, Workspaces,
+    WorstWindow, find_violations,
 };
 
 const LIMITS: Limits = Limits {
@@ -386,3 +387,30 @@
     assert_ne!(plan(3).steps, plan(4).steps);
     assert!(plan(3).steps.is_sorted_by_key(|timed| timed.at));
 }
+
+/// Plans beside evacuations suspended replicas at random only, so the leader seldom.
+#[test]
+fn plans_beside_evacuations_suspend_and_resume_leaders() {
+    let plan = |seed| Plan::with_evacuations(seed, Size::default());
+    assert_eq!(plan(3), plan(3));
+    let times = |seed, is_wanted: fn(&Step) -> Option<LeaderPause>| -> BTreeMap<_, _> {
+        let steps = plan(seed).steps.into_iter();
+        let wanted = steps.filter_map(|timed| Some((is_wanted(&timed.step)?, timed.at)));
+        wanted.collect()
+    };
+    let mut pauses = 0;
+    for seed in 0..40 {
+        let frozen = times(seed, |step| match step {
+            Step::FreezeLeader(pause) => Some(*pause),
+            _ => None,
+        });
+        let resumed = times(seed, |step| match step {
+            Step::ResumeLeader(pause) => Some(*pause),
+            _ => None,
+        });
+        assert!(frozen.keys().eq(resumed.keys()));
+        assert!(frozen.iter().all(|(pause, at)| resumed[pause] > *at));
+        pauses += frozen.len();
+    }
+    assert!(pauses >= 40, "{pauses} pauses");
+}
