Tests: acknowledged evacuations survive a power cut and lost disks

Users ask that an evacuation which was acknowledged is in force after the last fault, also if all other VMs lose power as disks are lost. Our tests of lost disks followed configurations only.

Right after one of five replicas has acknowledged an evacuation, or its end, all processes are killed at once. The replica that acknowledged and the leader (or another one) lose their disks; the others lose what they hadn't marked as synced in their logs, as SIGKILL alone keeps unsynced writes. Messages between replicas take 30 ms, so an acknowledgement that doesn't wait for a majority comes before others have the order. After the restart each replica and each gateway has to have the evacuation in force, gateways start without any state, and no request reaches the failure domain; after an end, requests reach it again.

--- a/tests/all/evacuations.rs
+++ b/tests/all/evacuations.rs
@@ -19,15 +19,15 @@
 
 const BOUND: Duration = Duration::from_secs(60);
 /// The failure domain that is evacuated.
-const DOMAIN: &str = "zagreb-a";
+pub(crate) const DOMAIN: &str = "zagreb-a";
 /// Time after which an operator turns to another replica.
-const PATIENCE: Duration = Duration::from_secs(1);
+pub(crate) const PATIENCE: Duration = Duration::from_secs(1);
 /// Time for which an operator sends an order again.
 const RESEND_TIMEOUT: Duration = Duration::from_secs(4);
 /// How long a replica stands still.
 const FREEZE: Duration = Duration::from_secs(4);
 /// Time in which a replica that goes on reads what it was sent meanwhile.
-const BACKLOG: Duration = Duration::from_secs(2);
+pub(crate) const BACKLOG: Duration = Duration::from_secs(2);
 
 /// Three replicas that vote.
 #[track_caller]
@@ -41,7 +41,7 @@
 }
 
 /// Sends an order to one replica, once. Returns whether that acknowledged it.
-fn send(node: &Node, call: &str, patience: Duration) -> bool {
+pub(crate) fn send(node: &Node, call: &str, patience: Duration) -> bool {
     let call = Call::new("POST", &format!("/-/rpc?call={call}&of={DOMAIN}"));
     let answer = call.bound(patience).send(node.direct_addr("orders"));
     answer.is_ok_and(|answer| answer.status == 200)
@@ -66,13 +66,13 @@
 }
 
 #[track_caller]
-fn order(replicas: &[&Node], call: &str) {
+pub(crate) fn order(replicas: &[&Node], call: &str) {
     eventually(call, BOUND, || try_order(replicas, call));
 }
 
 /// Index of the replica that leads, among those that run.
 #[track_caller]
-fn leader(site: &Site, is_running: impl Fn(usize) -> bool) -> usize {
+pub(crate) fn leader(site: &Site, is_running: impl Fn(usize) -> bool) -> usize {
     eventually("a leader", BOUND, || {
         (0..site.controls.len()).find(|&index| is_running(index) && leads(&site.controls[index]))
     })
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -14,6 +14,7 @@
 mod endless_at_entries;
 mod entries;
 mod evacuations;
+mod evacuations_after_power_cuts;
 mod explained;
 mod gateways;
 mod groups;
