Gateway: the log says why the connection of a caller broke

The line of a connection that ended with an error had hyper's text only, "error from user's Body stream". It has the causes now.

--- a/crates/filberthead/src/gateway/serve/connection.rs
+++ b/crates/filberthead/src/gateway/serve/connection.rs
@@ -20,6 +20,7 @@
 use hyper::service::{HttpService, service_fn};
 use hyper_util::rt::TokioIo;
 use log::{debug, info};
+use snafu::Report;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::spawn_local;
@@ -135,7 +136,7 @@
 /// is a request; that response is counted too.
 fn record_connection_error(core: &Core, caller: SocketAddr, error: &hyper::Error) {
     if !error.is_parse() {
-        debug!(caller:%, error:%; "caller's connection closed with an error");
+        debug!(caller:%, error:% = Report::from_error(error); "caller's connection closed with an error");
         return;
     }
     let code = match error.is_parse_too_large() {
