Soak: a download that is cut at its own deadline isn't cut by planned work

The request, a download, reached its gateway at 19.091, its endpoint had sent all of it at 19.867, and the gateway closed the caller's connection at 20.593 with an error of the body, 1,502 ms after the request had come. Callers of the soak name a deadline of 1,500 ms, which specifies how long they wait; the gateway ends a response that it is still streaming then. No planned work of the plan touched this gateway before. On the overloaded machine the caller was too slow to read the download.

A body that is cut at or after its request's deadline, by the caller's clock from before it was sent, is no violation any more. A cut before it still is, and so is a connection that ends without a head at any time, as a gateway answers a request that is late. The deadline is now part of the history, where the check of deployments has had it.

--- a/crates/testing/src/soak/callers.rs
+++ b/crates/testing/src/soak/callers.rs
@@ -209,7 +209,7 @@
             id,
             request_line: format!("{} {}", spec.method, spec.path),
             sent,
-            deadline: None,
+            deadline: Some(sent + Duration::from_millis(DEADLINE_MS)),
             ended: Instant::now(),
             workspace: spec.workspace.clone(),
             idempotent: spec.method == "GET",
--- a/crates/testing/src/soak/violations.rs
+++ b/crates/testing/src/soak/violations.rs
@@ -311,6 +311,8 @@
         RequestOutcome::Answered { status, .. } if MAY_HAVE_RUN.contains(&status) => None,
         RequestOutcome::Answered { status: 401, .. } if request.workspace.is_none() => None,
         RequestOutcome::Answered { status, .. } => Some(Violation::UnexpectedStatus(id, status)),
+        // A response that is still streamed at the deadline of its request ends there, with or without planned work.
+        RequestOutcome::Cut if request.deadline.is_some_and(|at| request.ended >= at) => None,
         RequestOutcome::Closed | RequestOutcome::Cut => {
             (planned_only && has_run).then_some(Violation::CutByPlannedWork(id))
         }
--- a/crates/testing/tests/soak.rs
+++ b/crates/testing/tests/soak.rs
@@ -121,6 +121,26 @@
         violations(order(RequestOutcome::Closed), &[0], true),
         [Violation::CutByPlannedWork(id())]
     );
+    let by_deadline = |outcome, left_ms| {
+        let request = order(outcome);
+        let deadline = Some(request.ended + Duration::from_millis(left_ms));
+        CallerRequest {
+            deadline,
+            ..request
+        }
+    };
+    assert_eq!(
+        violations(by_deadline(RequestOutcome::Cut, 1), &[0], true),
+        [Violation::CutByPlannedWork(id())]
+    );
+    assert_eq!(
+        violations(by_deadline(RequestOutcome::Closed, 0), &[0], true),
+        [Violation::CutByPlannedWork(id())]
+    );
+    assert_eq!(
+        violations(by_deadline(RequestOutcome::Cut, 0), &[0], true),
+        []
+    );
     let history = History::default();
     assert_eq!(
         find_violations(&history, &[ran(0, "nobody's")], &[], LIMITS),
