Soak: requests sent after a stopped gateway was started again aren't given up by its stop

The gateway had got its signal, had ended in time and was started again at 24.073 s of its log's minute; the request was sent to the new process, which answered at 24.963 as the failing endpoint broke the connection 103 ms after it had begun to run it. Its lines say stopping=false. The check took the 5 s after a signal for those of the stopping process, whenever that ended.

Requests that were sent after the gateway's next start don't count any more. All that were sent before it do, as the new process has none of them.

--- a/crates/testing/src/soak/deployed/given_up.rs
+++ b/crates/testing/src/soak/deployed/given_up.rs
@@ -30,6 +30,8 @@
     pub from: Instant,
     /// Until when it may finish its requests.
     pub to: Instant,
+    /// When its next process was started; `None` if none was.
+    pub restarted: Option<Instant>,
 }
 
 impl PlannedStop {
@@ -38,6 +40,7 @@
         self.gateway == request.gateway
             && request.ended >= self.from
             && request.ended < self.from + counted
+            && self.restarted.is_none_or(|at| request.sent < at)
     }
 }
 
--- a/crates/testing/src/soak/deployed/runner.rs
+++ b/crates/testing/src/soak/deployed/runner.rs
@@ -680,6 +680,7 @@
             gateway: *gateway,
             from: *at,
             to: *at + grace,
+            restarted: self.nodes.next_start(*gateway, *at),
         });
         let stops: Vec<PlannedStop> = stops.collect();
         let time = |request: &CallerRequest| {
--- a/crates/testing/src/soak/nodes.rs
+++ b/crates/testing/src/soak/nodes.rs
@@ -39,6 +39,8 @@
     frozen_leaders: BTreeMap<LeaderPause, Target>,
     /// The planned stops of gateways: each one's index, and when it was told.
     pub(super) stops: Vec<(usize, Instant)>,
+    /// When gateways were started again, with each one's index.
+    gateway_starts: Vec<(usize, Instant)>,
     /// When control replicas were killed.
     pub(super) control_kills: Vec<Instant>,
 }
@@ -54,6 +56,7 @@
             states,
             frozen_leaders: BTreeMap::new(),
             stops: Vec::new(),
+            gateway_starts: Vec::new(),
             control_kills: Vec::new(),
         }
     }
@@ -171,11 +174,21 @@
 
     pub(super) fn start(&mut self, target: Target) {
         if self.state(target) == State::Down {
+            if let Target::Gateway(number) = target {
+                self.gateway_starts.push((number, Instant::now()));
+            }
             self.node(target).start();
             self.set(target, State::Up);
         }
     }
 
+    /// When a gateway was first started after this moment.
+    pub(super) fn next_start(&self, gateway: usize, after: Instant) -> Option<Instant> {
+        let mut starts = self.gateway_starts.iter();
+        let next = starts.find(|(number, at)| *number == gateway && *at >= after);
+        next.map(|(_, at)| *at)
+    }
+
     /// Sends the process `SIGTERM`, also if it is stopping already.
     pub(super) fn stop(&mut self, target: Target) {
         match self.state(target) {
--- a/crates/testing/tests/given_up.rs
+++ b/crates/testing/tests/given_up.rs
@@ -27,6 +27,14 @@
     cut: Option<Duration>,
     /// How long its caller has told to wait.
     told: Option<Duration>,
+    /// When its gateway was started again, after the request was sent or before.
+    restarted: Option<Restart>,
+}
+
+#[derive(Clone, Copy)]
+enum Restart {
+    Before,
+    After,
 }
 
 const GIVEN_UP: Case = Case {
@@ -37,6 +45,7 @@
     is_complete: false,
     cut: None,
     told: None,
+    restarted: None,
 };
 
 fn is_found(case: Case) -> bool {
@@ -70,6 +79,10 @@
         gateway: 0,
         from: stopped,
         to: stopped + GRACE,
+        restarted: case.restarted.map(|restart| match restart {
+            Restart::Before => sent,
+            Restart::After => sent + ms(1),
+        }),
     };
     let cuts = case.cut.map(|at| EndpointCut {
         gateways: vec![0],
@@ -93,6 +106,11 @@
         ..GIVEN_UP
     };
     assert!(is_found(sent_again));
+    let restarted_later = Case {
+        restarted: Some(Restart::After),
+        ..GIVEN_UP
+    };
+    assert!(is_found(restarted_later));
 }
 
 #[test]
@@ -131,7 +149,12 @@
         told: Some(ms(2_100)),
         ..GIVEN_UP
     };
+    let by_the_next_process = Case {
+        restarted: Some(Restart::Before),
+        ..GIVEN_UP
+    };
     for case in [
+        by_the_next_process,
         refused,
         elsewhere,
         at_deadline,
