Gateway: what comes late in a planned stop is passed on only if its deadline comes first

An order that is cut may have run, and its caller can't know.

Cause: how long a request takes was expected from earlier ones, and for a late request nothing but its deadline proves that it ends before the process does. No margin on observed times covers one that was never seen.

From 0.45 of the grace period on, and from 2.7 s at the latest, a request is passed on only if its deadline, or its route's timeout, comes before the end of the process.

--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -39,7 +39,7 @@
 use super::relay::Helpers;
 use super::request::context::truncate;
 use super::shares::FairShares;
-use super::stop::{Phase, StopBegun};
+use super::stop::{Phase, StopBegun, StopStage};
 use super::waiting::Waiting;
 use super::{ControlMessage, ProtocolNames};
 use crate::Clock;
@@ -647,10 +647,9 @@
         *self.phase.borrow() >= Phase::Leaving
     }
 
-    /// Whether a planned stop had begun when a request arrived.
-    pub(crate) fn is_in_stop(&self, arrived: Instant) -> bool {
-        let times = self.stop_begun.get();
-        times.is_some_and(|times| times.began <= arrived)
+    /// When a request arrived, seen from a planned stop.
+    pub(crate) fn stop_stage(&self, arrived: Instant) -> StopStage {
+        self.stop_begun.stage(arrived)
     }
 
     /// Whether a request that arrived before a planned stop is known to take longer than the process has left.
@@ -663,10 +662,11 @@
         deadline.remaining() > left && usual.is_some_and(|usual| usual > left)
     }
 
-    /// By when a request must be answered that is passed on now; `None` if the process is likely to have stopped
-    /// before the request ends.
+    /// By when a request must be answered that is passed on now; `None` if the process may have stopped before the
+    /// request ends.
     pub(crate) fn deadline_in_stop(
         &self,
+        stage: StopStage,
         route: &TimedRoute<'_>,
         deadline: Deadline,
     ) -> Option<Deadline> {
@@ -674,9 +674,16 @@
             return Some(deadline);
         };
         let left = times.expected_by.saturating_duration_since(Instant::now());
-        let usual_times = self.usual_times.borrow();
-        let fits = usual_times.fits(route, deadline.remaining(), left);
-        fits.then(|| deadline.no_later_than(times.answer_by))
+        let remaining = deadline.remaining();
+        let ends_in_time = match stage {
+            StopStage::Before => true,
+            StopStage::Early => self.usual_times.borrow().fits(route, remaining, left),
+            StopStage::Late => remaining <= left,
+        };
+        ends_in_time.then(|| match stage {
+            StopStage::Before => deadline,
+            StopStage::Early | StopStage::Late => deadline.no_later_than(times.answer_by),
+        })
     }
 
     /// The current phase, and whether the data held here suffices to serve requests.
--- a/crates/filberthead/src/gateway/forwarding/mod.rs
+++ b/crates/filberthead/src/gateway/forwarding/mod.rs
@@ -24,6 +24,7 @@
 use super::headers::header_text;
 use super::response::ResponseBody;
 use super::retry::GrantedRetry;
+use super::stop::StopStage;
 use super::timing::RequestTimer;
 use super::under_way::{Destination, Event, UnderWay};
 use super::waiting::Place;
@@ -62,8 +63,8 @@
     /// Response of an endpoint that ran the request and failed. The caller gets it if no further
     /// attempt can be made.
     pub(super) failed_response: Option<Response<ResponseBody>>,
-    /// Whether it arrived after a planned stop had begun.
-    pub(super) is_in_stop: bool,
+    /// When it arrived, seen from a planned stop.
+    pub(super) stop_stage: StopStage,
     /// Measures it from its first attempt on.
     pub(super) timer: Option<RequestTimer>,
 }
--- a/crates/filberthead/src/gateway/forwarding/start.rs
+++ b/crates/filberthead/src/gateway/forwarding/start.rs
@@ -17,6 +17,7 @@
 use crate::gateway::retry_after::{
     RETRY_AFTER_REFUSED, RETRY_AFTER_STARTING, RETRY_AFTER_STOPPING,
 };
+use crate::gateway::stop::StopStage;
 use crate::gateway::under_way::{Destination, Ending, RunningAttempt};
 
 /// Least time before the deadline at which an attempt still makes sense.
@@ -29,16 +30,16 @@
     /// planned stop is rejected only if it is known to take longer.
     fn may_end_before_stop(&mut self) -> bool {
         let route = TimedRoute::new(self.service, self.route);
-        if !self.is_in_stop {
+        if self.stop_stage == StopStage::Before {
             return !self.core.outlasts_stop(&route, self.deadline);
         }
-        match self.core.deadline_in_stop(&route, self.deadline) {
-            Some(deadline) => {
-                self.deadline = deadline;
-                true
-            }
-            None => false,
+        let deadline = self
+            .core
+            .deadline_in_stop(self.stop_stage, &route, self.deadline);
+        if let Some(deadline) = deadline {
+            self.deadline = deadline;
         }
+        deadline.is_some()
     }
 
     /// Starts another attempt while those under way may not be answered, if it is allowed and there is an
--- a/crates/filberthead/src/gateway/request/mod.rs
+++ b/crates/filberthead/src/gateway/request/mod.rs
@@ -86,12 +86,8 @@
         return ctx.reject(ResultCode::NoEndpoint, Some(RETRY_AFTER_STARTING));
     };
     let timed_route = TimedRoute::new(&target.service, route);
-    let is_in_stop = core.is_in_stop(arrived);
-    let deadline = match is_in_stop {
-        true => core.deadline_in_stop(&timed_route, deadline),
-        false => Some(deadline),
-    };
-    let Some(deadline) = deadline else {
+    let stop_stage = core.stop_stage(arrived);
+    let Some(deadline) = core.deadline_in_stop(stop_stage, &timed_route, deadline) else {
         return ctx.reject(ResultCode::Stopping, Some(RETRY_AFTER_STOPPING));
     };
     let attempts_before = match relayed {
@@ -154,7 +150,7 @@
         relays: 0,
         retry: &retry,
         failed_response: None,
-        is_in_stop,
+        stop_stage,
         timer: None,
     };
     let mut response = forwarding.run(body).await;
--- a/crates/filberthead/src/gateway/stop.rs
+++ b/crates/filberthead/src/gateway/stop.rs
@@ -3,8 +3,10 @@
 //! Callers keep using the addresses they have looked up for a while. So a gateway first announces
 //! to control and to the platform that it is leaving, and goes on serving while each response
 //! closes its connection. Then it stops listening, finishes the running requests, and ends. Meanwhile it
-//! passes on only requests that can be expected to end before it does. To relay the others wouldn't help: their
-//! responses would still pass through this process.
+//! passes on only requests that can be expected to end before it does, and from a certain time on only those that
+//! are sure to, because their deadline comes first: callers have had time to learn of the stop by then, and a
+//! request that was longer than any before it would be cut. To relay the others wouldn't help: their responses
+//! would still pass through this process.
 
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
@@ -16,6 +18,11 @@
 /// Fraction of the grace period in which connections are still accepted. The rest is for requests
 /// that are running by then, and for the shutdown itself.
 const ACCEPT_FRACTION: f64 = 0.6;
+/// Fraction of the grace period after which the end of a request has to be certain for it to be passed on. What
+/// comes before may be cut at the end of the grace period if it takes longer than expected.
+const EXPECTATION_FRACTION: f64 = 0.45;
+/// The same, as the longest time: callers are promised that what they send later isn't cut.
+const MAX_EXPECTATION: Duration = Duration::from_millis(2700);
 /// Fraction of the grace period by which a request must be expected to end to be passed on.
 const EXPECTED_FRACTION: f64 = 0.9;
 /// Fraction of the grace period after which a request is answered that takes longer than expected. The rest is
@@ -52,18 +59,60 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct StopTimes {
     /// When it began.
-    pub(crate) began: Instant,
+    began: Instant,
+    /// Until when a request may arrive whose end is only expected, not certain.
+    expect_until: Instant,
     /// When a request must be expected to end at the latest to be passed on.
     pub(crate) expected_by: Instant,
     /// When a request is answered that takes longer.
     pub(crate) answer_by: Instant,
 }
 
+/// When a request arrived, seen from a planned stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StopStage {
+    /// Before its beginning.
+    Before,
+    /// While requests are passed on that can be expected to end before the process does.
+    Early,
+    /// Later: only requests whose deadline comes before the end of the process are passed on.
+    Late,
+}
+
 /// The times of a planned stop; unset until it begins.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StopBegun(Arc<OnceLock<StopTimes>>);
 
+impl StopTimes {
+    /// Of a stop that begins now.
+    fn new(began: Instant, grace: Duration) -> Self {
+        let expectation = grace.mul_f64(EXPECTATION_FRACTION).min(MAX_EXPECTATION);
+        Self {
+            began,
+            expect_until: began + expectation,
+            expected_by: began + grace.mul_f64(EXPECTED_FRACTION),
+            answer_by: began + grace.mul_f64(ANSWER_FRACTION),
+        }
+    }
+
+    fn stage(&self, arrived: Instant) -> StopStage {
+        if arrived < self.began {
+            StopStage::Before
+        } else if arrived < self.expect_until {
+            StopStage::Early
+        } else {
+            StopStage::Late
+        }
+    }
+}
+
 impl StopBegun {
+    /// The stage in which a request arrived.
+    pub(crate) fn stage(&self, arrived: Instant) -> StopStage {
+        let times = self.get();
+        times.map_or(StopStage::Before, |times| times.stage(arrived))
+    }
+
     /// The times, once a planned stop has begun.
     pub(crate) fn get(&self) -> Option<StopTimes> {
         self.0.get().copied()
@@ -87,11 +136,8 @@
     /// Returns when the process may end.
     pub(crate) async fn run(mut self) {
         let started = Instant::now();
-        self.begun.0.get_or_init(|| StopTimes {
-            began: started,
-            expected_by: started + self.grace.mul_f64(EXPECTED_FRACTION),
-            answer_by: started + self.grace.mul_f64(ANSWER_FRACTION),
-        });
+        let times = || StopTimes::new(started, self.grace);
+        self.begun.0.get_or_init(times);
         self.phase.send_replace(Phase::Leaving);
         sleep(self.grace.mul_f64(ACCEPT_FRACTION)).await;
         self.phase.send_replace(Phase::Ending);
