--- a/tests/all/evacuations.rs
+++ b/tests/all/evacuations.rs
@@ -3,6 +3,8 @@
 //! One invariant: an acknowledged order isn't undone by one that its operator has given up.
 
 use std::collections::BTreeSet;
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpStream;
 use std::process::Command;
 use std::time::{Duration, Instant};
 
@@ -172,6 +174,31 @@
     assert_stays_evacuated(leading);
 }
 
+/// The bytes of an order were lost on the way and sent again, and its close was lost: a running replica took the order for a
+/// new one, and undid what was acknowledged since.
+#[test]
+fn an_order_whose_bytes_and_close_are_late_is_not_carried_out() {
+    let site = start();
+    let [late, other] = [&site.controls[0], &site.controls[1]];
+    order(&[other], "evacuations.start");
+    wait_evacuated(late);
+    let mut connection = TcpStream::connect(late.direct_addr("orders")).expect("a connection");
+    std::thread::sleep(PATIENCE);
+    order(&[other], "evacuations.end");
+    order(&[other], "evacuations.start");
+    write!(
+        connection,
+        "POST /-/rpc?call=evacuations.end&of={DOMAIN} HTTP/1.1\r\nhost: control\r\n\r\n"
+    )
+    .expect("a request");
+    let mut status_line = String::new();
+    BufReader::new(connection)
+        .read_line(&mut status_line)
+        .expect("an answer");
+    assert!(status_line.starts_with("HTTP/1.1 503"), "{status_line}");
+    assert_stays_evacuated(late);
+}
+
 /// Replaces the data of all replicas, which don't run, by that of a group of the earlier release that
 /// has evacuated [`DOMAIN`].
 fn store_earlier_group(site: &mut Site) {
