Gateway: one bound on all buffered responses, from their reading until callers have them

Cause: the bound of 48 MiB counted only responses without a known length, and only while they were read. "One of a known length has an end" is no bound on how many are held, nor for how long.

A response of a known length is buffered if there is room for all of it, up to half of the bound, and streamed otherwise. Responses without one share the rest; beyond it, one that its caller hasn't taken for a second is dropped with its connection, or else the longest that is read is ended, as before. The bytes count until the kernel has them.

Metrics `gateway_body_memory_bytes` and `gateway_unbuffered_total`, and a log line while memory is short.

--- a/crates/filberthead/src/gateway/attempt.rs
+++ b/crates/filberthead/src/gateway/attempt.rs
@@ -18,6 +18,7 @@
 use tokio::time::timeout_at;
 
 use super::answer_notes::{self, EndpointAnswer};
+use super::body_memory::BodyBytes;
 use super::core::Core;
 use super::deadline::Deadline;
 use super::headers::{header_text, not_run};
@@ -429,20 +430,18 @@
 ) -> Result<Response<ResponseBody>, BodyFailure> {
     remove_hop_by_hop(&mut head.headers);
     let deadline = job.deadline.respond_by;
-    if is_streamed(job.kind, head.status, body.size_hint().exact()) {
+    let length = body.size_hint().exact();
+    let share = match is_streamed(job.kind, head.status, length) {
+        true => None,
+        false => core.body_memory.start(length),
+    };
+    let Some(share) = share else {
         let streamed = StreamedBody::new(core, body, connection, deadline);
         let body = ResponseBody::Streamed(Box::new(streamed));
         return Ok(Response::from_parts(head, body));
-    }
-    let share = core.body_memory.start();
-    // One of a known length has an end.
-    let is_counted = body.size_hint().exact().is_none();
+    };
     let max_len = MAX_BUFFERED_RESPONSE as usize;
-    let reading = connection.read_body(body, max_len, |bytes| {
-        if is_counted {
-            share.set(bytes);
-        }
-    });
+    let reading = connection.read_body(body, max_len, |bytes| share.set(bytes));
     let reading = async {
         tokio::select! {
             biased;
@@ -465,7 +464,8 @@
     };
     connection.release();
     set_length(job, &mut head, bytes.len());
-    Ok(Response::from_parts(head, ResponseBody::Buffered(bytes)))
+    let body = ResponseBody::Buffered(BodyBytes::new(bytes, share));
+    Ok(Response::from_parts(head, body))
 }
 
 /// Sets the length of a response whose body was read. A response to `HEAD` keeps the one that its endpoint names, which
--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -160,8 +160,8 @@
     pub(crate) clock: Clock,
     pub(crate) protocol: Arc<ProtocolNames>,
     pub(crate) client: Client,
-    /// Memory of the responses that are being read.
-    pub(crate) body_memory: BodyMemory,
+    /// Memory of the responses that are buffered.
+    pub(crate) body_memory: Rc<BodyMemory>,
     /// Memory of what is read ahead on callers' connections.
     pub(crate) ahead_memory: Rc<Memory>,
     pub(crate) placer: RefCell<Placer>,
@@ -252,7 +252,7 @@
             metrics: parts.metrics,
             contention_control: parts.contention_control,
             link: parts.link.map(RefCell::new),
-            body_memory: BodyMemory::default(),
+            body_memory: Rc::default(),
             ahead_memory: Memory::new(MAX_AHEAD_MEMORY),
             large_admission: parts.large_admission.map(RefCell::new),
             balancer: RefCell::default(),
@@ -860,10 +860,25 @@
         }
     }
 
+    fn report_body_memory(&self) {
+        self.metrics.set_body_memory(self.body_memory.used());
+        let relief = self.body_memory.take_relief();
+        let counts = [
+            ("streamed", relief.streamed),
+            ("ended", relief.ended),
+            ("dropped", relief.dropped),
+        ];
+        for (how, count) in counts.into_iter().filter(|(_, count)| *count > 0) {
+            self.metrics.record_unbuffered(how, count);
+            info!(how, count, used = self.body_memory.used(); "memory for responses is short");
+        }
+    }
+
     /// Advances the exchange with control, and sends a report if one is due.
     pub(crate) fn tick(&self) {
         let now = self.now();
         self.start_serving_if_ready(now);
+        self.report_body_memory();
         let mut member = self.member.borrow_mut();
         let mut seeds = self.seeds.borrow_mut();
         if seeds.has_changed().unwrap_or(false) {
--- a/crates/filberthead/src/gateway/response.rs
+++ b/crates/filberthead/src/gateway/response.rs
@@ -4,12 +4,12 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
 use filberthead_types::{Meaning, ResultCode, header};
 use http::header::RETRY_AFTER;
 use http::{HeaderName, HeaderValue, Response, StatusCode};
 use http_body::{Body, Frame, SizeHint};
 
+use super::body_memory::BodyBytes;
 use super::streamed::{BodyError, StreamedBody};
 
 const RESULT: HeaderName = HeaderName::from_static(header::RESULT);
@@ -17,26 +17,29 @@
 /// Body of a response.
 pub(crate) enum ResponseBody {
     /// Buffered in memory.
-    Buffered(Bytes),
+    Buffered(BodyBytes),
     /// Streamed from an endpoint.
     Streamed(Box<StreamedBody>),
 }
 
 impl Body for ResponseBody {
-    type Data = Bytes;
+    type Data = BodyBytes;
     type Error = BodyError;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+    ) -> Poll<Option<Result<Frame<BodyBytes>, BodyError>>> {
         match self.get_mut() {
             Self::Buffered(bytes) if bytes.is_empty() => Poll::Ready(None),
             Self::Buffered(bytes) => {
                 let frame = Frame::data(std::mem::take(bytes));
                 Poll::Ready(Some(Ok(frame)))
             }
-            Self::Streamed(body) => body.poll_frame(cx),
+            Self::Streamed(body) => {
+                let frame = body.poll_frame(cx);
+                frame.map_ok(|frame| frame.map_data(BodyBytes::from))
+            }
         }
     }
 
@@ -65,7 +68,7 @@
     retry_after: Option<Duration>,
 ) -> Response<ResponseBody> {
     let status = StatusCode::from_u16(status(code)).unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut response = Response::new(ResponseBody::Buffered(Bytes::new()));
+    let mut response = Response::new(ResponseBody::Buffered(BodyBytes::default()));
     *response.status_mut() = status;
     let headers = response.headers_mut();
     headers.insert(RESULT, HeaderValue::from(code.number()));
--- a/crates/filberthead/src/gateway/serve/ahead.rs
+++ b/crates/filberthead/src/gateway/serve/ahead.rs
@@ -5,7 +5,6 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
-use bytes::Bytes;
 use filberthead_pipeline::{Memory, MemoryShare};
 use http::Response;
 use http::request::Parts;
@@ -14,6 +13,7 @@
 use tokio::time::Instant;
 
 use super::read_ahead::Connection;
+use crate::gateway::body_memory::BodyBytes;
 use crate::gateway::response::ResponseBody;
 use crate::gateway::streamed::BodyError;
 
@@ -92,13 +92,13 @@
 }
 
 impl Body for AnswerBody {
-    type Data = Bytes;
+    type Data = BodyBytes;
     type Error = BodyError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+    ) -> Poll<Option<Result<Frame<BodyBytes>, BodyError>>> {
         Pin::new(&mut self.body).poll_frame(cx)
     }
 
--- a/crates/filberthead/src/gateway/serve/connection.rs
+++ b/crates/filberthead/src/gateway/serve/connection.rs
@@ -5,7 +5,7 @@
 use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::pin::pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::Poll;
 use std::time::Duration;
 
@@ -204,6 +204,15 @@
     RunningAhead::new(head, task)
 }
 
+/// Closes the connection of a caller that doesn't take its response.
+fn close(connection: &Weak<RefCell<Connection>>) {
+    if let Some(connection) = connection.upgrade()
+        && let Ok(connection) = connection.try_borrow()
+    {
+        connection.close();
+    }
+}
+
 /// Handles one request, and closes the connection after it if necessary.
 async fn respond(
     core: &Rc<Core>,
@@ -241,6 +250,8 @@
     }
     if let ResponseBody::Buffered(body) = response.body() {
         core.record_sent(TYPICAL_HEAD_BYTES + body.len());
+        let caller = Rc::downgrade(&connection);
+        body.taken(move || close(&caller));
     }
     let should_close = || match from {
         RequestSource::Caller => core.should_close_connection(),
--- a/crates/filberthead/src/gateway/serve/read_ahead.rs
+++ b/crates/filberthead/src/gateway/serve/read_ahead.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 use std::future::poll_fn;
 use std::io;
+use std::net::Shutdown;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker, ready};
@@ -11,6 +12,7 @@
 
 use filberthead_pipeline::{Begun, Limits, Next, Pipeline};
 use http::request::Parts;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::{Sleep, sleep, timeout};
@@ -111,6 +113,12 @@
         self.pipeline.is_stopped() && !self.pipeline.has_behind()
     }
 
+    /// Closes the connection at once, whatever is still to be written.
+    pub(super) fn close(&self) {
+        // Fails only for a connection that has already ended.
+        let _ = SockRef::from(&self.stream).shutdown(Shutdown::Both);
+    }
+
     /// The server has a whole answer.
     pub(super) fn finish(&mut self) {
         self.pipeline.finish();
--- a/crates/observe/src/metrics/gateway.rs
+++ b/crates/observe/src/metrics/gateway.rs
@@ -95,6 +95,8 @@
     limited_endpoints: Gauge,
     slowed_endpoints: Gauge,
     replicated_objects: Gauge,
+    body_memory: Gauge,
+    unbuffered: Family<ReasonLabels, Counter>,
     resting_endpoints: Gauge,
     longest_rest: Gauge,
     rests: Counter,
@@ -141,6 +143,8 @@
             limited_endpoints: Gauge::default(),
             slowed_endpoints: Gauge::default(),
             replicated_objects: Gauge::default(),
+            body_memory: Gauge::default(),
+            unbuffered: Family::default(),
             resting_endpoints: Gauge::default(),
             longest_rest: Gauge::default(),
             rests: Counter::default(),
@@ -237,6 +241,15 @@
             self.replicated_objects.clone(),
         );
         let resting = "Endpoints that have asked this gateway for rest and get no requests";
+        registry.register_with_unit(
+            "gateway_body_memory",
+            "Memory of buffered responses",
+            Unit::Bytes,
+            self.body_memory.clone(),
+        );
+        let unbuffered =
+            "Responses that were streamed, ended or dropped as memory was short, by which of these";
+        registry.register("gateway_unbuffered", unbuffered, self.unbuffered.clone());
         registry.register(
             "gateway_resting_endpoints",
             resting,
@@ -414,6 +427,17 @@
         set(&self.replicated_objects, objects as u64);
     }
 
+    /// Sets the memory of buffered responses.
+    pub fn set_body_memory(&self, bytes: usize) {
+        set(&self.body_memory, bytes as u64);
+    }
+
+    /// Counts responses that were `streamed`, `ended` or `dropped` as memory was short.
+    pub fn record_unbuffered(&self, how: &'static str, count: u64) {
+        let labels = ReasonLabels { reason: how };
+        self.unbuffered.get_or_create_owned(&labels).inc_by(count);
+    }
+
     /// Sets the number of endpoints that are at rest.
     pub fn set_resting_endpoints(&self, endpoints: usize) {
         set(&self.resting_endpoints, endpoints as u64);
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod allotments;
 mod at_work;
 mod bounds;
+mod buffered_answers;
 mod contact;
 mod control;
 mod crashing;
