Soak: requests that come late in a planned stop may not be cut at its end

The check of requests that a stopping gateway gives up left out the last sixth of the grace period for all requests. Only those that were sent up to 3 s after the signal may be cut then; for later ones answers count until the end of the grace period, and so does the end of their connection.

--- a/crates/testing/src/soak/deployed/given_up.rs
+++ b/crates/testing/src/soak/deployed/given_up.rs
@@ -1,8 +1,9 @@
 //! Checks that no request at which an endpoint is at work is ended by a stopping gateway's own answer.
 //!
-//! Answers count that a gateway gave from its signal to stop until the last sixth of its grace period, well
-//! before the request's time was over, and that say that the request may have run. Not those to requests
-//! during which its links to endpoints were cut: the endpoint's connection may have been lost.
+//! Answers count that a gateway gave from its signal to stop on, well before the request's time was over, and that
+//! say that the request may have run; to requests that were sent early in the stop, only until the last sixth of the
+//! grace period. The end of the connection counts as such an answer for requests that were sent late. Not
+//! those to requests during which its links to endpoints were cut: the endpoint's connection may have been lost.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
@@ -14,6 +15,8 @@
 
 /// Statuses of a gateway's own answers to requests that may have run.
 const GIVEN_UP: [u16; 2] = [502, 504];
+/// Time after the signal until which requests may be sent that are cut in the last sixth of the grace period.
+const CUT_IF_SENT_WITHIN: Duration = Duration::from_secs(3);
 /// Time before an answer from which on an endpoint's run counts as ended by it.
 const BEFORE_ANSWER: Duration = Duration::from_millis(20);
 /// Time within which an endpoint notices that a connection was closed.
@@ -36,12 +39,20 @@
 
 impl PlannedStop {
     fn covers(&self, request: &CallerRequest) -> bool {
-        let counted = self.to.saturating_duration_since(self.from) * 5 / 6;
+        let counted = match self.is_late(request) {
+            true => self.to.saturating_duration_since(self.from),
+            false => self.to.saturating_duration_since(self.from) * 5 / 6,
+        };
         self.gateway == request.gateway
             && request.ended >= self.from
             && request.ended < self.from + counted
             && self.restarted.is_none_or(|at| request.sent < at)
     }
+
+    /// Whether no planned end excuses that a request is cut.
+    fn is_late(&self, request: &CallerRequest) -> bool {
+        request.sent > self.from + CUT_IF_SENT_WITHIN
+    }
 }
 
 /// Requests that stopping gateways gave up while endpoints were at work on them. `time` is the longest that a
@@ -81,15 +92,22 @@
             .map_or(by_route, |deadline| deadline.min(by_route))
     };
     let violation = |request: &CallerRequest| {
-        let RequestOutcome::Answered { status, .. } = request.outcome else {
-            return None;
+        let mut stops = stops.iter().filter(|stop| stop.covers(request));
+        let violation = match request.outcome {
+            RequestOutcome::Answered { status, .. } if GIVEN_UP.contains(&status) => {
+                stops.next()?;
+                Violation::GivenUpAtWork(request.id.clone(), status)
+            }
+            RequestOutcome::Closed | RequestOutcome::Cut => {
+                stops.find(|stop| stop.is_late(request))?;
+                Violation::CutByPlannedWork(request.id.clone())
+            }
+            _ => return None,
         };
-        let is_given_up = GIVEN_UP.contains(&status)
-            && request.ended + DUE_BEFORE_END < due(request)
-            && stops.iter().any(|stop| stop.covers(request))
+        let is_given_up = request.ended + DUE_BEFORE_END < due(request)
             && !is_cut(request)
             && was_at_work(request);
-        is_given_up.then(|| Violation::GivenUpAtWork(request.id.clone(), status))
+        is_given_up.then_some(violation)
     };
     requests.iter().filter_map(violation).collect()
 }
