Soak: gateways are stopped beside long requests of callers that keep their look-ups

The other descriptions don't set `kept_lookups`, so their callers do what they did; plans of `--seed` without `--faults` differ, as there is one kind more.

--- a/crates/testing/src/soak/callers.rs
+++ b/crates/testing/src/soak/callers.rs
@@ -154,6 +154,12 @@
         .gateways
         .iter()
         .position(|gateway| *gateway == addr)?;
+    connect_to(shared, gateway).await
+}
+
+/// Connects to the gateway with this index.
+pub(super) async fn connect_to(shared: &SharedState, gateway: usize) -> Option<GatewayConnection> {
+    let addr = shared.gateways[gateway];
     let connection = timeout(CONNECT_TIMEOUT, Connection::open(addr))
         .await
         .ok()?;
--- a/crates/testing/src/soak/deployed/callers.rs
+++ b/crates/testing/src/soak/deployed/callers.rs
@@ -14,7 +14,7 @@
 use crate::client::{Answer, Call, CallError};
 use crate::cluster::Place;
 use crate::site::HOST;
-use crate::soak::callers::{GatewayConnection, connect, outcome_of, told};
+use crate::soak::callers::{GatewayConnection, connect, connect_to, outcome_of, told};
 use crate::soak::history::{CallerRequest, RequestOutcome};
 use crate::soak::shared::SharedState;
 use crate::soak::violations::NOT_RUN;
@@ -35,6 +35,8 @@
 /// One caller in this many looks gateways up again after this time.
 const FOLLOWER_EVERY: usize = 3;
 const LOOKUP_TTL: Duration = Duration::from_secs(2);
+/// One caller in this many keeps its look-ups, if the deployment's callers do.
+const KEEPER_EVERY: usize = 3;
 /// One caller in this many belongs to the workspace with an allotment, if not all have one.
 const LIMITED_EVERY: usize = 12;
 
@@ -104,6 +106,8 @@
     /// Its number among all callers.
     pub(super) number: usize,
     pub(super) rng: StdRng,
+    /// The gateway that it has found, by its index, and when.
+    found: Option<(usize, Instant)>,
 }
 
 /// A request of a caller, which may be sent several times under ids of their own.
@@ -131,6 +135,7 @@
             domain,
             number,
             rng: StdRng::seed_from_u64(seed ^ (number as u64 + 1)),
+            found: None,
         }
     }
 
@@ -153,6 +158,9 @@
             if self.follows_lookups() && looked_up.elapsed() >= LOOKUP_TTL {
                 connection = None;
             }
+            if self.found.is_some_and(|found| !self.may_use(found)) {
+                connection = None;
+            }
             if connection.is_none() {
                 looked_up = Instant::now();
             }
@@ -233,9 +241,29 @@
         None
     }
 
+    /// Whether it uses an address for a time of its own, whatever its gateway asks.
+    fn keeps_lookups(&self) -> bool {
+        !self.deployment.limits.kept_lookups.is_zero() && self.number % KEEPER_EVERY == 1
+    }
+
+    /// Whether it may still use a gateway that it found then.
+    fn may_use(&self, (_, at): (usize, Instant)) -> bool {
+        at.elapsed() < self.deployment.limits.kept_lookups
+    }
+
     async fn connect(&mut self) -> Option<GatewayConnection> {
+        if let Some(found) = self.found.take()
+            && self.may_use(found)
+            && let Some(connection) = connect_to(&self.shared, found.0).await
+        {
+            self.found = Some(found);
+            return Some(connection);
+        }
+        let at = Instant::now();
         let place: &Place = &self.deployment.domains[self.load.domain(self.domain)].place;
-        connect(&self.shared, &mut self.rng, place).await
+        let connection = connect(&self.shared, &mut self.rng, place).await?;
+        self.found = self.keeps_lookups().then_some((connection.gateway, at));
+        Some(connection)
     }
 
     async fn send(
--- a/crates/testing/src/soak/deployed/deployment.rs
+++ b/crates/testing/src/soak/deployed/deployment.rs
@@ -55,6 +55,8 @@
     pub tolerate: usize,
     /// Length of a gateway's planned stop.
     pub stop_grace: Duration,
+    /// How long some callers use an address that they have looked up, whatever its gateway asks; zero if none do.
+    pub kept_lookups: Duration,
 }
 
 /// A failure domain.
@@ -221,6 +223,7 @@
             "max_attempts" => self.max_attempts = number(value)?,
             "tolerate" => self.tolerate = number(value)?,
             "stop_grace" => self.stop_grace = duration(value)?,
+            "kept_lookups" => self.kept_lookups = duration(value)?,
             _ => return Err(unknown()),
         }
         Ok(())
--- a/crates/testing/src/soak/deployed/plan.rs
+++ b/crates/testing/src/soak/deployed/plan.rs
@@ -174,6 +174,8 @@
     /// Number of requests so far that crash endpoints.
     pub(super) crashing: usize,
     pub(super) run_times: Vec<Duration>,
+    /// Length of a gateway's planned stop.
+    pub(super) stop_grace: Duration,
     actions: Vec<TimedAction>,
 }
 
@@ -213,6 +215,7 @@
                 .collect(),
             crashing: 0,
             run_times: deployment.services.iter().map(|s| s.work).collect(),
+            stop_grace: deployment.limits.stop_grace,
             actions: Vec::new(),
         }
     }
--- a/crates/testing/src/soak/deployed/trouble.rs
+++ b/crates/testing/src/soak/deployed/trouble.rs
@@ -82,6 +82,8 @@
     /// Gateways are stopped one after the other, several at a time, while more requests come than endpoints
     /// can run, some gateways are starved and others relay their requests.
     GatewaysStoppedUnderLoad,
+    /// Gateways are stopped one after the other, and what comes late in each stop takes as long as no request before.
+    GatewaysStoppedBesideLongRequests,
     /// More than half of the gateways are killed at once.
     GatewaysKilledTogether,
     /// Gateways are suspended, most for less than a deadline.
@@ -120,7 +122,7 @@
 }
 
 /// All kinds with their names.
-pub const ALL_TROUBLES: [(&str, TroubleKind); 39] = [
+pub const ALL_TROUBLES: [(&str, TroubleKind); 40] = [
     ("endpoints-fail", TroubleKind::EndpointsFail),
     ("service-fails", TroubleKind::ServiceFails),
     ("endpoints-slow", TroubleKind::EndpointsSlow),
@@ -152,6 +154,10 @@
         "gateways-stopped-under-load",
         TroubleKind::GatewaysStoppedUnderLoad,
     ),
+    (
+        "gateways-stopped-beside-long-requests",
+        TroubleKind::GatewaysStoppedBesideLongRequests,
+    ),
     (
         "gateways-killed-together",
         TroubleKind::GatewaysKilledTogether,
@@ -243,6 +249,7 @@
         | TroubleKind::GatewayConnectionsReset => gateways(g, kind, at),
         TroubleKind::GatewaysCutOffFromEndpoints => endpoint_links(g, at),
         TroubleKind::GatewaysStoppedUnderLoad => stops_under_load(g, at),
+        TroubleKind::GatewaysStoppedBesideLongRequests => stops_beside_long_requests(g, at),
         TroubleKind::DomainCutOff | TroubleKind::DomainLost => domain(g, kind, at),
         TroubleKind::ControlKilled
         | TroubleKind::ControlRestarted
@@ -645,6 +652,30 @@
     }
 }
 
+/// Stops some gateways one after the other. Requests that come from about the middle of a grace period on take
+/// nearly half of it, so that those which are sent later outlast the process.
+fn stops_beside_long_requests(g: &mut Generator, mut at: Duration) {
+    const LONG_FROM: f64 = 0.48;
+    const LONG_UNTIL: f64 = 0.65;
+    const LONG: f64 = 0.46;
+    /// Time between two stops, as a factor on the grace period: the gateway has started again.
+    const APART: f64 = 1.5;
+    let grace = g.stop_grace;
+    let first = g.rng.random_range(0..g.gateways);
+    for number in 0..g.rng.random_range(1..=g.gateways.div_ceil(2)) {
+        let target = Target::Gateway((first + number) % g.gateways);
+        g.process(at, Step::Stop(target));
+        for endpoint in 0..g.services.len() {
+            let usual = g.run_times[g.services[endpoint]];
+            let run_for = |time| EndpointAction::Command(EndpointCommand::RunFor(time));
+            let long = run_for(grace.mul_f64(LONG));
+            g.endpoint(at + grace.mul_f64(LONG_FROM), endpoint, long);
+            g.endpoint(at + grace.mul_f64(LONG_UNTIL), endpoint, run_for(usual));
+        }
+        at += grace.mul_f64(APART);
+    }
+}
+
 /// Suspends a gateway for most of each period during `span`.
 fn starve_gateway(g: &mut Generator, span: (Duration, Duration), number: usize) {
     let target = Target::Gateway(number);
--- a/crates/testing/tests/given_up.rs
+++ b/crates/testing/tests/given_up.rs
@@ -14,10 +14,14 @@
     Duration::from_millis(ms)
 }
 
-/// A read that is sent a second before its gateway gets the signal to stop.
+/// A read that is sent a second before its gateway gets the signal to stop, or late in the stop.
 #[derive(Clone, Copy)]
 struct Case {
+    /// Status of its answer; 0 if its connection is closed without one.
     status: u16,
+    is_late: bool,
+    /// The longest that it may take by its route.
+    time: Duration,
     gateway: usize,
     /// When it was answered after the signal, and when its endpoint's run ended.
     answered: Duration,
@@ -39,6 +43,8 @@
 
 const GIVEN_UP: Case = Case {
     status: 502,
+    is_late: false,
+    time: TIME,
     gateway: 0,
     answered: Duration::from_millis(1_000),
     run_ended: Duration::from_millis(1_030),
@@ -50,7 +56,10 @@
 
 fn is_found(case: Case) -> bool {
     let sent = Instant::now();
-    let stopped = sent + ms(1_000);
+    let stopped = match case.is_late {
+        true => sent - ms(3_100),
+        false => sent + ms(1_000),
+    };
     let request = CallerRequest {
         id: "read".to_owned(),
         request_line: "GET /catalogue/1".to_owned(),
@@ -60,9 +69,12 @@
         workspace: None,
         idempotent: true,
         gateway: case.gateway,
-        outcome: RequestOutcome::Answered {
-            status: case.status,
-            matches: false,
+        outcome: match case.status {
+            0 => RequestOutcome::Closed,
+            status => RequestOutcome::Answered {
+                status,
+                matches: false,
+            },
         },
         told: None,
     };
@@ -90,7 +102,7 @@
         to: stopped + at + GRACE,
     });
     let cuts: Vec<EndpointCut> = cuts.into_iter().collect();
-    !find_given_up(&[request], &[vec![records]], &[stop], &cuts, |_| TIME).is_empty()
+    !find_given_up(&[request], &[vec![records]], &[stop], &cuts, |_| case.time).is_empty()
 }
 
 #[test]
@@ -164,3 +176,21 @@
         assert!(!is_found(case));
     }
 }
+
+/// What is sent late may not be cut in the last sixth of the grace period either.
+#[test]
+fn the_end_of_the_grace_period_excuses_early_requests_only() {
+    let cut_at_end = Case {
+        answered: ms(5_500),
+        run_ended: ms(5_530),
+        time: 2 * TIME,
+        ..GIVEN_UP
+    };
+    let late = Case {
+        is_late: true,
+        ..cut_at_end
+    };
+    let closed = |case| Case { status: 0, ..case };
+    assert!(is_found(late) && is_found(closed(late)));
+    assert!(!is_found(cut_at_end) && !is_found(closed(cut_at_end)));
+}
