Tests of crowds: clients that stop short of an end and stay

Clients that nobody controls may send many legal bodies, heads and messages at once, stop short of their end and keep their connections. Each test starts real processes, sends such a crowd to one port, and checks that the process lives within the memory of its VM (112 MB for a gateway, 256 MB for control, 130 MiB for an entry) and its descriptors (a quarter of 256 is left), and that an ordinary request is answered beside the crowd.

--- a/ci/test.sh
+++ b/ci/test.sh
@@ -27,11 +27,15 @@
     timeout 600 cargo test --workspace --exclude filberthead-cli --no-fail-fast
 }
 processes_tests() {
-    timeout 1200 cargo test -p filberthead-cli --no-fail-fast -- --test-threads=4 --skip soak::
+    timeout 1200 cargo test -p filberthead-cli --no-fail-fast -- --test-threads=4 --skip soak:: --skip crowds::
 }
 soaks_tests() {
     timeout 1200 cargo test -p filberthead-cli --no-fail-fast --test all -- --test-threads=2 soak::
 }
+# Each of these fills a process by itself, so they run one at a time and apart from other load.
+crowds_tests() {
+    timeout 900 cargo test -p filberthead-cli --no-fail-fast --test all -- --test-threads=1 crowds::
+}
 
 # Runs a suite; `report` prints and judges what came of it.
 run_suite() {
@@ -81,10 +85,11 @@
 step "getting started" bash ci/walk.sh
 step "tests of packages" suite workspace
 step "tests of whole systems" whole_systems
+step "tests of crowds" suite crowds
 
 summary "$out"/*.txt
 if ((failed)); then
-    for name in workspace processes soaks; do
+    for name in workspace processes soaks crowds; do
         [[ -f "$out/$name.txt" ]] && failure_output "$out/$name.txt"
     done
     echo "ci/test.sh: FAILED"
--- a/crates/testing/src/process.rs
+++ b/crates/testing/src/process.rs
@@ -27,6 +27,7 @@
     args: Vec<OsString>,
     log: PathBuf,
     takes_commands: bool,
+    open_files_limit: Option<u32>,
     child: Option<Child>,
     addrs: BTreeMap<String, SocketAddr>,
 }
@@ -49,6 +50,7 @@
             args: args.iter().map(OsString::from).collect(),
             log: log.to_owned(),
             takes_commands: false,
+            open_files_limit: None,
             child: None,
             addrs: BTreeMap::new(),
         }
@@ -61,6 +63,11 @@
         self
     }
 
+    /// Limits the file descriptors that it may have open from its next start on.
+    pub fn limit_open_files(&mut self, limit: u32) {
+        self.open_files_limit = Some(limit);
+    }
+
     /// Writes a line to its standard input. A suspended process reads it when it goes on.
     pub fn command(&mut self, line: &str) {
         let stdin = self.child.as_mut().and_then(|child| child.stdin.as_mut());
@@ -78,8 +85,8 @@
     pub fn spawn(&mut self) -> u32 {
         assert!(self.child.is_none(), "{} runs already", self.name);
         let log = File::options().create(true).append(true).open(&self.log);
-        let child = Command::new(&self.program)
-            .args(&self.args)
+        let child = self
+            .command_line()
             .stdin(match self.takes_commands {
                 true => Stdio::piped(),
                 false => Stdio::null(),
@@ -96,6 +103,20 @@
         id
     }
 
+    fn command_line(&self) -> Command {
+        let mut command = match self.open_files_limit {
+            None => Command::new(&self.program),
+            Some(limit) => {
+                let mut shell = Command::new("sh");
+                shell.arg("-c").arg(r#"ulimit -n "$0" && exec "$@""#);
+                shell.arg(limit.to_string()).arg(&self.program);
+                shell
+            }
+        };
+        command.args(&self.args);
+        command
+    }
+
     /// Waits for its `ready` line on standard output, and stores the addresses in it.
     ///
     /// # Panics
@@ -266,6 +287,17 @@
         self.status_bytes("VmHWM:")
     }
 
+    /// Number of file descriptors that it has open.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it doesn't run.
+    pub fn open_files(&self) -> usize {
+        let id = self.id().expect("the process runs");
+        let files = std::fs::read_dir(format!("/proc/{id}/fd"));
+        files.expect("the process runs").count()
+    }
+
     fn status_bytes(&self, name: &str) -> u64 {
         let status = self.proc_file("status");
         let line = status.lines().find_map(|line| line.strip_prefix(name));
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod contact;
 mod control;
 mod crashing;
+mod crowds;
 mod cut_answers;
 mod endless;
 mod endless_at_entries;
