Gateway: connections and unfinished heads are bounded in sum

Callers saw a gateway end: it had no memory or no descriptors left.

Cause: the request ports accepted connections without a bound, and a head that isn't complete took up to four times its length (the reader's copy, the server's, both in buffers that double) for as long as the idle timeout allows. A head was bounded, all heads together weren't.

A new package bounds what the clients of a port hold: connections, and bytes of what isn't complete. At a bound the client that has kept the process waiting for longest gives way, so those that send a request at once and wait for its answer go on. The port for callers and the one for relayed requests have a budget each. Connections with a request in progress are never closed for it, and none while an answer is being written, unless its client has taken nothing of it for five seconds and there is no other.

Weighed: back pressure (reading no further) leaves the bytes in the kernel, where they count as the process's memory on the users' machines, and the oldest clients keep their places; a share by address punishes honest callers behind one; a time limit for each head alone bounds no sum.

--- a/crates/filberthead/src/gateway/core.rs
+++ b/crates/filberthead/src/gateway/core.rs
@@ -13,6 +13,7 @@
 use filberthead_allot::{Admission, Contact, Limiter, Offer, RefusalMeter};
 use filberthead_endpoint::Client;
 use filberthead_fleet::{Load, Member, Outbound, Stamp, Update, UpdateDelay};
+use filberthead_limits::{Clients, Port, VmLimits};
 use filberthead_observe::{GatewayMetrics, LogRateLimiter};
 use filberthead_peer::Body;
 use filberthead_pipeline::Memory;
@@ -96,6 +97,8 @@
     pub(crate) large_admission: Option<LargeResponseAdmission>,
     /// Number of open caller connections.
     pub(crate) connections: watch::Sender<usize>,
+    /// What the VM gives the process.
+    pub(crate) vm: VmLimits,
     pub(crate) metrics: Arc<GatewayMetrics>,
     /// Seed addresses of the control group, updated when the settings are reloaded.
     pub(crate) seeds: watch::Receiver<Vec<SocketAddr>>,
@@ -162,6 +165,10 @@
     pub(crate) client: Client,
     /// Memory of the responses that are buffered.
     pub(crate) body_memory: Rc<BodyMemory>,
+    /// Connections of callers, and what they make the gateway hold.
+    pub(crate) callers: Rc<Clients>,
+    /// The same for gateways that relay requests.
+    pub(crate) relaying: Rc<Clients>,
     /// Memory of what is read ahead on callers' connections.
     pub(crate) ahead_memory: Rc<Memory>,
     pub(crate) placer: RefCell<Placer>,
@@ -239,7 +246,10 @@
 
 impl Core {
     pub(crate) fn new(parts: CoreParts) -> Rc<Self> {
+        let clients = |port, bounds| Clients::new(port, bounds, parts.metrics.clients().port(port));
         Rc::new(Self {
+            callers: clients(Port::Callers, parts.vm.callers()),
+            relaying: clients(Port::Relay, parts.vm.others()),
             clock: parts.clock,
             protocol: parts.protocol,
             client: Client::with_connect_timeout(CONNECT_TIMEOUT),
--- a/crates/filberthead/src/gateway/mod.rs
+++ b/crates/filberthead/src/gateway/mod.rs
@@ -60,6 +60,7 @@
 pub use self::protocol::ProtocolNames;
 use self::shares::FairShares;
 use self::stop::{Phase, PlannedStop, StopBegun};
+use crate::peers::vm_limits;
 use crate::ready::announce;
 use crate::stop::{Stop, stop_pair};
 use crate::supervisor::{Signals, supervise};
@@ -295,6 +296,7 @@
         phase,
         stop_begun,
         connections,
+        vm: vm_limits(&cfg.vm),
         contention_control: cfg.contention_control,
         link: cfg.link_rate.map(|rate| Link::new(rate * BITS_PER_MBIT)),
         large_admission: cfg
--- a/crates/filberthead/src/gateway/serve/connection.rs
+++ b/crates/filberthead/src/gateway/serve/connection.rs
@@ -11,6 +11,7 @@
 
 use bytes::Bytes;
 use filberthead_endpoint::RequestBody;
+use filberthead_limits::Admitted;
 use filberthead_types::ResultCode;
 use http::header::CONNECTION;
 use http::request::Parts;
@@ -43,6 +44,7 @@
 pub(super) async fn serve_connection(
     core: Rc<Core>,
     stream: TcpStream,
+    admitted: Admitted,
     (caller, from): (SocketAddr, RequestSource),
 ) {
     let _guard = core.track_connection();
@@ -57,7 +59,8 @@
     };
     let buffer_size = head_buffer_size(&bounds) + added;
     let mut phase = core.phase();
-    let connection = Connection::new(&core, stream, from);
+    let admitted = Rc::new(admitted);
+    let connection = Connection::new(&core, stream, Rc::clone(&admitted), from);
     let (shared, on) = (Rc::clone(&core), Rc::clone(&connection));
     let service = service_fn(move |req| {
         let begun = begin(&on, req);
@@ -78,12 +81,20 @@
             () = head_limit_raised(&mut bounds, buffer_size) => {}
         }
     };
-    let result = serve(&core, caller, &connection, serving, closing).await;
+    let serving = serve(&core, caller, &connection, serving, closing);
+    let ended = tokio::select! {
+        biased;
+        () = admitted.evicted() => Ended::Evicted,
+        ended = serving => ended,
+    };
     let ahead = std::mem::take(&mut connection.borrow_mut().running).len();
-    match result {
-        None => debug!(caller:%, ahead; "caller has disconnected before it was answered"),
-        Some(Ok(())) => linger(&connection).await,
-        Some(Err(e)) => {
+    match ended {
+        Ended::Evicted => debug!(caller:%; "connection closed to make room for others"),
+        Ended::Disconnected => {
+            debug!(caller:%, ahead; "caller has disconnected before it was answered");
+        }
+        Ended::Closed(Ok(())) => linger(&connection).await,
+        Ended::Closed(Err(e)) => {
             record_connection_error(&core, caller, &e);
             if e.is_parse() {
                 linger(&connection).await;
@@ -92,7 +103,17 @@
     }
 }
 
-/// Serves a connection until the server has closed it; `None` if the caller has, with requests running.
+/// How serving a connection ended.
+enum Ended {
+    /// The server has closed it.
+    Closed(hyper::Result<()>),
+    /// The caller has, with requests running.
+    Disconnected,
+    /// It has to make room for others.
+    Evicted,
+}
+
+/// Serves a connection until it is closed.
 /// After `closing`, it is closed once all requests that were read are answered.
 async fn serve<S>(
     core: &Rc<Core>,
@@ -100,7 +121,7 @@
     connection: &RefCell<Connection>,
     serving: http1::Connection<TokioIo<ReadAhead>, S>,
     closing: impl Future<Output = ()>,
-) -> Option<hyper::Result<()>>
+) -> Ended
 where
     S: HttpService<Incoming, ResBody = AnswerBody, Error = Infallible>,
 {
@@ -120,12 +141,12 @@
                 serving.as_mut().graceful_shutdown();
             }
             if let Poll::Ready(result) = serving.as_mut().poll(cx) {
-                return Poll::Ready(Some(result));
+                return Poll::Ready(Ended::Closed(result));
             }
             match connection.borrow_mut().read_ahead(cx, core, start) {
                 ReadProgress::Continue => {}
                 ReadProgress::Wait => return Poll::Pending,
-                ReadProgress::Disconnected => return Poll::Ready(None),
+                ReadProgress::Disconnected => return Poll::Ready(Ended::Disconnected),
             }
         }
     })
@@ -253,7 +274,9 @@
         let caller = Rc::downgrade(&connection);
         body.taken(move || close(&caller));
     }
+    let is_ending = connection.borrow().admitted.is_ending();
     let should_close = || match from {
+        _ if is_ending => true,
         RequestSource::Caller => core.should_close_connection(),
         RequestSource::Gateway => core.is_leaving(),
     };
--- a/crates/filberthead/src/gateway/serve/mod.rs
+++ b/crates/filberthead/src/gateway/serve/mod.rs
@@ -9,9 +9,8 @@
 use std::time::Duration;
 
 use filberthead_ring::Receiver;
-use log::warn;
 use tokio::task::{JoinHandle, spawn_local};
-use tokio::time::{MissedTickBehavior, interval, sleep};
+use tokio::time::{MissedTickBehavior, interval};
 
 use self::connection::serve_connection;
 use super::ControlMessage;
@@ -23,8 +22,6 @@
 
 /// How often the duty checks whether a report is due.
 const TICK: Duration = Duration::from_millis(100);
-/// Pause after a failed accept, which usually means that no file descriptors are left.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// Where requests are accepted.
 pub(crate) struct Listeners {
@@ -82,15 +79,13 @@
 }
 
 async fn accept(core: Rc<Core>, listener: tokio::net::TcpListener, from: RequestSource) {
+    let clients = match from {
+        RequestSource::Caller => Rc::clone(&core.callers),
+        RequestSource::Gateway => Rc::clone(&core.relaying),
+    };
     loop {
-        match listener.accept().await {
-            Ok((stream, addr)) => {
-                spawn_local(serve_connection(Rc::clone(&core), stream, (addr, from)));
-            }
-            Err(e) => {
-                warn!(error:% = e; "a connection can't be accepted");
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
+        let (stream, addr, admitted) = filberthead_limits::accept(&listener, &clients).await;
+        let serving = serve_connection(Rc::clone(&core), stream, admitted, (addr, from));
+        spawn_local(serving);
     }
 }
--- a/crates/filberthead/src/gateway/serve/read_ahead.rs
+++ b/crates/filberthead/src/gateway/serve/read_ahead.rs
@@ -10,6 +10,7 @@
 use std::task::{Context, Poll, Waker, ready};
 use std::time::{Duration, Instant};
 
+use filberthead_limits::Admitted;
 use filberthead_pipeline::{Begun, Limits, Next, Pipeline};
 use http::request::Parts;
 use socket2::SockRef;
@@ -31,6 +32,9 @@
 };
 /// Bytes read at once.
 const READ_BYTES: usize = 16 * 1024;
+/// Memory that each byte of an unfinished head takes: the reader and the server keep it, in buffers of up to
+/// twice its length.
+const HEAD_COPIES: usize = 4;
 /// How often to check whether the caller is still there while the socket isn't read. Requests of a caller
 /// that has disconnected have to end within half a second.
 const CALLER_CHECK: Duration = Duration::from_millis(200);
@@ -53,6 +57,9 @@
     answered: bool,
     /// Whether the caller has ever sent a request ahead.
     has_sent_ahead: bool,
+    /// Whether the caller takes no more of an answer at present.
+    is_stalled: bool,
+    pub(super) admitted: Rc<Admitted>,
     /// When to check next whether the caller is still there; `None` while the socket is read.
     caller_check: Option<Pin<Box<Sleep>>>,
 }
@@ -68,7 +75,12 @@
 }
 
 impl Connection {
-    pub(super) fn new(core: &Core, stream: TcpStream, from: RequestSource) -> Rc<RefCell<Self>> {
+    pub(super) fn new(
+        core: &Core,
+        stream: TcpStream,
+        admitted: Rc<Admitted>,
+        from: RequestSource,
+    ) -> Rc<RefCell<Self>> {
         let memory = &core.ahead_memory;
         let pipeline = match from {
             RequestSource::Caller => Pipeline::new(LIMITS, memory),
@@ -82,6 +94,8 @@
             is_busy: false,
             answered: false,
             has_sent_ahead: false,
+            is_stalled: false,
+            admitted,
             caller_check: None,
         }))
     }
@@ -93,6 +107,7 @@
         body: Option<u64>,
     ) -> (Begun, Option<RunningAhead>) {
         self.is_busy = true;
+        self.admitted.begin();
         let begun = self.pipeline.begin(head, body);
         let running = match begun.started {
             true => self.running.pop_front(),
@@ -122,6 +137,7 @@
     /// The server has a whole answer.
     pub(super) fn finish(&mut self) {
         self.pipeline.finish();
+        self.admitted.finish();
         self.is_busy = false;
         self.answered = true;
     }
@@ -196,6 +212,18 @@
         }
     }
 
+    /// Notes whether a write has made progress.
+    fn note_write<T>(&mut self, result: Poll<T>) -> Poll<T> {
+        if result.is_pending() != self.is_stalled {
+            self.is_stalled = result.is_pending();
+            match self.is_stalled {
+                true => self.admitted.stall(),
+                false => self.admitted.resume(),
+            }
+        }
+        result
+    }
+
     /// Discards what the caller still sends. Ends when it closes the connection.
     fn poll_discard(&mut self, cx: &mut Context<'_>, is_sending: &mut bool) -> Poll<()> {
         loop {
@@ -247,7 +275,10 @@
     ) -> Poll<io::Result<()>> {
         let mut connection = self.0.borrow_mut();
         let Connection {
-            stream, pipeline, ..
+            stream,
+            pipeline,
+            admitted,
+            ..
         } = &mut *connection;
         loop {
             if !pipeline.is_empty() {
@@ -267,6 +298,7 @@
             if received.is_empty() {
                 return Poll::Ready(Ok(()));
             }
+            admitted.received(received.len() * HEAD_COPIES);
             let now = Instant::now();
             let passed = pipeline.pass_through(received, now);
             if passed == received.len() {
@@ -288,7 +320,8 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let mut connection = self.0.borrow_mut();
-        Pin::new(&mut connection.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut connection.stream).poll_write(cx, buf);
+        connection.note_write(written)
     }
 
     fn poll_write_vectored(
@@ -297,7 +330,8 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let mut connection = self.0.borrow_mut();
-        Pin::new(&mut connection.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut connection.stream).poll_write_vectored(cx, bufs);
+        connection.note_write(written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/filberthead/src/peers.rs
+++ b/crates/filberthead/src/peers.rs
@@ -2,10 +2,12 @@
 
 use std::sync::atomic::Ordering;
 
+use filberthead_limits::VmLimits;
 use filberthead_observe::{ConnectionTotals, PeerTotals};
 pub(crate) use filberthead_peer::Outgoing;
 use filberthead_peer::{ConnectionCounters, Counters, Outbox, Transport, send_queued};
 use filberthead_ring::{Receiver, Sender, ring};
+use filberthead_settings::VmSettings;
 
 use crate::stop::Stop;
 use crate::{Duty, DutyError};
@@ -14,6 +16,11 @@
 /// and further messages are dropped: every protocol repeats what needs an answer.
 const OUTGOING_CAPACITY: usize = 4096;
 
+/// What the VM gives the process, by its settings.
+pub(crate) fn vm_limits(cfg: &VmSettings) -> VmLimits {
+    VmLimits::new(cfg.memory_bytes, cfg.descriptors)
+}
+
 /// Creates the queue to the sending duty.
 pub(crate) fn outgoing() -> (Sender<Outgoing>, Receiver<Outgoing>) {
     ring(OUTGOING_CAPACITY)
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -18,8 +18,8 @@
     DroppedLines, LogGuard, LogRateLimiter, LoggingError, format_line, init_logging, logger,
 };
 pub use metrics::{
-    ConnectionTotals, ControlMetrics, EntryMetrics, GatewayMetrics, OrderResult, PeerMetrics,
-    PeerTotals, RequestMetrics, SlotMetrics,
+    ClientMetrics, ConnectionTotals, ControlMetrics, EntryMetrics, GatewayMetrics, OrderResult,
+    PeerMetrics, PeerTotals, RequestMetrics, SlotMetrics,
 };
 pub use order_trace::{OrderFilter, OrderTrace};
 pub use trace::{Event, RequestTrace};
--- a/crates/observe/src/metrics/control.rs
+++ b/crates/observe/src/metrics/control.rs
@@ -9,8 +9,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 
-use super::PeerMetrics;
 use super::labels::{CodeLabels, ResultLabels};
+use super::{ClientMetrics, PeerMetrics};
 use super::{encoded, local_histogram, observe, registry, set, wait_histogram};
 
 /// How an operator's order ended at the replica that received it.
@@ -65,6 +65,7 @@
     change_duration: Histogram,
     orders: Family<ResultLabels, Counter>,
     peers: PeerMetrics,
+    clients: ClientMetrics,
 }
 
 impl Default for ControlMetrics {
@@ -93,6 +94,7 @@
             change_duration: wait_histogram(),
             orders: Family::default(),
             peers: PeerMetrics::default(),
+            clients: ClientMetrics::default(),
         };
         metrics.registry = registry(|registry| metrics.register(registry));
         metrics
@@ -114,6 +116,7 @@
         let orders = "Orders about routes and evacuations that were received here, by result";
         registry.register("control_orders", orders, self.orders.clone());
         self.peers.register(registry);
+        self.clients.register(registry);
     }
 
     fn register_consensus(&self, registry: &mut Registry) {
@@ -195,8 +198,14 @@
         &self.peers
     }
 
+    /// Metrics of the connections to each port.
+    pub fn clients(&self) -> &ClientMetrics {
+        &self.clients
+    }
+
     /// The response body of `/metrics`.
     pub fn encode(&self) -> String {
+        self.clients.record();
         encoded(&self.registry)
     }
 }
--- a/crates/observe/src/metrics/entry.rs
+++ b/crates/observe/src/metrics/entry.rs
@@ -11,7 +11,7 @@
 
 use super::labels::{BoundedPairs, CodeLabels, PairLabels};
 use super::requests::RequestFamilies;
-use super::{PeerMetrics, RequestMetrics};
+use super::{ClientMetrics, PeerMetrics, RequestMetrics};
 use super::{drain_histogram, encoded, local_histogram, observe, registry, set};
 use crate::samples::{PeriodCounter, PeriodCounters, ServiceSample};
 
@@ -33,6 +33,7 @@
     drains: Family<PairLabels, Histogram, fn() -> Histogram>,
     table_version: Gauge,
     peers: PeerMetrics,
+    clients: ClientMetrics,
 }
 
 impl Default for EntryMetrics {
@@ -60,6 +61,7 @@
             drains: Family::new_with_constructor(drain_histogram),
             table_version: Gauge::default(),
             peers: PeerMetrics::default(),
+            clients: ClientMetrics::default(),
         };
         metrics.registry = registry(|registry| metrics.register(registry));
         metrics
@@ -82,6 +84,7 @@
         let version = "Version of the table in force";
         registry.register("table_version", version, self.table_version.clone());
         self.peers.register(registry);
+        self.clients.register(registry);
     }
 
     /// The handle for requests of a service that are served in a region. The service must
@@ -143,8 +146,14 @@
         &self.peers
     }
 
+    /// Metrics of the connections to each port.
+    pub fn clients(&self) -> &ClientMetrics {
+        &self.clients
+    }
+
     /// The response body of `/metrics`.
     pub fn encode(&self) -> String {
+        self.clients.record();
         encoded(&self.registry)
     }
 }
--- a/crates/observe/src/metrics/gateway.rs
+++ b/crates/observe/src/metrics/gateway.rs
@@ -11,7 +11,7 @@
 use prometheus_client::registry::{Registry, Unit};
 
 use super::labels::{BoundedValues, KindLabels, ReasonLabels, other};
-use super::{PeerMetrics, encoded, observe, registry, set, wait_histogram};
+use super::{ClientMetrics, PeerMetrics, encoded, observe, registry, set, wait_histogram};
 
 /// `kind` label of requests that were answered before a route was found.
 const NO_KIND: &str = "none";
@@ -111,6 +111,7 @@
     endpoints: Gauge,
     ready: Gauge,
     peers: PeerMetrics,
+    clients: ClientMetrics,
 }
 
 impl Default for GatewayMetrics {
@@ -159,6 +160,7 @@
             endpoints: Gauge::default(),
             ready: Gauge::default(),
             peers: PeerMetrics::default(),
+            clients: ClientMetrics::default(),
         };
         metrics.registry = registry(|registry| metrics.register(registry));
         metrics
@@ -166,6 +168,7 @@
 
     fn register(&self, registry: &mut Registry) {
         self.peers.register(registry);
+        self.clients.register(registry);
         let requests = "Requests by kind of route, none where no route was found, and result code";
         registry.register("gateway_requests", requests, self.requests.clone());
         registry.register_with_unit(
@@ -528,8 +531,14 @@
         &self.peers
     }
 
+    /// Metrics of the connections to each port.
+    pub fn clients(&self) -> &ClientMetrics {
+        &self.clients
+    }
+
     /// The response body of `/metrics`.
     pub fn encode(&self) -> String {
+        self.clients.record();
         encoded(&self.registry)
     }
 }
--- a/crates/observe/src/metrics/labels.rs
+++ b/crates/observe/src/metrics/labels.rs
@@ -108,6 +108,19 @@
     }
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+pub(super) struct PortLabels {
+    pub(super) port: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(EncodeLabelSet)]
+pub(super) struct PortEventLabels {
+    pub(super) port: &'static str,
+    pub(super) event: &'static str,
+}
+
 /// Label values that have a series: the first ones up to a bound, whatever callers send.
 #[derive(Debug)]
 pub(super) struct BoundedValues<T> {
--- a/crates/observe/src/metrics/mod.rs
+++ b/crates/observe/src/metrics/mod.rs
@@ -5,6 +5,7 @@
 //! and, for durations, a short lock. Label sets are bounded: services and regions come from
 //! the table, all other values from enumerations in the code.
 
+mod clients;
 mod control;
 mod entry;
 mod gateway;
@@ -20,6 +21,7 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+pub use clients::ClientMetrics;
 pub use control::{ControlMetrics, OrderResult};
 pub use entry::{EntryMetrics, SlotMetrics};
 pub use gateway::GatewayMetrics;
--- a/crates/observe/src/metrics/peer.rs
+++ b/crates/observe/src/metrics/peer.rs
@@ -137,6 +137,6 @@
 
 /// Raises a counter to a total. An older total, from a duty that reported it late, must
 /// not lower the counter: that would look like a restart.
-fn raise_to(counter: &Counter<u64, AtomicU64>, total: u64) {
+pub(super) fn raise_to(counter: &Counter<u64, AtomicU64>, total: u64) {
     counter.inner().fetch_max(total, Ordering::Relaxed);
 }
--- a/crates/settings/src/control.rs
+++ b/crates/settings/src/control.rs
@@ -6,7 +6,7 @@
 
 use filberthead_types::{FailureDomain, NodeName, Region, ServiceName};
 
-use crate::LogSettings;
+use crate::{LogSettings, VmSettings};
 
 /// A control replica, from a section `[replica NAME]`.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -93,6 +93,8 @@
     pub region: Region,
     /// Its failure domain.
     pub failure_domain: FailureDomain,
+    /// What its VM gives it.
+    pub vm: VmSettings,
     /// Listening address for messages of other processes.
     pub peer_listen: SocketAddr,
     /// Address advertised to other processes; `None` for the listening one.
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -6,7 +6,7 @@
 
 use filberthead_types::{FailureDomain, NodeName, Region, ServiceName};
 
-use crate::{LogSettings, ReplicaSettings};
+use crate::{LogSettings, ReplicaSettings, VmSettings};
 
 /// An endpoint of the entry's own failure domain, from a section `[endpoint NAME]`.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -34,6 +34,8 @@
     pub region: Region,
     /// Its failure domain.
     pub failure_domain: FailureDomain,
+    /// What its VM gives it.
+    pub vm: VmSettings,
     /// Listening address for look-ups and requests.
     pub caller_listen: SocketAddr,
     /// Address advertised to callers and other entries; `None` for the listening one.
--- a/crates/settings/src/gateway.rs
+++ b/crates/settings/src/gateway.rs
@@ -6,7 +6,7 @@
 
 use filberthead_types::{FailureDomain, NodeName, Region};
 
-use crate::LogSettings;
+use crate::{LogSettings, VmSettings};
 
 /// Bounds that apply to all gateways together.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -48,6 +48,8 @@
     pub region: Region,
     /// Its failure domain.
     pub failure_domain: FailureDomain,
+    /// What its VM gives it.
+    pub vm: VmSettings,
     /// Listening address for requests.
     pub caller_listen: SocketAddr,
     /// Address advertised to callers; `None` for the listening one.
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -72,6 +72,17 @@
         /// Failure domain of the VM: what one fault can cut off or stop as a whole.
         FAILURE_DOMAIN: FailureDomain = "failure_domain", REQUIRED;
     }
+    /// What the VM gives the process. It bounds what clients can make the process hold; see
+    /// [Clients that hold on](operators/clients-that-hold-on.md).
+    ["vm"] All {
+        /// Memory that the process may use. An eighth of it is for unfinished requests on
+        /// each port, and each 128 KiB allow one connection of a client.
+        VM_MEMORY: ByteSize = "memory", default("256MiB"), "32MiB"..="1024GiB";
+        /// File descriptors that it may have open, if they are fewer than the operating
+        /// system allows. Three eighths are for callers, an eighth for each other port
+        /// with requests, a quarter for other processes.
+        VM_DESCRIPTORS: u32 = "descriptors", UNSET, "64"..="1000000000";
+    }
     /// Where callers are served, and how.
     ["callers"] EntryAndGateway {
         /// Address for look-ups and requests.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -20,6 +20,7 @@
 mod reference;
 mod schema;
 mod value;
+mod vm;
 
 pub use control::{
     ControlSettings, GroupSettings, ObjectiveSettings, PlatformListSettings, ReplicaSettings,
@@ -31,3 +32,4 @@
 pub use log::{LogFormat, LogSettings, LogStream};
 pub use problem::{Problem, SettingsError};
 pub use reference::reference;
+pub use vm::VmSettings;
--- a/crates/settings/src/load.rs
+++ b/crates/settings/src/load.rs
@@ -12,7 +12,7 @@
 use crate::value::{Role, Value};
 use crate::{BudgetSettings, ControlSettings, EntrySettings, GatewaySettings, GroupSettings};
 use crate::{EndpointSettings, Problem, ReplicaSettings, SampleSettings, SettingsError};
-use crate::{LogSettings, ObjectiveSettings, PlatformListSettings};
+use crate::{LogSettings, ObjectiveSettings, PlatformListSettings, VmSettings};
 use crate::{cross, schema};
 
 /// Returns all problems of a file. Without any, the program accepts the file.
@@ -121,12 +121,20 @@
     }
 }
 
+fn vm(document: &Document<'_>) -> Option<VmSettings> {
+    Some(VmSettings {
+        memory_bytes: document.get(&keys::VM_MEMORY)?.0,
+        descriptors: document.get(&keys::VM_DESCRIPTORS),
+    })
+}
+
 fn entry(document: &Document<'_>) -> Option<EntrySettings> {
     Some(EntrySettings {
         cluster: document.get(&keys::CLUSTER)?.0,
         node: document.get(&keys::NAME)?,
         region: document.get(&keys::REGION)?,
         failure_domain: document.get(&keys::FAILURE_DOMAIN)?,
+        vm: vm(document)?,
         caller_listen: document.get(&keys::CALLERS_LISTEN)?.0,
         caller_advertise: document.get(&keys::CALLERS_ADVERTISE).map(|addr| addr.0),
         peer_listen: document.get(&keys::PEERS_LISTEN)?.0,
@@ -158,6 +166,7 @@
         node: document.get(&keys::NAME)?,
         region: document.get(&keys::REGION)?,
         failure_domain: document.get(&keys::FAILURE_DOMAIN)?,
+        vm: vm(document)?,
         peer_listen: document.get(&keys::PEERS_LISTEN)?.0,
         peer_advertise: document.get(&keys::PEERS_ADVERTISE).map(|addr| addr.0),
         operator_listen: document.get(&keys::OPERATORS_LISTEN)?.0,
@@ -194,6 +203,7 @@
         node: document.get(&keys::NAME)?,
         region: document.get(&keys::REGION)?,
         failure_domain: document.get(&keys::FAILURE_DOMAIN)?,
+        vm: vm(document)?,
         caller_listen: document.get(&keys::CALLERS_LISTEN)?.0,
         caller_advertise: document.get(&keys::CALLERS_ADVERTISE).map(|addr| addr.0),
         readiness_listen: document.get(&keys::READINESS_LISTEN)?.0,
--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -149,6 +149,8 @@
     CrashesEndpoints = 1214, 503, NotRun, "crashes-endpoints";
     /// The service is short of capacity, and the workspace asks for more than its share of it.
     ShareUsed = 1215, 503, NotRun, "share-used";
+    /// Bodies that came slowly had to give way to other requests, and this was one of them.
+    BodyGaveWay = 1216, 503, NotRun, "body-gave-way";
     /// The deadline passed while an endpoint had the request.
     DeadlineWhileRunning = 1300, 504, MayHaveRun, "deadline-while-running";
     /// The endpoint's connection ended before its whole answer came.
