Gateway: bodies that are read before they are passed on are bounded in sum

Cause: a body of up to 256 KiB with a known length is read before its request is passed on, so that it can be sent again, and waits for its end until its deadline. Each was bounded, all together weren't: 600 take 150 MiB. Besides, a body that comes in small pieces took many times its length, as each piece was kept.

Now the bodies of a port have a budget, with its unfinished heads. What isn't complete gives way, oldest first, with 503 (code 1216, Retry-After, not run, as nothing of it was passed on) and the connection closes after that. If bodies whose requests run leave no room, further ones are passed on as they come, and aren't sent again. Nothing is reserved for a length that is only announced.

Weighed: streaming an unfinished body when the budget is used up keeps slow honest callers, but takes a slot and a connection of an endpoint for each client that never ends; a least rate of bytes refuses slow callers in calm too; the largest first spares many small ones that never end.

--- a/crates/filberthead/src/gateway/request/mod.rs
+++ b/crates/filberthead/src/gateway/request/mod.rs
@@ -7,17 +7,16 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use filberthead_endpoint::RequestBody;
 use filberthead_place::{Attempts, TimedRoute};
 use filberthead_route::Route;
 use filberthead_types::{Meaning, RequestPrints, ResultCode};
 use http::Response;
 use http::request::Parts;
-use hyper::body::Body;
 use log::debug;
 use tokio::time::Instant;
 
-use self::body::read_body;
+pub(in crate::gateway) use self::body::ArrivingBody;
+use self::body::ReceivedBody;
 use self::context::RequestContext;
 use self::routing::{find_route, is_for, pick_target, read_relay_head};
 use super::answer_notes::LeavingEndpoint;
@@ -49,7 +48,7 @@
     core: &Rc<Core>,
     (caller, from): (SocketAddr, RequestSource),
     head: &Parts,
-    body: RequestBody,
+    body: ArrivingBody,
     arrived: Instant,
 ) -> Response<ResponseBody> {
     let mut ctx = RequestContext::new(core, caller, arrived, head);
@@ -98,14 +97,14 @@
         // The budget of the other service wasn't asked.
         return ctx.reject(ResultCode::RetryBudgetSpent, Some(RETRY_AFTER_REFUSED));
     }
-    if body.size_hint().lower() > active_routes.bounds.body_bytes {
+    if body.least_len() > active_routes.bounds.body_bytes {
         return ctx.reject_by_routes(ResultCode::BodyTooLarge);
     }
-    let body = match read_body(body, &deadline).await {
-        Ok(body) => body,
+    let ReceivedBody { body, held } = match body.receive(&deadline).await {
+        Ok(received) => received,
         Err(code) => {
-            // At the deadline, nothing of it was forwarded.
-            let may_return = code == ResultCode::DeadlineBeforeRun;
+            // Nothing of it was forwarded.
+            let may_return = code != ResultCode::BadRequest;
             return ctx.reject(code, may_return.then_some(RETRY_AFTER_REFUSED));
         }
     };
@@ -154,6 +153,7 @@
         timer: None,
     };
     let mut response = forwarding.run(body).await;
+    drop(held);
     let code = result_code(&response);
     if let Some(timer) = forwarding.timer.take() {
         measure(timer, &mut response, code);
--- a/crates/filberthead/src/gateway/serve/connection.rs
+++ b/crates/filberthead/src/gateway/serve/connection.rs
@@ -9,7 +9,6 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use bytes::Bytes;
 use filberthead_endpoint::RequestBody;
 use filberthead_limits::Admitted;
 use filberthead_types::ResultCode;
@@ -32,7 +31,7 @@
 use crate::gateway::attempt::TYPICAL_HEAD_BYTES;
 use crate::gateway::bounds::{IdleTimer, MAX_HEADER_LINES, head_buffer_size, head_limit_raised};
 use crate::gateway::core::{Core, InLine};
-use crate::gateway::request::forward;
+use crate::gateway::request::{ArrivingBody, forward};
 use crate::gateway::response::ResponseBody;
 use crate::gateway::source::RequestSource;
 use crate::gateway::stop::Phase;
@@ -218,7 +217,7 @@
     let task = spawn_local(async move {
         let _guard = core.track_request();
         let source = (caller, RequestSource::Caller);
-        let body = RequestBody::Buffered(Bytes::new());
+        let body = ArrivingBody::empty();
         let response = forward(&core, source, &own, body, Instant::from_std(arrived)).await;
         WaitingResponse::new(&core.ahead_memory, response)
     });
@@ -253,7 +252,8 @@
         Some((response, ready)) => (response, Some(ready)),
         None => {
             let source = (caller, from);
-            let response = forward(core, source, &begun.head, begun.body, begun.arrived);
+            let body = ArrivingBody::on(&connection.borrow().admitted, begun.body);
+            let response = forward(core, source, &begun.head, body, begun.arrived);
             (response.await, None)
         }
     };
--- a/crates/limits/src/body.rs
+++ b/crates/limits/src/body.rs
@@ -29,8 +29,12 @@
     },
 }
 
-/// Reads a body of at most `max` bytes. They are copied into one buffer, as a body that comes in small pieces
-/// would take many times its length otherwise.
+/// Bytes of a block of a body that isn't complete. Blocks of one size leave no gaps in the memory when they are
+/// freed.
+const BLOCK_BYTES: usize = 16 * 1024;
+
+/// Reads a body of at most `max` bytes. They are copied into blocks, as a body that comes in small pieces would take
+/// many times its length otherwise.
 ///
 /// # Errors
 ///
@@ -40,7 +44,7 @@
     max: usize,
     held: &mut HeldBody,
 ) -> Result<Bytes, BodyError> {
-    let mut buf = BytesMut::new();
+    let mut blocks = Blocks::default();
     loop {
         let frame = select! {
             frame = body.frame() => frame,
@@ -49,20 +53,60 @@
         let Some(frame) = frame else {
             ensure!(!held.is_revoked(), RevokedSnafu);
             held.complete();
-            return Ok(buf.freeze());
+            return Ok(blocks.join());
         };
-        let Ok(data) = frame.context(BrokenSnafu)?.into_data() else {
+        let Ok(mut data) = frame.context(BrokenSnafu)?.into_data() else {
             continue;
         };
-        let len = buf.len() + data.len();
-        ensure!(len <= max, TooLongSnafu { max });
-        if len > buf.capacity() {
-            // Doubled, but no longer than it may become.
-            let capacity = len.next_power_of_two().min(max);
-            held.grow(capacity - buf.capacity());
-            ensure!(!held.is_revoked(), RevokedSnafu);
-            buf.reserve(capacity - buf.len());
+        ensure!(blocks.len + data.len() <= max, TooLongSnafu { max });
+        while !data.is_empty() {
+            if blocks.room() == 0 {
+                let bytes = BLOCK_BYTES.min(max - blocks.len);
+                held.grow(bytes);
+                ensure!(!held.is_revoked(), RevokedSnafu);
+                blocks.add(bytes);
+            }
+            blocks.append(&mut data);
+        }
+    }
+}
+
+/// What was read of a body.
+#[derive(Debug, Default)]
+struct Blocks {
+    full: Vec<BytesMut>,
+    last: BytesMut,
+    len: usize,
+}
+
+impl Blocks {
+    fn room(&self) -> usize {
+        self.last.capacity() - self.last.len()
+    }
+
+    fn add(&mut self, bytes: usize) {
+        let full = std::mem::replace(&mut self.last, BytesMut::with_capacity(bytes));
+        if !full.is_empty() {
+            self.full.push(full);
+        }
+    }
+
+    /// Moves as many bytes as there is room for.
+    fn append(&mut self, data: &mut Bytes) {
+        let part = data.split_to(data.len().min(self.room()));
+        self.last.extend_from_slice(&part);
+        self.len += part.len();
+    }
+
+    fn join(self) -> Bytes {
+        if self.full.is_empty() {
+            return self.last.freeze();
         }
-        buf.extend_from_slice(&data);
+        let mut whole = BytesMut::with_capacity(self.len);
+        self.full
+            .iter()
+            .for_each(|block| whole.extend_from_slice(block));
+        whole.extend_from_slice(&self.last);
+        whole.freeze()
     }
 }
--- a/crates/limits/src/vm.rs
+++ b/crates/limits/src/vm.rs
@@ -4,10 +4,10 @@
 
 use crate::clients::PortBounds;
 
-/// Bytes of the VM's memory for each connection of callers: twice what a connection's buffers take.
-const MEMORY_PER_CONNECTION: usize = 128 * 1024;
+/// Bytes of the VM's memory for each connection of callers: several times what its buffers take.
+const MEMORY_PER_CONNECTION: usize = 160 * 1024;
 /// Part of the memory that unfinished requests of one port may take.
-const HELD_PART: usize = 8;
+const HELD_PART: usize = 12;
 /// Least memory for unfinished messages of other processes: the longest of them.
 const MIN_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
 /// Most connections for probes and metrics.
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -75,8 +75,8 @@
     /// What the VM gives the process. It bounds what clients can make the process hold; see
     /// [Clients that hold on](operators/clients-that-hold-on.md).
     ["vm"] All {
-        /// Memory that the process may use. An eighth of it is for unfinished requests on
-        /// each port, and each 128 KiB allow one connection of a client.
+        /// Memory that the process may use. A twelfth of it is for unfinished requests on
+        /// each port, and each 160 KiB allow one connection of a client.
         VM_MEMORY: ByteSize = "memory", default("256MiB"), "32MiB"..="1024GiB";
         /// File descriptors that it may have open, if they are fewer than the operating
         /// system allows. Three eighths are for callers, an eighth for each other port
