Gateway: the readiness and status ports are bounded

Callers saw a gateway end, and the platform no answer to its probes, when clients kept connections to these ports open: they were accepted without a bound, and a head might have 400 kB and take as long as its client liked.

--- a/crates/filberthead/src/gateway/mod.rs
+++ b/crates/filberthead/src/gateway/mod.rs
@@ -274,6 +274,7 @@
         metrics: Arc::clone(&metrics),
         peers: sockets.transport.counters(),
         phase: phase.subscribe(),
+        vm: vm_limits(&cfg.vm),
     };
     let parts = CoreParts {
         clock: Clock::start(),
--- a/crates/filberthead/src/gateway/readiness.rs
+++ b/crates/filberthead/src/gateway/readiness.rs
@@ -1,19 +1,18 @@
 //! The duty that serves the platform's readiness probe and the process's metrics.
 
-use std::convert::Infallible;
 use std::net::TcpListener;
+use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
+use filberthead_limits::{Clients, Port, ServeBounds, VmLimits, accept, serve_connection};
 use filberthead_observe::GatewayMetrics;
 use filberthead_peer::Counters;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use log::{debug, error};
+use log::error;
 use tokio::sync::watch;
 
 use super::stop::Phase;
@@ -22,6 +21,11 @@
 use crate::{Duty, DutyError};
 
 const METRICS_PATH: &str = "/metrics";
+/// Bounds of each connection. Probes come each second, metrics each minute at most.
+const PROBE_BOUNDS: ServeBounds = ServeBounds {
+    head_bytes: 16 * 1024,
+    head_timeout: Some(Duration::from_secs(15)),
+};
 
 /// What the duty listens on and reports.
 pub(crate) struct Probes {
@@ -32,6 +36,8 @@
     pub(crate) phase: watch::Receiver<Phase>,
     pub(crate) metrics: Arc<GatewayMetrics>,
     pub(crate) peers: Arc<Counters>,
+    /// What the VM gives the process.
+    pub(crate) vm: VmLimits,
 }
 
 /// Starts the duty.
@@ -51,28 +57,26 @@
             return;
         }
     };
+    // Each port has its own bounds, so that nobody who reads metrics keeps the platform from its probes.
+    let clients = [Port::Readiness, Port::Status].map(|port| {
+        let counters = probes.metrics.clients().port(port);
+        Clients::new(port, probes.vm.probes(), counters)
+    });
     loop {
-        let accepted = tokio::select! {
-            accepted = readiness.accept() => accepted,
-            accepted = status.accept() => accepted,
+        let (stream, _, admitted) = tokio::select! {
+            accepted = accept(&readiness, &clients[0]) => accepted,
+            accepted = accept(&status, &clients[1]) => accepted,
             () = stop.wait() => return,
         };
-        let Ok((stream, _)) = accepted else {
-            continue;
-        };
         let (path, phase) = (probes.path, probes.phase.clone());
         let metrics = Arc::clone(&probes.metrics);
         let peers = Arc::clone(&probes.peers);
-        tokio::task::spawn_local(async move {
-            let service = service_fn(move |req| {
-                let response = respond(path, *phase.borrow(), (&metrics, &peers), &req);
-                async move { Ok::<_, Infallible>(response) }
-            });
-            let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            if let Err(e) = serving.await {
-                debug!(error:% = e; "connection for a probe closed with an error");
-            }
-        });
+        let answer = move |req| {
+            let response = respond(path, *phase.borrow(), (&metrics, &peers), &req);
+            std::future::ready(response)
+        };
+        let serving = serve_connection(stream, Rc::new(admitted), PROBE_BOUNDS, answer);
+        tokio::task::spawn_local(serving);
     }
 }
 
