Peers: connections and unfinished messages are bounded in sum

Callers saw a process end, of any kind, when somebody connected to its port for other processes and sent long messages short of their end: a message may have 16 MiB, room for all of it was reserved as soon as its length was read, and neither the connections nor what they held was bounded in sum.

Connections to that port now have the bounds of a port: a quarter of the descriptors, a twelfth of the memory (16 MiB at least, so that the longest message fits). The oldest unfinished message gives way, and of too many connections the one that has been without a message for longest; processes of the cluster send several times a second. The buffer grows with what is received.

--- a/crates/filberthead/src/control/mod.rs
+++ b/crates/filberthead/src/control/mod.rs
@@ -39,6 +39,7 @@
 use std::sync::Arc;
 
 use filberthead_consensus::Config;
+use filberthead_limits::Port;
 use filberthead_observe::ControlMetrics;
 use filberthead_peer::{HelloInfo, Origin, Transport, TransportError, cluster_id};
 use filberthead_ring::{Receiver, Sender};
@@ -54,6 +55,7 @@
 use self::fleet::{AutoMembership, Fleet};
 use self::gauges::Gauges;
 use self::input::{Input, MessageDispatch};
+use crate::peers::vm_limits;
 use crate::ready::announce;
 use crate::stop::{Stop, stop_pair};
 use crate::supervisor::{Signals, supervise};
@@ -174,7 +176,13 @@
         consensus: input_tx.clone(),
         samples: samples_tx,
     };
-    let transport = Transport::listen(cfg.peer_listen, cluster, deliver).context(TransportSnafu)?;
+    let metrics = Arc::new(ControlMetrics::new());
+    let limits = (
+        vm_limits(&cfg.vm).peers(),
+        metrics.clients().port(Port::Peers),
+    );
+    let transport = Transport::listen_within(cfg.peer_listen, cluster, limits, deliver);
+    let transport = transport.context(TransportSnafu)?;
     let transport_addr = transport.addr();
     let peer_addr = cfg.peer_advertise.unwrap_or(transport_addr);
     let origin = Origin {
@@ -190,10 +198,9 @@
     info!(replica:% = id, peer:% = transport_addr, operator:% = bound; "control replica starts");
 
     let gauges = Gauges {
-        metrics: Arc::new(ControlMetrics::new()),
+        metrics: Arc::clone(&metrics),
         peers: transport.counters(),
     };
-    let metrics = Arc::clone(&gauges.metrics);
     let (published_tx, published_rx) = watch::channel(PublishedState::default());
     let mut fleet = Fleet::new(auto_membership(cfg, peer_addr), published_tx);
     fleet.restore_note(clock.now(), note.as_deref());
--- a/crates/filberthead/src/entry/mod.rs
+++ b/crates/filberthead/src/entry/mod.rs
@@ -26,6 +26,7 @@
 use std::time::Duration;
 
 use filberthead_caller::{Bounds, Directory, Heartbeat, Phase, Server};
+use filberthead_limits::Port;
 use filberthead_observe::EntryMetrics;
 use filberthead_peer::{Origin, Transport, TransportError, cluster_id};
 use filberthead_ring::ring;
@@ -48,6 +49,7 @@
 use self::state::StateDuty;
 use self::status::Status;
 use self::stop::PlannedStop;
+use crate::peers::vm_limits;
 use crate::ready::announce;
 use crate::stop::{Stop, stop_pair};
 use crate::supervisor::{Signals, supervise};
@@ -130,6 +132,7 @@
     callers: TcpListener,
     status: TcpListener,
     transport: Transport,
+    metrics: Arc<EntryMetrics>,
     mailboxes: Mailboxes,
     /// The journals and the homes recovered from them; `None` without a data folder.
     journals: Option<(Journals, Vec<Recovered>)>,
@@ -195,7 +198,13 @@
 fn open(cfg: EntrySettings) -> Result<Opened, EntryError> {
     let (dispatcher, mailboxes) = dispatcher();
     let cluster = cluster_id(&cfg.cluster);
-    let transport = Transport::listen(cfg.peer_listen, cluster, dispatcher).context(PeerSnafu)?;
+    let metrics = Arc::new(EntryMetrics::new());
+    let limits = (
+        vm_limits(&cfg.vm).peers(),
+        metrics.clients().port(Port::Peers),
+    );
+    let transport = Transport::listen_within(cfg.peer_listen, cluster, limits, dispatcher);
+    let transport = transport.context(PeerSnafu)?;
     let callers = listen(cfg.caller_listen)?;
     let status = listen(cfg.status_listen)?;
     let me = MemberInfo {
@@ -216,6 +225,7 @@
         callers,
         status,
         transport,
+        metrics,
         mailboxes,
     })
 }
@@ -255,6 +265,7 @@
         callers,
         status,
         transport,
+        metrics,
         mailboxes,
         journals,
     } = opened;
@@ -268,7 +279,6 @@
     let outbox = transport.outbox(cluster_id(&cfg.cluster), origin);
     let counters = transport.counters();
     let sending = peers::spawn(transport, outbox, rx, stop.clone())?;
-    let metrics = Arc::new(EntryMetrics::new());
     let (calls_tx, calls_rx) = ring(CALL_CAPACITY);
     let bounds = Bounds {
         connections: MAX_CALLER_CONNECTIONS,
--- a/crates/filberthead/src/gateway/mod.rs
+++ b/crates/filberthead/src/gateway/mod.rs
@@ -46,6 +46,7 @@
 
 use filberthead_allot::{Limiter, LimiterConfig};
 use filberthead_fleet::{GatewayInfo, Member, Message};
+use filberthead_limits::Port;
 use filberthead_observe::GatewayMetrics;
 use filberthead_peer::{Body, Deliver, Origin, Transport, TransportError, cluster_id};
 use filberthead_place::{Config, LargeResponseAdmission, Link, Placer, RetryBudgetConfig};
@@ -137,6 +138,8 @@
 /// Sockets and the message queue, opened before the first thread starts.
 struct OpenSockets {
     transport: Transport,
+    /// They count the connections of the sockets.
+    metrics: Arc<GatewayMetrics>,
     inbox: Receiver<ControlMessage>,
     callers: TcpListener,
     relay: TcpListener,
@@ -201,10 +204,16 @@
 fn open_sockets(cfg: &GatewaySettings) -> Result<OpenSockets, GatewayError> {
     let (tx, rx) = ring(INBOX_CAPACITY);
     let cluster = cluster_id(&cfg.cluster);
-    let transport =
-        Transport::listen(cfg.peer_listen, cluster, RequestsInbox(tx)).context(PeerSnafu)?;
+    let metrics = Arc::new(GatewayMetrics::new());
+    let limits = (
+        vm_limits(&cfg.vm).peers(),
+        metrics.clients().port(Port::Peers),
+    );
+    let inbox = RequestsInbox(tx);
+    let transport = Transport::listen_within(cfg.peer_listen, cluster, limits, inbox);
     Ok(OpenSockets {
-        transport,
+        transport: transport.context(PeerSnafu)?,
+        metrics,
         inbox: rx,
         callers: listen(cfg.caller_listen)?,
         relay: listen(cfg.relay_listen)?,
@@ -266,7 +275,7 @@
         caller_addr,
         relay_addr,
     };
-    let metrics = Arc::new(GatewayMetrics::new());
+    let metrics = sockets.metrics;
     let probes = readiness::Probes {
         readiness: sockets.readiness,
         status: sockets.status,
--- a/crates/peer/src/inbound.rs
+++ b/crates/peer/src/inbound.rs
@@ -6,17 +6,18 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use bytes::BytesMut;
+use filberthead_limits::{Admitted, Clients};
 use filberthead_types::ClusterId;
-use futures_util::StreamExt;
 use log::{debug, warn};
 use snafu::{Report, ResultExt};
+use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
-use tokio_util::codec::FramedRead;
 
 use crate::counters::{Counters, OpenConnection};
 use crate::liveness::Acknowledgements;
-use crate::wire::{ConnectionError, ReadSnafu, Role, codec, handshake, release_long_buffer};
+use crate::wire::{ConnectionError, ReadSnafu, Role, handshake, release_long_buffer, take_frame};
 use crate::{Body, Origin, decode};
 
 /// Initial capacity of a connection's read buffer in bytes, enough for most messages. A control
@@ -62,11 +63,13 @@
 
 impl<D: Deliver + 'static> Inbound<D> {
     /// Accepts connections and receives from each in a local task of its own, for ever.
-    pub(crate) async fn accept(self: Rc<Self>, listener: TcpListener) {
+    pub(crate) async fn accept(self: Rc<Self>, listener: TcpListener, clients: Rc<Clients>) {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    spawn_local(Rc::clone(&self).receive(stream));
+                    if let Some(admitted) = clients.admit() {
+                        spawn_local(Rc::clone(&self).receive(stream, admitted));
+                    }
                 }
                 Err(e) => self.handle_accept_error(&e).await,
             }
@@ -84,9 +87,14 @@
         }
     }
 
-    async fn receive(self: Rc<Self>, stream: TcpStream) {
+    async fn receive(self: Rc<Self>, stream: TcpStream, admitted: Admitted) {
         let open = self.counters.inbound.open();
-        if let Err(e) = self.receive_all(stream, &open).await {
+        let received = tokio::select! {
+            biased;
+            () = admitted.evicted() => return,
+            received = self.receive_all(stream, &admitted, &open) => received,
+        };
+        if let Err(e) = received {
             self.counters.inbound.count_failed();
             debug!(error:% = Report::from_error(e); "a connection from a peer failed");
         }
@@ -95,19 +103,32 @@
     async fn receive_all(
         &self,
         mut stream: TcpStream,
+        admitted: &Admitted,
         open: &OpenConnection<'_>,
     ) -> Result<(), ConnectionError> {
         handshake(&mut stream, Role::Receiver).await?;
         open.count_handshaken();
-        let mut frames = FramedRead::with_capacity(stream, codec(), READ_BUFFER_LEN);
-        while let Some(frame) = frames.next().await {
-            let frame = frame.context(ReadSnafu)?;
-            self.handle_message(&frame);
-            let len = frame.len();
-            drop(frame);
-            release_long_buffer(frames.read_buffer_mut(), len);
+        let mut buf = BytesMut::with_capacity(READ_BUFFER_LEN);
+        loop {
+            while let Some(frame) = take_frame(&mut buf).context(ReadSnafu)? {
+                admitted.begin();
+                self.handle_message(&frame);
+                let len = frame.len();
+                drop(frame);
+                release_long_buffer(&mut buf, len);
+                admitted.finish();
+                admitted.received(buf.len());
+            }
+            let read = stream.read_buf(&mut buf).await.context(ReadSnafu)?;
+            match (read, buf.is_empty()) {
+                (0, true) => return Ok(()),
+                (0, false) => {
+                    let cut = io::Error::from(io::ErrorKind::UnexpectedEof);
+                    return Err(cut).context(ReadSnafu);
+                }
+                _ => admitted.received(read),
+            }
         }
-        Ok(())
     }
 
     fn handle_message(&self, buf: &[u8]) {
--- a/crates/peer/src/transport.rs
+++ b/crates/peer/src/transport.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::thread::JoinHandle;
 
+use filberthead_limits::{Clients, Port, PortBounds, PortCounters, VmLimits};
 use filberthead_types::ClusterId;
 use log::warn;
 use snafu::{ResultExt, Snafu};
@@ -21,6 +22,9 @@
 use crate::liveness::Acknowledgements;
 use crate::outbox::Outbox;
 
+/// Memory of the process that default bounds are made for, in bytes.
+const DEFAULT_MEMORY: u64 = 256 * 1024 * 1024;
+
 /// Why the transport failed to start.
 #[derive(Debug)]
 #[derive(Snafu)]
@@ -54,7 +58,8 @@
 }
 
 impl Transport {
-    /// Listens on `addr` and passes every accepted message to `deliver`.
+    /// Listens on `addr` and passes every accepted message to `deliver`. The bounds are those of a process with
+    /// 256 MiB of memory.
     ///
     /// # Errors
     ///
@@ -63,6 +68,21 @@
         addr: SocketAddr,
         cluster: ClusterId,
         deliver: impl Deliver + 'static,
+    ) -> Result<Self, TransportError> {
+        let bounds = VmLimits::new(DEFAULT_MEMORY, None).peers();
+        Self::listen_within(addr, cluster, (bounds, Arc::default()), deliver)
+    }
+
+    /// Like [`listen`](Self::listen), with these bounds on what peers make the process hold.
+    ///
+    /// # Errors
+    ///
+    /// As [`listen`](Self::listen).
+    pub fn listen_within(
+        addr: SocketAddr,
+        cluster: ClusterId,
+        (bounds, held): (PortBounds, Arc<PortCounters>),
+        deliver: impl Deliver + 'static,
     ) -> Result<Self, TransportError> {
         let (listener, addr) = bind(addr).context(ListenSnafu { addr })?;
         let runtime = Builder::new_current_thread()
@@ -81,7 +101,10 @@
         let (stop, stopped) = oneshot::channel();
         let thread = std::thread::Builder::new()
             .name("peer-recv".to_owned())
-            .spawn(move || run(&runtime, listener, inbound, stopped))
+            .spawn(move || {
+                let clients = Clients::new(Port::Peers, bounds, held);
+                run(&runtime, listener, (inbound, clients), stopped);
+            })
             .context(ThreadSnafu)?;
         Ok(Self {
             addr,
@@ -137,7 +160,7 @@
 fn run(
     runtime: &Runtime,
     listener: std::net::TcpListener,
-    inbound: Inbound<impl Deliver + 'static>,
+    (inbound, clients): (Inbound<impl Deliver + 'static>, Rc<Clients>),
     stopped: oneshot::Receiver<()>,
 ) {
     LocalSet::new().block_on(runtime, async {
@@ -149,7 +172,7 @@
             }
         };
         tokio::select! {
-            () = Rc::new(inbound).accept(listener) => {}
+            () = Rc::new(inbound).accept(listener, clients) => {}
             _ = stopped => {}
         }
     });
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -7,7 +7,7 @@
 use std::io;
 use std::time::Duration;
 
-use bytes::BytesMut;
+use bytes::{Buf, BytesMut};
 use snafu::{ResultExt, Snafu, ensure};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -24,6 +24,8 @@
 /// Maximum message length that is read, in bytes; a connection with a longer one is closed.
 /// Slightly oversized messages are read, so that they can be counted.
 const MAX_FRAME_LEN: usize = 2 * MAX_MESSAGE_LEN;
+/// Room for the next bytes of a message that isn't complete, in bytes.
+const READ_LEN: usize = 16 * 1024;
 /// Buffers longer than this many bytes are released after use: a connection that carried a long
 /// message once would otherwise keep its memory.
 const MAX_KEPT_BUFFER_LEN: usize = 64 * 1024;
@@ -100,6 +102,28 @@
         .new_codec()
 }
 
+/// Takes a whole message off the bytes that were received; `None` if there is none yet. The buffer grows with what
+/// is received, not with the length that a message announces.
+pub(crate) fn take_frame(buf: &mut BytesMut) -> io::Result<Option<BytesMut>> {
+    let Some(length) = buf.first_chunk::<LENGTH_LEN>() else {
+        return Ok(None);
+    };
+    let length = usize::try_from(u64::from_be_bytes(*length)).unwrap_or(usize::MAX);
+    if length > MAX_FRAME_LEN {
+        return Err(io::Error::new(
+            io::ErrorKind::InvalidData,
+            "the message is too long",
+        ));
+    }
+    let missing = (LENGTH_LEN + length).saturating_sub(buf.len());
+    if missing > 0 {
+        buf.reserve(missing.min(READ_LEN));
+        return Ok(None);
+    }
+    buf.advance(LENGTH_LEN);
+    Ok(Some(buf.split_to(length)))
+}
+
 /// Releases an empty buffer that has grown to `len` bytes if that is long.
 pub(crate) fn release_long_buffer(buf: &mut BytesMut, len: usize) {
     if buf.is_empty() && len > MAX_KEPT_BUFFER_LEN {
