Control: the ports for orders and look-ups are bounded

Operators saw no answers, and callers no look-ups, when many clients sent calls to a control replica and stopped short of their end: its process ended for want of memory or had no descriptors left.

Cause: both ports accepted without a bound, a head might have 400 kB and the body of an order 2 MiB, each for as long as its client liked.

Both ports now have the bounds of a port, with a budget each, so that neither takes the other's nor that of the consensus. The platform's memory and descriptors may be fractions or small; the settings accept those.

--- a/crates/filberthead/src/control/handle.rs
+++ b/crates/filberthead/src/control/handle.rs
@@ -5,6 +5,7 @@
 //! never touches the state of the consensus duty.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -12,6 +13,7 @@
     Endpoint, EvacuationAction, EvacuationOrder, GatewayInfo, Order, OrderError, OrderId,
     OrderOutcome,
 };
+use filberthead_limits::{Clients, Port, VmLimits};
 use filberthead_observe::ControlMetrics;
 use filberthead_ring::Sender;
 use filberthead_route::Change;
@@ -50,6 +52,7 @@
     clock: Clock,
     node: NodeName,
     metrics: Arc<ControlMetrics>,
+    vm: VmLimits,
 }
 
 /// A request to the consensus duty, with the channel for its reply.
@@ -95,6 +98,7 @@
         clock: Clock,
         node: NodeName,
         metrics: Arc<ControlMetrics>,
+        vm: VmLimits,
     ) -> Self {
         Self {
             tx,
@@ -102,9 +106,15 @@
             clock,
             node,
             metrics,
+            vm,
         }
     }
 
+    /// The bounds on what the clients of an adapter's port make the process hold.
+    pub fn clients(&self, port: Port) -> Rc<Clients> {
+        Clients::new(port, self.vm.others(), self.metrics.clients().port(port))
+    }
+
     pub(super) fn now(&self) -> Moment {
         self.clock.now()
     }
--- a/crates/filberthead/src/control/mod.rs
+++ b/crates/filberthead/src/control/mod.rs
@@ -232,6 +232,7 @@
         clock,
         cfg.node.clone(),
         Arc::clone(&metrics),
+        vm_limits(&cfg.vm),
     );
     let mut duties = vec![
         peers::spawn(transport, outbox, out_rx, stop.clone()).context(StartSnafu)?,
--- a/crates/filberthead/src/gateway/readiness.rs
+++ b/crates/filberthead/src/gateway/readiness.rs
@@ -21,10 +21,10 @@
 use crate::{Duty, DutyError};
 
 const METRICS_PATH: &str = "/metrics";
-/// Bounds of each connection. Probes come each second, metrics each minute at most.
+/// Bounds of each connection. Probes come each second; metrics are mostly read at least each minute.
 const PROBE_BOUNDS: ServeBounds = ServeBounds {
     head_bytes: 16 * 1024,
-    head_timeout: Some(Duration::from_secs(15)),
+    head_timeout: Some(Duration::from_secs(75)),
 };
 
 /// What the duty listens on and reports.
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -77,11 +77,11 @@
     ["vm"] All {
         /// Memory that the process may use. A twelfth of it is for unfinished requests on
         /// each port, and each 160 KiB allow one connection of a client.
-        VM_MEMORY: ByteSize = "memory", default("256MiB"), "32MiB"..="1024GiB";
+        VM_MEMORY: ByteSize = "memory", default("256MiB"), "8MiB"..="1024GiB";
         /// File descriptors that it may have open, if they are fewer than the operating
         /// system allows. Three eighths are for callers, an eighth for each other port
         /// with requests, a quarter for other processes.
-        VM_DESCRIPTORS: u32 = "descriptors", UNSET, "64"..="1000000000";
+        VM_DESCRIPTORS: u32 = "descriptors", UNSET, "16"..="1000000000";
     }
     /// Where callers are served, and how.
     ["callers"] EntryAndGateway {
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -260,33 +260,32 @@
     }
 }
 
+/// Largest number of bytes: 2^53.
+const MAX_BYTES: f64 = 9_007_199_254_740_992.0;
+
 /// A number of bytes.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 pub(crate) struct ByteSize(pub(crate) u64);
 
 impl Value for ByteSize {
-    const FORM: &'static str = "a whole number with `B`, `KiB`, `MiB` or `GiB`, such as `64KiB`";
+    const FORM: &'static str = "a number with `B`, `KiB`, `MiB` or `GiB`, such as `64KiB`";
 
     fn read(text: &str) -> Option<Self> {
-        let (number, unit) = split_unit(text)?;
-        let shift = match unit {
+        let end = text.find(|c: char| !c.is_ascii_digit() && c != '.')?;
+        let (number, unit) = text.split_at(end);
+        let shift = match unit.trim_start() {
             "B" => 0,
             "KiB" => 10,
             "MiB" => 20,
             "GiB" => 30,
             _ => return None,
         };
-        number.checked_mul(1 << shift).map(Self)
+        let bytes = (number.parse::<f64>().ok()? * f64::from(1 << shift)).round();
+        // Whole numbers are exact up to here.
+        (bytes <= MAX_BYTES).then_some(Self(bytes as u64))
     }
 }
 
-/// Splits `500ms` into its number and its unit.
-fn split_unit(text: &str) -> Option<(u64, &str)> {
-    let end = text.find(|c: char| !c.is_ascii_digit())?;
-    let (number, unit) = text.split_at(end);
-    Some((number.parse().ok()?, unit.trim_start()))
-}
-
 impl Value for u32 {
     const FORM: &'static str = "a whole number";
 
