Entry: connections and unfinished heads are bounded in sum

Callers saw no answers of an entry whose descriptors silent clients had taken: it accepted up to 8,192 connections, more than a VM has descriptors, and left none to connect to endpoints. Each closed only after a minute without a request.

The port for callers now has the bounds of a port.

--- a/crates/caller/src/connection.rs
+++ b/crates/caller/src/connection.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 
+use filberthead_limits::Admitted;
 use hyper::server::conn::http1;
 use hyper::service::HttpService;
 use hyper_util::rt::TokioIo;
@@ -19,8 +20,10 @@
 use crate::stream::{CallerStream, ServedBody};
 
 /// State shared by a connection's task and the rest of the server.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct ConnectionState {
+    /// What the caller makes the process hold.
+    pub(crate) admitted: Admitted,
     waker: RefCell<Option<Waker>>,
     closing: Cell<bool>,
     /// Whether a request is being answered.
@@ -50,11 +53,17 @@
 }
 
 impl Connections {
-    pub(crate) fn register(self: &Rc<Self>) -> Registration {
+    pub(crate) fn register(self: &Rc<Self>, admitted: Admitted) -> Registration {
         let id = self.next_id.get();
         self.next_id.set(id + 1);
-        let state = Rc::new(ConnectionState::default());
-        state.last_used.set(self.sweep.get());
+        let state = Rc::new(ConnectionState {
+            admitted,
+            waker: RefCell::default(),
+            closing: Cell::default(),
+            running: Cell::default(),
+            last_used: Cell::new(self.sweep.get()),
+            in_unframed_answer: Cell::default(),
+        });
         self.open.borrow_mut().insert(id, Rc::clone(&state));
         Registration {
             connections: Rc::clone(self),
@@ -66,6 +75,7 @@
     /// Records that a request begins.
     pub(crate) fn begin_request(&self, state: &ConnectionState) {
         state.running.set(true);
+        state.admitted.begin();
         state.last_used.set(self.sweep.get());
     }
 
--- a/crates/caller/src/server.rs
+++ b/crates/caller/src/server.rs
@@ -3,13 +3,14 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::fmt;
-use std::net::{IpAddr, SocketAddr};
+use std::net::IpAddr;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use filberthead_limits::{Admitted, Clients, Port, PortBounds, PortCounters, accept};
 use filberthead_ring::{PushError, Sender};
 use filberthead_types::{Incarnation, Meaning, RequestId, ResultCode, ServiceName, header};
 use http::header::{CACHE_CONTROL, CONNECTION, CONTENT_TYPE};
@@ -19,9 +20,9 @@
 use hyper::server::conn::http1;
 use hyper::service::Service;
 use hyper_util::rt::TokioIo;
-use log::{debug, warn};
+use log::debug;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot, watch};
+use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
 
 use crate::answer::insert_result_headers;
@@ -42,8 +43,6 @@
 /// Maximum number of bytes buffered per connection that its caller hasn't read yet; also the
 /// maximum length of a request head. 16 KiB keeps a thousand slow readers within tens of MB.
 const MAX_BUF: usize = 16 * 1024;
-/// Pause after a failed accept, such as one for which no file descriptor was left.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// `Retry-After` of refusals for lack of capacity or because this entry isn't ready.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Maximum timeout; longer ones from callers are reduced to it.
@@ -64,9 +63,8 @@
 /// Limits of the server.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
-    /// Maximum number of open connections. Further ones wait in the operating system's bounded
-    /// accept queue.
-    pub connections: usize,
+    /// What callers can make the process hold.
+    pub callers: PortBounds,
     /// Timeout of a request that sends none.
     pub request_timeout: Duration,
 }
@@ -102,6 +100,7 @@
     heartbeat: Heartbeat,
     calls: Sender<Call>,
     observer: Option<Arc<dyn LookupObserver>>,
+    counters: Arc<PortCounters>,
 }
 
 /// A server that is running, with its state.
@@ -133,9 +132,17 @@
             heartbeat,
             calls,
             observer: None,
+            counters: Arc::default(),
         }
     }
 
+    /// Sets the counters of callers' connections. Default some that nobody reads.
+    #[must_use]
+    pub fn counters(mut self, counters: Arc<PortCounters>) -> Self {
+        self.counters = counters;
+        self
+    }
+
     /// Sets an observer that is called after each look-up. Default none.
     #[must_use]
     pub fn observer(mut self, observer: Arc<dyn LookupObserver>) -> Self {
@@ -146,7 +153,11 @@
     /// Serves until [`Phase::Closing`], then until the last connection has closed. Must run
     /// within a `LocalSet`.
     pub async fn run(self, listener: TcpListener) {
-        let permits = Arc::new(Semaphore::new(self.bounds.connections));
+        let clients = Clients::new(
+            Port::Callers,
+            self.bounds.callers,
+            Arc::clone(&self.counters),
+        );
         let phase = *self.phase.borrow();
         let server = Rc::new(RunningServer {
             server: self,
@@ -156,23 +167,11 @@
         });
         let mut closing = pin!(server.follow_phase());
         loop {
-            let accepted = tokio::select! {
-                accepted = accept(&listener, &permits) => accepted,
+            let (stream, from, admitted) = tokio::select! {
+                accepted = accept(&listener, &clients) => accepted,
                 () = &mut closing => break,
             };
-            match accepted {
-                Ok((stream, from, permit)) => {
-                    let server = Rc::clone(&server);
-                    tokio::task::spawn_local(async move {
-                        server.serve(stream, from.ip()).await;
-                        drop(permit);
-                    });
-                }
-                Err(e) => {
-                    warn!(error:% = e; "accepting a caller's connection failed");
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
-                }
-            }
+            tokio::task::spawn_local(Rc::clone(&server).serve(stream, from.ip(), admitted));
         }
         drop(listener);
         while !server.connections.is_empty() {
@@ -204,13 +203,14 @@
         }
     }
 
-    async fn serve(self: Rc<Self>, stream: TcpStream, from: IpAddr) {
+    async fn serve(self: Rc<Self>, stream: TcpStream, from: IpAddr, admitted: Admitted) {
         // Answers are written at once; waiting for more data would only add latency.
         if let Err(e) = stream.set_nodelay(true) {
             debug!(error:% = e; "setting TCP_NODELAY on a caller's connection failed");
             return;
         }
-        let registration = self.connections.register();
+        let registration = self.connections.register(admitted);
+        let state = Rc::clone(&registration.state);
         let service = CallerService {
             server: self,
             state: Rc::clone(&registration.state),
@@ -223,7 +223,11 @@
         let connection = http1::Builder::new()
             .max_buf_size(MAX_BUF)
             .serve_connection(TokioIo::new(stream), service);
-        ServedConnection::new(connection, registration).await;
+        tokio::select! {
+            biased;
+            () = state.admitted.evicted() => {}
+            () = ServedConnection::new(connection, registration) => {}
+        }
     }
 
     /// Adds `Connection: close` during a planned stop.
@@ -416,17 +420,6 @@
     }
 }
 
-async fn accept(
-    listener: &TcpListener,
-    permits: &Arc<Semaphore>,
-) -> std::io::Result<(TcpStream, SocketAddr, OwnedSemaphorePermit)> {
-    // The semaphore is never closed, so this only waits for a free permit.
-    let permit = Arc::clone(permits).acquire_owned().await;
-    let permit = permit.map_err(std::io::Error::other)?;
-    let (stream, from) = listener.accept().await?;
-    Ok((stream, from, permit))
-}
-
 /// Answers the requests of one connection.
 struct CallerService {
     server: Rc<RunningServer>,
--- a/crates/caller/src/stream.rs
+++ b/crates/caller/src/stream.rs
@@ -19,6 +19,9 @@
 use crate::answer::IncompleteBody;
 use crate::connection::ConnectionState;
 
+/// Memory that each byte of an unfinished head takes: the buffer that it is read into may have twice its length.
+const HEAD_COPIES: usize = 2;
+
 /// A socket that is reset if it is closed within an answer whose end is that of the connection, also by the end of
 /// the process. Closed otherwise, it would make a cut answer look complete.
 #[derive(Debug)]
@@ -27,6 +30,8 @@
     state: Rc<ConnectionState>,
     /// Whether closing the socket resets it.
     resets: bool,
+    /// Whether the caller takes no more of an answer at present.
+    is_stalled: bool,
 }
 
 impl CallerStream {
@@ -35,7 +40,20 @@
             stream,
             state,
             resets: false,
+            is_stalled: false,
+        }
+    }
+
+    /// Notes whether a write has made progress.
+    fn note_write<T>(&mut self, result: Poll<T>) -> Poll<T> {
+        if result.is_pending() != self.is_stalled {
+            self.is_stalled = result.is_pending();
+            match self.is_stalled {
+                true => self.state.admitted.stall(),
+                false => self.state.admitted.resume(),
+            }
         }
+        result
     }
 
     fn update_reset(&mut self) {
@@ -57,7 +75,11 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        std::task::ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let received = buf.filled().len() - before;
+        self.state.admitted.received(received * HEAD_COPIES);
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -68,7 +90,8 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.update_reset();
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.note_write(written)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -86,7 +109,8 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.update_reset();
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.note_write(written)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -98,6 +122,7 @@
 #[derive(Debug)]
 pub(crate) struct ServedBody {
     body: AnswerBody,
+    state: Rc<ConnectionState>,
     /// The connection whose end is that of the body, until the body is complete.
     unframed_on: Option<Rc<ConnectionState>>,
 }
@@ -117,12 +142,19 @@
             state.set_in_unframed_answer(!is_framed);
             Self {
                 body,
+                state: Rc::clone(state),
                 unframed_on: (!is_framed).then(|| Rc::clone(state)),
             }
         })
     }
 }
 
+impl Drop for ServedBody {
+    fn drop(&mut self) {
+        self.state.admitted.finish();
+    }
+}
+
 impl Body for ServedBody {
     type Data = Bytes;
     type Error = IncompleteBody;
--- a/crates/filberthead/src/entry/mod.rs
+++ b/crates/filberthead/src/entry/mod.rs
@@ -64,8 +64,6 @@
 /// Time without a step of the `state` duty after which the process counts as suspended.
 /// The spread protocol restarts after the same gap.
 const SUSPEND_THRESHOLD: Duration = filberthead_spread::DEFAULT_SUSPEND_THRESHOLD;
-/// Maximum number of concurrent caller connections.
-const MAX_CALLER_CONNECTIONS: usize = 8192;
 
 /// Why an entry failed to start, or ended other than by a clean planned stop.
 #[derive(Debug)]
@@ -280,8 +278,9 @@
     let counters = transport.counters();
     let sending = peers::spawn(transport, outbox, rx, stop.clone())?;
     let (calls_tx, calls_rx) = ring(CALL_CAPACITY);
+    let vm = vm_limits(&cfg.vm);
     let bounds = Bounds {
-        connections: MAX_CALLER_CONNECTIONS,
+        callers: vm.callers(),
         request_timeout: cfg.request_timeout,
     };
     let heartbeat = Heartbeat::new(SUSPEND_THRESHOLD);
@@ -293,7 +292,8 @@
         heartbeat.clone(),
         calls_tx.clone(),
     )
-    .observer(Arc::new(CountLookups(Arc::clone(&metrics))));
+    .observer(Arc::new(CountLookups(Arc::clone(&metrics))))
+    .counters(metrics.clients().port(Port::Callers));
     let state_duty = StateDuty {
         me: me.clone(),
         cfg: Arc::clone(&cfg),
