Entry: bodies of requests with a key are bounded in sum

Callers saw an entry end for want of memory: bodies of up to 1 MiB of requests with an idempotency key are collected until their deadline, which a caller may set to an hour, without a bound on all of them.

--- a/crates/filberthead/src/entry/forward/core.rs
+++ b/crates/filberthead/src/entry/forward/core.rs
@@ -11,6 +11,7 @@
 use filberthead_caller::CallerGroup;
 use filberthead_endpoint::{Client, probe};
 use filberthead_ledger::quarantine::RunEnd;
+use filberthead_limits::{Clients, Port, PortBounds, PortCounters};
 use filberthead_peer::Body;
 use filberthead_place::NamedRest;
 use filberthead_ring::Sender;
@@ -68,6 +69,8 @@
     pub(crate) ledger: LedgerHandle,
     /// Messages to be sent.
     pub(crate) out: Sender<Outgoing>,
+    /// Bounds and counters of the bodies of requests with a key.
+    pub(crate) bodies: (PortBounds, Arc<PortCounters>),
     /// Publishes the number of requests in progress.
     pub(crate) running: watch::Sender<usize>,
     /// Metrics of requests, slots and drains.
@@ -90,6 +93,8 @@
     pub(crate) cluster: ClusterReader,
     /// Decides whether requests with a key may run.
     pub(crate) ledger: LedgerHandle,
+    /// Bodies of requests with a key.
+    pub(crate) bodies: Rc<Clients>,
     steering: RefCell<Box<dyn Steering>>,
     /// Detects requests that crash endpoints.
     pub(super) crash_tracker: CrashTracker,
@@ -252,6 +257,7 @@
             request_timeout: parts.request_timeout,
             cluster: parts.cluster,
             ledger: parts.ledger,
+            bodies: Clients::new(Port::KeyedBodies, parts.bodies.0, parts.bodies.1),
             steering: RefCell::new(parts.steering),
             queued: RefCell::default(),
             retry_budget: RefCell::default(),
--- a/crates/filberthead/src/entry/forward/mod.rs
+++ b/crates/filberthead/src/entry/forward/mod.rs
@@ -27,11 +27,11 @@
 use bytes::Bytes;
 use filberthead_caller::{AnswerBody, Call, Execution, Refusal};
 use filberthead_endpoint::RequestBody;
+use filberthead_limits::{BodyError, HeldBody, read_body};
 use filberthead_steer::FinishKind;
 use filberthead_types::{NodeName, ResultCode};
 use http::Response;
 use http::response::Parts;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use log::info;
 use tokio::time::Instant;
 
@@ -49,6 +49,9 @@
 /// buffered until the request may start.
 const MAX_KEYED_BODY: usize = 1024 * 1024;
 
+/// `Retry-After` of a request whose body found no room.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// How a request ended.
 #[derive(Debug)]
 enum Outcome {
@@ -131,8 +134,8 @@
     let Execution::Keyed(key) = ctx.execution.clone() else {
         return run_attempts(core, ctx, body, reply).await;
     };
-    match buffer_body(ctx, body).await {
-        Ok(body) => keyed::run(core, ctx, &key, body, reply).await,
+    match buffer_body(core, ctx, body).await {
+        Ok((body, _held)) => keyed::run(core, ctx, &key, body, reply).await,
         Err(outcome) => outcome,
     }
 }
@@ -180,13 +183,22 @@
 
 /// Reads the whole body of a request with a key: a request whose start is recorded must
 /// not fail because its caller disconnected in the middle of the body.
-async fn buffer_body(ctx: &RequestContext, body: RequestBody) -> Result<RequestBody, Outcome> {
-    let body = Limited::new(body, MAX_KEYED_BODY).collect();
+async fn buffer_body(
+    core: &Core,
+    ctx: &RequestContext,
+    body: RequestBody,
+) -> Result<(RequestBody, HeldBody), Outcome> {
+    // Not a "not run" refusal: an earlier send of the key may have run.
+    let not_checked = || Refusal::new(ResultCode::KeyNotChecked).retry_after(RETRY_AFTER);
+    let Some(mut held) = core.bodies.hold_body(0) else {
+        return Err(Outcome::Refused(not_checked()));
+    };
+    let body = read_body(body, MAX_KEYED_BODY, &mut held);
     match tokio::time::timeout_at(ctx.deadline, body).await {
-        Ok(Ok(body)) => Ok(RequestBody::Buffered(body.to_bytes())),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(refused(ResultCode::BodyTooLarge)),
-        Ok(Err(_)) => Err(Outcome::Abandoned),
-        // Not a "not run" refusal: an earlier send of the key may have run.
+        Ok(Ok(body)) => Ok((RequestBody::Buffered(body), held)),
+        Ok(Err(BodyError::TooLong { .. })) => Err(refused(ResultCode::BodyTooLarge)),
+        Ok(Err(BodyError::Revoked)) => Err(Outcome::Refused(not_checked())),
+        Ok(Err(BodyError::Broken { .. })) => Err(Outcome::Abandoned),
         Err(_) => Err(refused(ResultCode::KeyNotChecked)),
     }
 }
--- a/crates/filberthead/src/entry/mod.rs
+++ b/crates/filberthead/src/entry/mod.rs
@@ -350,6 +350,7 @@
         ledger,
         out: tx,
         running: channels.running.clone(),
+        bodies: (vm.callers(), metrics.clients().port(Port::KeyedBodies)),
         measures: Measures::new(metrics, cfg.region.clone()),
     };
     let endpoints_duty = EndpointsDuty {
--- a/crates/limits/src/clients.rs
+++ b/crates/limits/src/clients.rs
@@ -17,6 +17,9 @@
 /// Least time between two log lines about clients that had to give way.
 const LOG_PERIOD: Duration = Duration::from_secs(10);
 
+/// Stands for a connection that isn't counted. Ids of others begin above it.
+const NO_CONNECTION: u64 = 0;
+
 /// Bounds over all connections of a port.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PortBounds {
@@ -206,6 +209,33 @@
         })
     }
 
+    /// Starts to hold a body whose connection isn't one of these; otherwise like [`Admitted::hold_body`].
+    pub fn hold_body(self: &Rc<Self>, len: usize) -> Option<HeldBody> {
+        self.hold_body_of(NO_CONNECTION, len)
+    }
+
+    fn hold_body_of(self: &Rc<Self>, connection: u64, len: usize) -> Option<HeldBody> {
+        let mut state = self.state.borrow_mut();
+        if state.complete.saturating_add(len) > self.bounds.held_bytes {
+            return None;
+        }
+        let turn = state.turn();
+        let revoked = Rc::new(Notify::new());
+        let body = UnfinishedBody {
+            connection,
+            bytes: 0,
+            revoked: Rc::clone(&revoked),
+        };
+        state.bodies.insert(turn, body);
+        Some(HeldBody {
+            clients: Rc::clone(self),
+            turn,
+            bytes: 0,
+            is_complete: false,
+            revoked,
+        })
+    }
+
     /// Bytes held of unfinished heads, messages and bodies, and of bodies whose requests run.
     pub fn held_bytes(&self) -> usize {
         self.state.borrow().held
@@ -391,27 +421,7 @@
     /// Starts to hold the body of the request in progress; `None` if the bodies of other requests leave no
     /// room for `len` bytes. Nothing is reserved for them.
     pub fn hold_body(&self, len: usize) -> Option<HeldBody> {
-        let clients = Rc::clone(&self.clients);
-        let mut state = clients.state.borrow_mut();
-        if state.complete.saturating_add(len) > clients.bounds.held_bytes {
-            return None;
-        }
-        let turn = state.turn();
-        let revoked = Rc::new(Notify::new());
-        let body = UnfinishedBody {
-            connection: self.id,
-            bytes: 0,
-            revoked: Rc::clone(&revoked),
-        };
-        state.bodies.insert(turn, body);
-        drop(state);
-        Some(HeldBody {
-            clients,
-            turn,
-            bytes: 0,
-            is_complete: false,
-            revoked,
-        })
+        self.clients.hold_body_of(self.id, len)
     }
 
     fn activity(&self) -> Option<Activity> {
--- a/crates/limits/src/counters.rs
+++ b/crates/limits/src/counters.rs
@@ -20,10 +20,13 @@
     Orders,
     /// Callers' look-ups of gateways.
     Lookups,
+    /// No port of its own: bodies of requests with an idempotency key, which an entry collects apart from its
+    /// callers' connections.
+    KeyedBodies,
 }
 
 impl Port {
-    const ALL: [Self; 7] = [
+    const ALL: [Self; 8] = [
         Self::Callers,
         Self::Relay,
         Self::Readiness,
@@ -31,6 +34,7 @@
         Self::Peers,
         Self::Orders,
         Self::Lookups,
+        Self::KeyedBodies,
     ];
 
     /// Short stable name, for logs and metrics.
@@ -43,6 +47,7 @@
             Self::Peers => "peers",
             Self::Orders => "orders",
             Self::Lookups => "lookups",
+            Self::KeyedBodies => "keyed-bodies",
         }
     }
 }
