--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -261,6 +261,9 @@
     if crossed {
         return Some("the answer has the id of another request");
     }
+    if !is_final(response.status()) {
+        return Some("the answer has no final status of the protocol");
+    }
     if has_body(response, method) && has_unknown_coding(response.headers()) {
         return Some("the answer has a transfer coding other than chunks");
     }
@@ -270,6 +273,12 @@
     None
 }
 
+/// Whether a status ends a request. The protocol has none from 600 on, and no request here asks for another protocol,
+/// which is what 101 answers.
+pub(crate) fn is_final(status: StatusCode) -> bool {
+    !status.is_informational() && status.as_u16() < 600
+}
+
 /// Whether an answer has the id of another request: a proxy or the endpoint confused two
 /// connections, or sent an answer that came too late for its own request.
 fn is_crossed(response: &Response<Incoming>, id: RequestId) -> bool {
--- a/crates/endpoint/src/late.rs
+++ b/crates/endpoint/src/late.rs
@@ -17,6 +17,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout};
 
+use crate::client::is_final;
 use crate::pool::Pool;
 use crate::{Connection, RequestBody};
 
@@ -69,7 +70,7 @@
         Some((name, HeaderValue::from_bytes(header.value).ok()?))
     });
     let headers = read.collect::<Option<Vec<_>>>()?.into_iter();
-    (!status.is_informational()).then(|| (status, headers.collect()))
+    is_final(status).then(|| (status, headers.collect()))
 }
 
 /// A request that waits for the head of its answer. It is given up when it is dropped.
@@ -123,7 +124,9 @@
             return;
         };
         spawn_local(async move {
-            if let Ok(Ok(response)) = timeout(LATE_HEAD_TIME, head).await {
+            if let Ok(Ok(response)) = timeout(LATE_HEAD_TIME, head).await
+                && is_final(response.status())
+            {
                 late_heads.0(response.status(), response.headers());
             }
             drop((connection, place));
--- a/crates/endpoint/tests/client.rs
+++ b/crates/endpoint/tests/client.rs
@@ -471,3 +471,85 @@
         })
         .await;
 }
+
+/// Answers one request with this text in place of a status, and with some of its bytes.
+async fn outcome_of(line: &[u8]) -> SendOutcome {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    let mut answer = b"HTTP/1.1 ".to_vec();
+    answer.extend_from_slice(line);
+    answer.extend_from_slice(b"\r\ncontent-length: 2\r\n\r\nok");
+    let serving = tokio::task::spawn_local(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let _ = stream.read(&mut [0; 4096]).await;
+        let _ = stream.write_all(&answer).await;
+    });
+    let client = Client::with_connect_timeout(BOUND);
+    let outcome = send(&client, addr, Instant::now() + BOUND).await;
+    serving.abort();
+    outcome
+}
+
+fn status_of(outcome: &SendOutcome) -> Option<u16> {
+    match outcome {
+        SendOutcome::Answer(answer) => Some(answer.response.status().as_u16()),
+        _ => None,
+    }
+}
+
+/// Answers with a status that isn't one were passed on.
+#[tokio::test(flavor = "current_thread")]
+async fn an_answer_needs_a_status_of_the_protocol() {
+    LocalSet::new()
+        .run_until(async {
+            for line in [
+                "000 No",
+                "001 No",
+                "099 No",
+                "600 No",
+                "700 No",
+                "999 No",
+                "2000 OK",
+                "20 OK",
+                "-01 No",
+                "\u{662}\u{660}\u{660} OK",
+                "",
+                " ",
+                "2x0",
+                "101 Switching Protocols",
+            ] {
+                let outcome = outcome_of(line.as_bytes()).await;
+                assert_eq!(status_of(&outcome), None, "{line:?}: {outcome:?}");
+            }
+            for line in ["200 OK", "200", "404 No", "500 No", "599 No"] {
+                let outcome = outcome_of(line.as_bytes()).await;
+                assert!(status_of(&outcome).is_some(), "{line:?}: {outcome:?}");
+            }
+        })
+        .await;
+}
+
+/// Whatever stands in place of a status: only a final one of the protocol makes an answer.
+#[test]
+fn any_status_line_makes_a_status_or_a_failure() {
+    const CASES: usize = 2000;
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    bolero::check!()
+        .with_iterations(CASES)
+        .with_type()
+        .for_each(|(start, line): &([u8; 3], Vec<u8>)| {
+            // Mostly digits, or hardly any line would be one.
+            let digits = start.map(|byte| b'0' + byte % 11);
+            let line: Vec<u8> = digits.into_iter().chain(line.iter().copied()).collect();
+            let local = LocalSet::new();
+            let outcome = runtime.block_on(local.run_until(outcome_of(&line)));
+            let status = status_of(&outcome);
+            assert!(
+                status.is_none_or(|status| (200..600).contains(&status)),
+                "{line:?}"
+            );
+        });
+}
--- a/crates/testing/src/cut.rs
+++ b/crates/testing/src/cut.rs
@@ -18,6 +18,8 @@
 const BEFORE_RESET: Duration = Duration::from_millis(2);
 /// Beginning of the last segment of a path whose answer is cut.
 const SEGMENT: &str = "cut-";
+/// Beginning of the last segment of a path whose answer has the status that follows, whether or not it is one.
+const STATUS_SEGMENT: &str = "status-";
 
 /// How the end of an answer's body is told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -196,6 +198,11 @@
     }
 }
 
+/// The status that the last segment of a path asks for, such as `status-000`.
+pub(crate) fn status_of_path(path: &str) -> Option<&str> {
+    path.rsplit('/').next()?.strip_prefix(STATUS_SEGMENT)
+}
+
 /// The bytes of a cut answer.
 #[derive(Debug)]
 pub(crate) struct CutAnswer {
@@ -206,7 +213,21 @@
 impl CutAnswer {
     /// Cuts the answer of this head and body.
     pub(crate) fn new(cut: AnswerCut, head: &Parts, body: &Bytes) -> Self {
-        let mut bytes = format!("HTTP/1.1 {}\r\n", head.status).into_bytes();
+        Self::with_status(cut, &head.status.to_string(), head, body)
+    }
+
+    /// The whole answer of this head and body, with this text in place of its status.
+    pub(crate) fn of_status(status: &str, head: &Parts, body: &Bytes) -> Self {
+        let whole = AnswerCut {
+            framing: Framing::Length,
+            at: CutAt::Body(usize::MAX),
+            end: CutEnd::Closed,
+        };
+        Self::with_status(whole, status, head, body)
+    }
+
+    fn with_status(cut: AnswerCut, status: &str, head: &Parts, body: &Bytes) -> Self {
+        let mut bytes = format!("HTTP/1.1 {status}\r\n").into_bytes();
         let others = |name: &&http::HeaderName| **name != CONTENT_LENGTH;
         for name in head.headers.keys().filter(others) {
             for value in head.headers.get_all(name) {
--- a/crates/testing/src/site/endpoint.rs
+++ b/crates/testing/src/site/endpoint.rs
@@ -20,7 +20,7 @@
 use super::journal::Journal;
 use super::rest::{Rest, RestScope};
 use super::slots::{Entry, Slots};
-use crate::cut::{AnswerCut, CutAnswer, RawAnswer};
+use crate::cut::{AnswerCut, CutAnswer, RawAnswer, status_of_path};
 use crate::endless::{Endless, EndlessAnswer};
 use crate::standin::{AnswerBody, OTHER_CODING, Payload};
 
@@ -744,6 +744,12 @@
             cut, &head, &body,
         ))));
     }
+    if let Some(status) = status_of_path(head.uri.path()) {
+        let (head, body) = answer.into_parts();
+        let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+        let answer = CutAnswer::of_status(status, &head, &body);
+        return Err(answer_raw(RawAnswer::Cut(answer)));
+    }
     Ok(answer)
 }
 
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -39,6 +39,7 @@
 mod shares;
 mod soak;
 mod spreading;
+mod statuses;
 mod stops;
 mod support;
 mod waiting;
