Gateway: a time limit longer than any duration is answered

Callers that sent X-Deadline-Ms: 1e30 had their connection closed without an answer: the conversion to a duration panicked, which ended the request's task.

Such a limit now counts as none, so the route's timeout applies. The test failed before (connection closed before message completed).

--- a/crates/filberthead/src/gateway/deadline.rs
+++ b/crates/filberthead/src/gateway/deadline.rs
@@ -26,7 +26,9 @@
         let requested = headers.get(name).and_then(|value| value.to_str().ok());
         let requested = requested.and_then(|text| text.trim().parse::<f64>().ok());
         let requested = requested.filter(|ms| ms.is_finite() && *ms >= 0.0);
-        let timeout = requested.map_or(route.timeout, |ms| Duration::from_secs_f64(ms / 1000.0));
+        // A limit may be longer than any duration.
+        let requested = requested.and_then(|ms| Duration::try_from_secs_f64(ms / 1000.0).ok());
+        let timeout = requested.unwrap_or(route.timeout);
         Self {
             respond_by: started + timeout.min(route.timeout),
         }
--- a/tests/all/bounds.rs
+++ b/tests/all/bounds.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use filberthead_testing::client::Call;
-use filberthead_testing::site::{Site, config, request};
+use filberthead_testing::site::{HOST, Site, config, request};
 use filberthead_testing::wait_until;
 use serde_json::{Value, json};
 
@@ -185,3 +185,18 @@
     });
     assert_eq!(status(), Some(503));
 }
+
+/// A time limit longer than any duration ended the request's task, and with it the connection without an answer.
+#[test]
+fn any_time_limit_is_answered() {
+    let site = start(&json!({}));
+    for limit in ["1e30", "1e300", "inf", "-1", "NaN", "18446744073709551616"] {
+        let call = Call::get("/catalogue/limited")
+            .header("host", HOST)
+            .header("x-request-id", limit)
+            .header("x-deadline-ms", limit);
+        let answer = site.request(0, &call);
+        let answer = answer.unwrap_or_else(|e| panic!("{limit}: {e}"));
+        assert_eq!(answer.status, 200, "{limit}");
+    }
+}
