--- a/tests/all/crowds/gateway.rs
+++ b/tests/all/crowds/gateway.rs
@@ -1,6 +1,8 @@
 //! Crowds at the ports of a gateway.
 
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::thread::sleep;
 use std::time::Duration;
 
 use filberthead_peer::cluster_id;
@@ -33,6 +35,9 @@
 /// Rounds in which a crowd comes, and leaves in the midst of its bodies.
 const ROUNDS: usize = 5;
 const LEAVING_BODIES: usize = 200;
+/// Pieces of a body that comes slowly, and the pause after each.
+const SLOW_PIECES: usize = 64;
+const SLOW_PAUSE: Duration = Duration::from_millis(50);
 /// Descriptors that may be open for a moment longer.
 const SLACK_FILES: usize = 16;
 
@@ -248,6 +253,26 @@
     }
 }
 
+/// A caller that sends slowly is served while others leave room.
+#[test]
+fn a_slow_body_is_served() {
+    let site = start();
+    for (number, len) in [BODY_BYTES, 4 * BODY_BYTES].into_iter().enumerate() {
+        let mut stream = TcpStream::connect(addr(&site, "caller")).expect("a connection");
+        stream.set_nodelay(true).expect("a socket");
+        let framing = format!("connection: close\r\ncontent-length: {len}");
+        let head = head("orders", number, &framing);
+        stream.write_all(head.as_bytes()).expect("a head");
+        for piece in filler(len).chunks(len / SLOW_PIECES) {
+            stream.write_all(piece).expect("a piece");
+            sleep(SLOW_PAUSE);
+        }
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("an answer");
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{answer}");
+    }
+}
+
 /// What a client makes the gateway hold is free again when it has left.
 #[test]
 fn clients_that_come_and_leave_leave_nothing_behind() {
