--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub mod client;
 pub mod cluster;
+pub mod crowd;
 pub mod cut;
 mod endless;
 mod eventually;
--- a/crates/testing/src/soak/deployed/plan.rs
+++ b/crates/testing/src/soak/deployed/plan.rs
@@ -8,9 +8,10 @@
 use super::crashing::CrashingRequest;
 use super::deployment::Deployment;
 use super::trouble::{self, TroubleKind};
+use crate::crowd::Unfinished;
 use crate::proxy::Flow;
 use crate::site::EndpointCommand;
-use crate::soak::plan::Step;
+use crate::soak::plan::{Step, Target};
 
 /// Time before the first fault. Gateways have their part of the floor after it.
 const INITIAL_DELAY: Duration = Duration::from_secs(16);
@@ -71,6 +72,23 @@
     CrashingRequest(CrashingRequest),
     /// The route of the first service leads to the endpoints of the second one, or of its own again.
     MoveRoute(usize, usize),
+    /// A crowd comes that stops short of the end of what it sends.
+    Crowd(ComingCrowd),
+}
+
+/// A crowd of clients at one port.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ComingCrowd {
+    /// The process.
+    pub target: Target,
+    /// Key of the port in its `ready` line.
+    pub port: &'static str,
+    /// What they leave unfinished.
+    pub unfinished: Unfinished,
+    /// Number of clients.
+    pub clients: usize,
+    /// How long they stay.
+    pub stay: Duration,
 }
 
 /// An action and its time.
--- a/crates/testing/src/soak/deployed/runner.rs
+++ b/crates/testing/src/soak/deployed/runner.rs
@@ -19,7 +19,7 @@
 use super::grants::{Grants, Ungranted, find_sent_without_retry, find_ungranted};
 use super::leaving::{LeavingSummary, find_sent_to_leaving, leaving_summary};
 use super::limits::{LimitSummary, find_exceeded, limit_summaries};
-use super::plan::{Action, DeployedPlan, EndpointAction, endpoints};
+use super::plan::{Action, ComingCrowd, DeployedPlan, EndpointAction, endpoints};
 use super::rest::{RestSummary, find_unrested, rest_summary};
 use super::sent::Senders;
 use crate::client::Call;
@@ -32,6 +32,7 @@
 use crate::soak::history::{CallerRequest, History, RequestOutcome, RouteMove};
 use crate::soak::nodes::Nodes;
 use crate::soak::operators;
+use crate::soak::plan::Target;
 use crate::soak::retries::{
     Retry, ServiceArrival, WorstWindow, is_within, retries_by_service, worst_windows_with_starts,
 };
@@ -39,6 +40,8 @@
 use crate::soak::violations::{EndpointRun, Limits, Violation, find_violations};
 
 /// Requests that wait at an endpoint before it rejects others.
+/// Memory that processes may use by default, in bytes.
+const PROCESS_MEMORY: u64 = 256 * 1024 * 1024;
 const QUEUE: u32 = 9;
 /// Requests that an endpoint runs at once.
 const SLOTS: u32 = 3;
@@ -366,6 +369,45 @@
                 self.spawn(request.clone().send(shared, self.deployment.workspaces));
             }
             Action::MoveRoute(route, to) => self.move_route(*route, *to),
+            Action::Crowd(crowd) => self.admit_crowd(*crowd),
+        }
+    }
+
+    /// Lets a crowd come to a process that runs, in a thread of its own.
+    fn admit_crowd(&mut self, crowd: ComingCrowd) {
+        let site = &self.nodes.site;
+        let node = match crowd.target {
+            Target::Control(number) => site.controls.get(number),
+            Target::Gateway(number) => site.gateways.get(number),
+        };
+        let Some(addr) = node.and_then(|node| node.try_direct_addr(crowd.port)) else {
+            return;
+        };
+        let line = match crowd.port {
+            "orders" => "POST /-/rpc?call=config.put".to_owned(),
+            _ => format!("POST /{}/unfinished", self.deployment.services[0].name),
+        };
+        std::thread::spawn(move || {
+            let held = crowd.unfinished.send(addr, crowd.clients, &line);
+            std::thread::sleep(crowd.stay);
+            drop(held);
+        });
+    }
+
+    /// Finds processes that have taken more memory than their settings say that they may.
+    fn find_fat(&mut self) {
+        let site = &mut self.nodes.site;
+        for node in site.controls.iter_mut().chain(&mut site.gateways) {
+            if !node.process().is_running() {
+                continue;
+            }
+            let bytes = node.process_ref().peak_resident_bytes();
+            if bytes > PROCESS_MEMORY {
+                self.violations.push(Violation::MemoryExceeded {
+                    process: node.name().to_owned(),
+                    bytes,
+                });
+            }
         }
     }
 
@@ -502,6 +544,7 @@
 
     /// Reverts all faults, restarts all processes that are down, and ends traffic.
     fn end_faults(&mut self) {
+        self.find_fat();
         self.nodes.site.network.heal();
         let all: Vec<usize> = (0..self.nodes.site.gateways.len()).collect();
         self.set_endpoint_links(&all, Flow::Pass);
--- a/crates/testing/src/soak/deployed/trouble.rs
+++ b/crates/testing/src/soak/deployed/trouble.rs
@@ -6,7 +6,8 @@
 use rand::Rng;
 
 use super::crashing::CrashingRequest;
-use super::plan::{Action, EndpointAction, Generator, LoadChange};
+use super::plan::{Action, ComingCrowd, EndpointAction, Generator, LoadChange};
+use crate::crowd::Unfinished;
 use crate::proxy::Flow;
 use crate::site::{Behaviour, EndpointCommand, RestCommand};
 use crate::soak::plan::{Step, Target};
@@ -32,6 +33,12 @@
 /// Time between two suspensions of a starved process.
 const STARVED_PERIOD: Duration = Duration::from_millis(100);
 
+/// Clients of a crowd: up to what a process of the test may open connections for.
+const CROWD_CLIENTS: std::ops::Range<usize> = 50..600;
+/// Ports of a gateway and of a control replica.
+const GATEWAY_PORTS: [&str; 5] = ["caller", "relay", "readiness", "status", "peer"];
+const CONTROL_PORTS: [&str; 4] = ["orders", "lookups", "operator", "peer"];
+
 /// A kind of fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TroubleKind {
@@ -119,10 +126,12 @@
     CallersAbuse,
     /// Some callers leave before their deadline.
     CallersLeave,
+    /// A crowd connects to one port of a process, stops short of the end of what it sends, and stays.
+    ClientsHoldOn,
 }
 
 /// All kinds with their names.
-pub const ALL_TROUBLES: [(&str, TroubleKind); 40] = [
+pub const ALL_TROUBLES: [(&str, TroubleKind); 41] = [
     ("endpoints-fail", TroubleKind::EndpointsFail),
     ("service-fails", TroubleKind::ServiceFails),
     ("endpoints-slow", TroubleKind::EndpointsSlow),
@@ -187,6 +196,7 @@
     ("callers-move", TroubleKind::CallersMove),
     ("callers-abuse", TroubleKind::CallersAbuse),
     ("callers-leave", TroubleKind::CallersLeave),
+    ("clients-hold-on", TroubleKind::ClientsHoldOn),
 ];
 
 impl FromStr for TroubleKind {
@@ -236,6 +246,7 @@
         TroubleKind::EndlessAnswers => endless_answers(g, at),
         TroubleKind::FailuresBesideRelays => failures_beside_relays(g, at),
         TroubleKind::RouteMoved => moved_route(g, at),
+        TroubleKind::ClientsHoldOn => clients_hold_on(g, at),
         TroubleKind::RequestsCrashEndpoints => crashing_request(g, at),
         TroubleKind::EndpointsCrash | TroubleKind::Release | TroubleKind::AddressesTakenOver => {
             replaced_endpoints(g, kind, at);
@@ -360,6 +371,28 @@
     }
 }
 
+/// A crowd at any port of a gateway or a control replica.
+fn clients_hold_on(g: &mut Generator, at: Duration) {
+    let (target, ports) = match g.rng.random_bool(0.7) {
+        true => {
+            let gateway = g.rng.random_range(0..g.gateways);
+            (Target::Gateway(gateway), &GATEWAY_PORTS[..])
+        }
+        false => {
+            let control = g.rng.random_range(0..g.controls);
+            (Target::Control(control), &CONTROL_PORTS[..])
+        }
+    };
+    let crowd = ComingCrowd {
+        target,
+        port: ports[g.rng.random_range(0..ports.len())],
+        unfinished: Unfinished::ALL[g.rng.random_range(0..Unfinished::ALL.len())],
+        clients: g.rng.random_range(CROWD_CLIENTS),
+        stay: g.millis(FAULT_MS),
+    };
+    g.push(at, Action::Crowd(crowd));
+}
+
 fn failing_endpoints(g: &mut Generator, kind: TroubleKind, at: Duration) {
     let end = at + g.millis(FAULT_MS);
     match kind {
--- a/crates/testing/src/soak/violations.rs
+++ b/crates/testing/src/soak/violations.rs
@@ -101,6 +101,13 @@
     /// A process ended by itself or didn't stop, or the system didn't recover once all faults were
     /// over. The string describes what was expected or seen.
     NotRecovered(String),
+    /// A process took more memory than its settings say that it may.
+    MemoryExceeded {
+        /// Its name.
+        process: String,
+        /// Its most resident memory, in bytes.
+        bytes: u64,
+    },
     /// First tries at gateways that were cut off from endpoints were served much less often than at the
     /// others.
     CutOffGatewaysDontServe {
--- a/tests/all/crowds/control.rs
+++ b/tests/all/crowds/control.rs
@@ -4,12 +4,11 @@
 use std::time::Duration;
 
 use filberthead_testing::client::Call;
+use filberthead_testing::crowd::{Crowd, endless_head, filler};
 use filberthead_testing::site::{Site, config, order_at};
 use filberthead_testing::wait_until;
 
-use super::{
-    BOUND, Crowd, FEW_FILES, MANY_FOR_FILES, assert_holds, assert_keeps_files, endless_head, filler,
-};
+use super::{BOUND, FEW_FILES, MANY_FOR_FILES, assert_holds, assert_keeps_files};
 use crate::groups::site;
 
 /// Memory of a VM that control replicas run on, in bytes.
--- a/tests/all/crowds/entry.rs
+++ b/tests/all/crowds/entry.rs
@@ -5,11 +5,10 @@
 
 use filberthead_testing::client::Call;
 use filberthead_testing::cluster::Cluster;
+use filberthead_testing::crowd::{Crowd, endless_head, filler};
 use filberthead_testing::wait_until;
 
-use super::{
-    BOUND, Crowd, FEW_FILES, MANY_FOR_FILES, assert_holds, assert_keeps_files, endless_head, filler,
-};
+use super::{BOUND, FEW_FILES, MANY_FOR_FILES, assert_holds, assert_keeps_files};
 use crate::support::programs;
 
 /// Memory that the process of an entry may take, in bytes.
--- a/tests/all/crowds/gateway.rs
+++ b/tests/all/crowds/gateway.rs
@@ -6,13 +6,12 @@
 use std::time::Duration;
 
 use filberthead_peer::cluster_id;
+use filberthead_testing::crowd::{Crowd, endless_head, filler};
 use filberthead_testing::site::{HOST, Site, request};
 use filberthead_testing::wait_until;
 use filberthead_types::header::RELAY;
 
-use super::{
-    BOUND, Crowd, FEW_FILES, MANY_FOR_FILES, assert_holds, assert_keeps_files, endless_head, filler,
-};
+use super::{BOUND, FEW_FILES, MANY_FOR_FILES, assert_holds, assert_keeps_files};
 use crate::groups::site;
 
 /// Memory of the smallest VM that gateways run on, in bytes.
--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -140,7 +140,7 @@
 /// Fails if there is a violation. The report is written past the harness, which prints what it has
 /// captured at the end of the run only, and never if that is ended.
 #[track_caller]
-fn assert_kept(report: &impl fmt::Display, violations: &[Violation], dir: &Path) {
+pub(crate) fn assert_kept(report: &impl fmt::Display, violations: &[Violation], dir: &Path) {
     if !violations.is_empty() {
         let logs = dir.display();
         // Without standard error there is nobody to tell.
@@ -340,7 +340,11 @@
 }
 
 /// Plays faults of one kind on the deployment with eight gateways.
-fn play_deployed(seed: u64, times: (Duration, Duration), kind: TroubleKind) -> DeployedReport {
+pub(crate) fn play_deployed(
+    seed: u64,
+    times: (Duration, Duration),
+    kind: TroubleKind,
+) -> DeployedReport {
     let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("config/soak/eight-gateways.ini");
     let deployment = Deployment::load(&file).expect("a valid description");
     let programs = SoakPrograms {
