--- a/crates/filberthead/src/gateway/attempt.rs
+++ b/crates/filberthead/src/gateway/attempt.rs
@@ -219,13 +219,13 @@
     Holder::Endpoint(target.id.clone(), target.incarnation)
 }
 
-/// Sends a request to the endpoint chosen for it. Dropping the returned future tells the endpoint to cancel
+/// Sends a request to the endpoint chosen for it, which may have refused it before. Dropping the returned future tells the endpoint to cancel
 /// the work. What an answer says of its endpoint that is on its way then still counts.
 pub(crate) async fn attempt(
     core: &Rc<Core>,
     job: &Job<'_>,
     body: RequestBody,
-    target: &Target,
+    (target, was_refused): (&Target, bool),
     progress: &Rc<Progress>,
 ) -> Attempt {
     let mut in_flight = InFlight {
@@ -255,6 +255,8 @@
     let value = job.head.headers.get(name).unwrap_or(&empty);
     let check = AnswerCheck::Echo { name, value };
     let reuse = match job.kind {
+        // A second copy of that rejection may still come where the first one did, and has the same id.
+        _ if was_refused => Reuse::Never,
         Kind::Unsafe => Reuse::Within(MAX_IDLE_FOR_UNSAFE),
         Kind::Safe | Kind::Download => Reuse::Allowed,
     };
--- a/crates/filberthead/src/gateway/forwarding/start.rs
+++ b/crates/filberthead/src/gateway/forwarding/start.rs
@@ -209,10 +209,12 @@
         charge: &mut Charge<'_>,
     ) -> Start<'a> {
         self.attempts.record_sent(target.id.clone());
+        let was_refused = self.attempts.was_refused_by(&target.id);
         let to = Destination::Endpoint(target.clone());
         self.send(body, to, charge, |core, job, body, progress| {
             Box::pin(async move {
-                let attempt = attempt(core, &job, body, &target, &progress).await;
+                let sending = attempt(core, &job, body, (&target, was_refused), &progress);
+                let attempt = sending.await;
                 (attempt, None)
             })
         })
--- a/crates/place/src/attempts.rs
+++ b/crates/place/src/attempts.rs
@@ -24,6 +24,8 @@
     /// Endpoints that another gateway has sent it to or may do so, beyond the first one of each attempt.
     elsewhere: u32,
     excluded: Vec<EndpointId>,
+    /// Endpoints that have rejected it.
+    rejected_by: Vec<EndpointId>,
 }
 
 /// Whether another attempt is allowed.
@@ -47,6 +49,7 @@
             refused: 0,
             elsewhere: 0,
             excluded: Vec::new(),
+            rejected_by: Vec::new(),
         }
     }
 
@@ -92,6 +95,7 @@
     /// may be sent to it again.
     pub fn record_refused(&mut self, id: &EndpointId, allow_same_endpoint: bool) -> NextAttempt {
         self.refused += 1;
+        self.rejected_by.push(id.clone());
         if allow_same_endpoint {
             self.excluded.retain(|excluded| excluded != id);
         }
@@ -138,6 +142,11 @@
         self.ran
     }
 
+    /// Whether this endpoint has rejected the request before.
+    pub fn was_refused_by(&self, id: &EndpointId) -> bool {
+        self.rejected_by.contains(id)
+    }
+
     /// Whether an endpoint has rejected the request.
     pub fn was_refused(&self) -> bool {
         self.refused > 0
--- a/crates/place/tests/all/refusals.rs
+++ b/crates/place/tests/all/refusals.rs
@@ -173,3 +173,16 @@
     );
     assert_eq!((attempts.reached(), attempts.left()), (2, 1));
 }
+
+/// A request that went back to an endpoint which had rejected it used the same connection, where a second copy of that
+/// rejection could still come.
+#[test]
+fn endpoints_that_have_rejected_a_request_are_known() {
+    let mut attempts = Attempts::new(3);
+    for id in ["a", "b"] {
+        attempts.record_sent(id.into());
+    }
+    attempts.record_refused(&"a".into(), true);
+    assert!(attempts.was_refused_by(&"a".into()));
+    assert!(!attempts.was_refused_by(&"b".into()));
+}
