--- a/crates/filberthead/src/gateway/attempt.rs
+++ b/crates/filberthead/src/gateway/attempt.rs
@@ -219,8 +219,8 @@
     Holder::Endpoint(target.id.clone(), target.incarnation)
 }
 
-/// Sends a request to the endpoint chosen for it, which may have refused it before. Dropping the returned future tells the endpoint to cancel
-/// the work. What an answer says of its endpoint that is on its way then still counts.
+/// Sends a request to the endpoint chosen for it, which may have refused it before. Dropping the returned future
+/// tells the endpoint to cancel the work. What an answer says of its endpoint that is on its way then still counts.
 pub(crate) async fn attempt(
     core: &Rc<Core>,
     job: &Job<'_>,
